--- /dev/null
+++ b/packages/core/src/json-client.ts
@@ -0,0 +1,68 @@
+import { Agent, request } from "node:http";
+import type { JsonResponse } from "./json-response.js";
+import { parseAddress } from "./parse-address.js";
+
+const MaxAnswerBytes = 16 * 1024 * 1024;
+
+/** Options of one call. */
+interface CallOptions {
+    readonly body?: unknown;
+    readonly timeoutMs: number;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
+/**
+ * HTTP client for JSON ports with connections that are kept alive. `call` rejects when no complete answer came
+ * within the timeout; whether the request took effect is then unknown.
+ */
+export class JsonClient {
+    private readonly agent = new Agent({ keepAlive: true, maxSockets: 16 });
+
+    private constructor(private readonly address: string) {}
+
+    static create(address: string): JsonClient {
+        return new JsonClient(address);
+    }
+
+    call(method: string, path: string, options: CallOptions): Promise<JsonResponse> {
+        const text = options.body === undefined ? undefined : JSON.stringify(options.body);
+        const { host, port } = parseAddress(this.address);
+        const headers = {
+            ...options.headers,
+            ...(text === undefined ? {} : { "content-type": "application/json" }),
+        };
+        return new Promise((resolve, reject) => {
+            const signal = AbortSignal.timeout(options.timeoutMs);
+            const req = request({ host, port, method, path, headers, agent: this.agent, signal }, res => {
+                const chunks: Buffer[] = [];
+                let size = 0;
+                res.on("data", (chunk: Buffer) => {
+                    size += chunk.length;
+                    chunks.push(chunk);
+                    if (size > MaxAnswerBytes) {
+                        res.destroy(new Error(`The answer exceeds ${MaxAnswerBytes} bytes`));
+                    }
+                });
+                res.on("error", reject);
+                res.on("end", () => {
+                    try {
+                        const answer = Buffer.concat(chunks).toString("utf8");
+                        resolve({
+                            status: res.statusCode ?? 0,
+                            body: answer === "" ? undefined : JSON.parse(answer),
+                        });
+                    } catch (err) {
+                        reject(err);
+                    }
+                });
+            });
+            req.on("error", reject);
+            req.end(text);
+        });
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        this.agent.destroy();
+    }
+}
--- /dev/null
+++ b/packages/core/src/json-server.ts
@@ -0,0 +1,116 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import findMyWay from "find-my-way";
+import { CodedError } from "./coded-error.js";
+import { describeCode } from "./describe-code.js";
+import { listen } from "./listen.js";
+import type { JsonRequest } from "./json-request.js";
+import type { JsonResponse } from "./json-response.js";
+import { ResultCode } from "./result-code.js";
+
+const MaxBodyBytes = 2 * 1024 * 1024;
+const MaxHeaderBytes = 16 * 1024;
+const RequestTimeoutMs = 30_000;
+
+type Method = "GET" | "PUT" | "POST" | "DELETE";
+type Handler = (req: JsonRequest) => Promise<JsonResponse> | JsonResponse;
+
+const readBody = async (req: IncomingMessage): Promise<unknown> => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of req as AsyncIterable<Buffer>) {
+        size += chunk.length;
+        if (size > MaxBodyBytes) {
+            throw CodedError.create(ResultCode.RequestTooLarge, `The body exceeds ${MaxBodyBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    if (size === 0) {
+        return undefined;
+    }
+    try {
+        return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+    } catch {
+        throw CodedError.create(ResultCode.BadRequest, "The body is not valid JSON");
+    }
+};
+
+const errorResponse = (err: unknown): JsonResponse => {
+    if (err instanceof CodedError) {
+        return { status: describeCode(err.code).httpStatus, body: { code: err.code, message: err.message } };
+    }
+    return { status: 500, body: { message: err instanceof Error ? err.message : String(err) } };
+};
+
+const send = (res: ServerResponse, { status, body }: JsonResponse): void => {
+    const text = JSON.stringify(body);
+    res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
+    res.end(text);
+};
+
+/**
+ * A small HTTP server that answers JSON, for administration ports and stand-ins. Bodies, headers and request
+ * times are bounded. A `CodedError` thrown by a handler becomes its HTTP status with `{ code, message }`.
+ */
+export class JsonServer {
+    private readonly router = findMyWay();
+    private readonly server: Server;
+
+    private constructor(private readonly authorize: (req: IncomingMessage) => boolean) {
+        this.server = createServer(
+            { maxHeaderSize: MaxHeaderBytes, requestTimeout: RequestTimeoutMs },
+            (req, res) => {
+                void this.answer(req, res);
+            },
+        );
+    }
+
+    /** `authorize` is asked before each request; a request that it rejects is answered with 401. */
+    static create(authorize: (req: IncomingMessage) => boolean = () => true): JsonServer {
+        return new JsonServer(authorize);
+    }
+
+    on(method: Method, path: string, handler: Handler): this {
+        this.router.on(method, path, () => undefined, handler);
+        return this;
+    }
+
+    /** Listens on `ip:port` and returns the address, with the port that the system chose when it is 0. */
+    listen(address: string): Promise<string> {
+        return listen(this.server, address);
+    }
+
+    /** Stops listening, closes idle connections and resolves when requests in progress are answered. */
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            this.server.closeIdleConnections();
+        });
+    }
+
+    private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const abort = new AbortController();
+        res.on("close", () => abort.abort());
+        try {
+            send(res, await this.dispatch(req, abort.signal));
+        } catch (err) {
+            send(res, errorResponse(err));
+            // The rest of a body that was refused is not read.
+            req.destroy();
+        }
+    }
+
+    private async dispatch(req: IncomingMessage, signal: AbortSignal): Promise<JsonResponse> {
+        if (!this.authorize(req)) {
+            throw CodedError.create(ResultCode.Unauthorized, "A valid bearer token is required");
+        }
+        const url = new URL(req.url ?? "/", "http://localhost");
+        const match = this.router.find(req.method as Method, url.pathname);
+        if (match === null) {
+            return { status: 404, body: { message: `No such call: ${req.method} ${url.pathname}` } };
+        }
+        const body = await readBody(req);
+        const handler = match.store as Handler;
+        return handler({ params: match.params, query: url.searchParams, body, signal });
+    }
+}
--- /dev/null
+++ b/packages/core/src/on-stop-signal.ts
@@ -0,0 +1,6 @@
+/** Resolves on the first SIGTERM or SIGINT. */
+export const onStopSignal = (): Promise<void> =>
+    new Promise(resolve => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+    });
