--- /dev/null
+++ b/packages/demo/src/user-plan.ts
@@ -0,0 +1,13 @@
+import type { WorkerPlan } from "./worker-plan.js";
+
+/** One user's deployment at today's size (docs/design.md, section 1). */
+export interface UserPlan {
+    /** Name of the folder with the tables under examples/. */
+    readonly user: string;
+    readonly service: string;
+    readonly zones: readonly WorkerPlan[];
+    readonly processors: number;
+    readonly memoryMb: number;
+    readonly workersPerRack: number;
+    readonly entryVms: number;
+}
