Add store stand-in, HTTP store client and in-memory store

Cause: every other package needs the store's behaviour under faults before it can be tested.

The stand-in and the in-memory store share StoreTable, so they cannot differ in their rules. A write counts as sent from the moment its socket is connected; a reset after that is "may be applied".

Ruled out: treating ECONNRESET on a reused connection as "not applied". The store may have read the request before it closed the connection.

--- /dev/null
+++ b/packages/state/src/send-json.ts
@@ -0,0 +1,66 @@
+import type { Agent, ClientRequest, IncomingMessage } from "node:http";
+import { request } from "node:http";
+import type { HttpAnswer } from "./http-answer.js";
+
+interface JsonRequest {
+    readonly agent: Agent;
+    readonly address: string;
+    readonly method: string;
+    readonly path: string;
+    readonly body?: object;
+    readonly timeoutMs: number;
+}
+
+const readBody = async (res: IncomingMessage): Promise<unknown> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of res) {
+        chunks.push(chunk as Buffer);
+    }
+    const text = Buffer.concat(chunks).toString("utf8");
+    return text === "" ? undefined : JSON.parse(text);
+};
+
+/** Calls back once the request's socket is connected; from then on the request may reach the store. */
+const onConnected = (req: ClientRequest, callback: () => void): void => {
+    req.on("socket", socket => {
+        if (socket.connecting) {
+            socket.once("connect", callback);
+        } else {
+            callback();
+        }
+    });
+};
+
+/** Sends one JSON request and waits for the complete answer. Never rejects. */
+export const sendJson = (options: JsonRequest): Promise<HttpAnswer> =>
+    new Promise(resolve => {
+        const payload = options.body === undefined ? undefined : JSON.stringify(options.body);
+        const [, host, port] = /^\[?([^\]]+)\]?:(\d+)$/.exec(options.address) ?? [];
+        let wasSent = false;
+        const fail = (err: Error): void => resolve({ wasSent, message: err.message });
+        const req = request({
+            agent: options.agent,
+            host,
+            port,
+            method: options.method,
+            path: options.path,
+            headers:
+                payload === undefined
+                    ? {}
+                    : { "content-type": "application/json", "content-length": Buffer.byteLength(payload) },
+        });
+        const timer = setTimeout(
+            () => req.destroy(new Error(`no answer within ${options.timeoutMs} ms`)),
+            options.timeoutMs,
+        );
+        onConnected(req, () => (wasSent = true));
+        req.on("error", fail);
+        req.on("close", () => clearTimeout(timer));
+        req.on("response", res => {
+            readBody(res).then(
+                body => resolve({ status: res.statusCode ?? 0, body, wasSent, message: "" }),
+                fail,
+            );
+        });
+        req.end(payload);
+    });
--- /dev/null
+++ b/packages/state/src/testing/store-fault.ts
@@ -0,0 +1,13 @@
+/** Faults that `MemoryKeyValueStore` injects into a call. */
+export const StoreFault = {
+    /** The call is refused and not applied. */
+    Refused: "refused",
+    /** The request is lost; a write is reported as "may be applied" but is not. */
+    LostBeforeApply: "lost-before-apply",
+    /** A write is applied, and its answer is lost. */
+    LostAfterApply: "lost-after-apply",
+    /** The answer is lost, and a write is applied later, when the test calls `deliverLate`. */
+    AppliedLate: "applied-late",
+} as const;
+
+export type StoreFault = (typeof StoreFault)[keyof typeof StoreFault];
--- /dev/null
+++ b/packages/state/src/testing/store-table.ts
@@ -0,0 +1,164 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import type { KvEntry } from "../kv-entry.js";
+import { StoreErrorKind } from "../store-error-kind.js";
+import type { StoreError } from "../store-error.js";
+import { StoreLimits } from "../store-limits.js";
+import type { WatchResult } from "../watch-result.js";
+
+interface Lease {
+    readonly ttlMs: number;
+    expiresMs: number;
+}
+
+const keyPattern = /^[a-z0-9./-]+$/;
+
+const failure = (kind: StoreErrorKind, message: string): Err<StoreError> => Err({ kind, message });
+
+/** The contents and rules of a store without any transport; the stand-in process and the in-memory fake use it. */
+export class StoreTable {
+    private readonly entries = new Map<string, KvEntry>();
+    private readonly deletions = new Map<string, number>();
+    private readonly leases = new Map<string, Lease>();
+    private readonly listeners = new Set<() => void>();
+    private currentRevision = 0;
+    private leaseCount = 0;
+
+    private constructor(private readonly clock: Clock) {}
+
+    static create(clock: Clock): StoreTable {
+        return new StoreTable(clock);
+    }
+
+    get revision(): number {
+        return this.currentRevision;
+    }
+
+    get(key: string): KvEntry | undefined {
+        this.dropLapsedLeases();
+        return this.entries.get(key);
+    }
+
+    list(prefix: string): WatchResult {
+        return this.changes(prefix, 0);
+    }
+
+    /** Entries and deletions under a prefix after a revision. A list (`after` 0) has no deletions. */
+    changes(prefix: string, after: number): WatchResult {
+        this.dropLapsedLeases();
+        const entries = [...this.entries.values()]
+            .filter(entry => entry.key.startsWith(prefix) && entry.revision > after)
+            .sort((a, b) => a.revision - b.revision);
+        const deleted = [...this.deletions]
+            .filter(([key, revision]) => after > 0 && key.startsWith(prefix) && revision > after)
+            .map(([key]) => key);
+        const shown = entries.slice(0, StoreLimits.listEntries);
+        const isWhole = shown.length === entries.length;
+        const revision = isWhole ? this.currentRevision : (shown.at(-1)?.revision ?? after);
+        return { entries: shown, deleted, revision };
+    }
+
+    put(key: string, value: string, ifRevision: number, leaseId?: string): Result<number, StoreError> {
+        this.dropLapsedLeases();
+        if (!keyPattern.test(key) || Buffer.byteLength(value) > StoreLimits.valueBytes) {
+            return failure(StoreErrorKind.NotApplied, `key or value of "${key}" is outside the limits`);
+        }
+        if (leaseId !== undefined && !this.leases.has(leaseId)) {
+            return failure(StoreErrorKind.LeaseLost, `lease ${leaseId} does not exist`);
+        }
+        const current = this.entries.get(key);
+        if ((current?.revision ?? 0) !== ifRevision) {
+            return this.conflict(current);
+        }
+        const revision = this.nextRevision();
+        this.entries.set(key, { key, value, revision, ...(leaseId === undefined ? {} : { leaseId }) });
+        this.deletions.delete(key);
+        this.notify();
+        return Ok(revision);
+    }
+
+    delete(key: string, ifRevision: number): Result<void, StoreError> {
+        this.dropLapsedLeases();
+        const current = this.entries.get(key);
+        if (current?.revision !== ifRevision) {
+            return this.conflict(current);
+        }
+        this.remove(key);
+        this.notify();
+        return Ok(undefined);
+    }
+
+    grantLease(ttlMs: number): string {
+        this.leaseCount += 1;
+        const leaseId = `lease-${this.leaseCount}`;
+        this.leases.set(leaseId, { ttlMs, expiresMs: this.clock.nowMs() + ttlMs });
+        return leaseId;
+    }
+
+    renewLease(leaseId: string): Result<void, StoreError> {
+        this.dropLapsedLeases();
+        const lease = this.leases.get(leaseId);
+        if (lease === undefined) {
+            return failure(StoreErrorKind.LeaseLost, `lease ${leaseId} does not exist`);
+        }
+        lease.expiresMs = this.clock.nowMs() + lease.ttlMs;
+        return Ok(undefined);
+    }
+
+    revokeLease(leaseId: string): Result<void, StoreError> {
+        this.dropLapsedLeases();
+        if (!this.leases.has(leaseId)) {
+            return failure(StoreErrorKind.LeaseLost, `lease ${leaseId} does not exist`);
+        }
+        this.endLease(leaseId);
+        return Ok(undefined);
+    }
+
+    /** Ends leases whose time has passed and deletes their keys. */
+    dropLapsedLeases(): void {
+        const now = this.clock.nowMs();
+        for (const [leaseId, lease] of this.leases) {
+            if (lease.expiresMs <= now) {
+                this.endLease(leaseId);
+            }
+        }
+    }
+
+    /** Calls the listener after each change. Returns the function that stops this. */
+    onChange(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    private endLease(leaseId: string): void {
+        this.leases.delete(leaseId);
+        const keys = [...this.entries.values()].filter(entry => entry.leaseId === leaseId);
+        for (const entry of keys) {
+            this.remove(entry.key);
+        }
+        if (keys.length > 0) {
+            this.notify();
+        }
+    }
+
+    private remove(key: string): void {
+        this.entries.delete(key);
+        this.deletions.set(key, this.nextRevision());
+    }
+
+    private nextRevision(): number {
+        this.currentRevision += 1;
+        return this.currentRevision;
+    }
+
+    private conflict(current: KvEntry | undefined): Err<StoreError> {
+        return Err({ kind: StoreErrorKind.Conflict, message: "the revision differs", current });
+    }
+
+    private notify(): void {
+        for (const listener of [...this.listeners]) {
+            listener();
+        }
+    }
+}
