--- /dev/null
+++ b/packages/standins/src/worker/task-outcome.ts
@@ -0,0 +1,8 @@
+/** How an attempt ended; the stand-in repeats it until it is acknowledged. */
+export interface TaskOutcome {
+    readonly key: string;
+    readonly attempt: number;
+    readonly result: "finished" | "failed" | "lease-lapsed";
+    readonly output: string;
+    readonly error?: string;
+}
