--- a/packages/standins/src/worker/main.ts
+++ b/packages/standins/src/worker/main.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 import { parseArgs } from "node:util";
 import { createLogger } from "@samphireward/core/create-logger";
 import { loadSettings } from "@samphireward/core/load-settings";
--- a/packages/standins/src/worker/task-port.ts
+++ b/packages/standins/src/worker/task-port.ts
@@ -43,8 +43,8 @@
             schema: S,
             run: (body: S["Type"]) => Answer,
         ): Handler => {
-            const decode = Schema.decodeUnknownSync(schema as Schema.ConstraintDecoder<unknown>);
-            return body => run(decode(body) as S["Type"]);
+            const decode = Schema.decodeUnknownSync(schema);
+            return body => run(decode(body));
         };
         return new Map<string, Handler>([
             ["POST /v1/tasks/start", on(TaskRequests.start, req => this.start(req))],
