Add slot shares, allocator and the parts of the request path

ShareBook and SlotAllocator agree on two numbers that the protocol does not carry yet: each update echoes the report it answers (expiry counts from the time that report was sent, so a delayed update is never valid for longer than the owner assumes), and each report confirms a sequence, which frees a shrunk share before its expiry.

Ruled out: expiry counted from receipt, because a paused entry process would use a share that the owner has already granted to another one.

--- /dev/null
+++ b/packages/routing/src/allocated-worker.ts
@@ -0,0 +1,10 @@
+/** A worker of the cell whose slots and connections are divided among the entry processes. */
+export interface AllocatedWorker {
+    readonly worker: string;
+    /** `ip:port` */
+    readonly serviceAddress: string;
+    readonly slots: number;
+    readonly connections: number;
+    /** A leaving worker is withdrawn: nothing is granted, old shares run out. */
+    readonly leaving: boolean;
+}
--- /dev/null
+++ b/packages/routing/src/fair-queue.ts
@@ -0,0 +1,85 @@
+/**
+ * Bounded queue that serves customers in turn. When it is full, the customer with the most waiting items gives
+ * up its newest, so that one customer's burst cannot keep the others out.
+ */
+export class FairQueue<T> {
+    /** Customers with waiting items, next in turn first. */
+    private readonly byCustomer = new Map<string, T[]>();
+    private count = 0;
+
+    private constructor(private readonly maxItems: number) {}
+
+    static create<T>(maxItems: number): FairQueue<T> {
+        return new FairQueue<T>(maxItems);
+    }
+
+    get size(): number {
+        return this.count;
+    }
+
+    /** Adds an item. Returns the item that found no place, which may be the new one. */
+    push(customer: string, item: T): T | undefined {
+        const own = this.byCustomer.get(customer);
+        if (this.count < this.maxItems) {
+            this.append(customer, own, item);
+            return undefined;
+        }
+        const [longest, items] = this.longest();
+        if (longest === undefined || (own?.length ?? 0) + 1 >= items.length) {
+            return item;
+        }
+        const dropped = items.at(-1);
+        items.pop();
+        this.count -= 1;
+        this.append(customer, own, item);
+        return dropped;
+    }
+
+    /** Removes and returns the next item. */
+    shift(): T | undefined {
+        for (const [customer, items] of this.byCustomer) {
+            const item = items.shift();
+            this.byCustomer.delete(customer);
+            if (items.length > 0) {
+                // Setting the key again moves the customer to the end of the order.
+                this.byCustomer.set(customer, items);
+            }
+            this.count -= 1;
+            return item;
+        }
+        return undefined;
+    }
+
+    /** Removes one item wherever it is. */
+    remove(customer: string, item: T): void {
+        const items = this.byCustomer.get(customer);
+        const index = items?.indexOf(item) ?? -1;
+        if (items === undefined || index < 0) {
+            return;
+        }
+        items.splice(index, 1);
+        this.count -= 1;
+        if (items.length === 0) {
+            this.byCustomer.delete(customer);
+        }
+    }
+
+    private append(customer: string, own: T[] | undefined, item: T): void {
+        if (own === undefined) {
+            this.byCustomer.set(customer, [item]);
+        } else {
+            own.push(item);
+        }
+        this.count += 1;
+    }
+
+    private longest(): [customer: string | undefined, items: T[]] {
+        let best: [string | undefined, T[]] = [undefined, []];
+        for (const [customer, items] of this.byCustomer) {
+            if (items.length > best[1].length) {
+                best = [customer, items];
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/granted-share.ts
@@ -0,0 +1,7 @@
+import type { SlotShare } from "@samphireward/core/slot-share";
+
+/** A slot share with the worker's service address, as it is sent between owner and entry process. */
+export interface GrantedShare extends SlotShare {
+    /** `ip:port` */
+    readonly serviceAddress: string;
+}
--- /dev/null
+++ b/packages/routing/src/retry-budget.ts
@@ -0,0 +1,35 @@
+/**
+ * Token bucket that bounds retries to a share of the load: each request adds `share` tokens, each retry takes
+ * one. The bucket starts full, so that the first failures after a quiet time can be retried.
+ */
+export class RetryBudget {
+    private tokens: number;
+
+    private constructor(
+        private readonly share: number,
+        private readonly maxTokens: number,
+    ) {
+        this.tokens = maxTokens;
+    }
+
+    static create(share = 0.1, maxTokens = 10): RetryBudget {
+        return new RetryBudget(share, maxTokens);
+    }
+
+    countRequest(): void {
+        this.tokens = Math.min(this.maxTokens, this.tokens + this.share);
+    }
+
+    get hasToken(): boolean {
+        return this.tokens >= 1;
+    }
+
+    /** Takes a token if there is one. */
+    tryTake(): boolean {
+        if (!this.hasToken) {
+            return false;
+        }
+        this.tokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/share-book.ts
@@ -0,0 +1,160 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { Pool } from "@samphireward/core/pool";
+import type { Tables } from "@samphireward/core/tables";
+import { CellShares } from "./cell-shares.js";
+import type { GrantedShare } from "./granted-share.js";
+import type { ShareReport } from "./share-report.js";
+import type { ShareUpdate } from "./share-update.js";
+import type { Target } from "./target.js";
+import type { WorkerShare } from "./worker-share.js";
+
+/** Send times of reports older than this are forgotten; no share lives that long. */
+const ReportMemoryMs = 60_000;
+
+/** All slot shares that this entry process holds, by cell and worker. Expiry follows the monotonic clock. */
+export class ShareBook {
+    private readonly cells = new Map<string, CellShares>();
+    private readonly reportsSent = new Map<number, number>();
+    private lastReport = 0;
+    private leaving: ReadonlySet<string> = new Set();
+    private readonly seenLeaving = new Set<string>();
+    private changes = 0;
+    private readonly listeners: (() => void)[] = [];
+
+    private constructor(private readonly clock: Clock) {}
+
+    static create(clock: Clock): ShareBook {
+        return new ShareBook(clock);
+    }
+
+    /** Grows whenever the set of targets or their shares may have changed. */
+    get version(): number {
+        return this.changes;
+    }
+
+    /** Calls `listener` after each change. */
+    onChange(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    /**
+     * Starts a stream to the owner of `epoch`: refuses updates of lower epochs from now on and returns the
+     * unexpired shares of the cell as claims.
+     */
+    hello(cell: string, epoch: number): { report: number; claims: GrantedShare[] } {
+        const nowMs = this.clock.nowMs();
+        const shares = this.cellOf(cell);
+        shares.raiseEpoch(epoch);
+        const held = [...shares.workers.values()].filter(
+            share => share.slots > 0 && nowMs < share.expiresAtMs,
+        );
+        const claims = held.map(share => ({
+            worker: share.worker,
+            serviceAddress: share.serviceAddress,
+            slots: share.slots,
+            connections: share.connections,
+            epoch: share.epoch,
+            expiresInMs: Math.ceil(share.expiresAtMs - nowMs),
+        }));
+        return { report: this.numberReport(nowMs), claims };
+    }
+
+    /** The report to send to the owner of a cell, every second and whenever demand changes much. */
+    report(cell: string, demand: number): ShareReport {
+        const shares = this.cellOf(cell);
+        const report = this.numberReport(this.clock.nowMs());
+        return { report, epoch: shares.epoch, confirmedSequence: shares.confirm(), demand };
+    }
+
+    /** Applies an update unless it is older than what is known. Returns whether it was applied. */
+    apply(update: ShareUpdate): boolean {
+        const shares = this.cellOf(update.cell);
+        const sentAtMs = this.reportsSent.get(update.report);
+        if (sentAtMs === undefined || !shares.isNewer(update)) {
+            return false;
+        }
+        shares.replace(update, sentAtMs);
+        shares.prune(this.clock.nowMs());
+        this.refreshLeaving();
+        return true;
+    }
+
+    /** Sets the targets that are leaving according to the directory and to peers. */
+    setLeaving(workers: ReadonlySet<string>): void {
+        this.leaving = workers;
+        this.refreshLeaving();
+    }
+
+    /** Records that a target itself said it is leaving. Kept until its share is withdrawn. */
+    noteLeaving(worker: string): void {
+        if (!this.seenLeaving.has(worker)) {
+            this.seenLeaving.add(worker);
+            this.refreshLeaving();
+        }
+    }
+
+    /** Targets that told this process that they are leaving, for the exchange with peers. */
+    leavingSeen(): string[] {
+        return [...this.seenLeaving];
+    }
+
+    /** Shares of all workers in a pool's zones, including expired ones that are still in use. */
+    sharesOf(pool: Pool): WorkerShare[] {
+        const zones = new Set<string>(pool.zones);
+        return this.allShares().filter(share => zones.has(share.dataCentre));
+    }
+
+    /** The targets of a pool's service as they are now. */
+    targetsOf(pool: Pool, tables: Tables): Target[] {
+        const nowMs = this.clock.nowMs();
+        return this.sharesOf(pool).map(share => {
+            const isHeld = nowMs < share.expiresAtMs;
+            return {
+                worker: share.worker,
+                serviceAddress: share.serviceAddress,
+                dataCentre: share.dataCentre,
+                region: tables.zones.get(share.dataCentre)?.region ?? "",
+                slots: isHeld ? share.slots : 0,
+                connections: isHeld ? share.connections : 0,
+                leaving: share.leaving,
+            };
+        });
+    }
+
+    private allShares(): WorkerShare[] {
+        return [...this.cells.values()].flatMap(cell => [...cell.workers.values()]);
+    }
+
+    private cellOf(cell: string): CellShares {
+        const shares = this.cells.get(cell) ?? CellShares.create(cell);
+        this.cells.set(cell, shares);
+        return shares;
+    }
+
+    private numberReport(nowMs: number): number {
+        for (const [report, sentAtMs] of this.reportsSent) {
+            if (nowMs - sentAtMs < ReportMemoryMs) {
+                break;
+            }
+            this.reportsSent.delete(report);
+        }
+        this.lastReport += 1;
+        this.reportsSent.set(this.lastReport, nowMs);
+        return this.lastReport;
+    }
+
+    private refreshLeaving(): void {
+        const known = new Set<string>();
+        for (const share of this.allShares()) {
+            known.add(share.worker);
+            share.leaving = this.leaving.has(share.worker) || this.seenLeaving.has(share.worker);
+        }
+        for (const worker of this.seenLeaving) {
+            if (!known.has(worker)) {
+                this.seenLeaving.delete(worker);
+            }
+        }
+        this.changes += 1;
+        this.listeners.forEach(listener => listener());
+    }
+}
--- /dev/null
+++ b/packages/routing/src/slot-allocator.ts
@@ -0,0 +1,206 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { AllocatedWorker } from "./allocated-worker.js";
+import { divideSlots } from "./divide-slots.js";
+import { fairWeights } from "./fair-weights.js";
+import type { GrantedShare } from "./granted-share.js";
+import { OutstandingGrants } from "./outstanding-grants.js";
+import type { ShareHello } from "./share-hello.js";
+import type { ShareReport } from "./share-report.js";
+import type { ShareUpdate } from "./share-update.js";
+import { tieBreak } from "./tie-break.js";
+
+interface AllocatorOptions {
+    readonly clock: Clock;
+    readonly cell: string;
+    readonly epoch: number;
+    readonly ttlMs: number;
+    /** Added to the time to live for clocks of different rates. */
+    readonly marginMs: number;
+    /** Whether an earlier owner may have granted shares that are still valid. */
+    readonly isTakeover: boolean;
+    /** Whether the owner's own lease is valid now; nothing is granted otherwise. */
+    readonly mayGrant: () => boolean;
+}
+
+interface EntryState {
+    report: number;
+    demand: number;
+}
+
+/**
+ * Divides the slots and connections of a cell's workers among the entry processes by demand. For each worker,
+ * the sum of what the entry processes may still be using never exceeds what the worker has.
+ */
+export class SlotAllocator {
+    private readonly entries = new Map<string, EntryState>();
+    private workers = new Map<string, AllocatedWorker>();
+    /** By worker, then by entry. Kept for withdrawn workers until the grants have expired. */
+    private readonly outstanding = new Map<string, Map<string, OutstandingGrants>>();
+    private readonly plan = new Map<string, Map<string, number>>();
+    private isPlanStale = true;
+    /** One sequence for all entry processes, so that it also grows over a detach and attach. */
+    private sequence = 0;
+    protected readonly startedMs: number;
+
+    protected constructor(protected readonly options: AllocatorOptions) {
+        this.startedMs = options.clock.nowMs();
+    }
+
+    static create(options: AllocatorOptions): SlotAllocator {
+        return new SlotAllocator(options);
+    }
+
+    setWorkers(workers: readonly AllocatedWorker[]): void {
+        this.workers = new Map(workers.map(worker => [worker.worker, worker]));
+        this.isPlanStale = true;
+    }
+
+    /** An entry process opened its stream. Claims of earlier epochs are adopted while they can be valid. */
+    attach(hello: ShareHello): void {
+        const state = this.entries.get(hello.entry) ?? { report: 0, demand: 0 };
+        state.report = hello.report;
+        this.entries.set(hello.entry, state);
+        this.isPlanStale = true;
+        if (this.isWaiting()) {
+            hello.claims.forEach(claim => this.adopt(hello.entry, claim));
+        }
+    }
+
+    /** Takes a report; a confirmed shrink frees the slots at once. */
+    report(entry: string, report: ShareReport): void {
+        const state = this.entries.get(entry);
+        if (state === undefined) {
+            return;
+        }
+        state.report = Math.max(state.report, report.report);
+        this.isPlanStale ||= state.demand !== report.demand;
+        state.demand = report.demand;
+        if (report.epoch === this.options.epoch) {
+            this.outstanding.forEach(byEntry => byEntry.get(entry)?.confirm(report.confirmedSequence));
+        }
+    }
+
+    /** The stream of an entry process ended. Its shares stay counted until they expire. */
+    detach(entry: string): void {
+        this.entries.delete(entry);
+        this.isPlanStale = true;
+    }
+
+    /** Grants the shares of one entry process anew. Returns `undefined` when nothing may be granted. */
+    update(entry: string): ShareUpdate | undefined {
+        const state = this.entries.get(entry);
+        if (state === undefined || !this.options.mayGrant()) {
+            return undefined;
+        }
+        this.expire();
+        this.refreshPlan();
+        this.sequence += 1;
+        const sequence = this.sequence;
+        const { cell, epoch } = this.options;
+        const shares = [...this.workers.values()]
+            .map(worker => this.grant(worker, entry, sequence))
+            .filter(share => share !== undefined);
+        return { cell, epoch, sequence, report: state.report, shares };
+    }
+
+    /** Whether shares of an earlier owner that nobody has claimed may still be in use. */
+    protected isWaiting(): boolean {
+        const { clock, ttlMs, marginMs, isTakeover } = this.options;
+        return isTakeover && clock.nowMs() < this.startedMs + ttlMs + marginMs;
+    }
+
+    /** The limits of a worker that no other entry process may still be using. */
+    protected roomFor(worker: AllocatedWorker, entry: string): { slots: number; connections: number } {
+        let { slots, connections } = worker;
+        for (const [other, grants] of this.outstanding.get(worker.worker) ?? []) {
+            if (other !== entry) {
+                slots -= grants.slots;
+                connections -= grants.connections;
+            }
+        }
+        return { slots: Math.max(0, slots), connections: Math.max(0, connections) };
+    }
+
+    private adopt(entry: string, claim: GrantedShare): void {
+        const isOwn = claim.epoch >= this.options.epoch;
+        if (isOwn) {
+            return;
+        }
+        const { ttlMs, marginMs, clock } = this.options;
+        const expiresAtMs = clock.nowMs() + Math.min(claim.expiresInMs, ttlMs) + marginMs;
+        const { slots, connections } = claim;
+        this.grantsOf(claim.worker, entry).add({ sequence: 0, slots, connections, expiresAtMs });
+    }
+
+    private grant(worker: AllocatedWorker, entry: string, sequence: number): GrantedShare | undefined {
+        const wanted = this.wantedOf(worker, entry);
+        const room = this.roomFor(worker, entry);
+        const slots = Math.min(wanted.slots, room.slots);
+        const connections = Math.min(wanted.connections, room.connections);
+        if (slots === 0 || connections === 0) {
+            return undefined;
+        }
+        const { ttlMs, marginMs, clock, epoch } = this.options;
+        const expiresAtMs = clock.nowMs() + ttlMs + marginMs;
+        this.grantsOf(worker.worker, entry).add({ sequence, slots, connections, expiresAtMs });
+        const { serviceAddress } = worker;
+        return { worker: worker.worker, serviceAddress, slots, connections, epoch, expiresInMs: ttlMs };
+    }
+
+    private wantedOf(worker: AllocatedWorker, entry: string): { slots: number; connections: number } {
+        if (worker.leaving) {
+            return { slots: 0, connections: 0 };
+        }
+        if (this.isWaiting()) {
+            const held = this.grantsOf(worker.worker, entry);
+            return { slots: held.slots, connections: held.connections };
+        }
+        const slots = this.plan.get(worker.worker)?.get(entry) ?? 0;
+        return { slots, connections: Math.floor((worker.connections * slots) / worker.slots) };
+    }
+
+    private grantsOf(worker: string, entry: string): OutstandingGrants {
+        const byEntry = this.outstanding.get(worker) ?? new Map<string, OutstandingGrants>();
+        this.outstanding.set(worker, byEntry);
+        const grants = byEntry.get(entry) ?? OutstandingGrants.create();
+        byEntry.set(entry, grants);
+        return grants;
+    }
+
+    private expire(): void {
+        const nowMs = this.options.clock.nowMs();
+        for (const [worker, byEntry] of this.outstanding) {
+            for (const [entry, grants] of byEntry) {
+                grants.expire(nowMs);
+                if (grants.isEmpty) {
+                    byEntry.delete(entry);
+                }
+            }
+            if (byEntry.size === 0) {
+                this.outstanding.delete(worker);
+            }
+        }
+    }
+
+    private refreshPlan(): void {
+        if (!this.isPlanStale || this.isWaiting()) {
+            return;
+        }
+        this.isPlanStale = false;
+        const workers = [...this.workers.values()].filter(worker => !worker.leaving);
+        const total = workers.reduce((sum, worker) => sum + worker.slots, 0);
+        const demands = new Map([...this.entries].map(([name, state]) => [name, state.demand]));
+        const weights = [...fairWeights(demands, total)];
+        const previous = new Map(this.plan);
+        this.plan.clear();
+        for (const { worker, slots } of workers) {
+            const parts = weights.map(([entry, weight]) => ({
+                previous: previous.get(worker)?.get(entry) ?? 0,
+                quota: weight * slots,
+                tieBreak: tieBreak(worker, entry),
+            }));
+            const divided = divideSlots(parts, slots);
+            this.plan.set(worker, new Map(weights.map(([entry], index) => [entry, divided[index] ?? 0])));
+        }
+    }
+}
--- /dev/null
+++ b/packages/routing/src/worker-share.ts
@@ -0,0 +1,60 @@
+/** What one entry process may use of one worker, and what it uses now. */
+export class WorkerShare {
+    slots = 0;
+    connections = 0;
+    epoch = 0;
+    /** Monotonic time of this process. */
+    expiresAtMs = 0;
+    serviceAddress = "";
+    slotsInUse = 0;
+    connectionsOpen = 0;
+    leaving = false;
+
+    private constructor(
+        readonly worker: string,
+        readonly cell: string,
+    ) {}
+
+    static create(worker: string, cell: string): WorkerShare {
+        return new WorkerShare(worker, cell);
+    }
+
+    get dataCentre(): string {
+        return this.cell.slice(0, this.cell.indexOf("/"));
+    }
+
+    isUsable(nowMs: number): boolean {
+        return !this.leaving && this.slots > 0 && nowMs < this.expiresAtMs;
+    }
+
+    /** Takes a slot when fewer than `limit` and fewer than the share are in use. */
+    tryTakeSlot(nowMs: number, limit: number): boolean {
+        if (!this.isUsable(nowMs) || this.slotsInUse >= Math.min(limit, this.slots)) {
+            return false;
+        }
+        this.slotsInUse += 1;
+        return true;
+    }
+
+    releaseSlot(): void {
+        this.slotsInUse -= 1;
+    }
+
+    /** Counts a connection about to be opened; it is counted until `closeConnection`. */
+    tryOpenConnection(nowMs: number): boolean {
+        if (nowMs >= this.expiresAtMs || this.connectionsOpen >= this.connections) {
+            return false;
+        }
+        this.connectionsOpen += 1;
+        return true;
+    }
+
+    closeConnection(): void {
+        this.connectionsOpen -= 1;
+    }
+
+    /** Whether the use is within the present share, so that the share can be confirmed to the owner. */
+    get isWithinShare(): boolean {
+        return this.slotsInUse <= this.slots && this.connectionsOpen <= this.connections;
+    }
+}
