--- /dev/null
+++ b/packages/entry/src/cell-connector.ts
@@ -0,0 +1,103 @@
+import type { RandomSource } from "@samphireward/core/random-source";
+import type { ShareUpdate as ShareUpdateMessage } from "@samphireward/protocol/gen/samphireward_pb";
+import type { TransportCache } from "@samphireward/protocol/transport-cache";
+import type { ShareBook } from "@samphireward/routing/share-book";
+import * as Effect from "effect/Effect";
+import type { CellOwnerRecord } from "./cell-owner-record.js";
+import { CellStream } from "./cell-stream.js";
+
+const ReportIntervalMs = 1_000;
+const LookupIntervalMs = 200;
+const MinReconnectMs = 100;
+const MaxReconnectMs = 500;
+
+interface ConnectorOptions {
+    readonly cell: string;
+    /** Unique for each start of the process. */
+    readonly entry: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    readonly shares: ShareBook;
+    readonly transports: TransportCache;
+    readonly random: RandomSource;
+    /** Newest known owner; asked again before each connection. */
+    readonly findOwner: () => Promise<CellOwnerRecord | undefined>;
+    /** Requests in use and queued that this process would send to the cell. */
+    readonly demand: () => number;
+    readonly onConnected: (connected: boolean) => void;
+}
+
+/** Keeps one stream to the current owner of a cell: one fiber for each cell. */
+export class CellConnector {
+    private stream: CellStream | undefined;
+
+    private constructor(private readonly options: ConnectorOptions) {}
+
+    static create(options: ConnectorOptions): CellConnector {
+        return new CellConnector(options);
+    }
+
+    /** The stream to the owner while there is one. */
+    get current(): CellStream | undefined {
+        return this.stream;
+    }
+
+    /** Connects, reports, and connects again after each loss until the fiber is interrupted. */
+    run(): Effect.Effect<void> {
+        return Effect.forever(
+            Effect.gen({ self: this }, function* () {
+                const owner = yield* Effect.promise(() => this.options.findOwner());
+                if (owner === undefined) {
+                    yield* Effect.sleep(LookupIntervalMs);
+                    return;
+                }
+                yield* this.serve(owner);
+                const spread = this.options.random.next() * (MaxReconnectMs - MinReconnectMs);
+                yield* Effect.sleep(MinReconnectMs + spread);
+            }),
+        );
+    }
+
+    private serve(owner: CellOwnerRecord): Effect.Effect<void> {
+        return Effect.gen({ self: this }, function* () {
+            const { cell, entry, dataCentre, region, shares, transports } = this.options;
+            const stream = CellStream.create(update => this.applyShares(update));
+            const hello = shares.hello(cell, owner.epoch);
+            stream.send({ case: "hello", value: { entry, dataCentre, region, cell, ...hello } });
+            const running = Effect.promise(signal =>
+                // A lost stream is the normal end of a connection; the loop connects again.
+                stream.run(transports.get(owner.address), signal).catch(() => undefined),
+            );
+            this.stream = stream;
+            this.options.onConnected(true);
+            yield* Effect.raceFirst(running, this.reportLoop(stream)).pipe(
+                Effect.ensuring(Effect.sync(() => this.disconnected(stream))),
+            );
+        });
+    }
+
+    private reportLoop(stream: CellStream): Effect.Effect<void> {
+        return Effect.forever(
+            Effect.gen({ self: this }, function* () {
+                yield* Effect.sleep(ReportIntervalMs);
+                this.report(stream);
+            }),
+        );
+    }
+
+    private report(stream: CellStream): void {
+        const report = this.options.shares.report(this.options.cell, this.options.demand());
+        stream.send({ case: "demand", value: report });
+    }
+
+    private applyShares(update: ShareUpdateMessage): void {
+        const shares = update.shares.map(share => ({ ...share, epoch: update.epoch }));
+        this.options.shares.apply({ ...update, shares });
+    }
+
+    private disconnected(stream: CellStream): void {
+        stream.close();
+        this.stream = undefined;
+        this.options.onConnected(false);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/read-limited-body.ts
@@ -0,0 +1,24 @@
+import type { IncomingMessage } from "node:http";
+import { CodedError } from "@samphireward/core/coded-error";
+import { ResultCode } from "@samphireward/core/result-code";
+
+/** Reads a whole body as text. Throws a `CodedError` when it exceeds the limit or ends early. */
+export const readLimitedBody = async (req: IncomingMessage, maxBytes: number): Promise<string> => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    try {
+        for await (const chunk of req as AsyncIterable<Buffer>) {
+            size += chunk.length;
+            if (size > maxBytes) {
+                break;
+            }
+            chunks.push(chunk);
+        }
+    } catch {
+        throw CodedError.create(ResultCode.CallerGone, "The caller closed its connection");
+    }
+    if (size > maxBytes) {
+        throw CodedError.create(ResultCode.RequestTooLarge, `The body exceeds ${maxBytes} bytes`);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+};
--- /dev/null
+++ b/packages/entry/src/task-status-json.ts
@@ -0,0 +1,18 @@
+import type { TaskReply } from "@samphireward/protocol/gen/samphireward_pb";
+
+/** A task's answer as callers and operators see it. */
+export const taskStatusJson = ({ code, message, status }: TaskReply): Record<string, unknown> => ({
+    code,
+    ...(message === "" ? {} : { message }),
+    ...(status === undefined
+        ? {}
+        : {
+              key: status.key,
+              pool: status.pool,
+              state: status.state,
+              attempt: status.attempt,
+              worker: status.worker,
+              reason: status.reason,
+              output: status.output,
+          }),
+});
