--- /dev/null
+++ b/packages/state/src/process-lease.ts
@@ -0,0 +1,117 @@
+import type { Clock } from "@samphireward/core/clock";
+import { Counters } from "@samphireward/core/counters";
+import type * as Effect from "effect/Effect";
+import type { KeyValueStore } from "./key-value-store.js";
+import { repeatStep } from "./repeat-step.js";
+import { StoreErrorKind } from "./store-error-kind.js";
+
+interface Options {
+    readonly store: KeyValueStore;
+    readonly clock: Clock;
+    readonly ttlMs?: number;
+    readonly renewEveryMs?: number;
+    /** Part of the TTL that is not used, because the store's clock may run faster than this process's. */
+    readonly marginMs?: number;
+}
+
+/** Pause after a failed renewal; several tries fit into the TTL. */
+const RetryMs = 250;
+
+/**
+ * The store lease of this process, under which it registers and owns cells. Validity is measured on the
+ * monotonic clock from before the renewal was sent, so that a pause or a slow answer never extends it.
+ */
+export class ProcessLease {
+    readonly counters = Counters.create();
+    private readonly ttlMs: number;
+    private readonly renewEveryMs: number;
+    private readonly marginMs: number;
+    private id: string | undefined;
+    private validUntilMs = Number.NEGATIVE_INFINITY;
+    private isReleased = false;
+
+    private constructor(private readonly options: Options) {
+        this.ttlMs = options.ttlMs ?? 4000;
+        this.renewEveryMs = options.renewEveryMs ?? 1000;
+        this.marginMs = options.marginMs ?? 500;
+    }
+
+    static create(options: Options): ProcessLease {
+        return new ProcessLease(options);
+    }
+
+    /**
+     * Id of the lease that keys are written under, `undefined` before the first grant and after a release. It
+     * changes when the store has ended the lease; keys written under an earlier id are gone.
+     */
+    get leaseId(): string | undefined {
+        return this.id;
+    }
+
+    /** Whether the store certainly still holds the lease. */
+    isValid(): boolean {
+        return this.remainingMs() > 0;
+    }
+
+    /** Time for which the lease is certainly valid without another renewal; 0 when it is not. */
+    remainingMs(): number {
+        return Math.max(0, this.validUntilMs - this.options.clock.nowMs());
+    }
+
+    /** Grants or renews the lease once. Returns the pause until the next call in milliseconds. */
+    async step(): Promise<number> {
+        if (this.isReleased) {
+            return this.renewEveryMs;
+        }
+        const isDone = this.id === undefined ? await this.grant() : await this.renew(this.id);
+        this.counters.add(isDone ? "lease.renewed" : "lease.failed");
+        return isDone ? this.renewEveryMs : RetryMs;
+    }
+
+    /** Ends the lease on a planned stop; its keys are deleted at once. */
+    async release(): Promise<void> {
+        const id = this.id;
+        this.isReleased = true;
+        this.id = undefined;
+        this.validUntilMs = Number.NEGATIVE_INFINITY;
+        if (id !== undefined) {
+            await this.options.store.revokeLease(id);
+        }
+    }
+
+    /** Keeps the lease until interrupted. */
+    run(): Effect.Effect<never> {
+        return repeatStep(() => this.step());
+    }
+
+    private async grant(): Promise<boolean> {
+        const sentMs = this.options.clock.nowMs();
+        const granted = await this.options.store.grantLease(this.ttlMs);
+        if (granted.isErr() || this.isReleased) {
+            // A grant whose answer was lost has no keys and lapses by itself.
+            return false;
+        }
+        this.id = granted.value;
+        this.validUntilMs = sentMs + this.ttlMs - this.marginMs;
+        return true;
+    }
+
+    private async renew(id: string): Promise<boolean> {
+        const sentMs = this.options.clock.nowMs();
+        const renewed = await this.options.store.renewLease(id);
+        if (this.isReleased) {
+            return false;
+        }
+        if (renewed.isOk()) {
+            this.validUntilMs = sentMs + this.ttlMs - this.marginMs;
+            return true;
+        }
+        if (renewed.error.kind !== StoreErrorKind.LeaseLost) {
+            return false;
+        }
+        this.counters.add("lease.lost");
+        this.id = undefined;
+        this.validUntilMs = Number.NEGATIVE_INFINITY;
+        return this.grant();
+    }
+}
