--- a/packages/entry/src/cell-connector.ts
+++ b/packages/entry/src/cell-connector.ts
@@ -1,9 +1,9 @@
 import type { RandomSource } from "@samphireward/core/random-source";
 import type { ShareUpdate as ShareUpdateMessage } from "@samphireward/protocol/gen/samphireward_pb";
-import type { TransportCache } from "@samphireward/protocol/transport-cache";
+import type { TransportCache } from "@samphireward/runtime/transport-cache";
 import type { ShareBook } from "@samphireward/routing/share-book";
 import * as Effect from "effect/Effect";
-import type { CellOwnerRecord } from "./cell-owner-record.js";
+import type { CellOwnerRecord } from "@samphireward/runtime/cell-owner-record";
 import { CellStream } from "./cell-stream.js";
 
 const ReportIntervalMs = 1_000;
--- /dev/null
+++ b/packages/runtime/src/owner-directory.ts
@@ -0,0 +1,35 @@
+import type { RandomSource } from "@samphireward/core/random-source";
+import type { CellOwnerRecord } from "./cell-owner-record.js";
+
+/** Newest known owner of each cell, learned from the store and from peers. */
+export class OwnerDirectory {
+    private readonly owners = new Map<string, CellOwnerRecord>();
+
+    private constructor(private readonly random: RandomSource) {}
+
+    static create(random: RandomSource): OwnerDirectory {
+        return new OwnerDirectory(random);
+    }
+
+    /** Notes an owner; one of a lower epoch than the known one is ignored. */
+    learn(record: CellOwnerRecord): void {
+        const known = this.owners.get(record.cell);
+        if (known === undefined || record.epoch > known.epoch) {
+            this.owners.set(record.cell, record);
+        }
+    }
+
+    lookup(cell: string): CellOwnerRecord | undefined {
+        return this.owners.get(cell);
+    }
+
+    /** Up to `count` random records, to tell a peer. */
+    sample(count: number): CellOwnerRecord[] {
+        const rest = [...this.owners.values()];
+        const picked: CellOwnerRecord[] = [];
+        while (rest.length > 0 && picked.length < count) {
+            picked.push(...rest.splice(this.random.below(rest.length), 1));
+        }
+        return picked;
+    }
+}
--- /dev/null
+++ b/packages/runtime/src/process-runtime.ts
@@ -0,0 +1,178 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { Counters } from "@samphireward/core/counters";
+import { createLogger } from "@samphireward/core/create-logger";
+import type { ProcessLog } from "@samphireward/core/process-log";
+import { SystemClock } from "@samphireward/core/system-clock";
+import { SystemRandom } from "@samphireward/core/system-random";
+import type { Tables } from "@samphireward/core/tables";
+import { VmList } from "@samphireward/core/vm-list";
+import { PeerService } from "@samphireward/protocol/gen/samphireward_pb";
+import { PeerServer } from "@samphireward/protocol/peer-server";
+import { ConfigFeed } from "@samphireward/state/config-feed";
+import { HttpKeyValueStore } from "@samphireward/state/http-key-value-store";
+import { MemberRegistration } from "@samphireward/state/member-registration";
+import { Membership } from "@samphireward/state/membership";
+import { ProcessLease } from "@samphireward/state/process-lease";
+import * as Effect from "effect/Effect";
+import { ConnectPeerExchange } from "./connect-peer-exchange.js";
+import { keepRunning } from "./keep-running.js";
+import type { KeyOwner } from "./key-owner.js";
+import { OwnerDirectory } from "./owner-directory.js";
+import { peerServiceImpl } from "./peer-service-impl.js";
+import type { RuntimeSettings } from "./runtime-settings.js";
+import { TransportCache } from "./transport-cache.js";
+
+/** What the kind of process adds to the common parts. */
+interface RuntimeOptions {
+    readonly role: "entry" | "scheduler";
+    readonly settings: RuntimeSettings;
+    /** More services for the peer port. */
+    readonly routes?: (router: ConnectRouter) => void;
+    readonly keys?: KeyOwner;
+    readonly onTables: (tables: Tables, revision: number) => void;
+    /** Called after each reading of the VM list. */
+    readonly onWorkers: () => void;
+}
+
+/** The parts that every process has: store lease, membership, configuration, peer port and VM list. */
+export class ProcessRuntime {
+    readonly clock = SystemClock.create();
+    readonly random = SystemRandom.create();
+    readonly counters = Counters.create();
+    readonly log: ProcessLog;
+    readonly store: HttpKeyValueStore;
+    readonly lease: ProcessLease;
+    readonly config: ConfigFeed;
+    readonly membership: Membership;
+    readonly owners: OwnerDirectory;
+    readonly transports = TransportCache.create();
+    readonly vms: VmList;
+    private readonly registration: MemberRegistration;
+    private readonly peerServer: PeerServer;
+
+    private constructor(private readonly options: RuntimeOptions) {
+        const { settings, role } = options;
+        const { clock, random } = this;
+        this.log = createLogger(settings.name, settings.logLevel);
+        this.owners = OwnerDirectory.create(random);
+        this.store = HttpKeyValueStore.create({
+            address: settings.store.address,
+            timeoutMs: settings.store.timeout,
+            clock,
+        });
+        this.vms = VmList.create(settings.directory.address);
+        this.lease = ProcessLease.create({ store: this.store, clock });
+        this.config = this.createConfig();
+        this.membership = Membership.create({
+            self: {
+                name: settings.name,
+                role,
+                region: settings.region,
+                dataCentre: settings.dataCentre,
+                address: settings.peer.listen,
+                incarnation: clock.wallMs(),
+            },
+            seeds: settings.peer.seeds,
+            clock,
+            random,
+            exchange: ConnectPeerExchange.create(this.transports, this.owners),
+            news: {
+                configRevision: () => this.config.revision,
+                configAfter: revision => {
+                    const document = this.config.applied?.document;
+                    return document !== undefined && document.revision > revision ? document : undefined;
+                },
+                onConfig: document => void this.config.offer(document),
+                leavingTargets: () => this.leavingTargets(),
+                onLeavingTargets: names => names.forEach(name => this.vms.markLeaving(name)),
+                onContact: () => this.config.notePeerContact(),
+            },
+        });
+        const { store, lease, membership } = this;
+        this.registration = MemberRegistration.create({ store, clock, lease, membership });
+        this.peerServer = PeerServer.create(router => {
+            router.service(
+                PeerService,
+                peerServiceImpl({ membership, owners: this.owners, keys: options.keys }),
+            );
+            options.routes?.(router);
+        });
+    }
+
+    static create(options: RuntimeOptions): ProcessRuntime {
+        return new ProcessRuntime(options);
+    }
+
+    /** Opens the peer port. Rejects when the address cannot be used. */
+    async open(): Promise<void> {
+        const address = await this.peerServer.listen(this.options.settings.peer.listen);
+        this.log.info("peer port is open", { address });
+    }
+
+    /** The common loops, one fiber each, until interrupted. */
+    run(): Effect.Effect<void> {
+        const loops = {
+            lease: this.lease.run(),
+            configuration: this.config.run(),
+            membership: this.membership.run(),
+            registration: this.registration.run(),
+            "vm-list": this.readVms(),
+            connections: this.pruneConnections(),
+        };
+        const running = Object.entries(loops).map(([name, loop]) => keepRunning(name, loop, this.log));
+        return Effect.all(running, { concurrency: "unbounded", discard: true });
+    }
+
+    /** Ends the registration and closes all connections. */
+    async close(): Promise<void> {
+        await this.lease.release();
+        await this.peerServer.close();
+        this.transports.close();
+        this.store.close();
+        this.vms.close();
+    }
+
+    private createConfig(): ConfigFeed {
+        return ConfigFeed.create({
+            store: this.store,
+            clock: this.clock,
+            onApplied: ({ document, tables }) => {
+                const { revision, author, changeId } = document;
+                this.log.info("configuration is applied", { revision, author, changeId });
+                this.options.onTables(tables, revision);
+            },
+            onRejected: (problems, source) => this.log.error("configuration is not valid", { problems, source }),
+        });
+    }
+
+    private leavingTargets(): string[] {
+        return this.vms
+            .all()
+            .filter(worker => worker.leaving)
+            .map(worker => worker.name);
+    }
+
+    private readVms(): Effect.Effect<never> {
+        return Effect.forever(
+            Effect.gen({ self: this }, function* () {
+                const isRead = yield* Effect.promise(() => this.vms.refresh());
+                this.counters.add(isRead ? "vms.read" : "vms.read-failed");
+                this.options.onWorkers();
+                yield* Effect.sleep(this.options.settings.directory.interval);
+            }),
+        );
+    }
+
+    /** Closes connections to processes that have been replaced. */
+    private pruneConnections(): Effect.Effect<never> {
+        return Effect.forever(
+            Effect.gen({ self: this }, function* () {
+                yield* Effect.sleep(PruneEveryMs);
+                const members = this.membership.members.map(member => member.address);
+                this.transports.keepOnly(new Set([...members, ...this.options.settings.peer.seeds]));
+            }),
+        );
+    }
+}
+
+const PruneEveryMs = 60_000;
--- a/packages/protocol/src/transport-cache.ts
+++ b/packages/runtime/src/transport-cache.ts
@@ -1,5 +1,5 @@
 import type { Transport } from "@connectrpc/connect";
-import { createPeerTransport } from "./create-peer-transport.js";
+import { createPeerTransport } from "@samphireward/protocol/create-peer-transport";
 
 /** One HTTP/2 connection for each peer address, shared by all calls and streams to it. */
 export class TransportCache {
