--- /dev/null
+++ b/packages/tasks/src/cell-state.ts
@@ -0,0 +1,227 @@
+import type { TaskSpec } from "@samphireward/core/task-spec";
+import { TaskState } from "@samphireward/core/task-state";
+import { hasFailedForGood } from "./has-failed-for-good.js";
+import { isActiveState } from "./is-active-state.js";
+import { isWaitingState } from "./is-waiting-state.js";
+import type { TaskRecord } from "./task-record.js";
+import type { TaskRef } from "./task-ref.js";
+import type { Transition } from "./transition.js";
+import { WorkerMode } from "./worker-mode.js";
+
+/** A record as the state changes it in place; a copy for each change would cost a wave of cancellations more. */
+type MutableRecord = { -readonly [Field in keyof TaskRecord]: TaskRecord[Field] };
+
+const emptyFailures: readonly string[] = [];
+
+const newRecord = (spec: TaskSpec, wallMs: number): MutableRecord => ({
+    spec,
+    state: TaskState.Queued,
+    attempt: 0,
+    worker: undefined,
+    checkpoint: undefined,
+    failures: emptyFailures,
+    cancelRequested: false,
+    output: "",
+    wallMs,
+});
+
+/**
+ * The durable state of a cell: a pure function of the transitions applied so far. A transition that no longer
+ * fits (another attempt, an ended task) changes nothing, so that a repeated or late one is harmless.
+ */
+export class CellState {
+    private readonly records = new Map<string, MutableRecord>();
+    private readonly modes = new Map<string, WorkerMode>();
+    /** Ended tasks in the order of their end. */
+    private readonly endedKeys = new Set<string>();
+
+    private constructor() {}
+
+    static create(): CellState {
+        return new CellState();
+    }
+
+    /** Builds the state from a decoded snapshot. Ended tasks are listed in the order of their end. */
+    static restore(
+        records: Iterable<TaskRecord>,
+        endedKeys: Iterable<string>,
+        modes: Iterable<readonly [string, WorkerMode]>,
+    ): CellState {
+        const state = new CellState();
+        for (const record of records) {
+            state.records.set(record.spec.key, { ...record });
+        }
+        for (const key of endedKeys) {
+            state.endedKeys.add(key);
+        }
+        for (const [worker, mode] of modes) {
+            state.modes.set(worker, mode);
+        }
+        return state;
+    }
+
+    get(key: string): TaskRecord | undefined {
+        return this.records.get(key);
+    }
+
+    get tasks(): ReadonlyMap<string, TaskRecord> {
+        return this.records;
+    }
+
+    get ended(): ReadonlySet<string> {
+        return this.endedKeys;
+    }
+
+    /** Workers whose mode is not open. */
+    get workerModes(): ReadonlyMap<string, WorkerMode> {
+        return this.modes;
+    }
+
+    workerMode(worker: string): WorkerMode {
+        return this.modes.get(worker) ?? WorkerMode.Open;
+    }
+
+    apply(transition: Transition): void {
+        switch (transition.kind) {
+            case "accepted":
+                if (!this.records.has(transition.spec.key)) {
+                    this.records.set(transition.spec.key, newRecord(transition.spec, transition.wallMs));
+                }
+                return;
+            case "starting":
+                this.start(transition, transition.worker);
+                return;
+            case "running":
+                this.advance(transition, TaskState.Starting, TaskState.Running);
+                return;
+            case "checkpointing":
+                this.advance(transition, TaskState.Running, TaskState.Checkpointing);
+                return;
+            case "released":
+                this.release(transition, transition.checkpoint, transition.wallMs);
+                return;
+            case "finished":
+                this.finish(transition, transition.output, transition.wallMs);
+                return;
+            case "failed":
+                this.fail(transition, transition.error, transition.wallMs);
+                return;
+            case "cancelled":
+                this.cancel(transition.key, transition.wallMs);
+                return;
+            case "forgotten":
+                this.forget(transition.keys);
+                return;
+            case "worker-mode":
+                this.setMode(transition.worker, transition.mode);
+                return;
+        }
+    }
+
+    private start(ref: TaskRef, worker: string): void {
+        const record = this.records.get(ref.key);
+        if (record === undefined || !isWaitingState(record.state) || ref.attempt <= record.attempt) {
+            return;
+        }
+        record.state = TaskState.Starting;
+        record.attempt = ref.attempt;
+        record.worker = worker;
+    }
+
+    private advance(ref: TaskRef, from: TaskState, to: TaskState): void {
+        const record = this.records.get(ref.key);
+        if (record?.attempt === ref.attempt && record.state === from) {
+            record.state = to;
+        }
+    }
+
+    /** The record when the attempt is the current one and still active. */
+    private findActive(ref: TaskRef): MutableRecord | undefined {
+        const record = this.records.get(ref.key);
+        return record?.attempt === ref.attempt && isActiveState(record.state) ? record : undefined;
+    }
+
+    private release(ref: TaskRef, checkpoint: string | undefined, wallMs: number): void {
+        const record = this.findActive(ref);
+        if (record === undefined) {
+            return;
+        }
+        record.checkpoint = checkpoint ?? record.checkpoint;
+        this.wait(record, wallMs);
+    }
+
+    /**
+     * A finish is accepted while the attempt is active, and also after its lease lapsed as long as no later
+     * attempt was granted: the work is done, and running it again would gain nothing.
+     */
+    private finish(ref: TaskRef, output: string, wallMs: number): void {
+        const record = this.records.get(ref.key);
+        if (record?.attempt !== ref.attempt || this.endedKeys.has(ref.key)) {
+            return;
+        }
+        // The caller was told that the task is cancelled; a finish that raced with the stop does not undo it.
+        const state = record.cancelRequested ? TaskState.Cancelled : TaskState.Finished;
+        record.output = record.cancelRequested ? "" : output;
+        this.end(record, state, wallMs);
+    }
+
+    private fail(ref: TaskRef, error: string, wallMs: number): void {
+        const record = this.findActive(ref);
+        if (record?.worker === undefined) {
+            return;
+        }
+        record.failures = [...record.failures, record.worker];
+        if (!record.cancelRequested && hasFailedForGood(record.failures)) {
+            record.output = error;
+            this.end(record, TaskState.Failed, wallMs);
+        } else {
+            this.wait(record, wallMs);
+        }
+    }
+
+    private cancel(key: string, wallMs: number): void {
+        const record = this.records.get(key);
+        if (record === undefined || this.endedKeys.has(key)) {
+            return;
+        }
+        if (isActiveState(record.state)) {
+            record.cancelRequested = true;
+        } else {
+            this.end(record, TaskState.Cancelled, wallMs);
+        }
+    }
+
+    private wait(record: MutableRecord, wallMs: number): void {
+        if (record.cancelRequested) {
+            this.end(record, TaskState.Cancelled, wallMs);
+            return;
+        }
+        record.state = record.checkpoint === undefined ? TaskState.Queued : TaskState.Evicted;
+        record.worker = undefined;
+    }
+
+    private end(record: MutableRecord, state: TaskState, wallMs: number): void {
+        record.state = state;
+        record.worker = undefined;
+        record.checkpoint = undefined;
+        record.wallMs = wallMs;
+        record.spec = { ...record.spec, payload: "" };
+        this.endedKeys.add(record.spec.key);
+    }
+
+    private forget(keys: readonly string[]): void {
+        for (const key of keys) {
+            if (this.endedKeys.delete(key)) {
+                this.records.delete(key);
+            }
+        }
+    }
+
+    private setMode(worker: string, mode: WorkerMode): void {
+        if (mode === WorkerMode.Open) {
+            this.modes.delete(worker);
+        } else {
+            this.modes.set(worker, mode);
+        }
+    }
+}
--- /dev/null
+++ b/packages/tasks/src/default-owner-timing.ts
@@ -0,0 +1,14 @@
+import type { OwnerTiming } from "./owner-timing.js";
+
+/** Time constants of the design page, sections 5.3 and 6. */
+export const defaultOwnerTiming: OwnerTiming = {
+    leaseMs: 6000,
+    renewIntervalMs: 2000,
+    clockRateMargin: 0.1,
+    marginMs: 500,
+    deliveryMs: 1000,
+    outcomeIntervalMs: 1000,
+    retryMs: 500,
+    submissionTimeoutMs: 2000,
+    placementIntervalMs: 1000,
+};
--- /dev/null
+++ b/packages/tasks/src/has-failed-for-good.ts
@@ -0,0 +1,9 @@
+/** A job that fails on this many different workers ends as failed. */
+const MaxFailedWorkers = 3;
+
+/** Ends a job in a cell with fewer than three suitable workers, where it fails on the same ones again. */
+const MaxFailures = 6;
+
+/** Whether a task with these failed attempts (the worker of each) ends as failed. */
+export const hasFailedForGood = (failures: readonly string[]): boolean =>
+    new Set(failures).size >= MaxFailedWorkers || failures.length >= MaxFailures;
--- /dev/null
+++ b/packages/tasks/src/submission-queue.ts
@@ -0,0 +1,118 @@
+import type { Clock } from "@samphireward/core/clock";
+import { CodedError } from "@samphireward/core/coded-error";
+import { ResultCode } from "@samphireward/core/result-code";
+import type { TaskSpec } from "@samphireward/core/task-spec";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+
+/** Submissions that may wait while the store is slow; more are refused at once. */
+const MaxWaiting = 10_000;
+
+interface Submission {
+    readonly spec: TaskSpec;
+    readonly deadlineMs: number;
+    /** Handed to the log: its end is unknown until the log answers. */
+    handed: boolean;
+    readonly settle: (result: Result<void, CodedError>) => void;
+}
+
+/**
+ * Submissions that are not recorded yet. One that was not handed to the log can be refused as not run; after
+ * that it may be durable, and a refusal must not claim that it was not recorded.
+ */
+export class SubmissionQueue {
+    private readonly byKey = new Map<string, { submission: Submission; promise: Promise<Result<void, CodedError>> }>();
+    private waiting: Submission[] = [];
+
+    private constructor(
+        private readonly clock: Clock,
+        private readonly timeoutMs: number,
+    ) {}
+
+    static create(clock: Clock, timeoutMs: number): SubmissionQueue {
+        return new SubmissionQueue(clock, timeoutMs);
+    }
+
+    get length(): number {
+        return this.byKey.size;
+    }
+
+    /** The submission in progress with this key. */
+    find(key: string): Promise<Result<void, CodedError>> | undefined {
+        return this.byKey.get(key)?.promise;
+    }
+
+    /** Resolves once the task is recorded, refused, or its end is unknown after the timeout. */
+    add(spec: TaskSpec): Promise<Result<void, CodedError>> {
+        if (this.waiting.length >= MaxWaiting) {
+            const message = `${MaxWaiting} submissions wait for the store`;
+            return Promise.resolve(Err(CodedError.create(ResultCode.StoreUnavailable, message)));
+        }
+        const { promise, resolve } = createDeferred();
+        const deadlineMs = this.clock.nowMs() + this.timeoutMs;
+        const submission: Submission = { spec, deadlineMs, handed: false, settle: resolve };
+        this.byKey.set(spec.key, { submission, promise });
+        this.waiting.push(submission);
+        return promise;
+    }
+
+    /** Takes all that wait, to be handed to the log. */
+    take(): TaskSpec[] {
+        const taken = this.waiting;
+        this.waiting = [];
+        for (const submission of taken) {
+            submission.handed = true;
+        }
+        return taken.map(({ spec }) => spec);
+    }
+
+    /** The submission is durable. */
+    recorded(key: string): void {
+        this.settle(key, Ok.EMPTY);
+    }
+
+    /** Refuses what has waited too long. */
+    expire(): void {
+        const nowMs = this.clock.nowMs();
+        const late = (submission: Submission): boolean => submission.deadlineMs <= nowMs;
+        this.waiting = this.waiting.filter(submission => !late(submission));
+        for (const { submission } of this.byKey.values()) {
+            if (!late(submission)) {
+                // Submissions are kept in the order of their deadlines.
+                return;
+            }
+            this.settle(submission.spec.key, Err(this.timeoutError(submission)));
+        }
+    }
+
+    /** Another owner has the cell. What the log holds is answered by the log's own result. */
+    refuseAll(handedToo: boolean): void {
+        this.waiting = [];
+        const error = CodedError.create(ResultCode.NoCellOwner, "Another scheduler has taken the cell");
+        for (const { submission } of this.byKey.values()) {
+            if (handedToo || !submission.handed) {
+                this.settle(submission.spec.key, Err(error));
+            }
+        }
+    }
+
+    private settle(key: string, result: Result<void, CodedError>): void {
+        this.byKey.get(key)?.submission.settle(result);
+        this.byKey.delete(key);
+    }
+
+    private timeoutError(submission: Submission): CodedError {
+        return submission.handed
+            ? CodedError.create(ResultCode.OwnerUnreachable, "The store has not confirmed the submission")
+            : CodedError.create(ResultCode.StoreUnavailable, "The store does not accept submissions");
+    }
+}
+
+const createDeferred = (): {
+    promise: Promise<Result<void, CodedError>>;
+    resolve: (result: Result<void, CodedError>) => void;
+} => {
+    let resolve: (result: Result<void, CodedError>) => void = () => undefined;
+    const promise = new Promise<Result<void, CodedError>>(settle => (resolve = settle));
+    return { promise, resolve };
+};
--- /dev/null
+++ b/packages/tasks/src/transition-codec.ts
@@ -0,0 +1,113 @@
+import { Resources } from "@samphireward/core/resources";
+import type { TaskSpec } from "@samphireward/core/task-spec";
+import type { Transition } from "./transition.js";
+import type { WorkerMode } from "./worker-mode.js";
+
+type Row = readonly unknown[];
+
+/** Tags of the rows. A tag is never reused for another kind, because records of earlier versions are replayed. */
+const Tag = {
+    Accepted: 0,
+    Starting: 1,
+    Running: 2,
+    Checkpointing: 3,
+    Released: 4,
+    Finished: 5,
+    Failed: 6,
+    Cancelled: 7,
+    Forgotten: 8,
+    WorkerMode: 9,
+} as const;
+
+const toRow = (transition: Transition): Row => {
+    switch (transition.kind) {
+        case "accepted":
+            return [Tag.Accepted, ...TransitionCodec.specToRow(transition.spec), transition.wallMs];
+        case "starting":
+            return [Tag.Starting, transition.key, transition.attempt, transition.worker];
+        case "running":
+            return [Tag.Running, transition.key, transition.attempt];
+        case "checkpointing":
+            return [Tag.Checkpointing, transition.key, transition.attempt];
+        case "released":
+            return [
+                Tag.Released,
+                transition.key,
+                transition.attempt,
+                transition.wallMs,
+                ...(transition.checkpoint === undefined ? [] : [transition.checkpoint]),
+            ];
+        case "finished":
+            return [Tag.Finished, transition.key, transition.attempt, transition.wallMs, transition.output];
+        case "failed":
+            return [Tag.Failed, transition.key, transition.attempt, transition.wallMs, transition.error];
+        case "cancelled":
+            return [Tag.Cancelled, transition.key, transition.wallMs];
+        case "forgotten":
+            return [Tag.Forgotten, ...transition.keys];
+        case "worker-mode":
+            return [Tag.WorkerMode, transition.worker, transition.mode];
+    }
+};
+
+const fromRow = (row: Row): Transition => {
+    const [tag, ...fields] = row;
+    const ref = { key: fields[0] as string, attempt: fields[1] as number };
+    switch (tag) {
+        case Tag.Accepted:
+            return { kind: "accepted", spec: TransitionCodec.specFromRow(fields), wallMs: fields[7] as number };
+        case Tag.Starting:
+            return { kind: "starting", ...ref, worker: fields[2] as string };
+        case Tag.Running:
+            return { kind: "running", ...ref };
+        case Tag.Checkpointing:
+            return { kind: "checkpointing", ...ref };
+        case Tag.Released: {
+            const checkpoint = fields[3] === undefined ? {} : { checkpoint: fields[3] as string };
+            return { kind: "released", ...ref, wallMs: fields[2] as number, ...checkpoint };
+        }
+        case Tag.Finished:
+            return { kind: "finished", ...ref, wallMs: fields[2] as number, output: fields[3] as string };
+        case Tag.Failed:
+            return { kind: "failed", ...ref, wallMs: fields[2] as number, error: fields[3] as string };
+        case Tag.Cancelled:
+            return { kind: "cancelled", key: ref.key, wallMs: fields[1] as number };
+        case Tag.Forgotten:
+            return { kind: "forgotten", keys: fields as string[] };
+        case Tag.WorkerMode:
+            return { kind: "worker-mode", worker: ref.key, mode: fields[1] as WorkerMode };
+        default:
+            throw new SyntaxError(`Unknown transition tag ${String(tag)}`);
+    }
+};
+
+/** Compact JSON text of transitions for the log: one array for each, with a tag in place of field names. */
+export class TransitionCodec {
+    static encode(transitions: readonly Transition[]): string {
+        return JSON.stringify(transitions.map(toRow));
+    }
+
+    /** Throws a `SyntaxError` for text that `encode` did not write. */
+    static decode(text: string): Transition[] {
+        return (JSON.parse(text) as Row[]).map(fromRow);
+    }
+
+    static specToRow(spec: TaskSpec): Row {
+        const { processors, memoryMb, accelerators } = spec.resources;
+        return [spec.key, spec.pool, processors, memoryMb, accelerators, spec.expectedRunMs, spec.payload];
+    }
+
+    static specFromRow(row: Row): TaskSpec {
+        const [key, pool, processors, memoryMb, accelerators, expectedRunMs, payload] = row as [
+            string,
+            string,
+            number,
+            number,
+            number,
+            number,
+            string,
+        ];
+        const resources = Resources.create({ processors, memoryMb, accelerators });
+        return { key, pool, resources, expectedRunMs, payload };
+    }
+}
