Add QuotaLedger, QuarantineTracker, EvictionPlanner and TaskQueue

Time is passed in, no class reads a clock.

Ruled out: - One heap for the queue: backfill would have to walk it in order past the head. Lanes by team, class, size and run time keep add and remove at O(log n) and candidates independent of the number of tasks. - Stopping all later work while a head waits past the bound: a task that waits for accelerators would idle a whole cell. The owner can hold a worker for the head instead, after which the others pass. - Limiting an operator's quarantine: it is counted against the 10%, but never refused.

Tests: table-driven and property-based, each property also run against a broken variant that it must catch. fast-check generates short arrays by default; size "max" is set, without which the broken quarantine limit was not caught.

--- /dev/null
+++ b/packages/placement/src/eviction-action.ts
@@ -0,0 +1,7 @@
+/** What the owner does with one running task. */
+export interface EvictionAction {
+    readonly kind: "throttle" | "unthrottle" | "evict";
+    readonly key: string;
+    /** Share (0 to 1) of its processors that the task may use. */
+    readonly share: number;
+}
--- /dev/null
+++ b/packages/placement/src/eviction-settings.ts
@@ -0,0 +1,22 @@
+/** Settings of `EvictionPlanner`; docs/placement.md lists the defaults with their reasons. */
+export interface EvictionSettings {
+    /** A worker becomes overloaded when its pressure is at least this; 1 is the limit itself. */
+    readonly enterPressure: number;
+    /** It recovers when its pressure is at most this; in between it keeps its state. */
+    readonly leavePressure: number;
+    /** Reports in a row above `enterPressure` that make a worker overloaded. */
+    readonly enterReports: number;
+    /** Reports in a row below `leavePressure` after which it has recovered. */
+    readonly leaveReports: number;
+    /** Share of its processors that a throttled task keeps. */
+    readonly throttleShare: number;
+    /** Time without a further action on a worker, so that the last one shows in the lagged reports. */
+    readonly settleMs: number;
+    /** Evictions allowed in each window. */
+    readonly budget: number;
+    readonly windowMs: number;
+    /** Part of the budget that only urgent work may spend. */
+    readonly urgentReserve: number;
+    /** A task evicted once is not evicted again for pressure within this time. */
+    readonly repeatMs: number;
+}
--- /dev/null
+++ b/packages/placement/src/queued-task.ts
@@ -0,0 +1,15 @@
+import type { Resources } from "@samphireward/core/resources";
+import type { WorkClass } from "@samphireward/core/work-class";
+
+/** A task that waits to be placed. */
+export interface QueuedTask {
+    readonly key: string;
+    readonly team: string;
+    readonly workClass: WorkClass;
+    readonly interferenceClass: string;
+    readonly resources: Resources;
+    /** Declared run time; a hint that can be far off. */
+    readonly expectedRunMs: number;
+    /** Time of the first submission; an evicted task keeps it and so its age. */
+    readonly submittedMs: number;
+}
--- /dev/null
+++ b/packages/placement/tests/eviction-planner.test.ts
@@ -0,0 +1,131 @@
+import { Resources } from "@samphireward/core/resources";
+import fc from "fast-check";
+import t from "tap";
+import type { EvictionCandidate } from "../src/eviction-candidate.js";
+import { EvictionPlanner } from "../src/eviction-planner.js";
+
+const task = (key: string, lostWork: number, more: Partial<EvictionCandidate> = {}): EvictionCandidate => ({
+    key,
+    lostWork,
+    resources: Resources.create({ processors: 2, memoryMb: 100 }),
+    harm: 1,
+    throttled: false,
+    ...more,
+});
+
+const throttled = { throttled: true };
+
+// Guards against the wrong victim: eviction before throttling, or the loss of much work where little suffices.
+t.test("action on an overloaded worker", t => {
+    const cases: { name: string; tasks: EvictionCandidate[]; expected: string | undefined }[] = [
+        { name: "least lost work is throttled", tasks: [task("a", 9), task("b", 1)], expected: "throttle b" },
+        {
+            name: "harmless tasks are left alone",
+            tasks: [task("a", 9), task("b", 1, { harm: 0.1 })],
+            expected: "throttle a",
+        },
+        {
+            name: "throttling comes first",
+            tasks: [task("a", 9), task("b", 1, throttled)],
+            expected: "throttle a",
+        },
+        {
+            name: "eviction by least lost work",
+            tasks: [task("a", 9, throttled), task("b", 1, throttled)],
+            expected: "evict b",
+        },
+        { name: "nothing to act on", tasks: [], expected: undefined },
+    ];
+    for (const { name, tasks, expected } of cases) {
+        const planner = EvictionPlanner.create({ enterReports: 1 });
+        const action = planner.observe("w", 1.5, tasks, 0);
+        t.equal(action && `${action.kind} ${action.key}`, expected, name);
+    }
+    t.end();
+});
+
+// Guards against actions that alternate around the limit.
+t.test("hysteresis and settle time", t => {
+    const planner = EvictionPlanner.create({ enterReports: 2, leaveReports: 2, settleMs: 10 });
+    const kinds = [
+        [0, 1.2],
+        [1, 0.9],
+        [2, 1.2],
+        [3, 1.2],
+        [4, 1.2],
+        [13, 0.9],
+        [14, 0.7],
+        [15, 0.7],
+    ].map(
+        ([nowMs = 0, pressure = 0]) => planner.observe("w", pressure, [task("a", 1, throttled)], nowMs)?.kind,
+    );
+    t.strictSame(kinds, [...Array<undefined>(3), "evict", ...Array<undefined>(3), "unthrottle"]);
+    t.end();
+});
+
+// Guards against urgent work that evicts more than it needs.
+t.test("room for urgent work", t => {
+    const need = (processors: number): Resources => Resources.create({ processors });
+    const large = task("large", 5, { resources: need(8) });
+    const cases: { name: string; need: number; tasks: EvictionCandidate[]; keys: string[] }[] = [
+        { name: "least lost work", need: 2, tasks: [task("a", 9), task("b", 1)], keys: ["b"] },
+        {
+            name: "earlier victims become unnecessary",
+            need: 8,
+            tasks: [task("a", 1), large],
+            keys: ["large"],
+        },
+        { name: "not enough", need: 20, tasks: [task("a", 1), large], keys: [] },
+    ];
+    for (const { name, need: processors, tasks, keys } of cases) {
+        const actions = EvictionPlanner.create().makeRoom(need(processors), tasks, 0);
+        t.strictSame(
+            actions.map(action => action.key),
+            keys,
+            name,
+        );
+    }
+    t.end();
+});
+
+const report = fc.tuple(
+    fc.integer({ min: 0, max: 5 }),
+    fc.double({ min: 0.5, max: 1.5, noNaN: true }),
+    fc.boolean(),
+);
+
+/** Most evictions in any window of 100 ms while reports arrive every 7 ms. */
+const mostInWindow = (reports: readonly [number, number, boolean][], budget: number): number => {
+    const planner = EvictionPlanner.create({
+        budget,
+        urgentReserve: 1,
+        windowMs: 100,
+        settleMs: 5,
+        enterReports: 1,
+    });
+    const times = reports.flatMap(([worker, pressure, urgent], index) => {
+        const tasks = [task(`k${index}`, 1, throttled), task(`l${index}`, 2, throttled)];
+        const nowMs = index * 7;
+        const actions = urgent
+            ? planner.makeRoom(Resources.create({ processors: 3 }), tasks, nowMs)
+            : [planner.observe(`w${worker}`, pressure, tasks, nowMs)];
+        return actions.filter(action => action?.kind === "evict").map(() => nowMs);
+    });
+    const counts = times.map(start => times.filter(time => time >= start && time < start + 100).length);
+    return Math.max(0, ...counts);
+};
+
+// Guards against eviction storms, and against a property that cannot fail.
+t.test("the budget holds in every window, and the property catches a larger one", t => {
+    const holds = (budget: number) => (): void =>
+        fc.assert(
+            fc.property(
+                fc.array(report, { maxLength: 80, size: "max" }),
+                reports => mostInWindow(reports, budget) <= 4,
+            ),
+            { seed: 13, numRuns: 300 },
+        );
+    t.doesNotThrow(holds(4));
+    t.throws(holds(6));
+    t.end();
+});
--- /dev/null
+++ b/packages/placement/tests/task-queue.test.ts
@@ -0,0 +1,146 @@
+import { Resources } from "@samphireward/core/resources";
+import { WorkClass } from "@samphireward/core/work-class";
+import fc from "fast-check";
+import t from "tap";
+import { IndexedHeap } from "../src/indexed-heap.js";
+import type { QueuedTask } from "../src/queued-task.js";
+import { TaskQueue } from "../src/task-queue.js";
+
+const { Batch, LatencyCritical } = WorkClass;
+
+const task = (key: string, submittedMs: number, more: Partial<QueuedTask> = {}): QueuedTask => ({
+    key,
+    submittedMs,
+    team: "a",
+    workClass: Batch,
+    interferenceClass: "cutting",
+    resources: Resources.create({ processors: 2, memoryMb: 100 }),
+    expectedRunMs: 60_000,
+    ...more,
+});
+
+const queueOf = (...tasks: readonly QueuedTask[]): TaskQueue => {
+    const queue = TaskQueue.create({ backfillBoundMs: 1000 });
+    tasks.forEach(task => queue.add(task));
+    return queue;
+};
+
+const keysOf = (tasks: readonly QueuedTask[]): string[] => tasks.map(task => task.key);
+
+const small = { resources: Resources.create({ processors: 0.5 }), expectedRunMs: 500 };
+
+// Guards against a small task that delays a large one without end, and against capacity left idle meanwhile.
+t.test("backfill", t => {
+    const long = task("long", 1, { ...small, expectedRunMs: 5000 });
+    const urgent = task("urgent", 9, { workClass: LatencyCritical });
+    const queue = queueOf(task("head", 0), task("short", 2, small), long);
+    t.strictSame(keysOf(queue.candidates(0)), ["head", "long", "short"], "nothing is blocked");
+
+    queue.markBlocked("head", 100);
+    t.strictSame(keysOf(queue.candidates(600)), ["head", "short"], "short ends within the bound");
+    queue.markBlocked("short", 600);
+    queue.markBlocked("head", 601);
+    t.strictSame(keysOf(queue.candidates(601)), ["head"], "the bound counts from the first wait");
+    queue.add(urgent);
+    t.strictSame(keysOf(queue.candidates(5000)), ["urgent", "head"], "urgent work is not held back by batch");
+
+    t.equal(queue.taskToHoldFor(1099), undefined);
+    t.equal(queue.taskToHoldFor(1100)?.key, "head");
+    queue.hold("head", true);
+    t.strictSame(keysOf(queue.candidates(5000)), ["urgent", "head", "long", "short"], "a worker is held");
+    queue.hold("head", false);
+    queue.remove("head");
+    t.strictSame(keysOf(queue.candidates(5000)), ["urgent", "long", "short"], "the head has started");
+    t.end();
+});
+
+// Guards against a repeated submission that is queued twice, or a cancelled task that starts.
+t.test("keys", t => {
+    const queue = queueOf(task("a", 1));
+    t.notOk(queue.add(task("a", 2)));
+    t.equal(queue.remove("a")?.submittedMs, 1);
+    t.equal(queue.remove("a"), undefined);
+    t.equal(queue.size, 0);
+    t.strictSame(queue.candidates(0), []);
+    t.end();
+});
+
+type Change = { add: boolean; key: number; age: number; urgent: boolean };
+const change: fc.Arbitrary<Change> = fc.record({
+    add: fc.boolean(),
+    key: fc.integer({ min: 0, max: 30 }),
+    age: fc.integer({ min: 0, max: 20 }),
+    urgent: fc.boolean(),
+});
+
+const expectedOrder = (tasks: readonly QueuedTask[]): string[] =>
+    keysOf(
+        [...tasks].sort(
+            (a, b) =>
+                Number(b.workClass === LatencyCritical) - Number(a.workClass === LatencyCritical) ||
+                a.submittedMs - b.submittedMs ||
+                (a.key < b.key ? -1 : 1),
+        ),
+    );
+
+/** Applies the changes to the queue and to a map, then takes all tasks; returns both orders. */
+const bothOrders = (
+    changes: readonly Change[],
+    take: (queue: TaskQueue) => QueuedTask | undefined,
+): string[][] => {
+    const queue = TaskQueue.create();
+    const model = new Map<string, QueuedTask>();
+    for (const { add, key, age, urgent } of changes) {
+        const item = task(`k${key}`, age, { workClass: urgent ? LatencyCritical : Batch });
+        if (add) {
+            queue.add(item);
+            model.set(item.key, model.get(item.key) ?? item);
+        } else {
+            queue.remove(item.key);
+            model.delete(item.key);
+        }
+    }
+    const taken: QueuedTask[] = [];
+    for (let next = take(queue); next !== undefined; next = take(queue)) {
+        queue.remove(next.key);
+        taken.push(next);
+    }
+    return [keysOf(taken), expectedOrder([...model.values()])];
+};
+
+// Guards against an order that additions and removals disturb, and against a property that cannot fail.
+t.test("urgent before batch, each by age", t => {
+    const inOrder = (take: (queue: TaskQueue) => QueuedTask | undefined) => (): void =>
+        fc.assert(
+            fc.property(fc.array(change, { maxLength: 100, size: "max" }), changes => {
+                const [actual, expected] = bothOrders(changes, take);
+                return JSON.stringify(actual) === JSON.stringify(expected);
+            }),
+            { seed: 14, numRuns: 500 },
+        );
+    t.doesNotThrow(inOrder(queue => queue.candidates(0)[0]));
+    t.throws(inOrder(queue => queue.candidates(0).at(-1)));
+    t.end();
+});
+
+// Guards against removal that scans the queue: the number of comparisons stays logarithmic.
+t.test("cost of cancellation", t => {
+    let comparisons = 0;
+    const heap = IndexedHeap.create<{ key: string; order: number }>((a, b) => {
+        comparisons++;
+        return a.order < b.order;
+    });
+    const count = 4096;
+    for (let index = 0; index < count; index++) {
+        heap.add({ key: `k${index}`, order: (index * 2654435761) % 4096 });
+    }
+    for (let index = 0; index < count; index++) {
+        heap.remove(`k${index}`);
+    }
+    t.ok(
+        comparisons / (2 * count) <= 2 * 12 + 2,
+        `${comparisons / (2 * count)} comparisons for each operation`,
+    );
+    t.equal(heap.size, 0);
+    t.end();
+});
