Add the cell owner and random fault schedules

The owner changes its state only when a batch is durable. Commands to workers and answers to callers follow from the changed state. An attempt ends by an outcome, by a confirmed stop followed by a read of the outcomes, or by the end of its lease; a worker that does not answer is asked but not renewed, because a renewal that may have arrived extends the lease.

--- a/packages/tasks/src/attempt.ts
+++ b/packages/tasks/src/attempt.ts
@@ -1,5 +1,6 @@
 import type { Resources } from "@samphireward/core/resources";
 import { AttemptPhase } from "./attempt-phase.js";
+import { attemptId } from "./attempt-id.js";
 import type { TaskRef } from "./task-ref.js";
 
 /** One attempt of a task on a worker, as the owner tracks it. Its reservation lasts as long as this object. */
@@ -12,6 +13,8 @@
     checkpoint: string | undefined;
     checkpointTries = 0;
     checkpointOutstanding = false;
+    /** An eviction is decided; its transition may still wait for the log. */
+    evicting = false;
     /** Error of a worker that rejected the command itself; counts as a failure of the task there. */
     rejection: string | undefined;
 
@@ -26,6 +29,11 @@
         return new Attempt(ref.key, ref.attempt, resources, phase);
     }
 
+    /** Name of the attempt's reservation. */
+    get id(): string {
+        return attemptId(this);
+    }
+
     get ref(): TaskRef {
         return { key: this.key, attempt: this.attempt };
     }
--- /dev/null
+++ b/packages/tasks/src/cell-owner.ts
@@ -0,0 +1,235 @@
+import { CodedError } from "@samphireward/core/coded-error";
+import { ResultCode } from "@samphireward/core/result-code";
+import type { TaskSpec } from "@samphireward/core/task-spec";
+import { TaskState } from "@samphireward/core/task-state";
+import type { WorkerInfo } from "@samphireward/core/worker-info";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import { describeTask } from "./describe-task.js";
+import { OwnerCore } from "./owner-core.js";
+import type { OwnerOptions } from "./owner-options.js";
+import type { OwnerTables } from "./owner-tables.js";
+import type { TaskAnswer } from "./task-answer.js";
+import type { TaskStatus } from "./task-status.js";
+import type { WorkerLink } from "./worker-link.js";
+import { WorkerMode } from "./worker-mode.js";
+
+type Answer = Promise<Result<TaskAnswer, CodedError>>;
+
+/** Records of ended tasks are kept this long, so that a repeated submission is answered from them. */
+const KeepEndedMs = 24 * 60 * 60 * 1000;
+
+/** Bound on the records of ended tasks; 20,000 are about 4 MB of memory. */
+const MaxEnded = 20_000;
+
+/** Records dropped with one transition. */
+const MaxForgottenAtOnce = 1000;
+
+/**
+ * The owner of one cell: accepts, places, starts, watches, moves and ends the cell's tasks. All calls are made
+ * from one sequential process; `tick` carries on what time has made due.
+ */
+export class CellOwner {
+    private constructor(private readonly core: OwnerCore) {}
+
+    static create(options: OwnerOptions): CellOwner {
+        return new CellOwner(OwnerCore.create(options));
+    }
+
+    /** Whether this owner still owns the cell as far as it knows. */
+    get active(): boolean {
+        return this.core.active;
+    }
+
+    get workerNames(): Iterable<string> {
+        return this.core.workers.names;
+    }
+
+    /**
+     * Accepts a task once for each key. Resolves once the task is recorded: `TaskAccepted`, or
+     * `TaskAlreadyAccepted` with the state of the earlier submission. An error of the 2xxx range proves that
+     * the task was not recorded.
+     */
+    async accept(spec: TaskSpec): Answer {
+        const refusal = this.refuse(spec);
+        if (refusal !== undefined) {
+            return Err(refusal);
+        }
+        const known = this.core.task(spec.key);
+        if (known !== undefined) {
+            return this.answer(ResultCode.TaskAlreadyAccepted, spec.key);
+        }
+        const inProgress = this.core.submissions.find(spec.key);
+        const recorded = inProgress ?? this.core.submissions.add(spec);
+        this.core.flush();
+        const result = await recorded;
+        if (result.isErr()) {
+            return result;
+        }
+        const isFirst = inProgress === undefined;
+        return this.answer(isFirst ? ResultCode.TaskAccepted : ResultCode.TaskAlreadyAccepted, spec.key);
+    }
+
+    /**
+     * Records a cancellation; resolves once it is durable. A task that has ended before keeps its end, and the
+     * answer shows it. The stop of a running task follows.
+     */
+    async cancel(key: string): Answer {
+        const submission = this.core.submissions.find(key);
+        if (submission !== undefined) {
+            await submission;
+        }
+        const task = this.core.task(key);
+        if (task === undefined) {
+            return Err(CodedError.create(ResultCode.TaskUnknown, `No task "${key}" is known`));
+        }
+        if (this.core.state.ended.has(key) || task.cancelRequested) {
+            return this.answerCancel(key);
+        }
+        const durable = await this.recordCancel(key);
+        return durable ? this.answerCancel(key) : Err(noOwner());
+    }
+
+    /** Starts to move a running task: checkpoint, confirmed stop, queued with the checkpoint. */
+    evict(key: string): boolean {
+        const started = this.core.evict(key);
+        this.core.flush();
+        return started;
+    }
+
+    status(key: string): TaskStatus | undefined {
+        const task = this.core.task(key);
+        return task && describeTask(this.core, task);
+    }
+
+    /** Takes the directory's list of the cell's workers. */
+    updateWorkers(workers: readonly WorkerInfo[]): void {
+        this.core.workers.update(workers);
+        this.core.quarantine.setWorkers(this.core.workers.names);
+        this.core.workerChanged();
+    }
+
+    setTables(tables: OwnerTables): void {
+        this.core.setTables(tables);
+    }
+
+    /** Records an operator's mode for a worker. Resolves with whether it is durable. */
+    setWorkerMode(worker: string, mode: WorkerMode): Promise<boolean> {
+        return new Promise(resolve => {
+            this.core.record({ kind: "worker-mode", worker, mode }, resolve);
+            this.core.flush();
+        });
+    }
+
+    /** Carries on with everything that is due. */
+    tick(): void {
+        this.tickCell();
+        for (const link of this.core.workers.all) {
+            this.tickLink(link);
+        }
+        this.core.flush();
+    }
+
+    /** What is due for the cell as a whole. */
+    tickCell(): void {
+        if (this.core.active) {
+            this.core.submissions.expire();
+            this.forgetOld();
+            this.core.placeIfDue();
+            this.core.flush();
+        }
+    }
+
+    /** What is due for one worker. */
+    tickWorker(name: string): void {
+        const link = this.core.workers.get(name);
+        if (link !== undefined) {
+            this.tickLink(link);
+            this.core.flush();
+        }
+    }
+
+    /** Ends this owner, for a planned stop. Tasks keep running under their leases for the next owner. */
+    close(): void {
+        this.core.depose("the scheduler is shutting down");
+    }
+
+    private tickLink(link: WorkerLink): void {
+        if (!this.core.active) {
+            return;
+        }
+        const drained = this.core.state.workerMode(link.entry.name) === WorkerMode.Drained;
+        if (link.leaving || drained) {
+            for (const key of link.attempts.keys()) {
+                this.core.evict(key);
+            }
+        }
+        link.tick();
+    }
+
+    private refuse(spec: TaskSpec): CodedError | undefined {
+        if (!this.core.active) {
+            return noOwner();
+        }
+        if (this.core.task(spec.key) !== undefined) {
+            return undefined;
+        }
+        const pool = this.core.placer.pool(spec.pool);
+        if (pool !== undefined && !this.core.placer.admits(pool, spec.resources)) {
+            const message = `The task alone exceeds the quota of team ${pool.team}`;
+            return CodedError.create(ResultCode.QuotaExceeded, message);
+        }
+        if (!this.core.workers.isListed) {
+            return CodedError.create(ResultCode.NoCellOwner, "The directory lists no worker of the cell yet");
+        }
+        if (!this.core.workers.couldHold(spec.resources)) {
+            const { processors, memoryMb, accelerators } = spec.resources;
+            const need = `${processors} processors, ${memoryMb} MB, ${accelerators} accelerators`;
+            const have = this.core.workers.describeCapacities();
+            const message = `The task needs ${need} beside the service's reserve; the workers have: ${have}`;
+            return CodedError.create(ResultCode.TaskFitsNoWorker, message);
+        }
+        return undefined;
+    }
+
+    private recordCancel(key: string): Promise<boolean> {
+        return new Promise(resolve => {
+            this.core.record({ kind: "cancelled", key, wallMs: this.core.wallMs() }, resolve);
+            this.core.flush();
+        });
+    }
+
+    private answer(code: ResultCode, key: string): Result<TaskAnswer, CodedError> {
+        const status = this.status(key);
+        if (status === undefined) {
+            return Err(CodedError.create(ResultCode.TaskUnknown, `No task "${key}" is known`));
+        }
+        return Ok({ code, status });
+    }
+
+    private answerCancel(key: string): Result<TaskAnswer, CodedError> {
+        const task = this.core.task(key);
+        const cancelled = task?.cancelRequested === true || task?.state === TaskState.Cancelled;
+        return this.answer(cancelled ? ResultCode.TaskCancelled : ResultCode.TaskAlreadyAccepted, key);
+    }
+
+    private forgetOld(): void {
+        const { ended } = this.core.state;
+        const keys: string[] = [];
+        const limitMs = this.core.wallMs() - KeepEndedMs;
+        for (const key of ended) {
+            const tooMany = ended.size - keys.length > MaxEnded;
+            const tooOld = (this.core.task(key)?.wallMs ?? 0) < limitMs;
+            if (keys.length >= MaxForgottenAtOnce || (!tooMany && !tooOld)) {
+                break;
+            }
+            keys.push(key);
+        }
+        if (keys.length > 0) {
+            this.core.forget(keys);
+        }
+    }
+}
+
+const noOwner = (): CodedError =>
+    CodedError.create(ResultCode.NoCellOwner, "This scheduler does not own the cell");
--- a/packages/tasks/src/commit-queue.ts
+++ b/packages/tasks/src/commit-queue.ts
@@ -6,7 +6,7 @@
 /** A transition that waits for the log. */
 interface Item {
     readonly transition: Transition;
-    readonly committed: (() => void) | undefined;
+    readonly settled: ((durable: boolean) => void) | undefined;
 }
 
 /** What happens with a batch. */
@@ -15,6 +15,8 @@
     readonly apply: (transitions: readonly Transition[]) => void;
     /** Another owner has the cell; nothing of the batch is durable. */
     readonly lost: (err: CodedError) => void;
+    /** No append is under way any more; more can be pushed and flushed. */
+    readonly idle: () => void;
 }
 
 /** Keeps a record of a batch well below the store's value limit of 1 MB. */
@@ -70,9 +72,12 @@
         return this.waiting.length;
     }
 
-    push(transition: Transition, committed?: () => void): void {
-        if (!this.closed) {
-            this.waiting.push({ transition, committed });
+    /** `settled` is called once: with true after the transition was applied, or with false when it never will be. */
+    push(transition: Transition, settled?: (durable: boolean) => void): void {
+        if (this.closed) {
+            settled?.(false);
+        } else {
+            this.waiting.push({ transition, settled });
         }
     }
 
@@ -89,7 +94,9 @@
     /** Drops what waits and accepts nothing more. An append under way still settles. */
     close(): void {
         this.closed = true;
+        const dropped = this.waiting;
         this.waiting = [];
+        settleAll(dropped, false);
     }
 
     private take(): Item[] {
@@ -111,16 +118,21 @@
         this.appending = false;
         if (result.isOk()) {
             this.handlers.apply(transitions);
-            for (const { committed } of batch) {
-                committed?.();
-            }
-            this.flush();
-        } else if (result.error.code === ResultCode.StoreUnavailable) {
+            settleAll(batch, true);
+            this.handlers.idle();
+        } else if (result.error.code === ResultCode.StoreUnavailable && !this.closed) {
             // Nothing was written; the next tick tries again.
             this.waiting.unshift(...batch);
         } else {
+            settleAll(batch, false);
             this.close();
             this.handlers.lost(result.error);
         }
     }
 }
+
+const settleAll = (items: readonly Item[], durable: boolean): void => {
+    for (const { settled } of items) {
+        settled?.(durable);
+    }
+};
--- /dev/null
+++ b/packages/tasks/src/describe-task.ts
@@ -0,0 +1,53 @@
+import { TaskState } from "@samphireward/core/task-state";
+import type { OwnerCore } from "./owner-core.js";
+import type { TaskRecord } from "./task-record.js";
+import type { TaskStatus } from "./task-status.js";
+
+const describeActive = (core: OwnerCore, task: TaskRecord): string => {
+    const link = core.findLink(task);
+    const problem = link?.describe(core.findAttempt(task)) ?? "";
+    if (problem !== "") {
+        return problem;
+    }
+    if (task.cancelRequested) {
+        return `cancelled; worker ${task.worker} has not confirmed the stop yet`;
+    }
+    switch (task.state) {
+        case TaskState.Starting:
+            return `the start is being sent to worker ${task.worker}`;
+        case TaskState.Checkpointing:
+            return `a checkpoint is being taken on worker ${task.worker}, to move the task`;
+        default:
+            return `runs on worker ${task.worker}`;
+    }
+};
+
+const reasonOf = (core: OwnerCore, task: TaskRecord): string => {
+    switch (task.state) {
+        case TaskState.Queued:
+            return core.placer.reason(task.spec.key);
+        case TaskState.Evicted:
+            return `moved with a checkpoint; ${core.placer.reason(task.spec.key)}`;
+        case TaskState.Starting:
+        case TaskState.Running:
+        case TaskState.Checkpointing:
+            return describeActive(core, task);
+        case TaskState.Finished:
+            return `finished with attempt ${task.attempt}`;
+        case TaskState.Cancelled:
+            return "cancelled";
+        case TaskState.Failed:
+            return `failed on ${task.failures.join(", ")}; the last error: ${task.output}`;
+    }
+};
+
+/** A task's status with the reason why it is where it is. */
+export const describeTask = (core: OwnerCore, task: TaskRecord): TaskStatus => ({
+    key: task.spec.key,
+    pool: task.spec.pool,
+    state: task.state,
+    attempt: task.attempt,
+    worker: task.worker ?? "",
+    reason: reasonOf(core, task),
+    output: task.output,
+});
--- a/packages/tasks/src/outcome-reader.ts
+++ b/packages/tasks/src/outcome-reader.ts
@@ -1,3 +1,4 @@
+import { attemptId } from "./attempt-id.js";
 import type { Attempt } from "./attempt.js";
 import { AttemptPhase } from "./attempt-phase.js";
 import { isWaitingState } from "./is-waiting-state.js";
@@ -11,8 +12,6 @@
 const isStale = (task: TaskRecord, outcome: WorkerOutcome, current: Attempt | undefined): boolean =>
     current === undefined && (outcome.result !== "finished" || !isWaitingState(task.state));
 
-const idOf = (ref: TaskRef): string => `${ref.key}#${ref.attempt}`;
-
 /**
  * Turns a worker's outcomes into transitions. An outcome is acknowledged only after its transition is durable,
  * and at once when it is stale. A stopped attempt ends without an outcome only after the outcomes that were
@@ -70,31 +69,33 @@
 
     private takeOne(outcome: WorkerOutcome): void {
         const task = this.recorder.task(outcome.key);
-        if (task === undefined || this.recorded.has(idOf(outcome))) {
+        if (task === undefined || this.recorded.has(attemptId(outcome))) {
             // Not a task of this cell, or its transition waits for the log.
             return;
         }
         const attempt = this.attempts.get(outcome.key);
         const current = attempt?.attempt === outcome.attempt ? attempt : undefined;
         if (task.attempt !== outcome.attempt || isStale(task, outcome, current)) {
-            this.acknowledgements.set(idOf(outcome), { key: outcome.key, attempt: outcome.attempt });
+            this.acknowledgements.set(attemptId(outcome), { key: outcome.key, attempt: outcome.attempt });
         } else if (current?.phase !== AttemptPhase.Ended) {
             this.recordOutcome(outcome, current);
         }
     }
 
     private recordOutcome(outcome: WorkerOutcome, current: Attempt | undefined): void {
-        const id = idOf(outcome);
+        const id = attemptId(outcome);
         const ref = { key: outcome.key, attempt: outcome.attempt };
-        const committed = (): void => {
+        const settled = (durable: boolean): void => {
             this.recorded.delete(id);
-            this.acknowledgements.set(id, ref);
+            if (durable) {
+                this.acknowledgements.set(id, ref);
+            }
         };
         if (current !== undefined) {
             current.phase = AttemptPhase.Ended;
         }
         this.recorded.add(id);
-        this.recorder.record(this.toTransition(outcome, current?.checkpoint), committed);
+        this.recorder.record(this.toTransition(outcome, current?.checkpoint), settled);
     }
 
     private toTransition(outcome: WorkerOutcome, checkpoint: string | undefined): Transition {
--- /dev/null
+++ b/packages/tasks/src/owner-options.ts
@@ -0,0 +1,26 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { WorkerInfo } from "@samphireward/core/worker-info";
+import type { PlacementPolicy } from "@samphireward/placement/placement-policy";
+import type { TransitionLog } from "@samphireward/state/transition-log";
+import type { CellState } from "./cell-state.js";
+import type { OwnerTables } from "./owner-tables.js";
+import type { OwnerTiming } from "./owner-timing.js";
+import type { Transition } from "./transition.js";
+import type { WorkerClient } from "./worker-client.js";
+
+/** What a cell's owner is made of. */
+export interface OwnerOptions {
+    readonly clock: Clock;
+    readonly log: TransitionLog<Transition>;
+    readonly policy: PlacementPolicy;
+    readonly tables: OwnerTables;
+    /** Makes a client that commands the worker under this owner's epoch. */
+    readonly connect: (worker: WorkerInfo) => WorkerClient;
+    /** Whether the owner's store lease is valid by the monotonic clock; asked before each start. */
+    readonly mayGrant: () => boolean;
+    /** Told once when another owner has taken the cell. */
+    readonly deposed?: (reason: string) => void;
+    /** State up to the log's position at takeover; empty for a new cell. The owner changes it. */
+    readonly state?: CellState;
+    readonly timing?: Partial<OwnerTiming>;
+}
--- /dev/null
+++ b/packages/tasks/src/placer.ts
@@ -0,0 +1,249 @@
+import type { Pool } from "@samphireward/core/pool";
+import type { Resources } from "@samphireward/core/resources";
+import { WorkClass } from "@samphireward/core/work-class";
+import type { PlacementPolicy } from "@samphireward/placement/placement-policy";
+import type { QueuedTask } from "@samphireward/placement/queued-task";
+import { QuotaLedger } from "@samphireward/placement/quota-ledger";
+import { TaskQueue } from "@samphireward/placement/task-queue";
+import { isWaitingState } from "./is-waiting-state.js";
+import type { OwnerTables } from "./owner-tables.js";
+import type { TaskRecord } from "./task-record.js";
+import type { WorkerEntry } from "./worker-entry.js";
+
+/** What the placer asks of the cell's owner. */
+interface Cell {
+    readonly task: (key: string) => TaskRecord | undefined;
+    /** Workers that may take tasks now; `open` of each entry is up to date. */
+    readonly openEntries: () => readonly WorkerEntry[];
+    /** Every worker that is not gone, to tell a task that waits for space from one that waits for a worker. */
+    readonly entries: () => readonly WorkerEntry[];
+    /** Reserves and records the start. */
+    readonly start: (task: TaskRecord, entry: WorkerEntry, interferenceClass: string) => void;
+    /** An urgent task has no room. Returns the worker on which room is being made, if any. */
+    readonly makeRoom: (task: QueuedTask) => string | undefined;
+}
+
+/** Starts decided in one round; the rest waits for the next one, so that a round stays short. */
+const MaxStartsPerRound = 200;
+
+const emptySet: ReadonlySet<string> = new Set();
+
+/** Chooses workers for waiting tasks, in the order of `TaskQueue` and within the teams' quotas. */
+export class Placer {
+    private readonly queue = TaskQueue.create();
+    private quotas: QuotaLedger | undefined;
+    private readonly reasons = new Map<string, string>();
+    /** Worker that is kept free for a blocked task, by the task's key. */
+    private readonly holds = new Map<string, WorkerEntry>();
+
+    private constructor(
+        private readonly policy: PlacementPolicy,
+        private tables: OwnerTables,
+        private readonly cell: Cell,
+    ) {
+        this.setTables(tables);
+    }
+
+    static create(policy: PlacementPolicy, tables: OwnerTables, cell: Cell): Placer {
+        return new Placer(policy, tables, cell);
+    }
+
+    get waiting(): number {
+        return this.queue.size;
+    }
+
+    setTables(tables: OwnerTables): void {
+        this.tables = tables;
+        if (tables.quotas === undefined) {
+            this.quotas = undefined;
+        } else if (this.quotas === undefined) {
+            this.quotas = QuotaLedger.create(tables.quotas);
+        } else {
+            this.quotas.setQuotas(tables.quotas);
+        }
+    }
+
+    pool(name: string): Pool | undefined {
+        return this.tables.pools.get(name);
+    }
+
+    /** Whether a task alone fits its team's quota. */
+    admits(pool: Pool, resources: Resources): boolean {
+        return this.quotas?.admits(pool.team, resources) ?? true;
+    }
+
+    /** Makes the queue agree with a task's record. */
+    sync(key: string): void {
+        const task = this.cell.task(key);
+        if (task === undefined || !isWaitingState(task.state)) {
+            this.queue.remove(key);
+            this.reasons.delete(key);
+            this.unhold(key);
+        } else if (!this.queue.has(key)) {
+            this.queue.add(this.toQueued(task));
+        }
+    }
+
+    /** Counts a task that an earlier owner started. */
+    adopt(task: TaskRecord): void {
+        const pool = this.pool(task.spec.pool);
+        const workClass = pool?.class ?? WorkClass.Batch;
+        this.quotas?.adopt(task.spec.key, pool?.team ?? "", task.spec.resources, workClass);
+    }
+
+    releaseQuota(key: string): void {
+        this.quotas?.release(key);
+    }
+
+    /** Why a waiting task waits. */
+    reason(key: string): string {
+        return this.reasons.get(key) ?? "waits for its turn";
+    }
+
+    /** Places what can be placed now. */
+    run(nowMs: number): void {
+        this.holdWorker(nowMs);
+        for (let starts = 0; starts < MaxStartsPerRound; ) {
+            const placed = this.placeHeads(nowMs);
+            if (placed === 0) {
+                return;
+            }
+            starts += placed;
+        }
+    }
+
+    /** Tries the oldest task of each lane; returns how many were started. */
+    private placeHeads(nowMs: number): number {
+        let placed = 0;
+        for (const task of this.queue.candidates(nowMs)) {
+            if (this.queue.mayStart(task, nowMs) && this.place(task, nowMs)) {
+                placed += 1;
+            }
+        }
+        return placed;
+    }
+
+    private place(task: QueuedTask, nowMs: number): boolean {
+        const record = this.cell.task(task.key);
+        if (record === undefined) {
+            return false;
+        }
+        const quota = this.quotas?.check(task.team, task.resources, task.workClass);
+        if (quota?.isErr() === true) {
+            this.reasons.set(task.key, quota.error);
+            return false;
+        }
+        const entry = this.choose(task, record);
+        if (entry === undefined) {
+            this.block(task, nowMs);
+            return false;
+        }
+        this.quotas?.adopt(task.key, task.team, task.resources, task.workClass);
+        this.queue.remove(task.key);
+        this.unhold(task.key);
+        this.reasons.delete(task.key);
+        this.cell.start(record, entry, task.interferenceClass);
+        return true;
+    }
+
+    private choose(task: QueuedTask, record: TaskRecord): WorkerEntry | undefined {
+        const { key, resources, interferenceClass, workClass } = task;
+        const held = this.holds.get(key);
+        const open = this.cell
+            .openEntries()
+            .filter(entry => entry.open && (entry.heldFor === undefined || entry === held));
+        const request = { key, resources, interferenceClass, workClass, avoid: this.avoid(record) };
+        const decision = this.policy.choose(request, open);
+        if (decision.isErr()) {
+            this.reasons.set(key, this.explain(record, decision.error));
+            return undefined;
+        }
+        const entry = open.find(({ name }) => name === decision.value);
+        return entry?.fits(resources) === true ? entry : undefined;
+    }
+
+    /** Workers on which the task failed, unless no other worker could hold it. */
+    private avoid(record: TaskRecord): ReadonlySet<string> {
+        if (record.failures.length === 0) {
+            return emptySet;
+        }
+        const failed = new Set(record.failures);
+        const others = this.cell
+            .entries()
+            .some(entry => !failed.has(entry.name) && entry.couldHold(record.spec.resources));
+        return others ? failed : emptySet;
+    }
+
+    private explain(record: TaskRecord, reason: string): string {
+        const failed = record.failures.length === 0 ? "" : `failed on ${record.failures.join(", ")}; `;
+        const couldHold = this.cell.entries().some(entry => entry.couldHold(record.spec.resources));
+        return couldHold ? `${failed}${reason}` : `${failed}no worker of the cell is large enough now`;
+    }
+
+    private block(task: QueuedTask, nowMs: number): void {
+        this.queue.markBlocked(task.key, nowMs);
+        if (task.workClass === WorkClass.LatencyCritical && !this.holds.has(task.key)) {
+            const worker = this.cell.makeRoom(task);
+            if (worker !== undefined) {
+                this.hold(task.key, worker);
+                this.reasons.set(task.key, `room is being made on worker ${worker}`);
+            }
+        }
+    }
+
+    /** Keeps the emptiest suitable worker free for the first task that has waited too long. */
+    private holdWorker(nowMs: number): void {
+        for (const [key, entry] of this.holds) {
+            if (!this.cell.entries().includes(entry)) {
+                this.unhold(key);
+            }
+        }
+        const task = this.queue.taskToHoldFor(nowMs);
+        if (task === undefined) {
+            return;
+        }
+        let best: WorkerEntry | undefined;
+        for (const entry of this.cell.openEntries()) {
+            const suits = entry.open && entry.heldFor === undefined && entry.couldHold(task.resources);
+            if (suits && (best === undefined || entry.reserved.processors < best.reserved.processors)) {
+                best = entry;
+            }
+        }
+        // Without a suitable worker the others pass, because holding them back would gain nothing.
+        this.queue.hold(task.key, true);
+        if (best !== undefined) {
+            this.hold(task.key, best.name);
+        }
+    }
+
+    private hold(key: string, worker: string): void {
+        const entry = this.cell.entries().find(({ name }) => name === worker);
+        if (entry !== undefined) {
+            entry.heldFor = key;
+            this.holds.set(key, entry);
+            this.queue.hold(key, true);
+        }
+    }
+
+    private unhold(key: string): void {
+        const entry = this.holds.get(key);
+        if (entry !== undefined) {
+            entry.heldFor = undefined;
+            this.holds.delete(key);
+            this.queue.hold(key, false);
+        }
+    }
+
+    private toQueued(task: TaskRecord): QueuedTask {
+        const pool = this.pool(task.spec.pool);
+        return {
+            key: task.spec.key,
+            team: pool?.team ?? "",
+            workClass: pool?.class ?? WorkClass.Batch,
+            interferenceClass: pool?.interferenceClass ?? "",
+            resources: task.spec.resources,
+            expectedRunMs: task.spec.expectedRunMs,
+            submittedMs: task.wallMs,
+        };
+    }
+}
--- a/packages/tasks/src/recorder.ts
+++ b/packages/tasks/src/recorder.ts
@@ -9,8 +9,8 @@
     /** Durable state of a task. */
     abstract task(key: string): TaskRecord | undefined;
 
-    /** Queues a transition for the log; `committed` runs once it is durable and applied. */
-    abstract record(transition: Transition, committed?: () => void): void;
+    /** Queues a transition for the log; `settled` tells whether it became durable (and is then applied). */
+    abstract record(transition: Transition, settled?: (durable: boolean) => void): void;
 
     /** A worker has seen a higher epoch: this owner ends. */
     abstract depose(reason: string): void;
--- a/packages/tasks/src/submission-queue.ts
+++ b/packages/tasks/src/submission-queue.ts
@@ -85,14 +85,17 @@
         }
     }
 
-    /** Another owner has the cell. What the log holds is answered by the log's own result. */
-    refuseAll(handedToo: boolean): void {
+    /** The log has refused the submission for good. */
+    lost(key: string): void {
+        this.settle(key, Err(lostError()));
+    }
+
+    /** Refuses what was not handed to the log. */
+    refuseWaiting(): void {
+        const waiting = this.waiting;
         this.waiting = [];
-        const error = CodedError.create(ResultCode.NoCellOwner, "Another scheduler has taken the cell");
-        for (const { submission } of this.byKey.values()) {
-            if (handedToo || !submission.handed) {
-                this.settle(submission.spec.key, Err(error));
-            }
+        for (const { spec } of waiting) {
+            this.lost(spec.key);
         }
     }
 
@@ -108,6 +111,9 @@
     }
 }
 
+const lostError = (): CodedError =>
+    CodedError.create(ResultCode.NoCellOwner, "Another scheduler has taken the cell");
+
 const createDeferred = (): {
     promise: Promise<Result<void, CodedError>>;
     resolve: (result: Result<void, CodedError>) => void;
--- a/packages/tasks/src/worker-entry.ts
+++ b/packages/tasks/src/worker-entry.ts
@@ -13,6 +13,8 @@
 export class WorkerEntry implements WorkerView {
     open = false;
     measuredLoad = 0;
+    /** Task for which the worker is kept free. */
+    heldFor: string | undefined;
     readonly classes = new Map<string, number>();
     reserved: Resources;
 
@@ -22,7 +24,7 @@
 
     private constructor(
         readonly name: string,
-        readonly rack: string,
+        public rack: string,
         public capacity: Resources,
         private service: Resources,
     ) {
--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -53,7 +53,7 @@
 
     private constructor(
         readonly entry: WorkerEntry,
-        private readonly client: WorkerClient,
+        private client: WorkerClient,
         private readonly recorder: Recorder,
         private readonly clock: Clock,
         private readonly timing: OwnerTiming,
@@ -106,6 +106,13 @@
         }
     }
 
+    /** The directory has listed a worker that only the records named so far. */
+    reconnect(client: WorkerClient): void {
+        this.client = client;
+        this.announced = false;
+        this.requestInventory();
+    }
+
     /** Releases what has ended by the clock, and makes the next call when one is due. */
     tick(): void {
         const nowMs = this.clock.nowMs();
@@ -199,7 +206,8 @@
         });
     }
 
-    private pump(): void {
+    /** Makes the next call when one is due and none is under way. */
+    pump(): void {
         if (this.busy || this.gone || !this.recorder.active) {
             return;
         }
--- /dev/null
+++ b/packages/tasks/tests/faults/invariant-checker.ts
@@ -0,0 +1,109 @@
+import type { RunningTask } from "@samphireward/standins/worker/running-task";
+import { Resources } from "@samphireward/core/resources";
+import { TaskState } from "@samphireward/core/task-state";
+import type { CellState } from "../../src/cell-state.js";
+import { hasFailedForGood } from "../../src/has-failed-for-good.js";
+
+type End = "finished" | "failed" | "lease-lapsed" | "stopped" | "died";
+
+/**
+ * Watches the workers and compares what they do with the durable records. It shares no code with the owner
+ * besides the replay of the log.
+ */
+export class InvariantChecker {
+    readonly violations: string[] = [];
+    readonly startedKeys = new Set<string>();
+    private readonly running = new Map<string, Map<string, RunningTask>>();
+    private readonly startedAttempts = new Set<string>();
+    private readonly ends = new Map<string, End[]>();
+
+    private constructor(private readonly durable: CellState) {}
+
+    static create(durable: CellState): InvariantChecker {
+        return new InvariantChecker(durable);
+    }
+
+    started(worker: string, capacity: Resources, task: RunningTask, checkpoint: string | undefined): void {
+        const { key, attempt } = task;
+        this.startedKeys.add(key);
+        for (const [other, tasks] of this.running) {
+            if ([...tasks.values()].some(running => running.key === key)) {
+                this.report(`${key}#${attempt} starts on ${worker} while it runs on ${other}`);
+            }
+        }
+        if (this.startedAttempts.has(`${key}#${attempt}`)) {
+            this.report(`${key}#${attempt} starts twice`);
+        }
+        this.startedAttempts.add(`${key}#${attempt}`);
+        this.checkRecord(worker, task, checkpoint);
+        const here = this.running.get(worker) ?? new Map<string, RunningTask>();
+        this.running.set(worker, here.set(`${key}#${attempt}`, task));
+        const sum = [...here.values()].reduce((total, { resources }) => total.plus(resources), Resources.none);
+        if (!sum.fitsIn(capacity)) {
+            this.report(`${worker} runs more than it can hold`);
+        }
+    }
+
+    ended(worker: string, task: RunningTask, how: End): void {
+        this.running.get(worker)?.delete(`${task.key}#${task.attempt}`);
+        this.ends.set(task.key, [...(this.ends.get(task.key) ?? []), how]);
+    }
+
+    overcommitRefused(worker: string, key: string, attempt: number): void {
+        this.report(`${key}#${attempt} was sent to ${worker}, which has no room`);
+    }
+
+    /** An outcome is dropped by the worker: the records must not need it any more. */
+    acknowledged(key: string, attempt: number): void {
+        const record = this.durable.get(key);
+        const isOpen = record?.worker !== undefined && record.attempt === attempt;
+        if (isOpen) {
+            this.report(`the outcome of ${key}#${attempt} is acknowledged before its record is durable`);
+        }
+    }
+
+    /** Checks the end of the run, when everything had time to end. */
+    finish(accepted: Iterable<string>, refused: Iterable<string>, cancelled: ReadonlySet<string>): void {
+        for (const key of accepted) {
+            this.checkEnd(key, cancelled);
+        }
+        for (const key of refused) {
+            if (this.startedKeys.has(key)) {
+                this.report(`${key} was refused as not run, but ran`);
+            }
+        }
+    }
+
+    private checkRecord(worker: string, task: RunningTask, checkpoint: string | undefined): void {
+        const record = this.durable.get(task.key);
+        const { attempt, key } = task;
+        if (record === undefined || record.attempt < attempt) {
+            this.report(`${key}#${attempt} starts without a durable record`);
+        } else if (this.durable.ended.has(key)) {
+            this.report(`${key}#${attempt} starts after the task has ended`);
+        } else if (record.attempt === attempt && record.worker !== undefined && record.worker !== worker) {
+            this.report(`${key}#${attempt} starts on ${worker}, recorded for ${record.worker}`);
+        } else if (record.attempt === attempt && record.checkpoint !== checkpoint) {
+            this.report(`${key}#${attempt} starts from ${checkpoint}, recorded is ${record.checkpoint}`);
+        }
+    }
+
+    private checkEnd(key: string, cancelled: ReadonlySet<string>): void {
+        const record = this.durable.get(key);
+        const ends = this.ends.get(key) ?? [];
+        const done = ends.filter(end => end === "finished").length;
+        if (record === undefined || !this.durable.ended.has(key)) {
+            this.report(`${key} was accepted and has not ended: ${record?.state}`);
+        } else if (record.state === TaskState.Finished && done === 0) {
+            this.report(`${key} is recorded as finished, but did not finish`);
+        } else if (record.state === TaskState.Cancelled && !cancelled.has(key)) {
+            this.report(`${key} is recorded as cancelled, but nobody cancelled it`);
+        } else if (record.state === TaskState.Failed && !hasFailedForGood(record.failures)) {
+            this.report(`${key} is recorded as failed after ${record.failures.length} failures`);
+        }
+    }
+
+    private report(violation: string): void {
+        this.violations.push(violation);
+    }
+}
--- /dev/null
+++ b/packages/tasks/tests/faults/mutant.ts
@@ -0,0 +1,15 @@
+/** Faults that are built into an owner's surroundings to test the checker. */
+export const Mutant = {
+    None: "none",
+    /** Every owner uses the same epoch, and the log accepts all of them. */
+    NoEpochFencing: "no-epoch-fencing",
+    /** A task counts as ended as soon as its worker does not answer. */
+    EarlyReassign: "early-reassign",
+    AcknowledgeBeforeCommit: "acknowledge-before-commit",
+    /** The log confirms before it has written. */
+    NoWriteAhead: "no-write-ahead",
+    /** A stop counts as confirmed when it is sent. */
+    ReleaseBeforeStop: "release-before-stop",
+} as const;
+
+export type Mutant = (typeof Mutant)[keyof typeof Mutant];
