--- /dev/null
+++ b/packages/scheduler/src/cell-host.ts
@@ -0,0 +1,127 @@
+import type { CellName } from "@samphireward/core/cell-name";
+import { rendezvousPick } from "@samphireward/core/rendezvous-pick";
+import type { Tables } from "@samphireward/core/tables";
+import type { ProcessRuntime } from "@samphireward/runtime/process-runtime";
+import { CellOwnership } from "@samphireward/state/cell-ownership";
+import * as Effect from "effect/Effect";
+import { CellTenure } from "./cell-tenure.js";
+
+const CheckMs = 100;
+const ReopenMs = 500;
+
+interface HostOptions {
+    readonly cell: CellName;
+    readonly runtime: ProcessRuntime;
+    readonly tables: () => Tables | undefined;
+}
+
+/** One cell in this process: takes it when it is free, and runs it while it is owned. */
+export class CellHost {
+    private readonly ownership: CellOwnership;
+    private current: CellTenure | undefined;
+
+    private constructor(private readonly options: HostOptions) {
+        const { cell, runtime } = options;
+        const { name, address } = runtime.membership.self;
+        this.ownership = CellOwnership.create({
+            store: runtime.store,
+            lease: runtime.lease,
+            clock: runtime.clock,
+            cell: String(cell),
+            owner: name,
+            address,
+            isPreferred: () => this.isPreferred(),
+            onChange: epoch => runtime.log.info("ownership has changed", { cell: String(cell), epoch: epoch ?? 0 }),
+        });
+    }
+
+    static create(options: HostOptions): CellHost {
+        return new CellHost(options);
+    }
+
+    /** The tenure while this process owns the cell and has replayed its log. */
+    get tenure(): CellTenure | undefined {
+        return this.current;
+    }
+
+    run(): Effect.Effect<void> {
+        return Effect.all([this.ownership.run(), this.followOwnership()], {
+            concurrency: "unbounded",
+            discard: true,
+        });
+    }
+
+    /** Takes the newest VM list and tables. */
+    update(): void {
+        const tables = this.options.tables();
+        if (tables !== undefined) {
+            this.current?.update(this.options.runtime.vms.all(), tables);
+        }
+    }
+
+    /** Commits what is queued and gives the cell to the next owner. */
+    async release(): Promise<void> {
+        const tenure = this.current;
+        this.current = undefined;
+        await tenure?.close(true);
+        await this.ownership.release();
+    }
+
+    private followOwnership(): Effect.Effect<never> {
+        return Effect.forever(
+            Effect.gen({ self: this }, function* () {
+                const epoch = this.ownership.epoch;
+                const tables = this.options.tables();
+                if (epoch === undefined || tables === undefined) {
+                    yield* Effect.sleep(CheckMs);
+                    return;
+                }
+                const { cell, runtime } = this.options;
+                const tenure = yield* Effect.promise(() =>
+                    CellTenure.open({ cell, epoch, runtime, ownership: this.ownership, tables }),
+                );
+                if (tenure === undefined) {
+                    yield* Effect.sleep(ReopenMs);
+                    return;
+                }
+                yield* this.serve(tenure, epoch);
+            }),
+        );
+    }
+
+    private serve(tenure: CellTenure, epoch: number): Effect.Effect<void> {
+        const { cell, runtime } = this.options;
+        this.current = tenure;
+        this.update();
+        const { name, address } = runtime.membership.self;
+        runtime.owners.learn({ cell: String(cell), owner: name, epoch, address });
+        runtime.log.info("cell is served", { cell: String(cell), epoch });
+        const end = Effect.promise(async () => {
+            if (this.current === tenure) {
+                this.current = undefined;
+                await tenure.close(false);
+            }
+        });
+        return Effect.raceFirst(tenure.run(), this.untilLost(epoch)).pipe(Effect.ensuring(end));
+    }
+
+    private untilLost(epoch: number): Effect.Effect<void> {
+        return Effect.gen({ self: this }, function* () {
+            while (this.ownership.epoch === epoch) {
+                yield* Effect.sleep(CheckMs);
+            }
+        });
+    }
+
+    /** Rendezvous hash over the live schedulers of the cell's region, or of all regions where it has none. */
+    private isPreferred(): boolean {
+        const { cell, runtime, tables } = this.options;
+        const region = tables()?.zones.get(cell.dataCentre)?.region;
+        const live = runtime.membership.members.filter(
+            member => member.role === "scheduler" && member.state === "alive" && !member.leaving,
+        );
+        const local = live.filter(member => member.region === region);
+        const candidates = (local.length > 0 ? local : live).map(member => member.name);
+        return rendezvousPick(String(cell), candidates) === runtime.membership.self.name;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/cell-service-impl.ts
@@ -0,0 +1,45 @@
+import type { ServiceImpl } from "@connectrpc/connect";
+import { Code, ConnectError } from "@connectrpc/connect";
+import type { AttachRequest, CellService, Hello } from "@samphireward/protocol/gen/samphireward_pb";
+import type { CellHost } from "./cell-host.js";
+import type { CellSession } from "./cell-session.js";
+
+/** Feeds a session until the entry process ends its side, then ends the session. */
+const feed = async (session: CellSession, requests: AsyncIterator<AttachRequest>): Promise<void> => {
+    try {
+        for (let next = await requests.next(); next.done !== true; next = await requests.next()) {
+            session.handle(next.value);
+        }
+    } catch {
+        // The connection was lost; the entry process attaches again.
+    } finally {
+        session.end();
+    }
+};
+
+const readHello = async (requests: AsyncIterator<AttachRequest>): Promise<Hello> => {
+    const first = await requests.next();
+    if (first.done === true || first.value.body.case !== "hello") {
+        throw new ConnectError("the first message must be a hello", Code.InvalidArgument);
+    }
+    return first.value.body.value;
+};
+
+/** Makes the handler of `CellService`: one stream for each entry process and cell. */
+export const cellServiceImpl = (hosts: ReadonlyMap<string, CellHost>): ServiceImpl<typeof CellService> => ({
+    async *attach(requests) {
+        const iterator = requests[Symbol.asyncIterator]();
+        const hello = await readHello(iterator);
+        const tenure = hosts.get(hello.cell)?.tenure;
+        if (tenure === undefined) {
+            throw new ConnectError(`cell ${hello.cell} is not owned here`, Code.FailedPrecondition);
+        }
+        const session = tenure.attach(hello);
+        void feed(session, iterator);
+        try {
+            yield* session.messages();
+        } finally {
+            tenure.detach(session);
+        }
+    },
+});
--- /dev/null
+++ b/packages/scheduler/src/cell-session.ts
@@ -0,0 +1,125 @@
+import { create } from "@bufbuild/protobuf";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { CodedError } from "@samphireward/core/coded-error";
+import { Resources } from "@samphireward/core/resources";
+import { ResultCode } from "@samphireward/core/result-code";
+import type { AttachRequest, AttachResponse, Hello, TaskReplySchema } from "@samphireward/protocol/gen/samphireward_pb";
+import { AttachResponseSchema } from "@samphireward/protocol/gen/samphireward_pb";
+import { MessageQueue } from "@samphireward/protocol/message-queue";
+import type { SlotAllocator } from "@samphireward/routing/slot-allocator";
+import type { CellOwner } from "@samphireward/tasks/cell-owner";
+import type { TaskAnswer } from "@samphireward/tasks/task-answer";
+import type { Result } from "ts-results-es";
+import type { CellOperations } from "./cell-operations.js";
+
+type ResponseBody = NonNullable<MessageInitShape<typeof AttachResponseSchema>["body"]>;
+type TaskReplyBody = MessageInitShape<typeof TaskReplySchema>;
+
+/** What a session works on while its owner has the cell. */
+interface SessionParts {
+    readonly owner: CellOwner;
+    readonly allocator: SlotAllocator;
+    readonly operations: CellOperations;
+}
+
+/** One entry process attached to a cell: reads its messages in order and answers them. */
+export class CellSession {
+    private readonly outgoing = MessageQueue.create<AttachResponse>();
+
+    private constructor(
+        private readonly parts: SessionParts,
+        readonly entry: string,
+    ) {}
+
+    static create(parts: SessionParts, hello: Hello): CellSession {
+        const session = new CellSession(parts, hello.entry);
+        parts.allocator.attach({ entry: hello.entry, report: hello.report, claims: hello.claims });
+        session.sendShares();
+        return session;
+    }
+
+    messages(): AsyncIterable<AttachResponse> {
+        return this.outgoing.messages();
+    }
+
+    /** Ends the stream; the entry process connects to the next owner. */
+    end(): void {
+        this.outgoing.end();
+    }
+
+    /** Sends the entry process its shares, unless nothing may be granted now. */
+    sendShares(): void {
+        const update = this.parts.allocator.update(this.entry);
+        if (update !== undefined) {
+            const shares = update.shares.map(share => ({ ...share }));
+            this.send({ case: "shares", value: { ...update, shares } });
+        }
+    }
+
+    handle({ body }: AttachRequest): void {
+        switch (body.case) {
+            case "demand":
+                this.parts.allocator.report(this.entry, body.value);
+                this.sendShares();
+                return;
+            case "submit": {
+                const { requestId, key, pool, resources, expectedRunMs, payload } = body.value;
+                const spec = { key, pool, resources: Resources.create(resources ?? {}), expectedRunMs, payload };
+                void this.reply(requestId, this.parts.owner.accept(spec));
+                return;
+            }
+            case "cancel":
+                void this.reply(body.value.requestId, this.parts.owner.cancel(body.value.key));
+                return;
+            case "lookup":
+                this.lookup(body.value.requestId, body.value.key);
+                return;
+            case "workerCommand": {
+                const { requestId, worker, command } = body.value;
+                void this.command(requestId, worker, command);
+                return;
+            }
+            case "cellLookup": {
+                const json = JSON.stringify(this.parts.operations.describe());
+                const { requestId } = body.value;
+                this.send({ case: "cell", value: { requestId, code: ResultCode.Answered, json } });
+                return;
+            }
+            case "hello":
+            case undefined:
+                // A second hello, or a message of a newer version, changes nothing.
+                return;
+        }
+    }
+
+    private async reply(requestId: number, answer: Promise<Result<TaskAnswer, CodedError>>): Promise<void> {
+        const result = await answer;
+        if (result.isOk()) {
+            this.sendTask({ requestId, code: result.value.code, status: { ...result.value.status } });
+        } else {
+            this.sendTask({ requestId, code: result.error.code, message: result.error.message });
+        }
+    }
+
+    private lookup(requestId: number, key: string): void {
+        const status = this.parts.owner.status(key);
+        if (status === undefined) {
+            this.sendTask({ requestId, code: ResultCode.TaskUnknown, message: `No task "${key}" is known` });
+        } else {
+            this.sendTask({ requestId, code: ResultCode.Answered, status: { ...status } });
+        }
+    }
+
+    private async command(requestId: number, worker: string, command: string): Promise<void> {
+        const code = await this.parts.operations.setWorkerMode(worker, command);
+        this.send({ case: "cell", value: { requestId, code, json: "{}" } });
+    }
+
+    private sendTask(value: TaskReplyBody): void {
+        this.send({ case: "task", value });
+    }
+
+    private send(body: ResponseBody): void {
+        this.outgoing.push(create(AttachResponseSchema, { body }));
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/cell-tenure.ts
@@ -0,0 +1,188 @@
+import { Agent } from "node:http";
+import { CellName } from "@samphireward/core/cell-name";
+import { parseAddress } from "@samphireward/core/parse-address";
+import type { Tables } from "@samphireward/core/tables";
+import type { WorkerInfo } from "@samphireward/core/worker-info";
+import { WorkClass } from "@samphireward/core/work-class";
+import { InterferenceAwarePolicy } from "@samphireward/placement/interference-aware-policy";
+import { InterferenceModel } from "@samphireward/placement/interference-model";
+import type { Hello } from "@samphireward/protocol/gen/samphireward_pb";
+import { SlotAllocator } from "@samphireward/routing/slot-allocator";
+import { keepRunning } from "@samphireward/runtime/keep-running";
+import type { ProcessRuntime } from "@samphireward/runtime/process-runtime";
+import type { CellOwnership } from "@samphireward/state/cell-ownership";
+import { GroupCommitLog } from "@samphireward/state/group-commit-log";
+import { CellOwner } from "@samphireward/tasks/cell-owner";
+import { HttpWorkerClient } from "@samphireward/tasks/http-worker-client";
+import * as Effect from "effect/Effect";
+import { CellOperations } from "./cell-operations.js";
+import { CellSession } from "./cell-session.js";
+import { CellStateMachine } from "./cell-state-machine.js";
+import { CellTables } from "./cell-tables.js";
+import { EncodedLog } from "./encoded-log.js";
+import type { LogRow } from "./log-row.js";
+import { TenureLimits } from "./tenure-limits.js";
+
+/** What a tenure needs from its process. */
+interface TenureOptions {
+    readonly cell: CellName;
+    readonly epoch: number;
+    readonly runtime: ProcessRuntime;
+    readonly ownership: CellOwnership;
+    readonly tables: Tables;
+}
+
+/** This process's ownership of a cell in one epoch, from the replayed log until it ends. */
+export class CellTenure {
+    private readonly sessions = new Set<CellSession>();
+    private readonly agent = new Agent({ keepAlive: true, maxSockets: TenureLimits.socketsPerWorker });
+    private readonly owner: CellOwner;
+    private readonly allocator: SlotAllocator;
+    private readonly operations: CellOperations;
+    private cellTables: CellTables;
+    private workers: readonly WorkerInfo[] = [];
+
+    private constructor(
+        private readonly options: TenureOptions,
+        private readonly log: GroupCommitLog<LogRow, LogRow>,
+        machine: CellStateMachine,
+    ) {
+        const { cell, epoch, runtime, ownership, tables } = options;
+        this.cellTables = CellTables.create(tables, cell);
+        this.owner = CellOwner.create({
+            clock: runtime.clock,
+            log: EncodedLog.create(log),
+            policy: this.createPolicy(),
+            tables: this.cellTables.owner,
+            connect: worker => this.connect(worker),
+            mayGrant: () => ownership.canGrant(),
+            deposed: () => ownership.markDeposed(epoch),
+            state: machine.copy(),
+        });
+        this.allocator = SlotAllocator.create({
+            clock: runtime.clock,
+            cell: String(cell),
+            epoch,
+            ttlMs: TenureLimits.shareTtlMs,
+            marginMs: TenureLimits.shareMarginMs,
+            isTakeover: epoch > 1,
+            mayGrant: () => ownership.canGrant(),
+        });
+        this.operations = CellOperations.create({
+            cell: String(cell),
+            owner: runtime.membership.self.name,
+            epoch,
+            cellOwner: this.owner,
+            state: () => machine.state,
+            workers: () => this.workers,
+            serviceReserve: () => this.cellTables.owner.serviceReserve,
+        });
+    }
+
+    /** Replays the log and starts the epoch in it. `undefined` when the cell was lost or the store failed. */
+    static async open(options: TenureOptions): Promise<CellTenure | undefined> {
+        const { cell, epoch, runtime, ownership } = options;
+        const machine = CellStateMachine.create();
+        const log = await GroupCommitLog.open<LogRow, LogRow>({
+            store: runtime.store,
+            clock: runtime.clock,
+            cell: String(cell),
+            owner: runtime.membership.self.name,
+            epoch,
+            state: machine,
+            onDeposed: () => ownership.markDeposed(epoch),
+        });
+        if (log.isErr()) {
+            runtime.log.warn("log cannot be opened", { cell: String(cell), epoch, reason: log.error.message });
+            return undefined;
+        }
+        return new CellTenure(options, log.value, machine);
+    }
+
+    /** Commits and drives the workers until interrupted. */
+    run(): Effect.Effect<void> {
+        const log = this.options.runtime.log;
+        const loops = {
+            commits: this.log.run(),
+            owner: every(TenureLimits.tickMs, () => this.owner.tick()),
+        };
+        const running = Object.entries(loops).map(([name, loop]) => keepRunning(name, loop, log));
+        return Effect.all(running, { concurrency: "unbounded", discard: true });
+    }
+
+    /** Attaches an entry process. The caller feeds the session and detaches it at the end of the stream. */
+    attach(hello: Hello): CellSession {
+        const { owner, allocator, operations } = this;
+        const session = CellSession.create({ owner, allocator, operations }, hello);
+        this.sessions.add(session);
+        return session;
+    }
+
+    detach(session: CellSession): void {
+        this.sessions.delete(session);
+        const isReplaced = [...this.sessions].some(({ entry }) => entry === session.entry);
+        if (!isReplaced) {
+            this.allocator.detach(session.entry);
+        }
+    }
+
+    /** Takes the newest VM list and tables. */
+    update(workers: readonly WorkerInfo[], tables: Tables): void {
+        const { cell } = this.options;
+        const cells = tables.zones.get(cell.dataCentre)?.cells ?? 1;
+        this.cellTables = CellTables.create(tables, cell);
+        this.workers = workers.filter(
+            ({ dataCentre, rack }) =>
+                dataCentre === cell.dataCentre && CellName.ofRack(dataCentre, rack, cells).index === cell.index,
+        );
+        this.owner.setTables(this.cellTables.owner);
+        this.owner.updateWorkers(this.workers);
+        const { slotsPerWorker: slots, connectionsPerWorker: connections } = this.cellTables;
+        this.allocator.setWorkers(
+            this.workers.map(({ name, serviceAddress, leaving }) => ({
+                worker: name,
+                serviceAddress,
+                slots,
+                connections,
+                leaving,
+            })),
+        );
+    }
+
+    /** Ends the sessions. On a planned stop everything that is queued is committed first. */
+    async close(isPlanned: boolean): Promise<void> {
+        this.owner.close();
+        if (isPlanned) {
+            await this.log.flush();
+        }
+        for (const session of this.sessions) {
+            session.end();
+        }
+        this.agent.destroy();
+    }
+
+    private connect(worker: WorkerInfo): HttpWorkerClient {
+        const { cell, epoch } = this.options;
+        return HttpWorkerClient.create({
+            ...parseAddress(worker.taskAddress),
+            cell: String(cell),
+            epoch,
+            timeoutMs: TenureLimits.workerTimeoutMs,
+            agent: this.agent,
+        });
+    }
+
+    private createPolicy(): InterferenceAwarePolicy {
+        const pools = [...this.options.tables.pools.values()];
+        const latencyCritical = pools.filter(pool => pool.class === WorkClass.LatencyCritical);
+        return InterferenceAwarePolicy.create(InterferenceModel.create(), {
+            tailLatency: 1,
+            batch: 1,
+            load: 1,
+            latencyCriticalClasses: new Set(latencyCritical.map(pool => pool.interferenceClass)),
+        });
+    }
+}
+
+const every = (intervalMs: number, action: () => void): Effect.Effect<never> =>
+    Effect.sync(action).pipe(Effect.andThen(Effect.sleep(intervalMs)), Effect.forever);
--- /dev/null
+++ b/packages/scheduler/src/encoded-log.ts
@@ -0,0 +1,21 @@
+import type { CodedError } from "@samphireward/core/coded-error";
+import { TransitionLog } from "@samphireward/state/transition-log";
+import type { Transition } from "@samphireward/tasks/transition";
+import { TransitionCodec } from "@samphireward/tasks/transition-codec";
+import type { Result } from "ts-results-es";
+import type { LogRow } from "./log-row.js";
+
+/** Stores a cell's transitions in a log of compact rows. */
+export class EncodedLog extends TransitionLog<Transition> {
+    private constructor(private readonly rows: TransitionLog<LogRow>) {
+        super();
+    }
+
+    static create(rows: TransitionLog<LogRow>): EncodedLog {
+        return new EncodedLog(rows);
+    }
+
+    override append(transitions: readonly Transition[]): Promise<Result<void, CodedError>> {
+        return this.rows.append(transitions.map(transition => TransitionCodec.toRow(transition)));
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/main.ts
@@ -0,0 +1,10 @@
+#!/usr/bin/env node
+import { onStopSignal } from "@samphireward/core/on-stop-signal";
+import { readCliSettings } from "@samphireward/core/read-cli-settings";
+import { SchedulerProcess } from "./scheduler-process.js";
+import { SchedulerSettings } from "./scheduler-settings.js";
+
+const scheduler = SchedulerProcess.create(readCliSettings("samphireward-scheduler", SchedulerSettings));
+await scheduler.start();
+await onStopSignal();
+await scheduler.stop();
--- /dev/null
+++ b/packages/scheduler/src/tenure-limits.ts
@@ -0,0 +1,10 @@
+/** Time constants and bounds of a cell's owner (docs/design.md, sections 5 to 7). */
+export const TenureLimits = {
+    /** A queued task or an answer waits at most this long for the owner's next step. */
+    tickMs: 50,
+    shareTtlMs: 6_000,
+    /** For clocks of different rates: 10% of the TTL and 0.5 s. */
+    shareMarginMs: 1_100,
+    workerTimeoutMs: 2_000,
+    socketsPerWorker: 4,
+} as const;
--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -43,20 +43,33 @@
     };
 };
 
-/** JSON text of a whole cell state for the snapshot. */
+/** A whole cell state for the snapshot: items of one task each after a head, or all of it as JSON text. */
 export class CellStateCodec {
-    static encode(state: CellState): string {
+    static toItems(state: CellState): Row[] {
         const waitingAndActive = [...state.tasks.values()].filter(task => !state.ended.has(task.spec.key));
         const ended = [...state.ended].map(key => state.get(key) as TaskRecord);
         const rows = [...waitingAndActive, ...ended].map(toRow);
-        return JSON.stringify([rows, ended.length, [...state.workerModes]]);
+        return [[ended.length, [...state.workerModes]], ...rows];
     }
 
-    /** Throws a `SyntaxError` for text that is not JSON. */
-    static decode(text: string): CellState {
-        const [rows, endedCount, modes] = JSON.parse(text) as [Row[], number, [string, WorkerMode][]];
+    /** An empty list is the state of a new cell. */
+    static fromItems(items: readonly Row[]): CellState {
+        const [head, ...rows] = items;
+        if (head === undefined) {
+            return CellState.create();
+        }
+        const [endedCount, modes] = head as [number, [string, WorkerMode][]];
         const records = rows.map(fromRow);
         const endedKeys = records.slice(records.length - endedCount).map(record => record.spec.key);
         return CellState.restore(records, endedKeys, modes);
     }
+
+    static encode(state: CellState): string {
+        return JSON.stringify(CellStateCodec.toItems(state));
+    }
+
+    /** Throws a `SyntaxError` for text that is not JSON. */
+    static decode(text: string): CellState {
+        return CellStateCodec.fromItems(JSON.parse(text) as Row[]);
+    }
 }
--- a/packages/tasks/src/transition-codec.ts
+++ b/packages/tasks/src/transition-codec.ts
@@ -92,6 +92,16 @@
         return (JSON.parse(text) as Row[]).map(fromRow);
     }
 
+    /** One transition as the log stores it. */
+    static toRow(transition: Transition): Row {
+        return toRow(transition);
+    }
+
+    /** Throws a `SyntaxError` for a row that `toRow` did not make. */
+    static fromRow(row: Row): Transition {
+        return fromRow(row);
+    }
+
     static specToRow(spec: TaskSpec): Row {
         const { processors, memoryMb, accelerators } = spec.resources;
         return [spec.key, spec.pool, processors, memoryMb, accelerators, spec.expectedRunMs, spec.payload];
