Add the request handler with failure tests on real sockets

Cause: requests need one whole answer or a visible abort, with at most one send of a non-idempotent request.

Change: RequestHandler, RequestJob and Sender over Node's http with one agent for each open socket, so that slots, connections, age and validation are known for each target. createCallersServer bounds headers and times.

Ruled out: answers whose end is marked only by the end of the connection; they cannot be told from truncated ones and are answered with 3003.

--- /dev/null
+++ b/packages/routing/src/body-reader.ts
@@ -0,0 +1,64 @@
+import type { IncomingMessage } from "node:http";
+import type { ByteBudget } from "./byte-budget.js";
+
+/** How reading a request body ended. */
+interface BodyEvents {
+    readonly onBody: (body: Buffer) => void;
+    readonly onTooLarge: () => void;
+    /** The process holds as many bodies as it may. */
+    readonly onNoMemory: () => void;
+}
+
+/** Reads and holds a whole request body of bounded size. The rest of a refused body is read and thrown away. */
+export class BodyReader {
+    private chunks: Buffer[] = [];
+    private held = 0;
+    isReading = true;
+
+    private constructor(
+        private readonly maxBytes: number,
+        private readonly budget: ByteBudget,
+        private readonly events: BodyEvents,
+    ) {}
+
+    static start(req: IncomingMessage, maxBytes: number, budget: ByteBudget, events: BodyEvents): BodyReader {
+        const reader = new BodyReader(maxBytes, budget, events);
+        req.on("error", () => reader.release());
+        req.on("data", (chunk: Buffer) => reader.receive(chunk));
+        req.on("end", () => reader.end());
+        return reader;
+    }
+
+    /** Ends the reading and gives back what the body takes from the budget. */
+    release(): void {
+        this.isReading = false;
+        this.budget.release(this.held);
+        this.held = 0;
+        this.chunks = [];
+    }
+
+    private receive(chunk: Buffer): void {
+        if (!this.isReading) {
+            return;
+        }
+        if (this.held + chunk.length > this.maxBytes) {
+            this.release();
+            this.events.onTooLarge();
+        } else if (!this.budget.tryTake(chunk.length)) {
+            this.release();
+            this.events.onNoMemory();
+        } else {
+            this.held += chunk.length;
+            this.chunks.push(chunk);
+        }
+    }
+
+    private end(): void {
+        if (this.isReading) {
+            this.isReading = false;
+            const [first] = this.chunks;
+            const isSingle = this.chunks.length === 1 && first !== undefined;
+            this.events.onBody(isSingle ? first : Buffer.concat(this.chunks));
+        }
+    }
+}
--- /dev/null
+++ b/packages/routing/src/connection-pool.ts
@@ -0,0 +1,122 @@
+import { connect } from "node:net";
+import type { Clock } from "@samphireward/core/clock";
+import type { RequestSettings } from "./request-settings.js";
+import { TargetConnection } from "./target-connection.js";
+import type { WorkerShare } from "./worker-share.js";
+
+type OnConnection = (connection: TargetConnection | undefined) => void;
+
+/** The connections to one target: never more than the share allows, each used by one request at a time. */
+export class ConnectionPool {
+    /** Most recently used last. */
+    private readonly idle: TargetConnection[] = [];
+    private readonly open = new Set<TargetConnection>();
+    private isRetired = false;
+
+    private constructor(
+        private readonly share: WorkerShare,
+        private readonly clock: Clock,
+        private readonly settings: RequestSettings,
+    ) {}
+
+    static create(share: WorkerShare, clock: Clock, settings: RequestSettings): ConnectionPool {
+        return new ConnectionPool(share, clock, settings);
+    }
+
+    get idleCount(): number {
+        return this.idle.length;
+    }
+
+    /**
+     * Calls back with a connection that received bytes after `validSinceMs`, or with a new one; with
+     * `undefined` when none can be opened. Calls back at once when an idle connection qualifies.
+     */
+    acquire(validSinceMs: number, onConnection: OnConnection): void {
+        const connection = this.idle.at(-1);
+        if (connection !== undefined && connection.lastByteAtMs >= validSinceMs) {
+            this.idle.pop();
+            connection.use();
+            onConnection(connection);
+            return;
+        }
+        this.openNew(onConnection);
+    }
+
+    /** Opens a connection of its own, for which an idle one may have to make room. */
+    openNew(onConnection: OnConnection): void {
+        if (!this.share.tryOpenConnection(this.clock.nowMs())) {
+            this.idle[0]?.destroy();
+            if (!this.share.tryOpenConnection(this.clock.nowMs())) {
+                onConnection(undefined);
+                return;
+            }
+        }
+        this.connectSocket(onConnection);
+    }
+
+    /** Closes idle connections that have received nothing since `timeMs`. */
+    closeSilentSince(timeMs: number): void {
+        this.idle.filter(connection => !connection.hasReceivedSince(timeMs)).forEach(each => each.destroy());
+    }
+
+    /** Closes what exceeds the share, what is too old, and everything idle once the share has expired. */
+    trim(nowMs: number): void {
+        this.closeSilentSince(nowMs - this.settings.idleMs);
+        const isExpired = nowMs >= this.share.expiresAtMs || this.share.leaving;
+        while (this.idle.length > 0 && (isExpired || this.share.connectionsOpen > this.share.connections)) {
+            this.idle[0]?.destroy();
+        }
+    }
+
+    /** Closes idle connections now and each busy one when its answer is complete. */
+    retire(): void {
+        this.isRetired = true;
+        [...this.idle].forEach(connection => connection.destroy());
+    }
+
+    private connectSocket(onConnection: OnConnection): void {
+        const { serviceAddress } = this.share;
+        const colon = serviceAddress.lastIndexOf(":");
+        const host = serviceAddress.slice(0, colon).replace(/^\[|\]$/g, "");
+        const port = Number(serviceAddress.slice(colon + 1));
+        const socket = connect({ host, port, noDelay: true });
+        const fail = (): void => {
+            clearTimeout(timer);
+            socket.destroy();
+            this.share.closeConnection();
+            onConnection(undefined);
+        };
+        const timer = setTimeout(fail, this.settings.connectTimeoutMs);
+        socket.once("error", fail);
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            socket.removeListener("error", fail);
+            const connection = TargetConnection.create(socket, () => this.clock.nowMs(), {
+                onFree: freed => this.putBack(freed),
+                onClosed: closed => this.forget(closed),
+            });
+            this.open.add(connection);
+            connection.use();
+            onConnection(connection);
+        });
+    }
+
+    /** Takes back a connection that was opened or used and has no request in progress. */
+    putBack(connection: TargetConnection): void {
+        if (this.isRetired || this.share.connectionsOpen > this.share.connections) {
+            connection.destroy();
+            return;
+        }
+        connection.rest();
+        this.idle.push(connection);
+    }
+
+    private forget(connection: TargetConnection): void {
+        this.open.delete(connection);
+        this.share.closeConnection();
+        const index = this.idle.indexOf(connection);
+        if (index >= 0) {
+            this.idle.splice(index, 1);
+        }
+    }
+}
--- a/packages/routing/src/fair-queue.ts
+++ b/packages/routing/src/fair-queue.ts
@@ -7,7 +7,7 @@
     private readonly byCustomer = new Map<string, T[]>();
     private count = 0;
 
-    private constructor(private readonly maxItems: number) {}
+    private constructor(public maxItems: number) {}
 
     static create<T>(maxItems: number): FairQueue<T> {
         return new FairQueue<T>(maxItems);
--- /dev/null
+++ b/packages/routing/src/pool-dispatcher.ts
@@ -0,0 +1,191 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { RandomSource } from "@samphireward/core/random-source";
+import { FairQueue } from "./fair-queue.js";
+import { ejectOutlier } from "./outlier-ejection.js";
+import { RetryBudget } from "./retry-budget.js";
+import { ServiceTimes } from "./service-times.js";
+import type { TargetState } from "./target-state.js";
+import type { WaitingRequest } from "./waiting-request.js";
+
+/** Targets of a pool by preference: the caller's data centre, its region, another region. */
+type Tiers = readonly (readonly TargetState[])[];
+
+interface DispatcherOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly retryShare: number;
+    /** The pool's targets now, by preference. Called when they may have changed. */
+    readonly findTiers: () => Tiers;
+    /** Whether the link to this target's region has room; `true` in the own region. */
+    readonly hasLinkRoom: (target: TargetState) => boolean;
+}
+
+/** Gives the waiting requests of one pool to free slots, fairly over routes and customers. */
+export class PoolDispatcher {
+    private tiers: Tiers = [];
+    private readonly queues = new Map<string, FairQueue<WaitingRequest>>();
+    readonly budget: RetryBudget;
+    readonly serviceTimes = ServiceTimes.create();
+    private isPumping = false;
+
+    private constructor(private readonly options: DispatcherOptions) {
+        this.budget = RetryBudget.create(options.retryShare);
+        this.refresh();
+    }
+
+    static create(options: DispatcherOptions): PoolDispatcher {
+        return new PoolDispatcher(options);
+    }
+
+    /** The shares or the tables have changed. */
+    refresh(): void {
+        this.tiers = this.options.findTiers();
+        this.pump();
+    }
+
+    get queued(): number {
+        return [...this.queues.values()].reduce((sum, queue) => sum + queue.size, 0);
+    }
+
+    get inUse(): number {
+        return this.tiers.flat().reduce((sum, target) => sum + target.share.slotsInUse, 0);
+    }
+
+    /** Whether any target exists that is not leaving and whose share has not expired. */
+    get hasTargets(): boolean {
+        const nowMs = this.options.clock.nowMs();
+        return this.tiers.some(tier => tier.some(target => target.share.isUsable(nowMs)));
+    }
+
+    /** Dispatches the request at once when nothing waits and a slot is free; queues it otherwise. */
+    enqueue(request: WaitingRequest, maxQueue: number): void {
+        const queue = this.queueOf(request.routeName);
+        queue.maxItems = maxQueue;
+        const target = queue.size === 0 ? this.takeSlot() : undefined;
+        if (target !== undefined) {
+            request.dispatch(target);
+            return;
+        }
+        if (this.isLinkTheLimit()) {
+            request.rejectByLink();
+            return;
+        }
+        queue.push(request.customer, request)?.reject();
+    }
+
+    remove(request: WaitingRequest): void {
+        this.queues.get(request.routeName)?.remove(request.customer, request);
+    }
+
+    /** Takes a slot of the best target that has one. */
+    takeSlot(): TargetState | undefined {
+        const nowMs = this.options.clock.nowMs();
+        for (const tier of this.tiers) {
+            const target = this.pick(tier, nowMs);
+            if (target?.tryTakeSlot(nowMs) === true) {
+                return target;
+            }
+        }
+        return undefined;
+    }
+
+    releaseSlot(target: TargetState): void {
+        target.share.releaseSlot();
+        this.pump();
+    }
+
+    /** Counts a failure of a target and ejects it when it is an outlier. */
+    countFailure(target: TargetState, isUnreachable: boolean): void {
+        if (isUnreachable) {
+            target.countUnreachable();
+        } else {
+            target.countFailure();
+        }
+        ejectOutlier(target, this.tiers.flat(), this.options.clock.nowMs());
+    }
+
+    /** Gives free slots to waiting requests. Also called after an ejection or a link's debt has ended. */
+    pump(): void {
+        if (this.isPumping) {
+            return;
+        }
+        this.isPumping = true;
+        while (this.dispatchNext()) {
+            // Each turn serves another route.
+        }
+        this.isPumping = false;
+    }
+
+    private dispatchNext(): boolean {
+        const next = [...this.queues].find(([, queue]) => queue.size > 0);
+        if (next === undefined) {
+            return false;
+        }
+        const [name, queue] = next;
+        const target = this.takeSlot();
+        if (target === undefined) {
+            return false;
+        }
+        const request = this.shiftTimely(queue);
+        // The route goes to the end of the order.
+        this.queues.delete(name);
+        this.queues.set(name, queue);
+        if (request === undefined) {
+            target.share.releaseSlot();
+        } else {
+            request.dispatch(target);
+        }
+        return true;
+    }
+
+    /** The next request that can still be answered in time; drops those that cannot. */
+    private shiftTimely(queue: FairQueue<WaitingRequest>): WaitingRequest | undefined {
+        const nowMs = this.options.clock.nowMs();
+        for (let request = queue.shift(); request !== undefined; request = queue.shift()) {
+            const allowedMs = request.deadlineAtMs - request.receivedAtMs;
+            const neededMs = Math.min(this.serviceTimes.expectedMs(request.routeName), allowedMs / 2);
+            if (request.deadlineAtMs - nowMs > neededMs) {
+                return request;
+            }
+            request.expire();
+        }
+        return undefined;
+    }
+
+    /** The less loaded of two random targets with a free slot, or the least loaded when both are full. */
+    private pick(tier: readonly TargetState[], nowMs: number): TargetState | undefined {
+        if (tier.length > 2) {
+            const first = this.randomOf(tier);
+            const second = this.randomOf(tier);
+            const better = first.load <= second.load ? first : second;
+            if (better.hasFreeSlot(nowMs) && this.options.hasLinkRoom(better)) {
+                return better;
+            }
+        }
+        let best: TargetState | undefined;
+        for (const target of tier) {
+            const isBetter = best === undefined || target.load < best.load;
+            if (isBetter && target.hasFreeSlot(nowMs) && this.options.hasLinkRoom(target)) {
+                best = target;
+            }
+        }
+        return best;
+    }
+
+    private randomOf(tier: readonly TargetState[]): TargetState {
+        return tier[this.options.random.below(tier.length)] as TargetState;
+    }
+
+    /** Whether slots are free only beyond a link without room, and no target is on this side. */
+    private isLinkTheLimit(): boolean {
+        const nowMs = this.options.clock.nowMs();
+        const usable = this.tiers.flat().filter(target => target.share.isUsable(nowMs));
+        return usable.length > 0 && usable.every(target => !this.options.hasLinkRoom(target));
+    }
+
+    private queueOf(route: string): FairQueue<WaitingRequest> {
+        const queue = this.queues.get(route) ?? FairQueue.create<WaitingRequest>(0);
+        this.queues.set(route, queue);
+        return queue;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/request-handler.ts
@@ -0,0 +1,215 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "@samphireward/core/clock";
+import { Counters } from "@samphireward/core/counters";
+import type { RandomSource } from "@samphireward/core/random-source";
+import { ResultCode } from "@samphireward/core/result-code";
+import { SystemRandom } from "@samphireward/core/system-random";
+import type { Tables } from "@samphireward/core/tables";
+import { ByteBudget } from "./byte-budget.js";
+import { defaultRequestSettings } from "./default-request-settings.js";
+import { HeaderName } from "./header-name.js";
+import type { KeyClaimer } from "./key-claimer.js";
+import { LinkRegistry } from "./link-registry.js";
+import { PoolDispatcher } from "./pool-dispatcher.js";
+import type { RequestContext } from "./request-context.js";
+import { requestHead } from "./request-head.js";
+import { RequestJob } from "./request-job.js";
+import type { RequestRecord } from "./request-record.js";
+import type { RequestSettings } from "./request-settings.js";
+import { sendCode } from "./send-code.js";
+import type { ShareBook } from "./share-book.js";
+import { TargetRegistry } from "./target-registry.js";
+
+/** Time between two checks of deadlines and silent connections. */
+const TickMs = 10;
+/** Ticks between two rounds that close idle connections and look for targets that have returned. */
+const TicksPerRound = 10;
+
+interface HandlerOptions {
+    readonly clock: Clock;
+    readonly dataCentre: string;
+    /** The newest tables; asked for each request. */
+    readonly tables: () => Tables;
+    readonly shares: ShareBook;
+    readonly claimer: KeyClaimer;
+    readonly onOutcome: (record: RequestRecord) => void;
+    readonly random?: RandomSource;
+    readonly counters?: Counters;
+    readonly settings?: Partial<RequestSettings>;
+    /** Entry processes of this region, which share the links to other regions equally. */
+    readonly entriesInRegion?: () => number;
+}
+
+/** Handles the callers' requests of an entry process. Mounted on a server made by `createCallersServer`. */
+export class RequestHandler {
+    readonly settings: RequestSettings;
+    private readonly context: RequestContext;
+    private readonly targets: TargetRegistry;
+    private readonly links: LinkRegistry;
+    private readonly dispatchers = new Map<string, PoolDispatcher>();
+    private readonly jobs = new Set<RequestJob>();
+    private readonly timer: NodeJS.Timeout;
+    private tables: Tables;
+    private ticks = 0;
+    private isDraining = false;
+    private onDrained: (() => void)[] = [];
+
+    private constructor(private readonly options: HandlerOptions) {
+        const { clock, shares, claimer, onOutcome } = options;
+        this.settings = { ...defaultRequestSettings, ...options.settings };
+        this.tables = options.tables();
+        this.links = LinkRegistry.create(clock, options.dataCentre, options.entriesInRegion ?? (() => 1));
+        this.targets = TargetRegistry.create(clock, shares, this.settings);
+        this.context = {
+            clock,
+            shares,
+            claimer,
+            onOutcome,
+            random: options.random ?? SystemRandom.create(),
+            counters: options.counters ?? Counters.create(),
+            settings: this.settings,
+            bodies: ByteBudget.create(this.settings.maxBodiesBytes),
+            isDraining: () => this.isDraining,
+            linkTo: target => this.links.linkTo(target, this.tables),
+        };
+        shares.onChange(() => this.refresh());
+        this.timer = setInterval(() => this.tick(), TickMs);
+        this.timer.unref();
+    }
+
+    static create(options: HandlerOptions): RequestHandler {
+        return new RequestHandler(options);
+    }
+
+    /** Requests in progress, whose answers have not been handed over yet. */
+    get active(): number {
+        return this.jobs.size;
+    }
+
+    /** Requests in use and queued, by pool: the demand to report to the owners of the pool's cells. */
+    demand(): Map<string, { inUse: number; queued: number }> {
+        return new Map(
+            [...this.dispatchers].map(([pool, dispatcher]) => [
+                pool,
+                { inUse: dispatcher.inUse, queued: dispatcher.queued },
+            ]),
+        );
+    }
+
+    /** Bytes over links to other regions so far, by link and direction. */
+    linkBytes(): Record<string, number> {
+        return this.links.bytes();
+    }
+
+    /** Handles one request. Never throws; each request ends with one call of `onOutcome`. */
+    handle(req: IncomingMessage, res: ServerResponse): void {
+        const tables = this.currentTables();
+        if (this.isDraining) {
+            this.refuse(res, ResultCode.ShuttingDown);
+            return;
+        }
+        if (this.jobs.size >= this.settings.maxRequests) {
+            this.refuse(res, ResultCode.QueueFull);
+            return;
+        }
+        const head = requestHead(req, tables);
+        if (head.isErr()) {
+            this.refuse(res, head.error);
+            return;
+        }
+        const dispatcher =
+            this.dispatchers.get(head.value.route.pool) ?? this.addDispatcher(head.value.route.pool);
+        const job = RequestJob.start(
+            { ...head.value, context: this.context, dispatcher, onClosed: closed => this.remove(closed) },
+            req,
+            res,
+        );
+        this.jobs.add(job);
+    }
+
+    /** Whether a request of this connection waits for its answer, so that nothing else may be written to it. */
+    isAnswering(socket: unknown): boolean {
+        return [...this.jobs].some(job => job.isAnswering(socket));
+    }
+
+    /** Refuses new requests (2008) and resolves when no request is left. No request is cut short. */
+    drain(): Promise<void> {
+        this.isDraining = true;
+        return new Promise(resolve => {
+            this.onDrained.push(resolve);
+            this.checkDrained();
+        });
+    }
+
+    /** Stops the timers and closes idle connections. Call it after `drain`. */
+    close(): void {
+        clearInterval(this.timer);
+        this.targets.retireAll();
+    }
+
+    private refuse(res: ServerResponse, code: ResultCode): void {
+        const startMs = this.options.clock.nowMs();
+        res.on("error", () => undefined);
+        const status = sendCode(res, code, this.isDraining);
+        const latencyMs = this.options.clock.nowMs() - startMs;
+        const customer = String(res.req.headers[HeaderName.Customer] ?? "");
+        this.options.onOutcome({
+            route: undefined,
+            pool: undefined,
+            customer,
+            code,
+            status,
+            latencyMs,
+            sends: 0,
+        });
+    }
+
+    private currentTables(): Tables {
+        const tables = this.options.tables();
+        if (tables !== this.tables) {
+            this.tables = tables;
+            this.refresh();
+        }
+        return tables;
+    }
+
+    private addDispatcher(pool: string): PoolDispatcher {
+        const { clock, random, settings } = this.context;
+        const dispatcher = PoolDispatcher.create({
+            clock,
+            random,
+            retryShare: settings.retryShare,
+            findTiers: () => this.targets.tiersOf(pool, this.tables, this.options.dataCentre),
+            hasLinkRoom: target => this.links.hasRoom(target, this.tables),
+        });
+        this.dispatchers.set(pool, dispatcher);
+        return dispatcher;
+    }
+
+    private refresh(): void {
+        this.targets.refresh();
+        this.dispatchers.forEach(dispatcher => dispatcher.refresh());
+    }
+
+    private tick(): void {
+        const nowMs = this.options.clock.nowMs();
+        this.jobs.forEach(job => job.tick(nowMs));
+        this.ticks += 1;
+        if (this.ticks % TicksPerRound === 0) {
+            this.targets.trim(nowMs);
+            this.dispatchers.forEach(dispatcher => dispatcher.pump());
+        }
+    }
+
+    private remove(job: RequestJob): void {
+        this.jobs.delete(job);
+        this.checkDrained();
+    }
+
+    private checkDrained(): void {
+        if (this.isDraining && this.jobs.size === 0) {
+            this.onDrained.forEach(resolve => resolve());
+            this.onDrained = [];
+        }
+    }
+}
--- /dev/null
+++ b/packages/routing/src/request-job.ts
@@ -0,0 +1,278 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { ResultCode } from "@samphireward/core/result-code";
+import { AnswerState } from "./answer-state.js";
+import { backoffDelay } from "./backoff-delay.js";
+import { BodyReader } from "./body-reader.js";
+import { CallerAnswer } from "./caller-answer.js";
+import type { JobOptions } from "./job-options.js";
+import { KeyClaim } from "./key-claim.js";
+import type { PoolDispatcher } from "./pool-dispatcher.js";
+import type { RequestContext } from "./request-context.js";
+import { retryDecision } from "./retry-decision.js";
+import type { Send } from "./send.js";
+import { Sender } from "./sender.js";
+import { streamAnswer } from "./stream-answer.js";
+import type { TargetState } from "./target-state.js";
+import { WaitingRequest } from "./waiting-request.js";
+
+/** One request from its headers to the end of its answer. */
+export class RequestJob extends WaitingRequest {
+    readonly routeName: string;
+    readonly customer: string;
+    readonly deadlineAtMs: number;
+    readonly receivedAtMs: number;
+    private readonly caller: CallerAnswer;
+    private readonly sender: Sender;
+    private readonly claim: KeyClaim | undefined;
+    private body: Buffer | undefined;
+    private reader: BodyReader | undefined;
+    private isQueued = false;
+    /** The answer is complete or the request has failed. */
+    private isOver = false;
+    private endedAtMs = Infinity;
+
+    private constructor(
+        private readonly options: JobOptions,
+        private readonly req: IncomingMessage,
+        res: ServerResponse,
+    ) {
+        super();
+        const { route, customer, idempotencyKey, allowedMs, context } = options;
+        this.routeName = route.name;
+        this.customer = customer;
+        this.receivedAtMs = context.clock.nowMs();
+        this.deadlineAtMs = this.receivedAtMs + allowedMs;
+        if (idempotencyKey !== undefined && !route.idempotent) {
+            const key = `${route.name}\n${customer}\n${idempotencyKey}`;
+            this.claim = KeyClaim.create(context.claimer, key);
+        }
+        this.caller = CallerAnswer.create(res);
+        this.sender = Sender.create(options, req, this.deadlineAtMs, {
+            onWhole: (send, answer, body) => this.answerWhole(send, answer, body),
+            onHeaders: (send, answer) => this.answerStreamed(send, answer),
+            onFailed: state => this.retryOrFail(state),
+            onSilent: () => this.repeatSilent(),
+        });
+        res.on("close", () => this.close());
+    }
+
+    static start(options: JobOptions, req: IncomingMessage, res: ServerResponse): RequestJob {
+        const job = new RequestJob(options, req, res);
+        options.dispatcher.budget.countRequest();
+        if (options.hasBody) {
+            job.readBody();
+        } else {
+            job.enqueue();
+        }
+        return job;
+    }
+
+    /** Whether the request came over this connection, has been read whole, and waits for its answer. */
+    isAnswering(socket: unknown): boolean {
+        return this.req.socket === socket && this.reader?.isReading !== true;
+    }
+
+    /** Called every few milliseconds: enforces the deadline and watches for silent connections. */
+    tick(nowMs: number): void {
+        if (this.isOver) {
+            if (nowMs - this.endedAtMs > this.context.settings.callerFlushMs) {
+                this.caller.abort(ResultCode.CallerGone);
+            }
+        } else if (nowMs >= this.deadlineAtMs) {
+            this.passDeadline();
+        } else {
+            this.sender.watchSilence(nowMs);
+        }
+    }
+
+    override dispatch(target: TargetState): void {
+        this.isQueued = false;
+        if (this.isOver) {
+            this.dispatcher.releaseSlot(target);
+        } else if (this.claim === undefined || this.claim.isGranted) {
+            this.sender.start(target, this.body);
+        } else {
+            void this.claimAndSend(this.claim, target);
+        }
+    }
+
+    override expire(): void {
+        this.isQueued = false;
+        this.fail(this.sender.mayHaveRun ? ResultCode.DeadlinePassed : ResultCode.DeadlinePassedInQueue);
+    }
+
+    override reject(): void {
+        this.isQueued = false;
+        this.fail(this.sender.mayHaveRun ? ResultCode.ConnectionLost : ResultCode.QueueFull);
+    }
+
+    override rejectByLink(): void {
+        this.isQueued = false;
+        this.fail(this.sender.mayHaveRun ? ResultCode.ConnectionLost : ResultCode.LinkBudgetExceeded);
+    }
+
+    private get context(): RequestContext {
+        return this.options.context;
+    }
+
+    private get dispatcher(): PoolDispatcher {
+        return this.options.dispatcher;
+    }
+
+    private readBody(): void {
+        const { route } = this.options;
+        this.reader = BodyReader.start(this.req, route.maxBodyBytes, this.context.bodies, {
+            onBody: body => {
+                this.body = body;
+                this.enqueue();
+            },
+            onTooLarge: () => this.fail(ResultCode.RequestTooLarge),
+            onNoMemory: () => this.fail(ResultCode.QueueFull),
+        });
+    }
+
+    private enqueue(): void {
+        if (!this.isOver) {
+            this.isQueued = true;
+            this.dispatcher.enqueue(this, this.options.route.maxQueue);
+        }
+    }
+
+    private async claimAndSend(claim: KeyClaim, target: TargetState): Promise<void> {
+        const refusal = await claim.request();
+        if (this.isOver) {
+            claim.release();
+        } else if (refusal === undefined) {
+            this.sender.start(target, this.body);
+            return;
+        } else {
+            this.fail(refusal);
+        }
+        this.dispatcher.releaseSlot(target);
+    }
+
+    private answerWhole(send: Send, answer: IncomingMessage, body: Buffer | undefined): void {
+        this.sender.abandonOthers(send);
+        if (this.caller.sendWhole(answer, body, this.context.isDraining())) {
+            this.succeed(send, answer);
+        } else {
+            this.sender.rejectAnswer(send);
+        }
+    }
+
+    private answerStreamed(send: Send, answer: IncomingMessage): void {
+        this.sender.abandonOthers(send);
+        if (!this.caller.startStream(answer, this.context.isDraining())) {
+            this.sender.rejectAnswer(send);
+            return;
+        }
+        const link = this.context.linkTo(send.target);
+        const onChunk = (bytes: number): number => link?.in.take(bytes) ?? 0;
+        streamAnswer(answer, this.caller.res, onChunk, () => {
+            if (!this.isOver) {
+                this.caller.endStream();
+                this.succeed(send, answer);
+            }
+        });
+    }
+
+    private succeed(send: Send, answer: IncomingMessage): void {
+        this.isOver = true;
+        this.endedAtMs = this.context.clock.nowMs();
+        this.reader?.release();
+        this.sender.complete(send, answer);
+    }
+
+    private retryOrFail(state: AnswerState): void {
+        const { clock, random, settings, counters } = this.context;
+        const delayMs = backoffDelay(Math.max(1, this.sender.count), random);
+        const decision = retryDecision({
+            idempotent: this.options.route.idempotent,
+            bytesSent: this.sender.mayHaveRun,
+            answer: this.caller.isStarted ? AnswerState.TruncatedAfterForward : state,
+            remainingMs: this.deadlineAtMs - clock.nowMs() - delayMs,
+            hasBudget: this.dispatcher.budget.hasToken,
+            hasAttemptsLeft: this.sender.count < settings.maxAttempts,
+        });
+        if (!decision.retry) {
+            this.fail(decision.code);
+            return;
+        }
+        this.dispatcher.budget.tryTake();
+        counters.add("requests.retries");
+        setTimeout(() => this.enqueue(), delayMs);
+    }
+
+    /**
+     * Sends an idempotent request a second time while the first stays in progress: the connection may be lost,
+     * or the target may only be slow with this request, and then the first answer still counts.
+     */
+    private repeatSilent(): void {
+        const mayRepeat = this.options.route.idempotent && !this.caller.isStarted;
+        if (!mayRepeat || this.sender.count >= this.context.settings.maxAttempts) {
+            return;
+        }
+        const target = this.dispatcher.budget.hasToken ? this.dispatcher.takeSlot() : undefined;
+        if (target !== undefined) {
+            this.dispatcher.budget.tryTake();
+            this.context.counters.add("requests.repeated-silent");
+            this.sender.start(target, this.body);
+        }
+    }
+
+    private passDeadline(): void {
+        if (this.sender.mayHaveRun) {
+            this.fail(ResultCode.DeadlinePassed);
+        } else {
+            const isUnreachable = this.isQueued && !this.dispatcher.hasTargets;
+            this.fail(isUnreachable ? ResultCode.NoTargetReachable : ResultCode.DeadlinePassedInQueue);
+        }
+    }
+
+    /** Ends the request without a whole answer of a target. */
+    private fail(code: ResultCode): void {
+        if (this.isOver) {
+            return;
+        }
+        this.stop(code === ResultCode.DeadlinePassed);
+        if (this.caller.isStarted) {
+            this.caller.abort(code);
+        } else {
+            this.caller.sendCode(code, this.context.isDraining());
+        }
+    }
+
+    /** Gives everything back except the slots of sends that a target may still be running. */
+    private stop(isLate: boolean): void {
+        this.isOver = true;
+        this.endedAtMs = this.context.clock.nowMs();
+        if (this.isQueued) {
+            this.dispatcher.remove(this);
+        }
+        this.sender.stop(isLate);
+        this.reader?.release();
+        if (!this.sender.mayHaveRun) {
+            this.claim?.release();
+        }
+    }
+
+    /** The answer has been handed over, or the caller's connection is gone. */
+    private close(): void {
+        if (!this.isOver) {
+            this.stop(false);
+        }
+        const { route, customer, context } = this.options;
+        const { res, status, code, isEnded } = this.caller;
+        const isGone = code === ResultCode.Answered && !(isEnded && res.writableFinished);
+        context.onOutcome({
+            route: route.name,
+            pool: route.pool,
+            customer,
+            code: isGone ? ResultCode.CallerGone : code,
+            status,
+            latencyMs: context.clock.nowMs() - this.receivedAtMs,
+            sends: this.sender.count,
+        });
+        this.options.onClosed(this);
+    }
+}
--- a/packages/routing/src/share-book.ts
+++ b/packages/routing/src/share-book.ts
@@ -121,7 +121,8 @@
         });
     }
 
-    private allShares(): WorkerShare[] {
+    /** Every share that is held or still in use. */
+    allShares(): WorkerShare[] {
         return [...this.cells.values()].flatMap(cell => [...cell.workers.values()]);
     }
 
--- /dev/null
+++ b/packages/routing/src/target-registry.ts
@@ -0,0 +1,60 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { Tables } from "@samphireward/core/tables";
+import type { RequestSettings } from "./request-settings.js";
+import type { ShareBook } from "./share-book.js";
+import { TargetState } from "./target-state.js";
+import type { WorkerShare } from "./worker-share.js";
+
+/** The states of all targets, by worker; those that two pools share exist once. */
+export class TargetRegistry {
+    private readonly states = new Map<WorkerShare, TargetState>();
+
+    private constructor(
+        private readonly clock: Clock,
+        private readonly shares: ShareBook,
+        private readonly settings: RequestSettings,
+    ) {}
+
+    static create(clock: Clock, shares: ShareBook, settings: RequestSettings): TargetRegistry {
+        return new TargetRegistry(clock, shares, settings);
+    }
+
+    /** Forgets targets whose shares the book has forgotten. */
+    refresh(): void {
+        const known = new Set(this.shares.allShares());
+        for (const [share, state] of this.states) {
+            if (!known.has(share)) {
+                state.connections.retire();
+                this.states.delete(share);
+            }
+        }
+    }
+
+    /** A pool's targets in the data centre, in the rest of its region, and in other regions. */
+    tiersOf(poolName: string, tables: Tables, dataCentre: string): TargetState[][] {
+        const pool = tables.pools.get(poolName);
+        const region = tables.zones.get(dataCentre)?.region;
+        const tiers: [TargetState[], TargetState[], TargetState[]] = [[], [], []];
+        for (const share of pool === undefined ? [] : this.shares.sharesOf(pool)) {
+            const isSameRegion = tables.zones.get(share.dataCentre)?.region === region;
+            const isOwn = share.dataCentre === dataCentre;
+            tiers[isOwn ? 0 : isSameRegion ? 1 : 2].push(this.stateOf(share));
+        }
+        return tiers;
+    }
+
+    /** Closes connections that are too old or exceed their share. */
+    trim(nowMs: number): void {
+        this.states.forEach(state => state.connections.trim(nowMs));
+    }
+
+    retireAll(): void {
+        this.states.forEach(state => state.connections.retire());
+    }
+
+    private stateOf(share: WorkerShare): TargetState {
+        const state = this.states.get(share) ?? TargetState.create(share, this.clock, this.settings);
+        this.states.set(share, state);
+        return state;
+    }
+}
--- /dev/null
+++ b/packages/routing/tests/back-end.ts
@@ -0,0 +1,99 @@
+import type { AddressInfo, Server, Socket } from "node:net";
+import { createServer } from "node:net";
+
+/** One request as it arrived at the back end. */
+interface Received {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: ReadonlyMap<string, string>;
+    readonly body: string;
+    /** Number of its connection, from 1. */
+    readonly connection: number;
+    /** Number of the request on its connection, from 1. */
+    readonly nth: number;
+}
+
+type Behaviour = (socket: Socket, request: Received, backEnd: BackEnd) => void;
+
+export const answer = (body: string, headers = "", status = "200 OK"): string =>
+    `HTTP/1.1 ${status}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n${headers}\r\n${body}`;
+
+/** A small back end on a real socket that counts what it received and then does what the test says. */
+export class BackEnd {
+    /** Requests other than health requests, in the order of their arrival. */
+    readonly received: Received[] = [];
+    connections = 0;
+    probes = 0;
+    /** Health requests are answered. */
+    isHealthy = true;
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(
+        private readonly server: Server,
+        private readonly behaviour: Behaviour,
+        private readonly onConnect: (socket: Socket, connection: number) => void,
+    ) {}
+
+    static start(
+        behaviour: Behaviour,
+        onConnect: (socket: Socket, connection: number) => void = () => undefined,
+    ): Promise<BackEnd> {
+        const server = createServer();
+        const backEnd = new BackEnd(server, behaviour, onConnect);
+        server.on("connection", socket => backEnd.accept(socket));
+        return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve(backEnd)));
+    }
+
+    get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    async stop(): Promise<void> {
+        this.sockets.forEach(socket => socket.destroy());
+        await new Promise(resolve => this.server.close(resolve));
+    }
+
+    private accept(socket: Socket): void {
+        this.connections += 1;
+        const connection = this.connections;
+        this.sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("close", () => this.sockets.delete(socket));
+        this.onConnect(socket, connection);
+        let buffered = "";
+        let nth = 0;
+        socket.on("data", (chunk: Buffer) => {
+            buffered += chunk.toString("latin1");
+            for (let end = buffered.indexOf("\r\n\r\n"); end >= 0; end = buffered.indexOf("\r\n\r\n")) {
+                const [first = "", ...lines] = buffered.slice(0, end).split("\r\n");
+                const headers = new Map(
+                    lines.map(line => [
+                        line.slice(0, line.indexOf(":")).toLowerCase(),
+                        line.slice(line.indexOf(":") + 2),
+                    ]),
+                );
+                const bodyEnd = end + 4 + Number(headers.get("content-length") ?? 0);
+                if (buffered.length < bodyEnd) {
+                    return;
+                }
+                const body = buffered.slice(end + 4, bodyEnd);
+                buffered = buffered.slice(bodyEnd);
+                const [method = "", path = ""] = first.split(" ");
+                nth += 1;
+                this.receive(socket, { method, path, headers, body, connection, nth });
+            }
+        });
+    }
+
+    private receive(socket: Socket, request: Received): void {
+        if (request.path !== "/health") {
+            this.received.push(request);
+            this.behaviour(socket, request, this);
+            return;
+        }
+        this.probes += 1;
+        if (this.isHealthy) {
+            socket.write(answer("ok"));
+        }
+    }
+}
--- /dev/null
+++ b/packages/routing/tests/rig.ts
@@ -0,0 +1,182 @@
+import { Agent, request } from "node:http";
+import type { IncomingHttpHeaders, Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Counters } from "@samphireward/core/counters";
+import { SeededRandom } from "@samphireward/core/seeded-random";
+import { SystemClock } from "@samphireward/core/system-clock";
+import { Tables } from "@samphireward/core/tables";
+import { createCallersServer } from "../src/create-callers-server.js";
+import { KeyClaimer } from "../src/key-claimer.js";
+import { KeyClaimResult } from "../src/key-claim-result.js";
+import type { KeyClaimResult as Result } from "../src/key-claim-result.js";
+import { RequestHandler } from "../src/request-handler.js";
+import type { RequestRecord } from "../src/request-record.js";
+import type { RequestSettings } from "../src/request-settings.js";
+import { ShareBook } from "../src/share-book.js";
+
+const route = (name: string, idempotent: boolean, deadline: string): string => `
+[routes.${name}]
+path = "/${name}"
+pool = "desk"
+kind = "request"
+idempotent = ${idempotent}
+deadline = "${deadline}"
+maxBodyBytes = 1000
+maxQueue = 6
+objective = { latency = "250ms", ratio = 0.99 }
+`;
+
+const pools = (bitsPerSecond: number): string => `
+[zones]
+near = { region = "north", cells = 1 }
+next = { region = "north", cells = 1 }
+far = { region = "south", cells = 1 }
+[links.north-south]
+between = ["north", "south"]
+bitsPerSecond = ${bitsPerSecond}
+[teams.orders]
+quota = { processors = 1, memoryMb = 1, accelerators = 0 }
+[pools.desk]
+class = "latency-critical"
+team = "orders"
+zones = ["near", "next", "far"]
+interferenceClass = "render"
+service = { name = "desk", reserve = { processors = 1, memoryMb = 1, accelerators = 0 }, slotsPerWorker = 8, connectionsPerWorker = 64 }
+`;
+
+interface Answer {
+    readonly status: number;
+    readonly code: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: string;
+    /** Whether the connection was closed before the answer was whole. */
+    readonly isAborted: boolean;
+}
+
+interface CallOptions {
+    readonly method?: string;
+    readonly headers?: Record<string, string>;
+    readonly body?: string;
+}
+
+/** A claimer whose answers the test sets, and which keeps what was asked. */
+class TestClaimer extends KeyClaimer {
+    result: Result | Error = KeyClaimResult.Granted;
+    readonly released: string[] = [];
+
+    override claim(): Promise<Result> {
+        return this.result instanceof Error ? Promise.reject(this.result) : Promise.resolve(this.result);
+    }
+
+    override release(key: string): void {
+        this.released.push(key);
+    }
+}
+
+interface RigOptions {
+    readonly settings?: Partial<RequestSettings>;
+    readonly bitsPerSecond?: number;
+    readonly claimer?: KeyClaimer;
+}
+
+/** The request path of one entry process in data centre `near`, with shares that the test hands out. */
+export class Rig {
+    readonly records: RequestRecord[] = [];
+    readonly counters = Counters.create();
+    readonly clock = SystemClock.create();
+    readonly shares = ShareBook.create(this.clock);
+    readonly claimer = new TestClaimer();
+    readonly handler: RequestHandler;
+    readonly server: Server;
+    private readonly agent = new Agent({ keepAlive: true });
+    private sequence = 0;
+
+    private constructor(options: RigOptions) {
+        const routes = `${route("read", true, "700ms")}${route("order", false, "700ms")}${route("slow", true, "5s")}`;
+        const tables = Tables.create(routes, pools(options.bitsPerSecond ?? 1_000_000_000)).unwrap();
+        this.handler = RequestHandler.create({
+            clock: this.clock,
+            dataCentre: "near",
+            tables: () => tables,
+            shares: this.shares,
+            claimer: options.claimer ?? this.claimer,
+            random: SeededRandom.create(7),
+            counters: this.counters,
+            settings: { ...options.settings },
+            onOutcome: record => this.records.push(record),
+        });
+        this.server = createCallersServer(this.handler);
+    }
+
+    static async start(options: RigOptions = {}): Promise<Rig> {
+        const rig = new Rig(options);
+        await new Promise<void>(resolve => rig.server.listen(0, "127.0.0.1", resolve));
+        return rig;
+    }
+
+    get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Grants slots of a data centre's workers, named by their addresses. */
+    grant(addresses: readonly string[], slots = 4, dataCentre = "near", expiresInMs = 60_000): void {
+        const cell = `${dataCentre}/0`;
+        this.sequence += 1;
+        const { report } = this.shares.hello(cell, 1);
+        const shares = addresses.map(serviceAddress => ({
+            worker: serviceAddress,
+            serviceAddress,
+            slots,
+            connections: slots * 2,
+            epoch: 1,
+            expiresInMs,
+        }));
+        this.shares.apply({ cell, epoch: 1, sequence: this.sequence, report, shares });
+    }
+
+    call(path: string, options: CallOptions = {}): Promise<Answer> {
+        return new Promise(resolve => {
+            const { method = "GET", headers = {}, body } = options;
+            const length = body === undefined ? {} : { "content-length": String(Buffer.byteLength(body)) };
+            const req = request({
+                agent: this.agent,
+                port: this.port,
+                host: "127.0.0.1",
+                method,
+                path,
+                headers: { ...length, ...headers },
+            });
+            req.on("error", () => resolve({ status: 0, code: 0, headers: {}, body: "", isAborted: true }));
+            req.on("response", res => {
+                let text = "";
+                const finish = (isAborted: boolean): void =>
+                    resolve({
+                        status: res.statusCode ?? 0,
+                        code: Number(res.headers["samphireward-code"]),
+                        headers: res.headers,
+                        body: text,
+                        isAborted,
+                    });
+                res.on("data", (chunk: Buffer) => (text += chunk.toString("latin1")));
+                res.on("error", () => finish(true));
+                res.on("end", () => finish(!res.complete));
+            });
+            req.end(body);
+        });
+    }
+
+    /** Sends one request after the other until the target has ramped up. */
+    async warmUp(count = 4): Promise<void> {
+        for (let index = 0; index < count; index += 1) {
+            await this.call("/read/warm-up");
+        }
+    }
+
+    async stop(): Promise<void> {
+        this.agent.destroy();
+        this.server.closeAllConnections();
+        await new Promise(resolve => this.server.close(resolve));
+        await this.handler.drain();
+        this.handler.close();
+    }
+}
