--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -60,7 +60,12 @@
     start(name: string): ManagedProcess {
         const kind = name.split("-")[0] as keyof typeof programs;
         const program = require.resolve(programs[kind]);
-        const process = ManagedProcess.create(name, program, this.settings.get(name) ?? "", join(this.dir, `${name}.log`));
+        const process = ManagedProcess.create(
+            name,
+            program,
+            this.settings.get(name) ?? "",
+            join(this.dir, `${name}.log`),
+        );
         this.processes.set(name, process);
         return process;
     }
@@ -82,7 +87,9 @@
             }
             await sleep(PollMs);
         }
-        throw new Error(`${this.plan.user}: ${what} did not happen within ${ReadyTimeoutMs} ms; logs are in ${this.dir}`);
+        throw new Error(
+            `${this.plan.user}: ${what} did not happen within ${ReadyTimeoutMs} ms; logs are in ${this.dir}`,
+        );
     }
 
     /** Reads JSON from a port of the deployment. */
@@ -95,6 +102,16 @@
         }
     }
 
+    /** Waits until every cell has an owner that knows its workers. */
+    async untilServing(): Promise<void> {
+        const admin = this.addresses.entryVms[0]?.admin ?? "";
+        await this.until("an owner for every cell", async () => {
+            const { cells } = await this.read<{ cells: { workers: unknown[] }[] }>(admin, "/v1/cells");
+            const workers = cells.reduce((sum, cell) => sum + cell.workers.length, 0);
+            return workers === this.addresses.workers.length;
+        });
+    }
+
     /** Stops entry processes and schedulers gracefully, then the stand-ins. Returns those that did not exit with 0. */
     async stopAll(): Promise<string[]> {
         const failed: string[] = [];
@@ -113,6 +130,9 @@
     }
 
     private untilAnswers(address: string, path: string): Promise<void> {
-        return this.until(`an answer of ${address}`, async () => (await this.read(address, path)) !== undefined);
+        return this.until(
+            `an answer of ${address}`,
+            async () => (await this.read(address, path)) !== undefined,
+        );
     }
 }
--- /dev/null
+++ b/packages/demo/src/run-report.ts
@@ -0,0 +1,117 @@
+import { LatencyRecorder } from "@samphireward/core/latency-recorder";
+import type { CallerResult } from "./caller-result.js";
+import type { Deployment } from "./deployment.js";
+import type { TaskLoad } from "./task-load.js";
+
+/** What the demo checks in the worker stand-ins' own counts. */
+interface WorkerStats {
+    readonly starts: Readonly<Record<string, number>>;
+    readonly concurrentDuplicates: number;
+    readonly overcommitRefusals: number;
+    readonly overSlotRefusals: number;
+    readonly requests: Readonly<Record<string, number>>;
+}
+
+const answeredCode = 1000;
+
+/** Figures and violations of one run, counted at the callers and at the workers. */
+export class RunReport {
+    readonly violations: string[] = [];
+    private readonly latency = LatencyRecorder.create();
+    private readonly codes = new Map<number, number>();
+
+    private constructor(private readonly user: string) {}
+
+    static async create(
+        deployment: Deployment,
+        results: readonly CallerResult[],
+        tasks: TaskLoad,
+    ): Promise<RunReport> {
+        const report = new RunReport(deployment.plan.user);
+        report.countResults(results);
+        const stats = await Promise.all(
+            deployment.addresses.workers.map(worker =>
+                deployment.read<WorkerStats>(worker.task, "/v1/stats"),
+            ),
+        );
+        report.checkWorkers(stats, results);
+        report.checkTasks(tasks, stats);
+        return report;
+    }
+
+    /** The figures as text, one a line. */
+    lines(): string[] {
+        const codes = [...this.codes].sort(([a], [b]) => a - b).map(([code, count]) => `${code}: ${count}`);
+        return [
+            `${this.user}: requests by code  ${codes.join(", ")}`,
+            `${this.user}: answered latency  p50 ${this.ms(50)}, p99 ${this.ms(99)}, p99.9 ${this.ms(99.9)}`,
+            ...this.taskLines,
+            `${this.user}: violations        ${this.violations.length}`,
+            ...this.violations.map(violation => `${this.user}:   ${violation}`),
+        ];
+    }
+
+    private taskLines: string[] = [];
+
+    private ms(percentile: number): string {
+        return `${this.latency.percentileMs(percentile).toFixed(1)} ms`;
+    }
+
+    private countResults(results: readonly CallerResult[]): void {
+        for (const { code, whole, latencyMs, id } of results) {
+            this.codes.set(code, (this.codes.get(code) ?? 0) + 1);
+            if (code === answeredCode) {
+                this.latency.record(latencyMs);
+                if (!whole) {
+                    this.violations.push(`request ${id} got an answer that is not whole or not its own`);
+                }
+            }
+        }
+    }
+
+    private checkWorkers(stats: readonly WorkerStats[], results: readonly CallerResult[]): void {
+        const runs = new Map<string, number>();
+        for (const [id, count] of stats.flatMap(worker => Object.entries(worker.requests))) {
+            runs.set(id, (runs.get(id) ?? 0) + count);
+        }
+        for (const { id, idempotent, code } of results) {
+            const count = runs.get(id) ?? 0;
+            if (!idempotent && count > 1) {
+                this.violations.push(`request ${id} is not idempotent and ran ${count} times`);
+            }
+            if (code >= 2000 && code < 3000 && count > 0) {
+                this.violations.push(`request ${id} was refused as not run (${code}) and ran ${count} times`);
+            }
+        }
+        this.checkCount(stats, "overcommitRefusals", "starts that exceeded a worker's capacity");
+        this.checkCount(stats, "concurrentDuplicates", "starts of a task that still ran");
+        this.checkCount(stats, "overSlotRefusals", "requests over a worker's slots");
+    }
+
+    private checkCount(
+        stats: readonly WorkerStats[],
+        name: "overcommitRefusals" | "concurrentDuplicates" | "overSlotRefusals",
+        text: string,
+    ): void {
+        const count = stats.reduce((sum, worker) => sum + worker[name], 0);
+        if (count > 0) {
+            this.violations.push(`${count} ${text}`);
+        }
+    }
+
+    private checkTasks(tasks: TaskLoad, stats: readonly WorkerStats[]): void {
+        const finished = tasks.accepted.filter(key => tasks.states.get(key) === "finished");
+        const starts = stats.reduce((sum, worker) => sum + Object.keys(worker.starts).length, 0);
+        this.taskLines = [
+            `${this.user}: tasks             accepted ${tasks.accepted.length}, started ${starts}, finished ${finished.length}`,
+        ];
+        for (const key of tasks.accepted.filter(key => tasks.states.get(key) !== "finished")) {
+            this.violations.push(`task ${key} ended as ${tasks.states.get(key) ?? "unknown"}`);
+        }
+        for (const [attempt, count] of stats.flatMap(worker => Object.entries(worker.starts))) {
+            if (count > 1) {
+                this.violations.push(`attempt ${attempt} started ${count} times`);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/demo/src/run-user.ts
@@ -0,0 +1,55 @@
+import { applyTables } from "./apply-tables.js";
+import { Balancer } from "./balancer.js";
+import { Caller } from "./caller.js";
+import { Deployment } from "./deployment.js";
+import { loadPlan } from "./load-plan.js";
+import { RequestLoad } from "./request-load.js";
+import { RunReport } from "./run-report.js";
+import { TaskLoad } from "./task-load.js";
+import type { UserPlan } from "./user-plan.js";
+
+const RequestMs = 8_000;
+const TasksTimeoutMs = 15_000;
+
+interface RunOptions {
+    readonly plan: UserPlan;
+    readonly seed: number;
+    /** Fault that is injected while the load runs. */
+    readonly disturb?: (deployment: Deployment) => Promise<void>;
+}
+
+/** Runs one user's deployment under load and returns its report. Everything is stopped at the end. */
+export const runUser = async ({ plan, seed, disturb }: RunOptions): Promise<RunReport> => {
+    const deployment = await Deployment.create(plan);
+    const balancer = Balancer.create(deployment.addresses.entryVms);
+    const caller = Caller.create(balancer);
+    const load = loadPlan[plan.user as keyof typeof loadPlan];
+    const requests = RequestLoad.create({ caller, ...load, seed, name: plan.user });
+    const tasks = TaskLoad.create({
+        balancer,
+        path: load.taskPath,
+        count: load.tasks,
+        seed,
+        name: plan.user,
+    });
+    try {
+        await deployment.startAll();
+        await applyTables(deployment);
+        balancer.start();
+        await deployment.until("every entry process being ready", () => {
+            return Promise.resolve(balancer.healthyCount === plan.entryVms);
+        });
+        await deployment.untilServing();
+        await Promise.all([requests.run(RequestMs), tasks.submitAll(), disturb?.(deployment)]);
+        await tasks.untilEnded(TasksTimeoutMs);
+        const report = await RunReport.create(deployment, requests.results, tasks);
+        const failed = await deployment.stopAll();
+        report.violations.push(...failed.map(name => `${name} did not stop with exit code 0`));
+        return report;
+    } finally {
+        balancer.stop();
+        caller.close();
+        tasks.close();
+        await deployment.stopAll();
+    }
+};
--- a/packages/demo/src/write-settings.ts
+++ b/packages/demo/src/write-settings.ts
@@ -7,6 +7,7 @@
 const StoreTimeout = "1s";
 const DirectoryLag = "1s";
 const UsageLag = "2s";
+const KeyMemory = "60s";
 
 /** Writes one TOML file and returns its path. */
 const write = (dir: string, name: string, content: Record<string, unknown>): string => {
@@ -15,7 +16,11 @@
     return path;
 };
 
-const workerSettings = (plan: UserPlan, addresses: DeploymentAddresses, dataCentre: string): Record<string, unknown> => ({
+const workerSettings = (
+    plan: UserPlan,
+    addresses: DeploymentAddresses,
+    dataCentre: string,
+): Record<string, unknown> => ({
     directory: addresses.directory,
     workers: addresses.workers
         .filter(worker => worker.dataCentre === dataCentre)
@@ -33,7 +38,11 @@
 });
 
 /** Settings files of a deployment: path by process name. */
-export const writeSettings = (dir: string, plan: UserPlan, addresses: DeploymentAddresses): Map<string, string> => {
+export const writeSettings = (
+    dir: string,
+    plan: UserPlan,
+    addresses: DeploymentAddresses,
+): Map<string, string> => {
     const files = new Map<string, string>();
     const add = (name: string, content: Record<string, unknown>): void => {
         files.set(name, write(dir, name, content));
@@ -57,6 +66,7 @@
             name: `entry-${vm.name}`,
             callers: { listen: vm.callers, drain: "1s" },
             admin: { listen: vm.admin },
+            keys: { remember: KeyMemory },
             peer: { listen: vm.entryPeer, seeds: seeds.filter(seed => seed !== vm.entryPeer) },
         });
         add(`scheduler-${vm.name}`, {
--- /dev/null
+++ b/packages/entry/src/cell-connectors.ts
@@ -0,0 +1,100 @@
+import { keepRunning } from "@samphireward/runtime/keep-running";
+import type { CellOwnerRecord } from "@samphireward/runtime/cell-owner-record";
+import type { ProcessRuntime } from "@samphireward/runtime/process-runtime";
+import type { Tables } from "@samphireward/core/tables";
+import type { ShareBook } from "@samphireward/routing/share-book";
+import type { OwnerRecord } from "@samphireward/state/owner-record";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import { CellConnector } from "./cell-connector.js";
+import type { CellStream } from "./cell-stream.js";
+
+interface ConnectorsOptions {
+    readonly runtime: ProcessRuntime;
+    readonly shares: ShareBook;
+    /** Unique for each start of the process. */
+    readonly entry: string;
+    /** Requests in use and queued that may go to the cell. */
+    readonly demandOf: (cell: string) => number;
+}
+
+/** The streams of this entry process to the owners of all cells: one connector for each cell of the tables. */
+export class CellConnectors {
+    private readonly connectors = new Map<string, CellConnector>();
+    private readonly fibers = new Map<string, Fiber.Fiber<void>>();
+
+    private constructor(private readonly options: ConnectorsOptions) {}
+
+    static create(options: ConnectorsOptions): CellConnectors {
+        return new CellConnectors(options);
+    }
+
+    get cells(): string[] {
+        return [...this.connectors.keys()];
+    }
+
+    /** The stream to the cell's owner while there is one. */
+    streamTo(cell: string): CellStream | undefined {
+        return this.connectors.get(cell)?.current;
+    }
+
+    /** Connects to the cells of new tables and leaves cells that are no longer listed. */
+    setTables(tables: Tables): void {
+        const wanted = new Set(tables.allCells().map(String));
+        for (const cell of wanted) {
+            if (!this.connectors.has(cell)) {
+                this.add(cell);
+            }
+        }
+        for (const cell of this.cells.filter(name => !wanted.has(name))) {
+            void this.remove(cell);
+        }
+    }
+
+    async close(): Promise<void> {
+        await Promise.all(this.cells.map(cell => this.remove(cell)));
+    }
+
+    private add(cell: string): void {
+        const { runtime, shares, entry, demandOf } = this.options;
+        const { region, dataCentre } = runtime.membership.self;
+        const connector = CellConnector.create({
+            cell,
+            entry,
+            dataCentre,
+            region,
+            shares,
+            transports: runtime.transports,
+            random: runtime.random,
+            findOwner: () => this.findOwner(cell),
+            demand: () => demandOf(cell),
+            onConnected: connected => runtime.log.info("stream to cell owner", { cell, connected }),
+        });
+        this.connectors.set(cell, connector);
+        this.fibers.set(cell, Effect.runFork(keepRunning(`cell ${cell}`, connector.run(), runtime.log)));
+    }
+
+    private async remove(cell: string): Promise<void> {
+        const fiber = this.fibers.get(cell);
+        this.connectors.delete(cell);
+        this.fibers.delete(cell);
+        if (fiber !== undefined) {
+            await Effect.runPromise(Fiber.interrupt(fiber));
+        }
+    }
+
+    /** Asks the store, and falls back to what peers have told while the store cannot be reached. */
+    private async findOwner(cell: string): Promise<CellOwnerRecord | undefined> {
+        const { owners, store } = this.options.runtime;
+        const read = await store.get(`cell/${cell}/owner`);
+        if (read.isErr()) {
+            return owners.lookup(cell);
+        }
+        if (read.value === undefined) {
+            return undefined;
+        }
+        const record = { cell, ...(JSON.parse(read.value.value) as OwnerRecord) };
+        owners.learn(record);
+        return record;
+    }
+}
--- a/packages/entry/src/cell-stream.ts
+++ b/packages/entry/src/cell-stream.ts
@@ -3,7 +3,13 @@
 import { createClient } from "@connectrpc/connect";
 import type { Transport } from "@connectrpc/connect";
 import { MessageQueue } from "@samphireward/protocol/message-queue";
-import type { AttachRequest, AttachResponse, CellReply, ShareUpdate, TaskReply } from "@samphireward/protocol/gen/samphireward_pb";
+import type {
+    AttachRequest,
+    AttachResponse,
+    CellReply,
+    ShareUpdate,
+    TaskReply,
+} from "@samphireward/protocol/gen/samphireward_pb";
 import { AttachRequestSchema, CellService } from "@samphireward/protocol/gen/samphireward_pb";
 import { ReplyTable } from "./reply-table.js";
 
@@ -71,7 +77,11 @@
         }
     }
 
-    private async call<T>(table: ReplyTable<T>, makeBody: (requestId: number) => Body, timeoutMs: number): Promise<T> {
+    private async call<T>(
+        table: ReplyTable<T>,
+        makeBody: (requestId: number) => Body,
+        timeoutMs: number,
+    ): Promise<T> {
         const { id, reply } = table.open();
         const timer = setTimeout(() => table.expire(id), timeoutMs);
         this.send(makeBody(id));
--- /dev/null
+++ b/packages/entry/src/connect-key-claimer.ts
@@ -0,0 +1,53 @@
+import { createClient } from "@connectrpc/connect";
+import { PeerService } from "@samphireward/protocol/gen/samphireward_pb";
+import { KeyClaimResult } from "@samphireward/routing/key-claim-result";
+import { KeyClaimer } from "@samphireward/routing/key-claimer";
+import { PeerLimits } from "@samphireward/runtime/peer-limits";
+import type { TransportCache } from "@samphireward/runtime/transport-cache";
+import type { EntryKeys } from "./entry-keys.js";
+
+const results: ReadonlySet<string> = new Set(Object.values(KeyClaimResult));
+
+/** Claims idempotency keys at the entry process that owns them. */
+export class ConnectKeyClaimer extends KeyClaimer {
+    private constructor(
+        private readonly keys: EntryKeys,
+        private readonly transports: TransportCache,
+    ) {
+        super();
+    }
+
+    static create(keys: EntryKeys, transports: TransportCache): ConnectKeyClaimer {
+        return new ConnectKeyClaimer(keys, transports);
+    }
+
+    override async claim(key: string, claimId: string): Promise<KeyClaimResult> {
+        const owner = this.keys.ownerOf(key);
+        if (owner === undefined) {
+            return KeyClaimResult.NotReady;
+        }
+        const result = owner.isSelf
+            ? this.keys.claim(key, claimId)
+            : await this.claimRemote(owner.address, key, claimId);
+        return results.has(result) ? (result as KeyClaimResult) : KeyClaimResult.NotReady;
+    }
+
+    override release(key: string, claimId: string): void {
+        const owner = this.keys.ownerOf(key);
+        if (owner?.isSelf === true) {
+            this.keys.release(key, claimId);
+        } else if (owner !== undefined) {
+            const client = createClient(PeerService, this.transports.get(owner.address));
+            // A release that is lost leaves the key claimed until it is forgotten.
+            client
+                .releaseKey({ key, claimId }, { timeoutMs: PeerLimits.claimTimeoutMs })
+                .catch(() => undefined);
+        }
+    }
+
+    private async claimRemote(address: string, key: string, claimId: string): Promise<string> {
+        const client = createClient(PeerService, this.transports.get(address));
+        const { result } = await client.claimKey({ key, claimId }, { timeoutMs: PeerLimits.claimTimeoutMs });
+        return result;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/entry-process.ts
@@ -0,0 +1,225 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { JsonServer } from "@samphireward/core/json-server";
+import { listen } from "@samphireward/core/listen";
+import { Outcome } from "@samphireward/core/outcome";
+import { describeCode } from "@samphireward/core/describe-code";
+import type { Tables } from "@samphireward/core/tables";
+import { createCallersServer } from "@samphireward/routing/create-callers-server";
+import { RequestHandler } from "@samphireward/routing/request-handler";
+import type { RequestRecord } from "@samphireward/routing/request-record";
+import { ShareBook } from "@samphireward/routing/share-book";
+import { keepRunning } from "@samphireward/runtime/keep-running";
+import { ProcessRuntime } from "@samphireward/runtime/process-runtime";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import { AdminApi } from "./admin-api.js";
+import { bearerCheck } from "./bearer-check.js";
+import { CellConnectors } from "./cell-connectors.js";
+import { ConnectKeyClaimer } from "./connect-key-claimer.js";
+import { EntryKeys } from "./entry-keys.js";
+import type { EntrySettings } from "./entry-settings.js";
+import { RouteMetrics } from "./route-metrics.js";
+import { TaskApi } from "./task-api.js";
+import { TaskGateway } from "./task-gateway.js";
+
+/** A process that has reached neither store nor peers for this long leaves the balancer. */
+const MaxNoContactMs = 60_000;
+
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** An entry process: callers' port, administration port and the streams to the owners of all cells. */
+export class EntryProcess {
+    private readonly runtime: ProcessRuntime;
+    private readonly shares: ShareBook;
+    private readonly keys: EntryKeys;
+    private readonly connectors: CellConnectors;
+    private readonly metrics: RouteMetrics;
+    private readonly gateway: TaskGateway;
+    private readonly tasks: TaskApi;
+    private readonly admin: JsonServer;
+    private readonly fibers: Fiber.Fiber<unknown, unknown>[] = [];
+    private handler: RequestHandler | undefined;
+    private callers: Server | undefined;
+    private isDraining = false;
+    private taskRequests = 0;
+
+    private constructor(private readonly settings: EntrySettings) {
+        this.runtime = ProcessRuntime.create({
+            role: "entry",
+            settings,
+            keys: {
+                claim: (key, id) => this.keys.claim(key, id),
+                release: (key, id) => this.keys.release(key, id),
+            },
+            onTables: tables => this.setTables(tables),
+            onWorkers: () => this.setLeaving(),
+        });
+        const { clock, store, membership } = this.runtime;
+        const { name, incarnation } = membership.self;
+        this.shares = ShareBook.create(clock);
+        this.keys = EntryKeys.create({ clock, store, name, incarnation, rememberMs: settings.keys.remember });
+        this.metrics = RouteMetrics.create(clock);
+        this.connectors = CellConnectors.create({
+            runtime: this.runtime,
+            shares: this.shares,
+            entry: `${name}@${incarnation}`,
+            demandOf: cell => this.demandOf(cell),
+        });
+        this.gateway = TaskGateway.create({
+            clock,
+            tables: () => this.runtime.config.applied?.tables,
+            streamTo: cell => this.connectors.streamTo(cell),
+        });
+        this.tasks = TaskApi.create(this.gateway);
+        this.admin = JsonServer.create(bearerCheck(settings.admin.tokenFile));
+        AdminApi.mount(this.admin, {
+            runtime: this.runtime,
+            connectors: this.connectors,
+            gateway: this.gateway,
+            metrics: this.metrics,
+            health: () => this.health(),
+            counters: () => this.counters(),
+        });
+    }
+
+    static create(settings: EntrySettings): EntryProcess {
+        return new EntryProcess(settings);
+    }
+
+    async start(): Promise<void> {
+        await this.runtime.open();
+        const admin = await this.admin.listen(this.settings.admin.listen);
+        this.runtime.log.info("administration port is open", { admin });
+        this.fibers.push(Effect.runFork(this.runtime.run()));
+        this.fibers.push(Effect.runFork(keepRunning("keys", this.keys.run(), this.runtime.log)));
+    }
+
+    /** Leaves the balancer, serves until the drain time has passed, finishes all requests, then closes. */
+    async stop(): Promise<void> {
+        this.runtime.log.info("draining", { drainMs: this.settings.callers.drain });
+        this.isDraining = true;
+        this.runtime.membership.leave();
+        await sleep(this.settings.callers.drain);
+        await this.closeCallers();
+        this.runtime.log.info("stopped", { counters: this.counters() });
+        await this.connectors.close();
+        await Promise.all(this.fibers.map(fiber => Effect.runPromise(Fiber.interrupt(fiber))));
+        await this.admin.close();
+        await this.runtime.close();
+    }
+
+    private async closeCallers(): Promise<void> {
+        const closed = new Promise<void>(resolve => {
+            if (this.callers === undefined) {
+                resolve();
+            }
+            this.callers?.close(() => resolve());
+        });
+        await this.handler?.drain();
+        while (this.taskRequests > 0) {
+            await sleep(10);
+        }
+        this.callers?.closeIdleConnections();
+        await closed;
+        this.handler?.close();
+    }
+
+    private setTables(tables: Tables): void {
+        this.connectors.setTables(tables);
+        if (this.handler === undefined) {
+            void this.openCallers(tables);
+        }
+    }
+
+    /** Callers are served once the first tables are in force. */
+    private async openCallers(first: Tables): Promise<void> {
+        const { clock, transports, log } = this.runtime;
+        this.handler = RequestHandler.create({
+            clock,
+            dataCentre: this.settings.dataCentre,
+            tables: () => this.runtime.config.applied?.tables ?? first,
+            shares: this.shares,
+            claimer: ConnectKeyClaimer.create(this.keys, transports),
+            onOutcome: record => this.recordOutcome(record),
+            counters: this.runtime.counters,
+            entriesInRegion: () => this.entriesInRegion(),
+        });
+        this.callers = createCallersServer(this.handler, (req, res) => this.dispatch(req, res));
+        const callers = await listen(this.callers, this.settings.callers.listen);
+        log.info("callers' port is open", { callers });
+    }
+
+    private dispatch(req: IncomingMessage, res: ServerResponse): void {
+        const tables = this.runtime.config.applied?.tables;
+        const path = (req.url ?? "").split("?", 1)[0] ?? "";
+        const route = tables?.routeFor(path);
+        if (tables === undefined || route?.kind !== "task") {
+            this.handler?.handle(req, res);
+            return;
+        }
+        const startMs = this.runtime.clock.nowMs();
+        this.taskRequests += 1;
+        void this.tasks
+            .handle(req, res, route, tables)
+            .then(code => {
+                this.runtime.counters.add(`tasks.code.${code}`);
+                const isAnswered = describeCode(code).outcome === Outcome.Answered;
+                this.metrics.record(route, this.runtime.clock.nowMs() - startMs, isAnswered);
+            })
+            .finally(() => (this.taskRequests -= 1));
+    }
+
+    private recordOutcome({ route: name, code, latencyMs }: RequestRecord): void {
+        this.runtime.counters.add(`requests.code.${code}`);
+        const route = name === undefined ? undefined : this.runtime.config.applied?.tables.routes.get(name);
+        if (route !== undefined) {
+            this.metrics.record(route, latencyMs, describeCode(code).outcome === Outcome.Answered);
+        }
+    }
+
+    private demandOf(cell: string): number {
+        const tables = this.runtime.config.applied?.tables;
+        const dataCentre = cell.split("/")[0] ?? "";
+        let demand = 0;
+        for (const [name, { inUse, queued }] of this.handler?.demand() ?? []) {
+            if (tables?.pools.get(name)?.zones.includes(dataCentre) === true) {
+                demand += inUse + queued;
+            }
+        }
+        return demand;
+    }
+
+    private entriesInRegion(): number {
+        const inRegion = this.runtime.membership.members.filter(
+            ({ role, region, state }) =>
+                role === "entry" && region === this.settings.region && state === "alive",
+        );
+        return Math.max(1, inRegion.length);
+    }
+
+    private setLeaving(): void {
+        const leaving = this.runtime.vms.all().filter(worker => worker.leaving);
+        this.shares.setLeaving(new Set(leaving.map(worker => worker.name)));
+    }
+
+    private health(): { state: string; ready: boolean } {
+        if (this.isDraining) {
+            return { state: "draining", ready: false };
+        }
+        if (this.callers?.listening !== true) {
+            return { state: "starting", ready: false };
+        }
+        const isCutOff = this.runtime.config.noContactMs() > MaxNoContactMs;
+        return { state: isCutOff ? "cut-off" : "ready", ready: !isCutOff };
+    }
+
+    private counters(): Record<string, number> {
+        return {
+            ...this.runtime.counters.snapshot(),
+            ...this.runtime.store.counters.snapshot(),
+            ...this.runtime.config.counters.snapshot(),
+            ...this.runtime.membership.counters.snapshot(),
+            ...this.handler?.linkBytes(),
+        };
+    }
+}
--- a/packages/entry/src/entry-settings.ts
+++ b/packages/entry/src/entry-settings.ts
@@ -24,6 +24,10 @@
         /** Peer addresses of a few other processes, to start from while the store is out of reach. */
         seeds: Schema.Array(AddressSchema),
     }),
+    keys: Schema.Struct({
+        /** How long an idempotency key is remembered; must exceed the longest deadline of a route. */
+        remember: DurationSchema,
+    }),
     store: Schema.Struct({ address: AddressSchema, timeout: DurationSchema }),
     directory: Schema.Struct({ address: AddressSchema, interval: DurationSchema }),
 });
--- /dev/null
+++ b/packages/entry/src/key-owner-address.ts
@@ -0,0 +1,6 @@
+/** Where a claim for an idempotency key is sent. */
+export interface KeyOwnerAddress {
+    readonly isSelf: boolean;
+    /** Peer address, `ip:port`. */
+    readonly address: string;
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,10 @@
+#!/usr/bin/env node
+import { onStopSignal } from "@samphireward/core/on-stop-signal";
+import { readCliSettings } from "@samphireward/core/read-cli-settings";
+import { EntryProcess } from "./entry-process.js";
+import { EntrySettings } from "./entry-settings.js";
+
+const entry = EntryProcess.create(readCliSettings("samphireward-entry", EntrySettings));
+await entry.start();
+await onStopSignal();
+await entry.stop();
--- a/packages/entry/src/task-api.ts
+++ b/packages/entry/src/task-api.ts
@@ -16,7 +16,10 @@
 import { TaskSubmissionSchema } from "./task-submission-schema.js";
 
 const DefaultRunMs = 60_000;
-const decode = SchemaParser.decodeUnknownResult(TaskSubmissionSchema, { onExcessProperty: "error", errors: "all" });
+const decode = SchemaParser.decodeUnknownResult(TaskSubmissionSchema, {
+    onExcessProperty: "error",
+    errors: "all",
+});
 const formatIssue = makeFormatterStandardSchemaV1();
 
 const parseSubmission = (pool: Pool, text: string): TaskSpec => {
@@ -29,13 +32,18 @@
     const decoded = decode(json);
     if (decoded._tag === "Failure") {
         const issues = formatIssue(decoded.failure).issues;
-        const message = issues.map(issue => `${(issue.path ?? []).map(String).join(".")}: ${issue.message}`).join("; ");
+        const message = issues
+            .map(issue => `${(issue.path ?? []).map(String).join(".")}: ${issue.message}`)
+            .join("; ");
         throw CodedError.create(ResultCode.BadRequest, message);
     }
     const { key, resources, expectedRunMs, payload } = decoded.success;
     const size = resources ?? pool.taskDefault;
     if (size === undefined) {
-        throw CodedError.create(ResultCode.BadRequest, "resources: expected, because the pool has no taskDefault");
+        throw CodedError.create(
+            ResultCode.BadRequest,
+            "resources: expected, because the pool has no taskDefault",
+        );
     }
     return {
         key,
@@ -55,7 +63,12 @@
     }
 
     /** Answers one request of a route of kind `task`. Returns the code that was sent. */
-    async handle(req: IncomingMessage, res: ServerResponse, route: Route, tables: Tables): Promise<ResultCode> {
+    async handle(
+        req: IncomingMessage,
+        res: ServerResponse,
+        route: Route,
+        tables: Tables,
+    ): Promise<ResultCode> {
         try {
             const pool = tables.pools.get(route.pool);
             if (pool === undefined) {
@@ -84,6 +97,9 @@
         if (req.method === "DELETE" && key !== "") {
             return this.gateway.cancel(pool, key, route.deadline);
         }
-        throw CodedError.create(ResultCode.BadRequest, `Expected POST ${route.path}, or GET or DELETE ${route.path}/KEY`);
+        throw CodedError.create(
+            ResultCode.BadRequest,
+            `Expected POST ${route.path}, or GET or DELETE ${route.path}/KEY`,
+        );
     }
 }
--- a/packages/entry/src/task-submission-schema.ts
+++ b/packages/entry/src/task-submission-schema.ts
@@ -6,7 +6,9 @@
 /** Schema of a caller's task submission. */
 export const TaskSubmissionSchema = Schema.Struct({
     key: Schema.String.check(
-        Schema.isPattern(/^[\w.:-]{1,128}$/, { expected: "a key of letters, digits and . : _ -, at most 128 long" }),
+        Schema.isPattern(/^[\w.:-]{1,128}$/, {
+            expected: "a key of letters, digits and . : _ -, at most 128 long",
+        }),
     ),
     resources: Schema.optionalKey(ResourcesSchema),
     expectedRunMs: Schema.optionalKey(Schema.Int.check(Schema.isGreaterThan(0))),
--- a/packages/routing/src/create-callers-server.ts
+++ b/packages/routing/src/create-callers-server.ts
@@ -1,5 +1,5 @@
 import { createServer } from "node:http";
-import type { Server } from "node:http";
+import type { RequestListener, Server } from "node:http";
 import { describeCode } from "@samphireward/core/describe-code";
 import { ResultCode } from "@samphireward/core/result-code";
 import { HeaderName } from "./header-name.js";
@@ -23,8 +23,14 @@
     return `${lines.join("\r\n")}\r\n\r\n${body}`;
 };
 
-/** The callers' HTTP server with bounded headers, bounded times, and codes for requests that are not HTTP. */
-export const createCallersServer = (handler: RequestHandler): Server => {
+/**
+ * The callers' HTTP server with bounded headers, bounded times, and codes for requests that are not HTTP.
+ * `listener` may answer some requests itself and hand the others to the handler.
+ */
+export const createCallersServer = (
+    handler: RequestHandler,
+    listener: RequestListener = (req, res) => handler.handle(req, res),
+): Server => {
     const server = createServer(
         {
             maxHeaderSize: handler.settings.maxHeaderBytes,
@@ -33,7 +39,7 @@
             keepAliveTimeout: handler.settings.callerIdleMs,
             connectionsCheckingInterval: CheckIntervalMs,
         },
-        (req, res) => handler.handle(req, res),
+        listener,
     );
     server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
         if (!socket.writable || handler.isAnswering(socket)) {
--- a/packages/runtime/src/connect-peer-exchange.ts
+++ b/packages/runtime/src/connect-peer-exchange.ts
@@ -23,7 +23,10 @@
         return new ConnectPeerExchange(transports, owners);
     }
 
-    override async exchange(address: string, message: ExchangeMessage): Promise<Result<ExchangeMessage, string>> {
+    override async exchange(
+        address: string,
+        message: ExchangeMessage,
+    ): Promise<Result<ExchangeMessage, string>> {
         const client = createClient(PeerService, this.transports.get(address));
         const req = {
             self: memberCodec.encode(message.self),
@@ -39,7 +42,12 @@
             }
             res.owners.forEach(owner => this.owners.learn(owner));
             const { leavingTargets, config } = res;
-            return Ok({ self, members: decodeMembers(res.members), leavingTargets, ...(config && { config }) });
+            return Ok({
+                self,
+                members: decodeMembers(res.members),
+                leavingTargets,
+                ...(config && { config }),
+            });
         } catch (err) {
             return Err((err as Error).message);
         }
--- a/packages/runtime/src/keep-running.ts
+++ b/packages/runtime/src/keep-running.ts
@@ -5,7 +5,11 @@
 const RestartMs = 1_000;
 
 /** Runs a loop and starts it again, after a pause, when it ends by an unexpected error. The error is logged. */
-export const keepRunning = (name: string, loop: Effect.Effect<unknown>, log: ProcessLog): Effect.Effect<void> =>
+export const keepRunning = (
+    name: string,
+    loop: Effect.Effect<unknown>,
+    log: ProcessLog,
+): Effect.Effect<void> =>
     Effect.forever(
         loop.pipe(
             Effect.catchCause(cause =>
--- a/packages/runtime/src/member-codec.ts
+++ b/packages/runtime/src/member-codec.ts
@@ -8,7 +8,8 @@
 
     /** Returns `undefined` for a role that this version does not know. */
     decode: (member: Member): MemberInfo | undefined => {
-        const { name, role, region, dataCentre, address, incarnation, heartbeat, configRevision, leaving } = member;
+        const { name, role, region, dataCentre, address, incarnation, heartbeat, configRevision, leaving } =
+            member;
         if (role !== "entry" && role !== "scheduler") {
             return undefined;
         }
--- a/packages/runtime/src/peer-service-impl.ts
+++ b/packages/runtime/src/peer-service-impl.ts
@@ -17,7 +17,11 @@
 }
 
 /** Makes the handlers of `PeerService`. */
-export const peerServiceImpl = ({ membership, owners, keys }: PeerServiceParts): ServiceImpl<typeof PeerService> => ({
+export const peerServiceImpl = ({
+    membership,
+    owners,
+    keys,
+}: PeerServiceParts): ServiceImpl<typeof PeerService> => ({
     exchange: req => {
         const self = req.self && memberCodec.decode(req.self);
         if (self === undefined) {
--- a/packages/runtime/src/process-runtime.ts
+++ b/packages/runtime/src/process-runtime.ts
@@ -141,7 +141,8 @@
                 this.log.info("configuration is applied", { revision, author, changeId });
                 this.options.onTables(tables, revision);
             },
-            onRejected: (problems, source) => this.log.error("configuration is not valid", { problems, source }),
+            onRejected: (problems, source) =>
+                this.log.error("configuration is not valid", { problems, source }),
         });
     }
 
--- a/packages/scheduler/src/cell-host.ts
+++ b/packages/scheduler/src/cell-host.ts
@@ -31,7 +31,8 @@
             owner: name,
             address,
             isPreferred: () => this.isPreferred(),
-            onChange: epoch => runtime.log.info("ownership has changed", { cell: String(cell), epoch: epoch ?? 0 }),
+            onChange: epoch =>
+                runtime.log.info("ownership has changed", { cell: String(cell), epoch: epoch ?? 0 }),
         });
     }
 
--- a/packages/scheduler/src/cell-operations.ts
+++ b/packages/scheduler/src/cell-operations.ts
@@ -5,6 +5,7 @@
 import type { CellOwner } from "@samphireward/tasks/cell-owner";
 import type { CellState } from "@samphireward/tasks/cell-state";
 import { WorkerMode } from "@samphireward/tasks/worker-mode";
+import type { PoolMetrics } from "./pool-metrics.js";
 
 const modes: Readonly<Record<string, WorkerMode>> = {
     drain: WorkerMode.Drained,
@@ -23,6 +24,7 @@
     readonly state: () => CellState;
     readonly workers: () => readonly WorkerInfo[];
     readonly serviceReserve: () => Resources;
+    readonly metrics: PoolMetrics;
 }
 
 /** One worker as operators see it. */
@@ -55,7 +57,8 @@
 
     describe(): unknown {
         const tasks = [...this.parts.state().tasks.values()];
-        const count = (...states: TaskState[]): number => tasks.filter(task => states.includes(task.state)).length;
+        const count = (...states: TaskState[]): number =>
+            tasks.filter(task => states.includes(task.state)).length;
         return {
             cell: this.parts.cell,
             owner: this.parts.owner,
@@ -66,12 +69,16 @@
             finished: count(TaskState.Finished),
             failed: count(TaskState.Failed),
             cancelled: count(TaskState.Cancelled),
+            pools: this.parts.metrics.describe(tasks),
         };
     }
 
     private summarize(worker: WorkerInfo): WorkerSummary {
         const tasks = [...this.parts.state().tasks.values()].filter(task => task.worker === worker.name);
-        const reserved = tasks.reduce((sum, task) => sum.plus(task.spec.resources), this.parts.serviceReserve());
+        const reserved = tasks.reduce(
+            (sum, task) => sum.plus(task.spec.resources),
+            this.parts.serviceReserve(),
+        );
         return {
             name: worker.name,
             rack: worker.rack,
--- a/packages/scheduler/src/cell-session.ts
+++ b/packages/scheduler/src/cell-session.ts
@@ -3,7 +3,12 @@
 import type { CodedError } from "@samphireward/core/coded-error";
 import { Resources } from "@samphireward/core/resources";
 import { ResultCode } from "@samphireward/core/result-code";
-import type { AttachRequest, AttachResponse, Hello, TaskReplySchema } from "@samphireward/protocol/gen/samphireward_pb";
+import type {
+    AttachRequest,
+    AttachResponse,
+    Hello,
+    TaskReplySchema,
+} from "@samphireward/protocol/gen/samphireward_pb";
 import { AttachResponseSchema } from "@samphireward/protocol/gen/samphireward_pb";
 import { MessageQueue } from "@samphireward/protocol/message-queue";
 import type { SlotAllocator } from "@samphireward/routing/slot-allocator";
@@ -64,7 +69,13 @@
                 return;
             case "submit": {
                 const { requestId, key, pool, resources, expectedRunMs, payload } = body.value;
-                const spec = { key, pool, resources: Resources.create(resources ?? {}), expectedRunMs, payload };
+                const spec = {
+                    key,
+                    pool,
+                    resources: Resources.create(resources ?? {}),
+                    expectedRunMs,
+                    payload,
+                };
                 void this.reply(requestId, this.parts.owner.accept(spec));
                 return;
             }
--- a/packages/scheduler/src/cell-state-machine.ts
+++ b/packages/scheduler/src/cell-state-machine.ts
@@ -3,6 +3,7 @@
 import { CellStateCodec } from "@samphireward/tasks/cell-state-codec";
 import { TransitionCodec } from "@samphireward/tasks/transition-codec";
 import type { LogRow } from "./log-row.js";
+import type { PoolMetrics } from "./pool-metrics.js";
 
 /**
  * The durable state of a cell as the log builds it up, for replay and snapshots. It is kept apart from the
@@ -10,27 +11,33 @@
  */
 export class CellStateMachine extends LogStateMachine<LogRow, LogRow> {
     private current = CellState.create();
+    private isReplayed = false;
 
-    private constructor() {
+    private constructor(private readonly metrics: PoolMetrics) {
         super();
     }
 
-    static create(): CellStateMachine {
-        return new CellStateMachine();
+    static create(metrics: PoolMetrics): CellStateMachine {
+        return new CellStateMachine(metrics);
     }
 
     get state(): CellState {
         return this.current;
     }
 
-    /** A copy for the owner, which changes it. */
-    copy(): CellState {
+    /** Ends the replay: a copy for the owner, which changes it. Later transitions count for the metrics. */
+    copyForOwner(): CellState {
+        this.isReplayed = true;
         const { tasks, ended, workerModes } = this.current;
         return CellState.restore(tasks.values(), ended, workerModes);
     }
 
     override apply(row: LogRow): void {
-        this.current.apply(TransitionCodec.fromRow(row));
+        const transition = TransitionCodec.fromRow(row);
+        if (this.isReplayed) {
+            this.metrics.note(transition, this.current);
+        }
+        this.current.apply(transition);
     }
 
     override snapshot(): readonly LogRow[] {
--- a/packages/scheduler/src/cell-tables.ts
+++ b/packages/scheduler/src/cell-tables.ts
@@ -27,9 +27,10 @@
         const pools = poolsOf(tables, cell);
         const services = pools.map(pool => pool.service).filter(service => service !== undefined);
         const serviceReserve = services.reduce((sum, { reserve }) => sum.plus(reserve), Resources.none);
-        const quotas = [...tables.teamQuotas].map(
-            ([team, quota]): [string, Resources] => [team, quotaShare(tables, team, quota)],
-        );
+        const quotas = [...tables.teamQuotas].map(([team, quota]): [string, Resources] => [
+            team,
+            quotaShare(tables, team, quota),
+        ]);
         return new CellTables(
             { pools: new Map(pools.map(pool => [pool.name, pool])), quotas: new Map(quotas), serviceReserve },
             services.reduce((sum, service) => sum + service.slotsPerWorker, 0),
--- a/packages/scheduler/src/cell-tenure.ts
+++ b/packages/scheduler/src/cell-tenure.ts
@@ -21,6 +21,7 @@
 import { CellTables } from "./cell-tables.js";
 import { EncodedLog } from "./encoded-log.js";
 import type { LogRow } from "./log-row.js";
+import { PoolMetrics } from "./pool-metrics.js";
 import { TenureLimits } from "./tenure-limits.js";
 
 /** What a tenure needs from its process. */
@@ -46,6 +47,7 @@
         private readonly options: TenureOptions,
         private readonly log: GroupCommitLog<LogRow, LogRow>,
         machine: CellStateMachine,
+        metrics: PoolMetrics,
     ) {
         const { cell, epoch, runtime, ownership, tables } = options;
         this.cellTables = CellTables.create(tables, cell);
@@ -57,7 +59,7 @@
             connect: worker => this.connect(worker),
             mayGrant: () => ownership.canGrant(),
             deposed: () => ownership.markDeposed(epoch),
-            state: machine.copy(),
+            state: machine.copyForOwner(),
         });
         this.allocator = SlotAllocator.create({
             clock: runtime.clock,
@@ -76,13 +78,15 @@
             state: () => machine.state,
             workers: () => this.workers,
             serviceReserve: () => this.cellTables.owner.serviceReserve,
+            metrics,
         });
     }
 
     /** Replays the log and starts the epoch in it. `undefined` when the cell was lost or the store failed. */
     static async open(options: TenureOptions): Promise<CellTenure | undefined> {
         const { cell, epoch, runtime, ownership } = options;
-        const machine = CellStateMachine.create();
+        const metrics = PoolMetrics.create(runtime.clock);
+        const machine = CellStateMachine.create(metrics);
         const log = await GroupCommitLog.open<LogRow, LogRow>({
             store: runtime.store,
             clock: runtime.clock,
@@ -93,10 +97,14 @@
             onDeposed: () => ownership.markDeposed(epoch),
         });
         if (log.isErr()) {
-            runtime.log.warn("log cannot be opened", { cell: String(cell), epoch, reason: log.error.message });
+            runtime.log.warn("log cannot be opened", {
+                cell: String(cell),
+                epoch,
+                reason: log.error.message,
+            });
             return undefined;
         }
-        return new CellTenure(options, log.value, machine);
+        return new CellTenure(options, log.value, machine, metrics);
     }
 
     /** Commits and drives the workers until interrupted. */
@@ -133,7 +141,8 @@
         this.cellTables = CellTables.create(tables, cell);
         this.workers = workers.filter(
             ({ dataCentre, rack }) =>
-                dataCentre === cell.dataCentre && CellName.ofRack(dataCentre, rack, cells).index === cell.index,
+                dataCentre === cell.dataCentre &&
+                CellName.ofRack(dataCentre, rack, cells).index === cell.index,
         );
         this.owner.setTables(this.cellTables.owner);
         this.owner.updateWorkers(this.workers);
--- a/packages/tasks/src/placer.ts
+++ b/packages/tasks/src/placer.ts
@@ -103,7 +103,7 @@
     /** Places what can be placed now. */
     run(nowMs: number): void {
         this.holdWorker(nowMs);
-        for (let starts = 0; starts < MaxStartsPerRound; ) {
+        for (let starts = 0; starts < MaxStartsPerRound;) {
             const placed = this.placeHeads(nowMs);
             if (placed === 0) {
                 return;
--- a/packages/tasks/src/submission-queue.ts
+++ b/packages/tasks/src/submission-queue.ts
@@ -21,7 +21,10 @@
  * that it may be durable, and a refusal must not claim that it was not recorded.
  */
 export class SubmissionQueue {
-    private readonly byKey = new Map<string, { submission: Submission; promise: Promise<Result<void, CodedError>> }>();
+    private readonly byKey = new Map<
+        string,
+        { submission: Submission; promise: Promise<Result<void, CodedError>> }
+    >();
     private waiting: Submission[] = [];
 
     private constructor(
--- a/packages/tasks/src/transition-codec.ts
+++ b/packages/tasks/src/transition-codec.ts
@@ -55,7 +55,11 @@
     const ref = { key: fields[0] as string, attempt: fields[1] as number };
     switch (tag) {
         case Tag.Accepted:
-            return { kind: "accepted", spec: TransitionCodec.specFromRow(fields), wallMs: fields[7] as number };
+            return {
+                kind: "accepted",
+                spec: TransitionCodec.specFromRow(fields),
+                wallMs: fields[7] as number,
+            };
         case Tag.Starting:
             return { kind: "starting", ...ref, worker: fields[2] as string };
         case Tag.Running:
--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -190,7 +190,12 @@
             return;
         }
         const evicting = this.recorder.task(attempt.key)?.state === TaskState.Checkpointing;
-        if (evicting && this.reachable && attempt.phase === AttemptPhase.Live && !attempt.checkpointOutstanding) {
+        if (
+            evicting &&
+            this.reachable &&
+            attempt.phase === AttemptPhase.Live &&
+            !attempt.checkpointOutstanding
+        ) {
             void this.evict(attempt);
         }
     }
--- a/packages/tasks/tests/faults/sim-log.ts
+++ b/packages/tasks/tests/faults/sim-log.ts
@@ -28,12 +28,7 @@
         private readonly mutant: Mutant,
     ) {}
 
-    static create(
-        events: EventQueue,
-        random: SeededRandom,
-        faultRate: () => number,
-        mutant: Mutant,
-    ): SimLog {
+    static create(events: EventQueue, random: SeededRandom, faultRate: () => number, mutant: Mutant): SimLog {
         return new SimLog(events, random, faultRate, mutant);
     }
 
@@ -56,7 +51,10 @@
         this.blocked.splice(0).forEach(run => run());
     }
 
-    private append(process: SimProcess, transitions: readonly Transition[]): Promise<Result<void, CodedError>> {
+    private append(
+        process: SimProcess,
+        transitions: readonly Transition[],
+    ): Promise<Result<void, CodedError>> {
         const text = TransitionCodec.encode(transitions);
         return new Promise(resolve => {
             if (this.random.next() < this.faultRate() / 4) {
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -90,7 +90,10 @@
     }
 
     /** Runs a command at a worker. All workers are up to date first, so that the checker sees ends in order. */
-    atWorker<T>(worker: SimWorker, command: (model: WorkerModel) => Result<T, ResultCode>): Result<T, ResultCode> {
+    atWorker<T>(
+        worker: SimWorker,
+        command: (model: WorkerModel) => Result<T, ResultCode>,
+    ): Result<T, ResultCode> {
         this.workers.forEach(other => other.model.advance());
         return command(worker.model);
     }
@@ -210,7 +213,8 @@
             policy: LeastLoadedPolicy.create(),
             tables: { pools: new Map(), serviceReserve: Resources.none },
             connect: info => SimClient.create(this, process, this.findWorker(info.name)),
-            mayGrant: () => this.mutant === Mutant.NoEpochFencing || process.leaseUntilMs > this.clock.nowMs(),
+            mayGrant: () =>
+                this.mutant === Mutant.NoEpochFencing || process.leaseUntilMs > this.clock.nowMs(),
             state,
             timing: this.mutant === Mutant.EarlyReassign ? early : {},
         });
