Keep connect-node sessions from ending the process on a planned stop

Ruled out: the peer server's own sessions (they have an error listener) and our streams (ended before). Change: connections are never aborted, they close when idle.

--- a/packages/protocol/src/create-peer-transport.ts
+++ b/packages/protocol/src/create-peer-transport.ts
@@ -1,23 +1,23 @@
 import type { Transport } from "@connectrpc/connect";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 
 /** Pings find connections that have gone silent: a peer without an answer for this time is reconnected. */
 const PingIntervalMs = 2_000;
 const PingTimeoutMs = 2_000;
+const IdleTimeoutMs = 30_000;
 
-/** Connect protocol over one HTTP/2 connection to a peer's `ip:port`. Call `abort` to close it. */
-export const createPeerTransport = (address: string): { transport: Transport; abort: () => void } => {
-    const baseUrl = `http://${address}`;
-    const sessionManager = new Http2SessionManager(baseUrl, {
+/**
+ * Connect protocol over one HTTP/2 connection to a peer's `ip:port`. An unused connection closes by itself and
+ * does not keep the process alive. It is never aborted: in @connectrpc/connect-node 2.1.1, aborting a session
+ * that has just received GOAWAY ends the process with an unhandled error.
+ */
+export const createPeerTransport = (address: string): Transport =>
+    createConnectTransport({
+        baseUrl: `http://${address}`,
+        httpVersion: "2",
+        acceptCompression: [],
         pingIntervalMs: PingIntervalMs,
         pingTimeoutMs: PingTimeoutMs,
         pingIdleConnection: true,
+        idleConnectionTimeoutMs: IdleTimeoutMs,
     });
-    const transport = createConnectTransport({
-        baseUrl,
-        httpVersion: "2",
-        sessionManager,
-        acceptCompression: [],
-    });
-    return { transport, abort: () => sessionManager.abort() };
-};
--- a/packages/runtime/src/process-runtime.ts
+++ b/packages/runtime/src/process-runtime.ts
@@ -127,7 +127,6 @@
     async close(): Promise<void> {
         await this.lease.release();
         await this.peerServer.close();
-        this.transports.close();
         this.store.close();
         this.vms.close();
     }
--- a/packages/runtime/src/transport-cache.ts
+++ b/packages/runtime/src/transport-cache.ts
@@ -3,7 +3,7 @@
 
 /** One HTTP/2 connection for each peer address, shared by all calls and streams to it. */
 export class TransportCache {
-    private readonly transports = new Map<string, ReturnType<typeof createPeerTransport>>();
+    private readonly transports = new Map<string, Transport>();
 
     private constructor() {}
 
@@ -12,25 +12,20 @@
     }
 
     get(address: string): Transport {
-        let entry = this.transports.get(address);
-        if (entry === undefined) {
-            entry = createPeerTransport(address);
-            this.transports.set(address, entry);
+        let transport = this.transports.get(address);
+        if (transport === undefined) {
+            transport = createPeerTransport(address);
+            this.transports.set(address, transport);
         }
-        return entry.transport;
+        return transport;
     }
 
-    /** Closes and forgets connections to addresses that are not in use any more. */
+    /** Forgets connections to addresses that are not in use any more; they close once they are idle. */
     keepOnly(addresses: ReadonlySet<string>): void {
-        for (const [address, entry] of this.transports) {
+        for (const address of this.transports.keys()) {
             if (!addresses.has(address)) {
-                entry.abort();
                 this.transports.delete(address);
             }
         }
     }
-
-    close(): void {
-        this.keepOnly(new Set());
-    }
 }
--- /dev/null
+++ b/packages/runtime/tests/transport-cache.test.ts
@@ -0,0 +1,22 @@
+import { createClient } from "@connectrpc/connect";
+import { PeerService } from "@samphireward/protocol/gen/samphireward_pb";
+import { PeerServer } from "@samphireward/protocol/peer-server";
+import t from "tap";
+import { TransportCache } from "../src/transport-cache.js";
+
+// Guards against a process that dies from an unhandled error when a peer stops while its connection is dropped.
+t.test("dropping a connection while the peer sends GOAWAY raises no error", async t => {
+    for (let round = 0; round < 20; round += 1) {
+        const server = PeerServer.create(router => {
+            router.service(PeerService, { claimKey: () => ({ result: "granted" }) });
+        });
+        const address = await server.listen("127.0.0.1:0");
+        const transports = TransportCache.create();
+        const { result } = await createClient(PeerService, transports.get(address)).claimKey({ key: "k" });
+        t.equal(result, "granted");
+        const closed = server.close();
+        await new Promise(resolve => setImmediate(resolve));
+        transports.keepOnly(new Set());
+        await closed;
+    }
+});
--- a/packages/scheduler/src/cell-operations.ts
+++ b/packages/scheduler/src/cell-operations.ts
@@ -1,5 +1,5 @@
 import { ResultCode } from "@samphireward/core/result-code";
-import { Resources } from "@samphireward/core/resources";
+import type { Resources } from "@samphireward/core/resources";
 import { TaskState } from "@samphireward/core/task-state";
 import type { WorkerInfo } from "@samphireward/core/worker-info";
 import type { CellOwner } from "@samphireward/tasks/cell-owner";
