--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -11,4 +11,5 @@
 for (const line of reports.flatMap(report => report.lines())) {
     process.stdout.write(`${line}\n`);
 }
-process.exitCode = reports.every(report => report.violations.length === 0) ? 0 : 1;
+const isClean = reports.every(report => report.violations.length === 0 && report.unanswered === 0);
+process.exitCode = isClean ? 0 : 1;
--- a/packages/demo/src/run-report.ts
+++ b/packages/demo/src/run-report.ts
@@ -19,6 +19,7 @@
     readonly violations: string[] = [];
     private readonly latency = LatencyRecorder.create();
     private readonly codes = new Map<number, number>();
+    private taskLines: string[] = [];
 
     private constructor(private readonly user: string) {}
 
@@ -39,6 +40,17 @@
         return report;
     }
 
+    /** Requests without an answer of their own: refused, failed or cut off. */
+    get unanswered(): number {
+        const total = [...this.codes.values()].reduce((sum, count) => sum + count, 0);
+        return total - (this.codes.get(answeredCode) ?? 0);
+    }
+
+    /** Requests with the given code; 0 stands for a connection that failed after something was sent. */
+    countOf(code: number): number {
+        return this.codes.get(code) ?? 0;
+    }
+
     /** The figures as text, one a line. */
     lines(): string[] {
         const codes = [...this.codes].sort(([a], [b]) => a - b).map(([code, count]) => `${code}: ${count}`);
@@ -51,8 +63,6 @@
         ];
     }
 
-    private taskLines: string[] = [];
-
     private ms(percentile: number): string {
         return `${this.latency.percentileMs(percentile).toFixed(1)} ms`;
     }
--- a/packages/demo/src/run-user.ts
+++ b/packages/demo/src/run-user.ts
@@ -8,18 +8,28 @@
 import { TaskLoad } from "./task-load.js";
 import type { UserPlan } from "./user-plan.js";
 
-const RequestMs = 8_000;
-const TasksTimeoutMs = 15_000;
+const DefaultRequestMs = 8_000;
+const TasksTimeoutMs = 30_000;
 
 interface RunOptions {
     readonly plan: UserPlan;
     readonly seed: number;
+    /** Time during which callers send requests. */
+    readonly requestMs?: number;
     /** Fault that is injected while the load runs. */
-    readonly disturb?: (deployment: Deployment) => Promise<void>;
+    readonly disturb?: (deployment: Deployment, balancer: Balancer) => Promise<void>;
+    /** Checks after the load and before everything is stopped. */
+    readonly inspect?: (deployment: Deployment) => Promise<void>;
 }
 
 /** Runs one user's deployment under load and returns its report. Everything is stopped at the end. */
-export const runUser = async ({ plan, seed, disturb }: RunOptions): Promise<RunReport> => {
+export const runUser = async ({
+    plan,
+    seed,
+    requestMs = DefaultRequestMs,
+    disturb,
+    inspect,
+}: RunOptions): Promise<RunReport> => {
     const deployment = await Deployment.create(plan);
     const balancer = Balancer.create(deployment.addresses.entryVms);
     const caller = Caller.create(balancer);
@@ -40,8 +50,9 @@
             return Promise.resolve(balancer.healthyCount === plan.entryVms);
         });
         await deployment.untilServing();
-        await Promise.all([requests.run(RequestMs), tasks.submitAll(), disturb?.(deployment)]);
+        await Promise.all([requests.run(requestMs), tasks.submitAll(), disturb?.(deployment, balancer)]);
         await tasks.untilEnded(TasksTimeoutMs);
+        await inspect?.(deployment);
         const report = await RunReport.create(deployment, requests.results, tasks);
         const failed = await deployment.stopAll();
         report.violations.push(...failed.map(name => `${name} did not stop with exit code 0`));
--- /dev/null
+++ b/packages/demo/tests/pause.test.ts
@@ -0,0 +1,27 @@
+import t from "tap";
+import { runUser } from "../src/run-user.js";
+import { ownerOf } from "./fixtures/owner-of.js";
+import { sleep } from "./fixtures/sleep.js";
+import { smallPlan } from "./fixtures/small-plan.js";
+
+const PausedMs = 9_000;
+
+// Guards against an owner that wakes up after its lease has lapsed and starts or grants anything in its old epoch.
+t.test("the owner of a cell is paused past its lease and resumes", async t => {
+    const report = await runUser({
+        plan: smallPlan,
+        seed: 201,
+        requestMs: 14_000,
+        disturb: async deployment => {
+            await sleep(1_000);
+            const owner = deployment.process(await ownerOf(deployment, "herning-a/0"));
+            owner.signal("SIGSTOP");
+            await sleep(PausedMs);
+            owner.signal("SIGCONT");
+            await sleep(2_000);
+        },
+    });
+    t.comment(report.lines().join("\n"));
+    t.strictSame(report.violations, []);
+    t.equal(report.unanswered, 0);
+});
--- /dev/null
+++ b/packages/demo/tests/store-outage.test.ts
@@ -0,0 +1,42 @@
+import { JsonClient } from "@samphireward/core/json-client";
+import t from "tap";
+import type { Deployment } from "../src/deployment.js";
+import { runUser } from "../src/run-user.js";
+import { sleep } from "./fixtures/sleep.js";
+import { smallPlan } from "./fixtures/small-plan.js";
+
+const setFault = async (deployment: Deployment, mode: string): Promise<void> => {
+    const client = JsonClient.create(deployment.addresses.store);
+    await client.call("POST", "/v1/fault", { body: { mode }, timeoutMs: 2_000 });
+    client.close();
+};
+
+// Guards against requests that stop, accepted tasks that are lost, and a process that cannot start while the
+// store is down for longer than all leases.
+t.test("the store is down for longer than the leases", async t => {
+    let learnedRevision = 0;
+    const report = await runUser({
+        plan: smallPlan,
+        seed: 301,
+        requestMs: 16_000,
+        disturb: async deployment => {
+            await sleep(1_000);
+            await setFault(deployment, "down");
+            await sleep(1_000);
+            await deployment.process("entry-vm-2").stop();
+            deployment.start("entry-vm-2");
+            const admin = deployment.addresses.entryVms[2]?.admin ?? "";
+            await deployment.until("a process that learns the tables from its peers", async () => {
+                const { revision } = await deployment.read<{ revision: number }>(admin, "/v1/config");
+                learnedRevision = revision;
+                return revision > 0;
+            });
+            await sleep(7_000);
+            await setFault(deployment, "none");
+        },
+    });
+    t.equal(learnedRevision, 1);
+    t.comment(report.lines().join("\n"));
+    t.strictSame(report.violations, []);
+    t.equal(report.unanswered, 0);
+});
