--- a/packages/routing/src/request-job.ts
+++ b/packages/routing/src/request-job.ts
@@ -161,21 +161,32 @@
     }
 
     private answerStreamed(send: Send, answer: IncomingMessage): void {
-        this.sender.abandonOthers(send);
-        if (!this.caller.startStream(answer, this.context.isDraining())) {
-            this.sender.rejectAnswer(send);
-            return;
-        }
         const link = this.context.linkTo(send.target);
-        const onChunk = (bytes: number): number => link?.in.take(bytes) ?? 0;
-        streamAnswer(answer, this.caller.res, onChunk, () => {
-            if (!this.isOver) {
-                this.caller.endStream();
-                this.succeed(send, answer);
-            }
+        streamAnswer(answer, this.caller.res, {
+            onStart: () => this.startStream(send, answer),
+            onChunk: bytes => link?.in.take(bytes) ?? 0,
+            onEnd: () => {
+                if (this.sender.isActive(send)) {
+                    this.caller.endStream();
+                    this.succeed(send, answer);
+                }
+            },
         });
     }
 
+    /** The caller gets headers only with the first bytes of the body: until then, the answer may fail. */
+    private startStream(send: Send, answer: IncomingMessage): boolean {
+        if (this.isOver || !this.sender.isActive(send)) {
+            return false;
+        }
+        this.sender.abandonOthers(send);
+        if (this.caller.startStream(answer, this.context.isDraining())) {
+            return true;
+        }
+        this.sender.rejectAnswer(send);
+        return false;
+    }
+
     private succeed(send: Send, answer: IncomingMessage): void {
         this.isOver = true;
         this.endedAtMs = this.context.clock.nowMs();
--- a/packages/routing/src/sender.ts
+++ b/packages/routing/src/sender.ts
@@ -57,6 +57,10 @@
         return this.active.size;
     }
 
+    isActive(send: Send): boolean {
+        return this.active.has(send);
+    }
+
     /** Whether a target may have run the request or may be running it. */
     get mayHaveRun(): boolean {
         return this.hasLostOne || this.active.size > 0;
--- a/packages/routing/tests/request-failures.test.ts
+++ b/packages/routing/tests/request-failures.test.ts
@@ -40,8 +40,10 @@
 const refuse: Behaviour = socket =>
     socket.write(answer("full", "samphireward-not-run: 1\r\n", "503 Service Unavailable"));
 const malformed: Behaviour = socket => socket.write("this is not HTTP\r\n\r\n");
-const badChunk: Behaviour = socket => {
-    socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+const badChunk: Behaviour = socket =>
+    socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nnot-a-length\r\n");
+const laterBadChunk: Behaviour = socket => {
+    socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n");
     setTimeout(() => socket.write("not-a-length\r\n"), 20);
 };
 const noLength: Behaviour = socket => socket.end("HTTP/1.1 200 OK\r\n\r\nall or a part");
@@ -93,10 +95,18 @@
         code: 1000,
         sends: 2,
     },
+    { failure: "malformed first chunk", behaviour: badChunk, path: "/order", code: 3003, sends: 1 },
     {
-        failure: "malformed chunk",
-        behaviour: badChunk,
-        path: "/order",
+        failure: "malformed first chunk, repeated",
+        behaviour: once(badChunk),
+        path: "/read",
+        code: 1000,
+        sends: 2,
+    },
+    {
+        failure: "malformed later chunk",
+        behaviour: laterBadChunk,
+        path: "/read",
         code: 1000,
         sends: 1,
         isAborted: true,
