--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -27,6 +27,9 @@
     readonly onBytes: (count: number) => void;
 }
 
+/** Usual length of a status line and of the end of the headers. */
+const StatusLineBytes = 19;
+
 const stateOfError = (code: string | undefined): AnswerState => {
     if (code === "HPE_HEADER_OVERFLOW") {
         return AnswerState.HeadersTooLarge;
@@ -86,7 +89,7 @@
     private receiveHeaders(answer: IncomingMessage): void {
         this.answer = answer;
         answer.on("error", (err: NodeJS.ErrnoException) => this.fail(stateOfError(err.code)));
-        this.events.onBytes(answer.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0));
+        this.events.onBytes(answer.rawHeaders.reduce((sum, text) => sum + text.length + 2, StatusLineBytes));
         if (answer.headers[HeaderName.Leaving] === "1") {
             this.events.onLeaving();
         }
--- a/packages/routing/src/request-job.ts
+++ b/packages/routing/src/request-job.ts
@@ -132,10 +132,15 @@
     }
 
     private enqueue(): void {
-        if (!this.isOver) {
-            this.isQueued = true;
-            this.dispatcher.enqueue(this, this.options.route.maxQueue);
+        if (this.isOver) {
+            return;
+        }
+        if (this.context.clock.nowMs() >= this.deadlineAtMs) {
+            this.expire();
+            return;
         }
+        this.isQueued = true;
+        this.dispatcher.enqueue(this, this.options.route.maxQueue);
     }
 
     private async claimAndSend(claim: KeyClaim, target: TargetState): Promise<void> {
