Measure the cost of a request against a plain pass-through

Change: packages/bench/src/request-cost.ts starts back ends, a pass-through, the handler and a load generator, each in its own process.

--- /dev/null
+++ b/packages/bench/src/request-cost-load.ts
@@ -0,0 +1,120 @@
+import type { Socket } from "node:net";
+import { connect } from "node:net";
+import { LatencyRecorder } from "@samphireward/core/latency-recorder";
+
+interface LoadPlan {
+    readonly port: number;
+    /** Requests in all; each is sent once. */
+    readonly count: number;
+    /** Requests in progress at the same time without a rate; with a rate, they are not bounded. */
+    readonly concurrency: number;
+    /** Requests per second at fixed intervals; 0 sends the next as soon as one is answered. */
+    readonly rate: number;
+    readonly bodyBytes: number;
+}
+
+interface LoadResult {
+    /** Answers with status 200. */
+    readonly answered: number;
+    readonly refused: number;
+    readonly failed: number;
+    readonly durationMs: number;
+    /** Latencies of answers with status 200 since the time at which they were due, encoded. */
+    readonly latencies: string;
+}
+
+const requestText = (bodyBytes: number): string =>
+    bodyBytes === 0
+        ? "GET /read HTTP/1.1\r\nhost: bench\r\naccept: */*\r\nsamphireward-customer: c1\r\n\r\n"
+        : `POST /read HTTP/1.1\r\nhost: bench\r\ncontent-length: ${bodyBytes}\r\n\r\n${"b".repeat(bodyBytes)}`;
+
+/** A connection of the load generator with the request in progress on it. */
+interface Line {
+    readonly socket: Socket;
+    buffered: string;
+    dueMs: number;
+}
+
+const isWhole = (text: string): boolean => {
+    const end = text.indexOf("\r\n\r\n");
+    if (end < 0) {
+        return false;
+    }
+    const length = /content-length: (\d+)/i.exec(text)?.[1];
+    return length === undefined ? text.endsWith("0\r\n\r\n") : text.length >= end + 4 + Number(length);
+};
+
+/** Sends requests over raw sockets, so that the generator costs little, and waits for all answers. */
+export const runLoad = (plan: LoadPlan): Promise<LoadResult> =>
+    new Promise(resolve => {
+        const text = requestText(plan.bodyBytes);
+        const latencies = LatencyRecorder.create();
+        const idle: Line[] = [];
+        const counts = { answered: 0, refused: 0, failed: 0, sent: 0 };
+        const startMs = performance.now();
+        const finish = (): void => {
+            if (counts.answered + counts.refused + counts.failed === plan.count) {
+                idle.forEach(line => line.socket.destroy());
+                const durationMs = performance.now() - startMs;
+                const { answered, refused, failed } = counts;
+                resolve({ answered, refused, failed, durationMs, latencies: latencies.encode() });
+            }
+        };
+        const receive = (line: Line, chunk: Buffer): void => {
+            line.buffered += chunk.toString("latin1");
+            if (!isWhole(line.buffered)) {
+                return;
+            }
+            if (line.buffered.startsWith("HTTP/1.1 200")) {
+                counts.answered += 1;
+                latencies.record(performance.now() - line.dueMs);
+            } else {
+                counts.refused += 1;
+            }
+            line.buffered = "";
+            line.dueMs = 0;
+            idle.push(line);
+            if (plan.rate === 0 && counts.sent < plan.count) {
+                send(performance.now());
+            }
+            finish();
+        };
+        const open = (): Line => {
+            const line = { socket: connect(plan.port, "127.0.0.1"), buffered: "", dueMs: 0 };
+            line.socket.setNoDelay(true);
+            line.socket.on("data", chunk => receive(line, chunk));
+            line.socket.on("error", () => undefined);
+            line.socket.on("close", () => {
+                const index = idle.indexOf(line);
+                if (index >= 0) {
+                    idle.splice(index, 1);
+                } else if (line.dueMs > 0) {
+                    counts.failed += 1;
+                    finish();
+                }
+            });
+            return line;
+        };
+        const send = (dueMs: number): void => {
+            counts.sent += 1;
+            const line = idle.pop() ?? open();
+            line.dueMs = dueMs;
+            line.socket.write(text);
+        };
+        if (plan.rate === 0) {
+            for (let index = 0; index < Math.min(plan.concurrency, plan.count); index += 1) {
+                send(performance.now());
+            }
+            return;
+        }
+        const sendDue = (): void => {
+            const due = Math.min(plan.count, Math.floor(((performance.now() - startMs) * plan.rate) / 1000));
+            while (counts.sent < due) {
+                send(startMs + (counts.sent * 1000) / plan.rate);
+            }
+            if (counts.sent < plan.count) {
+                setTimeout(sendDue, 1);
+            }
+        };
+        sendDue();
+    });
--- /dev/null
+++ b/packages/bench/src/request-cost-role.ts
@@ -0,0 +1,41 @@
+import { startBackEnd } from "./request-cost-back-end.js";
+import { startHandler } from "./request-cost-handler.js";
+import { runLoad } from "./request-cost-load.js";
+import { startPassThrough } from "./request-cost-pass-through.js";
+
+interface Start {
+    readonly role: "back-end" | "pass-through" | "handler" | "load";
+    readonly ports: readonly number[];
+    readonly slots: number;
+    readonly serviceMs: number;
+    readonly answerBytes: number;
+}
+
+const reply = (value: unknown): void => {
+    process.send?.(value);
+};
+
+const start = async (options: Start): Promise<void> => {
+    const { role, ports, slots } = options;
+    if (role === "back-end") {
+        reply({ port: await startBackEnd(options) });
+    } else if (role === "pass-through") {
+        reply({ port: await startPassThrough(ports) });
+    } else if (role === "handler") {
+        reply({ port: await startHandler(ports, slots) });
+    } else {
+        reply({ port: 0 });
+    }
+};
+
+process.on("disconnect", () => process.exit());
+process.on("message", (message: { start?: Start; load?: Parameters<typeof runLoad>[0] }) => {
+    if (message.start !== undefined) {
+        void start(message.start);
+    } else if (message.load !== undefined) {
+        void runLoad(message.load).then(reply);
+    } else {
+        const { user, system } = process.cpuUsage();
+        reply({ processorUs: user + system, rssMb: process.memoryUsage.rss() / 1e6 });
+    }
+});
--- /dev/null
+++ b/packages/bench/src/request-cost.ts
@@ -0,0 +1,169 @@
+import { LatencyRecorder } from "@samphireward/core/latency-recorder";
+import { BenchProcess } from "./bench-process.js";
+
+/** Goals of docs/requests.md. */
+const MostTimesPassThrough = 1.3;
+const LeastGoodputAtFiveTimes = 0.95;
+
+const Rounds = 5;
+const RequestsPerRound = 6_000;
+const Concurrency = 16;
+const LatencyRate = 1_000;
+const LatencyRequests = 10_000;
+const Workers = 4;
+const SlotsPerWorker = 8;
+const ServiceMs = 20;
+const OverloadMs = 4_000;
+const AnswerBytes = 300;
+
+interface Load {
+    answered: number;
+    refused: number;
+    failed: number;
+    durationMs: number;
+    latencies: string;
+}
+
+const startRole = async (role: string, options: object): Promise<{ process: BenchProcess; port: number }> => {
+    const process = BenchProcess.create("./request-cost-role.js");
+    const { port } = await process.ask<{ port: number }>({ start: { role, ports: [], ...options } });
+    return { process, port };
+};
+
+const print = (line: object): void => {
+    process.stdout.write(`${JSON.stringify(line)}\n`);
+};
+
+const median = (values: readonly number[]): number =>
+    [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+
+const round = (value: number, digits = 3): number => Number(value.toFixed(digits));
+
+/** Processor time for each request of one process under a load. */
+const measureCost = async (
+    proxy: { process: BenchProcess; port: number },
+    load: BenchProcess,
+    bodyBytes: number,
+): Promise<number> => {
+    const before = await proxy.process.ask<{ processorUs: number }>({});
+    const plan = { port: proxy.port, count: RequestsPerRound, concurrency: Concurrency, rate: 0, bodyBytes };
+    const result = await load.ask<Load>({ load: plan });
+    const after = await proxy.process.ask<{ processorUs: number }>({});
+    if (result.answered !== RequestsPerRound) {
+        throw new Error(`${RequestsPerRound - result.answered} requests were not answered`);
+    }
+    return (after.processorUs - before.processorUs) / RequestsPerRound;
+};
+
+const compareCost = async (bodyBytes: number): Promise<boolean> => {
+    const backEnd = await startRole("back-end", { slots: 64, serviceMs: 0, answerBytes: AnswerBytes });
+    const ports = [backEnd.port];
+    const passThrough = await startRole("pass-through", { ports });
+    const handler = await startRole("handler", { ports, slots: 64 });
+    const load = await startRole("load", {});
+    const costs: { passThrough: number[]; handler: number[] } = { passThrough: [], handler: [] };
+    // The first round of each warms up the compiler and is not counted.
+    for (let index = 0; index <= Rounds; index += 1) {
+        const passThroughUs = await measureCost(passThrough, load.process, bodyBytes);
+        const handlerUs = await measureCost(handler, load.process, bodyBytes);
+        if (index > 0) {
+            costs.passThrough.push(passThroughUs);
+            costs.handler.push(handlerUs);
+        }
+    }
+    const passThroughUs = median(costs.passThrough);
+    const handlerUs = median(costs.handler);
+    const times = handlerUs / passThroughUs;
+    print({
+        measure: "processor time for each request",
+        bodyBytes,
+        passThroughUs: round(passThroughUs, 1),
+        handlerUs: round(handlerUs, 1),
+        times: round(times, 2),
+        rounds: { passThrough: costs.passThrough.map(Math.round), handler: costs.handler.map(Math.round) },
+    });
+    [backEnd, passThrough, handler, load].forEach(each => each.process.stop());
+    return times <= MostTimesPassThrough;
+};
+
+const measureLatency = async (load: BenchProcess, port: number): Promise<LatencyRecorder> => {
+    const plan = { port, count: LatencyRequests, concurrency: 0, rate: LatencyRate, bodyBytes: 0 };
+    const { latencies } = await load.ask<Load>({ load: plan });
+    return LatencyRecorder.decode(latencies);
+};
+
+const compareLatency = async (): Promise<void> => {
+    const backEnd = await startRole("back-end", { slots: 64, serviceMs: 0, answerBytes: AnswerBytes });
+    const ports = [backEnd.port];
+    const passThrough = await startRole("pass-through", { ports });
+    const handler = await startRole("handler", { ports, slots: 64 });
+    const load = await startRole("load", {});
+    for (const port of [passThrough.port, handler.port]) {
+        await measureLatency(load.process, port);
+    }
+    const direct = await measureLatency(load.process, backEnd.port);
+    const recorders = {
+        direct,
+        passThrough: await measureLatency(load.process, passThrough.port),
+        handler: await measureLatency(load.process, handler.port),
+    };
+    for (const [name, recorder] of Object.entries(recorders)) {
+        const percentiles = [50, 99, 99.9].map(each => [`p${each}`, recorder.percentileMs(each)] as const);
+        print({
+            measure: `latency in ms at ${LatencyRate}/s`,
+            name,
+            ...Object.fromEntries(percentiles),
+            added: Object.fromEntries(
+                percentiles.map(([key, value], index) => [
+                    key,
+                    round(value - direct.percentileMs([50, 99, 99.9][index] ?? 50)),
+                ]),
+            ),
+        });
+    }
+    [backEnd, passThrough, handler, load].forEach(each => each.process.stop());
+};
+
+const measureGoodput = async (): Promise<boolean> => {
+    const backEnd = { slots: SlotsPerWorker, serviceMs: ServiceMs, answerBytes: AnswerBytes };
+    const workers = await Promise.all(Array.from({ length: Workers }, () => startRole("back-end", backEnd)));
+    const ports = workers.map(worker => worker.port);
+    const handler = await startRole("handler", { ports, slots: SlotsPerWorker });
+    const load = await startRole("load", {});
+    const capacity = (Workers * SlotsPerWorker * 1000) / ServiceMs;
+    const goodputs = new Map<number, number>();
+    for (const times of [0.5, 1, 2, 5]) {
+        const rate = capacity * times;
+        const count = Math.round((rate * OverloadMs) / 1000);
+        const result = await load.process.ask<Load>({
+            load: { port: handler.port, count, concurrency: 0, rate, bodyBytes: 0 },
+        });
+        const goodput = (result.answered * 1000) / result.durationMs;
+        goodputs.set(times, goodput);
+        const latencies = LatencyRecorder.decode(result.latencies);
+        print({
+            measure: "goodput",
+            times,
+            offeredPerSecond: rate,
+            goodputPerSecond: round(goodput, 1),
+            refused: result.refused,
+            failed: result.failed,
+            p50Ms: latencies.percentileMs(50),
+            p99Ms: latencies.percentileMs(99),
+        });
+    }
+    [...workers, handler, load].forEach(each => each.process.stop());
+    const peak = Math.max(...goodputs.values());
+    const share = (goodputs.get(5) ?? 0) / peak;
+    print({ measure: "goodput at 5x as a share of the peak", share: round(share) });
+    return share >= LeastGoodputAtFiveTimes;
+};
+
+const goals = {
+    "processor time without body": await compareCost(0),
+    "processor time with a body of 1 kB": await compareCost(1_000),
+    "goodput at 5x": await measureGoodput(),
+};
+await compareLatency();
+print({ goals });
+process.exitCode = Object.values(goals).every(Boolean) ? 0 : 1;
