Hand slot shares to the next owner on a planned stop

Cause: after each change of owner a cell grants nothing that was not claimed for TTL plus margin, so a rolling restart left restarted entry processes without shares (code 2005 for 1,066 of 4,000 requests). Ruled out: outlier ejection (no target was ejected). Change: an owner that stops as planned appends its outstanding shares to the log, and the next owner counts them as used in place of waiting.

--- a/packages/routing/src/outstanding-grants.ts
+++ b/packages/routing/src/outstanding-grants.ts
@@ -40,6 +40,11 @@
         }
     }
 
+    /** Time at which the last of them expires. */
+    get lastExpiryMs(): number {
+        return this.grants.reduce((last, grant) => Math.max(last, grant.expiresAtMs), -Infinity);
+    }
+
     get isEmpty(): boolean {
         return this.grants.length === 0;
     }
--- a/packages/routing/src/slot-allocator.ts
+++ b/packages/routing/src/slot-allocator.ts
@@ -3,6 +3,7 @@
 import { divideSlots } from "./divide-slots.js";
 import { fairWeights } from "./fair-weights.js";
 import type { GrantedShare } from "./granted-share.js";
+import type { HandedGrant } from "./handed-grant.js";
 import { OutstandingGrants } from "./outstanding-grants.js";
 import type { ShareHello } from "./share-hello.js";
 import type { ShareReport } from "./share-report.js";
@@ -18,8 +19,10 @@
     readonly marginMs: number;
     /** Whether an earlier owner may have granted shares that are still valid. */
     readonly isTakeover: boolean;
-    /** Whether the owner's own lease is valid now; nothing is granted otherwise. */
+    /** Whether this process is the owner as far as it knows; nothing is granted otherwise. */
     readonly mayGrant: () => boolean;
+    /** All grants of the earlier owner, when it stopped as planned: then nobody has to wait. */
+    readonly handedOver?: readonly HandedGrant[] | undefined;
 }
 
 interface EntryState {
@@ -44,6 +47,7 @@
 
     protected constructor(protected readonly options: AllocatorOptions) {
         this.startedMs = options.clock.nowMs();
+        options.handedOver?.forEach(grant => this.takeOver(grant));
     }
 
     static create(options: AllocatorOptions): SlotAllocator {
@@ -103,10 +107,22 @@
         return { cell, epoch, sequence, report: state.report, shares };
     }
 
+    /** Ends the granting and returns all grants that may still be in use, for the next owner. */
+    handOver(): HandedGrant[] {
+        this.entries.clear();
+        this.expire();
+        const nowMs = this.options.clock.nowMs();
+        return [...this.outstanding].flatMap(([worker, byEntry]) =>
+            [...byEntry].map(([entry, { slots, connections, lastExpiryMs }]) => {
+                return { worker, entry, slots, connections, expiresInMs: Math.ceil(lastExpiryMs - nowMs) };
+            }),
+        );
+    }
+
     /** Whether shares of an earlier owner that nobody has claimed may still be in use. */
     protected isWaiting(): boolean {
-        const { clock, ttlMs, marginMs, isTakeover } = this.options;
-        return isTakeover && clock.nowMs() < this.startedMs + ttlMs + marginMs;
+        const { clock, ttlMs, marginMs, isTakeover, handedOver } = this.options;
+        return isTakeover && handedOver === undefined && clock.nowMs() < this.startedMs + ttlMs + marginMs;
     }
 
     /** The limits of a worker that no other entry process may still be using. */
@@ -121,6 +137,12 @@
         return { slots: Math.max(0, slots), connections: Math.max(0, connections) };
     }
 
+    /** The time of the change of owners is not taken off, because no common clock measures it. */
+    private takeOver({ worker, entry, slots, connections, expiresInMs }: HandedGrant): void {
+        const expiresAtMs = this.startedMs + expiresInMs + this.options.marginMs;
+        this.grantsOf(worker, entry).add({ sequence: 0, slots, connections, expiresAtMs });
+    }
+
     private adopt(entry: string, claim: GrantedShare): void {
         const isOwn = claim.epoch >= this.options.epoch;
         if (isOwn) {
--- a/packages/scheduler/src/cell-state-machine.ts
+++ b/packages/scheduler/src/cell-state-machine.ts
@@ -1,7 +1,9 @@
+import type { HandedGrant } from "@samphireward/routing/handed-grant";
 import { LogStateMachine } from "@samphireward/state/log-state-machine";
 import { CellState } from "@samphireward/tasks/cell-state";
 import { CellStateCodec } from "@samphireward/tasks/cell-state-codec";
 import { TransitionCodec } from "@samphireward/tasks/transition-codec";
+import { HandOverRow } from "./hand-over-row.js";
 import type { LogRow } from "./log-row.js";
 import type { PoolMetrics } from "./pool-metrics.js";
 
@@ -12,6 +14,7 @@
 export class CellStateMachine extends LogStateMachine<LogRow, LogRow> {
     private current = CellState.create();
     private isReplayed = false;
+    private handed: readonly HandedGrant[] | undefined;
 
     private constructor(private readonly metrics: PoolMetrics) {
         super();
@@ -21,6 +24,11 @@
         return new CellStateMachine(metrics);
     }
 
+    /** Slot shares that the last owner handed over on a planned stop, unless a later owner has taken them. */
+    get handedOver(): readonly HandedGrant[] | undefined {
+        return this.handed;
+    }
+
     get state(): CellState {
         return this.current;
     }
@@ -33,6 +41,10 @@
     }
 
     override apply(row: LogRow): void {
+        if (row[0] === HandOverRow.tag) {
+            this.handed = row[1] as HandedGrant[] | undefined;
+            return;
+        }
         const transition = TransitionCodec.fromRow(row);
         if (this.isReplayed) {
             this.metrics.note(transition, this.current);
@@ -41,10 +53,14 @@
     }
 
     override snapshot(): readonly LogRow[] {
-        return CellStateCodec.toItems(this.current);
+        const handed = this.handed === undefined ? [] : [HandOverRow.of(this.handed)];
+        return [...handed, ...CellStateCodec.toItems(this.current)];
     }
 
     override restore(items: readonly LogRow[]): void {
-        this.current = CellStateCodec.fromItems(items);
+        const [first, ...rest] = items;
+        const hasHandOver = first?.[0] === HandOverRow.tag;
+        this.handed = hasHandOver ? (first[1] as HandedGrant[]) : undefined;
+        this.current = CellStateCodec.fromItems(hasHandOver ? rest : items);
     }
 }
--- a/packages/scheduler/src/cell-tenure.ts
+++ b/packages/scheduler/src/cell-tenure.ts
@@ -7,6 +7,7 @@
 import { InterferenceAwarePolicy } from "@samphireward/placement/interference-aware-policy";
 import { InterferenceModel } from "@samphireward/placement/interference-model";
 import type { Hello } from "@samphireward/protocol/gen/samphireward_pb";
+import type { HandedGrant } from "@samphireward/routing/handed-grant";
 import { SlotAllocator } from "@samphireward/routing/slot-allocator";
 import { keepRunning } from "@samphireward/runtime/keep-running";
 import type { ProcessRuntime } from "@samphireward/runtime/process-runtime";
@@ -20,6 +21,7 @@
 import { CellStateMachine } from "./cell-state-machine.js";
 import { CellTables } from "./cell-tables.js";
 import { EncodedLog } from "./encoded-log.js";
+import { HandOverRow } from "./hand-over-row.js";
 import type { LogRow } from "./log-row.js";
 import { PoolMetrics } from "./pool-metrics.js";
 import { TenureLimits } from "./tenure-limits.js";
@@ -48,6 +50,7 @@
         private readonly log: GroupCommitLog<LogRow, LogRow>,
         machine: CellStateMachine,
         metrics: PoolMetrics,
+        handedOver: readonly HandedGrant[] | undefined,
     ) {
         const { cell, epoch, runtime, ownership, tables } = options;
         this.cellTables = CellTables.create(tables, cell);
@@ -68,7 +71,10 @@
             ttlMs: TenureLimits.shareTtlMs,
             marginMs: TenureLimits.shareMarginMs,
             isTakeover: epoch > 1,
-            mayGrant: () => ownership.canGrant(),
+            handedOver,
+            // Unlike tasks, shares need no valid lease: the worker itself refuses requests over its slots, and
+            // requests have to go on while the store is out of reach.
+            mayGrant: () => ownership.epoch === epoch,
         });
         this.operations = CellOperations.create({
             cell: String(cell),
@@ -104,7 +110,9 @@
             });
             return undefined;
         }
-        return new CellTenure(options, log.value, machine, metrics);
+        const { handedOver } = machine;
+        const tenure = new CellTenure(options, log.value, machine, metrics, handedOver);
+        return handedOver === undefined || (await tenure.takeHandOver()) ? tenure : undefined;
     }
 
     /** Commits and drives the workers until interrupted. */
@@ -161,15 +169,23 @@
     /** Ends the sessions. On a planned stop everything that is queued is committed first. */
     async close(isPlanned: boolean): Promise<void> {
         this.owner.close();
-        if (isPlanned) {
-            await this.log.flush();
-        }
         for (const session of this.sessions) {
             session.end();
         }
+        if (isPlanned) {
+            void this.log.append([HandOverRow.of(this.allocator.handOver())]);
+            await this.log.flush();
+        }
         this.agent.destroy();
     }
 
+    /** Records that the shares of the last owner are taken, so that no later owner relies on them. */
+    private async takeHandOver(): Promise<boolean> {
+        const recorded = this.log.append([HandOverRow.taken]);
+        await this.log.flush();
+        return Promise.race([recorded.then(result => result.isOk()), Promise.resolve(false)]);
+    }
+
     private connect(worker: WorkerInfo): HttpWorkerClient {
         const { cell, epoch } = this.options;
         return HttpWorkerClient.create({
--- a/packages/scheduler/src/tenure-limits.ts
+++ b/packages/scheduler/src/tenure-limits.ts
@@ -2,9 +2,10 @@
 export const TenureLimits = {
     /** A queued task or an answer waits at most this long for the owner's next step. */
     tickMs: 50,
-    shareTtlMs: 6_000,
+    /** Longer than a takeover takes (lease 4 s, delay 1 s, replay and reconnection 2 s), so that requests go on. */
+    shareTtlMs: 8_000,
     /** For clocks of different rates: 10% of the TTL and 0.5 s. */
-    shareMarginMs: 1_100,
+    shareMarginMs: 1_300,
     workerTimeoutMs: 2_000,
     socketsPerWorker: 4,
 } as const;
