Test ownership and log with random schedules of faults

Change: seeded fast-check schedules for two and three owners of one cell with a ring of 4 slots, an invariant checker that only reads the history, and four deliberately broken owners. A broken owner counts as found only when the checker reports the harm (a lost or wrongly replayed transition), not when its writes merely look wrong.

--- a/packages/state/src/group-commit-log.ts
+++ b/packages/state/src/group-commit-log.ts
@@ -28,6 +28,13 @@
     readonly state: LogStateMachine<T, S>;
     /** Longest wait of the first transition of a commit. */
     readonly commitIntervalMs?: number;
+    /**
+     * `all` (default): the log applies replayed and own transitions to the state. `replay`: only replayed ones;
+     * the caller applies its own synchronously when `append` resolves.
+     */
+    readonly applies?: "all" | "replay";
+    /** Slots of the ring, the same for all owners of a cell; changed only in tests. */
+    readonly ringSlots?: number;
     /** Called once when another owner has taken the cell. */
     readonly onDeposed?: () => void;
 }
@@ -43,8 +50,10 @@
 export class GroupCommitLog<T, S> extends TransitionLog<T> {
     private readonly queue = AppendQueue.create<T>();
     private batch: LogBatch<T> | undefined;
-    private snapshotDue = 0;
+    private readonly snapshotEvery: number;
+    private snapshotDue: number;
     private isDeposed = false;
+    private underWay: Promise<number> | undefined;
     private wake: () => void = () => undefined;
 
     private constructor(
@@ -57,7 +66,8 @@
         readonly counters: Counters,
     ) {
         super();
-        this.snapshotDue = snapshots.position + LogLimits.snapshotEvery;
+        this.snapshotEvery = (options.ringSlots ?? LogLimits.ringSlots) * LogLimits.snapshotShare;
+        this.snapshotDue = snapshots.position + this.snapshotEvery;
     }
 
     /**
@@ -71,7 +81,7 @@
         // A call that is repeated after a lost answer must not take the first call's records for its own.
         openedLogs += 1;
         const writer = `${options.owner}#${options.epoch}#${openedLogs}`;
-        const ring = LogRing.create<T>(options.store, keys, counters);
+        const ring = LogRing.create<T>(options.store, keys, counters, options.ringSlots);
         const snapshots = SnapshotStore.create<S>(options.store, keys, writer, counters);
         const { epoch, state } = options;
         const opened = await openLog({ ring, snapshots, state, epoch, writer });
@@ -106,23 +116,10 @@
         });
     }
 
-    /** Writes at most one record. Returns the pause in milliseconds until the next call is useful. */
-    async commit(): Promise<number> {
-        this.expire();
-        this.batch ??= this.nextBatch();
-        if (this.batch === undefined || this.isDeposed) {
-            return this.pauseMs();
-        }
-        const hasRoom = this.batch.record.position - LogLimits.ringSlots <= this.snapshots.position;
-        if (!hasRoom && !(await this.writeSnapshot())) {
-            this.retryLater(this.batch);
-            return RetryMs;
-        }
-        const isDone = await this.writeBatch(this.batch);
-        if (isDone && this.lastPosition >= this.snapshotDue) {
-            await this.writeSnapshot();
-        }
-        return isDone ? this.pauseMs() : RetryMs;
+    /** Writes at most one record, one call at a time. Returns the pause until the next call is useful. */
+    commit(): Promise<number> {
+        this.underWay ??= this.commitOnce().finally(() => (this.underWay = undefined));
+        return this.underWay;
     }
 
     /** Commits everything that is queued, on a planned stop. Returns whether nothing is left. */
@@ -136,17 +133,6 @@
         return this.isIdle();
     }
 
-    /** Writes a snapshot of the state now. Returns whether it is durable. */
-    async writeSnapshot(): Promise<boolean> {
-        const position = this.lastPosition;
-        const items = this.options.state.snapshot();
-        const isWritten = await this.snapshots.write(this.options.epoch, position, items);
-        this.counters.add(isWritten ? "snapshot.written" : "snapshot.failed");
-        const pause = isWritten ? LogLimits.snapshotEvery : LogLimits.snapshotRetry;
-        this.snapshotDue = position + pause;
-        return isWritten;
-    }
-
     /** Commits until interrupted; pending appends stay unresolved then, because their outcome is not known. */
     run(): Effect.Effect<never> {
         const commits = repeatStep(async () => {
@@ -164,6 +150,24 @@
         return Effect.raceFirst(commits, expiry);
     }
 
+    private async commitOnce(): Promise<number> {
+        this.expire();
+        this.batch ??= this.nextBatch();
+        if (this.batch === undefined || this.isDeposed) {
+            return this.pauseMs();
+        }
+        const hasRoom = this.ring.hasRoom(this.batch.record.position, this.snapshots.position);
+        if (!hasRoom && !(await this.writeSnapshot())) {
+            this.retryLater(this.batch);
+            return RetryMs;
+        }
+        const isDone = await this.writeBatch(this.batch);
+        if (isDone && this.lastPosition >= this.snapshotDue) {
+            await this.writeSnapshot();
+        }
+        return isDone ? this.pauseMs() : RetryMs;
+    }
+
     private isIdle(): boolean {
         return this.batch === undefined && this.queue.oldestMs === undefined;
     }
@@ -188,6 +192,19 @@
         return LogBatch.create(head, appends);
     }
 
+    /** Writes a snapshot of the state now. Returns whether it is durable. */
+    private async writeSnapshot(): Promise<boolean> {
+        // Callers whose `append` has resolved apply their transitions before the state is taken.
+        await new Promise(resolve => setImmediate(resolve));
+        const position = this.lastPosition;
+        const items = this.options.state.snapshot();
+        const isWritten = await this.snapshots.write(this.options.epoch, position, items);
+        this.counters.add(isWritten ? "snapshot.written" : "snapshot.failed");
+        const pause = isWritten ? this.snapshotEvery : LogLimits.snapshotRetry;
+        this.snapshotDue = position + pause;
+        return isWritten;
+    }
+
     private async writeBatch(batch: LogBatch<T>): Promise<boolean> {
         const outcome = await this.ring.write(batch.record, batch.value);
         switch (outcome.kind) {
@@ -218,8 +235,8 @@
         this.lastPosition = batch.record.position;
         this.counters.add("log.records");
         this.counters.add("log.transitions", batch.record.transitions.length);
-        for (const transition of batch.record.transitions) {
-            this.options.state.apply(transition);
+        if (this.options.applies !== "replay") {
+            batch.record.transitions.forEach(transition => this.options.state.apply(transition));
         }
         for (const append of batch.appends) {
             append.resolve(Ok(undefined));
--- a/packages/state/src/log-limits.ts
+++ b/packages/state/src/log-limits.ts
@@ -2,8 +2,8 @@
 export const LogLimits = {
     /** Slots of the ring; position n is in slot n mod this. */
     ringSlots: 256,
-    /** Records after which a snapshot is written; half the ring, so that a failed one can be repeated. */
-    snapshotEvery: 128,
+    /** Part of the ring after which a snapshot is written, so that a failed one can be repeated. */
+    snapshotShare: 0.5,
     /** Records after which a failed snapshot is tried again. */
     snapshotRetry: 8,
     /** Largest record in bytes, except that one append always fits when it is at most `appendBytes`. */
--- a/packages/state/src/log-ring.ts
+++ b/packages/state/src/log-ring.ts
@@ -14,16 +14,29 @@
 
 /** A cell's ring of log slots, written by compare-and-swap on each slot's last known revision. */
 export class LogRing<T> {
-    private readonly revisions = new Array<number>(LogLimits.ringSlots).fill(0);
+    private readonly revisions: number[];
 
     private constructor(
         private readonly store: KeyValueStore,
         private readonly keys: CellKeys,
         private readonly counters: Counters,
-    ) {}
+        private readonly slots: number,
+    ) {
+        this.revisions = new Array<number>(slots).fill(0);
+    }
+
+    static create<T>(
+        store: KeyValueStore,
+        keys: CellKeys,
+        counters: Counters,
+        slots: number = LogLimits.ringSlots,
+    ): LogRing<T> {
+        return new LogRing(store, keys, counters, slots);
+    }
 
-    static create<T>(store: KeyValueStore, keys: CellKeys, counters: Counters): LogRing<T> {
-        return new LogRing(store, keys, counters);
+    /** Whether a position's slot is free, when a snapshot includes all records up to `snapshotPosition`. */
+    hasRoom(position: number, snapshotPosition: number): boolean {
+        return position - this.slots <= snapshotPosition;
     }
 
     /** Reads all slots, in one call when possible, and remembers their revisions. Records are in log order. */
@@ -40,7 +53,7 @@
 
     /** Writes a record into the slot of its position. A lost answer is resolved by reading the slot. */
     async write(record: LogRecord<T>, value: string): Promise<WriteOutcome<T>> {
-        const index = record.position % LogLimits.ringSlots;
+        const index = record.position % this.slots;
         this.counters.add("log.writes");
         this.counters.add("log.bytes", Buffer.byteLength(value));
         const revision = this.revisions[index] ?? 0;
@@ -85,15 +98,17 @@
 
     private remember(entry: KvEntry): LogRecord<T> {
         const record = JSON.parse(entry.value) as LogRecord<T>;
-        this.revisions[record.position % LogLimits.ringSlots] = entry.revision;
+        this.revisions[record.position % this.slots] = entry.revision;
         return record;
     }
 
     /** Reads slot by slot; a list of large records may not arrive within the store's time limit. */
     private async readSlots(): Promise<Result<KvEntry[], string>> {
         const found: KvEntry[] = [];
-        for (let first = 0; first < LogLimits.ringSlots; first += ReadWindow) {
-            const window = Array.from({ length: ReadWindow }, (_, offset) => this.keys.slot(first + offset));
+        for (let first = 0; first < this.slots; first += ReadWindow) {
+            const window = Array.from({ length: Math.min(ReadWindow, this.slots - first) }, (_, offset) =>
+                this.keys.slot(first + offset),
+            );
             this.counters.add("log.reads", window.length);
             const reads = await Promise.all(window.map(key => this.store.get(key)));
             for (const read of reads) {
--- a/packages/state/src/open-log.ts
+++ b/packages/state/src/open-log.ts
@@ -2,7 +2,6 @@
 import { ResultCode } from "@samphireward/core/result-code";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
-import { LogLimits } from "./log-limits.js";
 import type { LogRecord } from "./log-record.js";
 import type { LogRing } from "./log-ring.js";
 import type { LogStateMachine } from "./log-state-machine.js";
@@ -46,7 +45,7 @@
     }
     let position = replayed.value.lastPosition + 1;
     for (let tries = 0; tries < MaxTries; tries += 1) {
-        const hasRoom = position - LogLimits.ringSlots <= snapshots.position;
+        const hasRoom = ring.hasRoom(position, snapshots.position);
         if (!hasRoom && !(await snapshots.write(epoch, position - 1, state.snapshot()))) {
             return unavailable("a full log cannot be continued without a snapshot");
         }
--- a/packages/state/src/testing/memory-key-value-store.ts
+++ b/packages/state/src/testing/memory-key-value-store.ts
@@ -21,11 +21,12 @@
     /** Calls by kind, including failed ones. */
     readonly calls = { reads: 0, writes: 0, writtenBytes: 0 };
 
-    private readonly faults: StoreFault[] = [];
+    private readonly faults: (StoreFault | undefined)[] = [];
     private readonly late: (() => void)[] = [];
     private readonly held: (() => void)[] = [];
     private readonly watchers = new Set<() => void>();
     private isHeld = false;
+    private gatesUntilHold = Number.POSITIVE_INFINITY;
 
     private constructor(
         readonly table: StoreTable,
@@ -48,6 +49,11 @@
         this.faults.push(...faults);
     }
 
+    /** Injects a fault into the call after the next `calls`. */
+    failAfter(calls: number, fault: StoreFault): void {
+        this.faults[calls] = fault;
+    }
+
     clearFaults(): void {
         this.faults.length = 0;
         this.isDown = false;
@@ -59,9 +65,15 @@
         this.isHeld = true;
     }
 
+    /** Holds as `hold` does, but only after this number of further calls and answers. */
+    holdAfter(gates: number): void {
+        this.gatesUntilHold = gates;
+    }
+
     /** Lets the held calls and answers continue. */
     release(): void {
         this.isHeld = false;
+        this.gatesUntilHold = Number.POSITIVE_INFINITY;
         for (const resume of this.held.splice(0)) {
             resume();
         }
@@ -173,6 +185,8 @@
 
     private async passGate(): Promise<void> {
         await Promise.resolve();
+        this.isHeld ||= this.gatesUntilHold <= 0;
+        this.gatesUntilHold -= 1;
         while (this.isHeld) {
             await new Promise<void>(resolve => this.held.push(resolve));
         }
--- a/packages/state/src/testing/store-table.ts
+++ b/packages/state/src/testing/store-table.ts
@@ -21,7 +21,7 @@
     private readonly entries = new Map<string, KvEntry>();
     private readonly deletions = new Map<string, number>();
     private readonly leases = new Map<string, Lease>();
-    private readonly listeners = new Set<() => void>();
+    private readonly listeners = new Set<(written?: KvEntry) => void>();
     private currentRevision = 0;
     private leaseCount = 0;
 
@@ -72,9 +72,10 @@
             return this.conflict(current);
         }
         const revision = this.nextRevision();
-        this.entries.set(key, { key, value, revision, ...(leaseId === undefined ? {} : { leaseId }) });
+        const entry = { key, value, revision, ...(leaseId === undefined ? {} : { leaseId }) };
+        this.entries.set(key, entry);
         this.deletions.delete(key);
-        this.notify();
+        this.notify(entry);
         return Ok(revision);
     }
 
@@ -125,8 +126,8 @@
         }
     }
 
-    /** Calls the listener after each change. Returns the function that stops this. */
-    onChange(listener: () => void): () => void {
+    /** Calls the listener after each change, with the entry when it is a write. Returns the function that stops this. */
+    onChange(listener: (written?: KvEntry) => void): () => void {
         this.listeners.add(listener);
         return () => this.listeners.delete(listener);
     }
@@ -156,9 +157,9 @@
         return Err({ kind: StoreErrorKind.Conflict, message: "the revision differs", current });
     }
 
-    private notify(): void {
+    private notify(written?: KvEntry): void {
         for (const listener of [...this.listeners]) {
-            listener();
+            listener(written);
         }
     }
 }
