Test state modules against the stand-in store process

Change: lost answers and an outage across a lease with two owners, and racing proposals, over HTTP with all loops running as fibers. `append` with giveUpAfterMs may end either way when an outage begins; the test checks that the answer agrees with what the next owner replays.

Corrected in the test: a proposal of which no read was answered is refused as "not applied", so the test repeats it as an operator would, in place of expecting one call to succeed.

Not caught: the early return of SnapshotStore.write for an older position (a second guard; the condition of the write suffices) and the counter in the writer's name (guards against opening one epoch twice, which the model never does).

--- /dev/null
+++ b/packages/standins/tests/store/store-process.test.ts
@@ -0,0 +1,161 @@
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { ResultCode } from "@samphireward/core/result-code";
+import { SystemClock } from "@samphireward/core/system-clock";
+import { CellOwnership } from "@samphireward/state/cell-ownership";
+import { ConfigFeed } from "@samphireward/state/config-feed";
+import { GroupCommitLog } from "@samphireward/state/group-commit-log";
+import { HttpKeyValueStore } from "@samphireward/state/http-key-value-store";
+import { LogStateMachine } from "@samphireward/state/log-state-machine";
+import { ProcessLease } from "@samphireward/state/process-lease";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import type { Test } from "tap";
+import t from "tap";
+
+t.setTimeout(0);
+
+const clock = SystemClock.create();
+const entryFile = join(process.cwd(), "packages", "standins", "dist", "src", "store", "main.js");
+
+class TextList extends LogStateMachine<string, string> {
+    texts: string[] = [];
+    override apply(text: string): void {
+        this.texts.push(text);
+    }
+    override snapshot(): readonly string[] {
+        return this.texts;
+    }
+    override restore(items: readonly string[]): void {
+        this.texts = [...items];
+    }
+}
+
+const freePort = async (): Promise<number> => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+};
+
+/** Polls until a condition holds; only a hang ends it, by the runner's limit. */
+const until = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
+    while (!(await condition())) {
+        await sleep(20);
+    }
+};
+
+/** Starts the stand-in process and returns a client factory. All are ended after the test. */
+const startStore = async (t: Test) => {
+    const directory = mkdtempSync(join(tmpdir(), "standin-store-"));
+    const address = `127.0.0.1:${await freePort()}`;
+    const config = join(directory, "store.toml");
+    writeFileSync(config, `listen = "${address}"\n`);
+    const child: ChildProcess = spawn(process.execPath, [entryFile, "--config", config], { stdio: "ignore" });
+    const clients: HttpKeyValueStore[] = [];
+    const connect = (): HttpKeyValueStore => {
+        const client = HttpKeyValueStore.create({ address, timeoutMs: 500, clock });
+        clients.push(client);
+        return client;
+    };
+    t.teardown(async () => {
+        clients.forEach(client => client.close());
+        child.kill("SIGTERM");
+        await once(child, "exit");
+        rmSync(directory, { recursive: true });
+    });
+    const probe = connect();
+    await until(async () => (await probe.get("probe")).isOk());
+    const fault = async (body: object): Promise<void> => {
+        await fetch(`http://${address}/v1/fault`, { method: "POST", body: JSON.stringify(body) });
+    };
+    return { connect, fault };
+};
+
+/** Runs loops as fibers until the test ends. */
+const runAll = (t: Test, ...loops: Effect.Effect<never>[]): void => {
+    for (const fiber of loops.map(loop => Effect.runFork(loop))) {
+        t.teardown(() => Effect.runPromise(Fiber.interrupt(fiber)));
+    }
+};
+
+const startOwner = (t: Test, store: HttpKeyValueStore, owner: string, isPreferred: boolean) => {
+    const lease = ProcessLease.create({ store, clock });
+    const options = { store, lease, clock, cell: "a/0", owner, address: "127.0.0.1:1" };
+    const ownership = CellOwnership.create({ ...options, isPreferred: () => isPreferred });
+    runAll(t, lease.run(), ownership.run());
+    return ownership;
+};
+
+const openLog = async (store: HttpKeyValueStore, ownership: CellOwnership) => {
+    await until(() => ownership.epoch !== undefined);
+    const state = new TextList();
+    const epoch = ownership.epoch ?? 0;
+    const options = { store, clock, cell: "a/0", owner: "s", epoch, state, commitIntervalMs: 20 };
+    return { state, log: (await GroupCommitLog.open(options)).unwrap() };
+};
+
+// Guards against an outage after which an acknowledged append is missing, a new owner is not found, or the old
+// owner's appends still succeed.
+t.test("lost answers and an outage across the lease", async t => {
+    const { connect, fault } = await startStore(t);
+    const [first, second] = [connect(), connect()];
+    const owner = startOwner(t, first, "s1", true);
+    const { log } = await openLog(first, owner);
+    runAll(t, log.run());
+    t.ok((await log.append(["before"])).isOk());
+    await fault({ mode: "lose-answers", count: 3 });
+    t.ok((await log.append(["lost answer"])).isOk());
+
+    await fault({ mode: "down" });
+    const waiting = log.append(["in the outage"]);
+    const refused = log.append(["impatient"], { giveUpAfterMs: 10 });
+    await until(() => !owner.canGrant());
+    // Longer than the rest of the TTL, so that the store ends the lease.
+    await sleep(1500);
+    await fault({ mode: "none" });
+    await until(() => owner.epoch !== undefined && owner.epoch > 1);
+    t.ok((await waiting).isOk(), "nobody else had taken the cell");
+    const impatient = await refused;
+
+    await owner.release();
+    const successor = startOwner(t, second, "s2", false);
+    const next = await openLog(second, successor);
+    t.strictSame(next.state.texts.slice(0, 3), ["before", "lost answer", "in the outage"]);
+    // It is refused when it expires before the commit, and durable when its record may have been written.
+    t.equal(impatient.isOk(), next.state.texts.includes("impatient"));
+    const stale = await log.append(["stale"]);
+    t.equal(stale.isErr() && stale.error.code, ResultCode.StaleEpoch);
+});
+
+// Guards against two proposals that are both accepted for one revision, and one that a watch does not deliver.
+t.test("two racing proposals and a lost answer", async t => {
+    const { connect, fault } = await startStore(t);
+    const read = (file: string): string =>
+        readFileSync(join(process.cwd(), "examples", "agency", file), "utf8");
+    const tables = { routes: read("routes.toml"), pools: read("pools.toml") };
+    const feeds = [connect(), connect(), connect()].map(store => ConfigFeed.create({ store, clock }));
+    runAll(t, ...feeds.map(feed => feed.run()));
+    const results = await Promise.all(
+        feeds.map((feed, index) => feed.propose(0, { changeId: `c${index}`, author: "o", ...tables })),
+    );
+    t.equal(results.filter(result => result.isOk()).length, 1);
+    await until(() => feeds.every(feed => feed.revision === 1));
+    // The watches and reads of all three lose answers as well, so the operator may have to repeat the command.
+    await fault({ mode: "lose-answers", count: 8 });
+    await until(async () => {
+        const result = await feeds[0]?.propose(1, { changeId: "again", author: "o", ...tables });
+        return result?.isOk() ?? false;
+    });
+    await until(() => feeds.every(feed => feed.applied?.document.changeId === "again"));
+    t.equal(feeds[2]?.revision, 2);
+});
