Keep requests going over changes of owner and store outages

Restarted owners granted nothing for TTL plus margin; restarted entry processes had no shares and were ready all the same. Change: shares are handed over in the log; an entry process is ready only when it holds shares. 2. Ruled out: outlier ejection and retry budget (no target ejected, no code 2009).

--- a/packages/entry/src/cell-connector.ts
+++ b/packages/entry/src/cell-connector.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "@samphireward/core/clock";
 import type { RandomSource } from "@samphireward/core/random-source";
 import type { ShareUpdate as ShareUpdateMessage } from "@samphireward/protocol/gen/samphireward_pb";
 import type { TransportCache } from "@samphireward/runtime/transport-cache";
@@ -8,6 +9,8 @@
 
 const ReportIntervalMs = 1_000;
 const LookupIntervalMs = 200;
+/** An owner answers each report; without an answer for this time another owner is looked for. */
+const SilentMs = 1_500;
 const MinReconnectMs = 100;
 const MaxReconnectMs = 500;
 
@@ -19,6 +22,7 @@
     readonly region: string;
     readonly shares: ShareBook;
     readonly transports: TransportCache;
+    readonly clock: Clock;
     readonly random: RandomSource;
     /** Newest known owner; asked again before each connection. */
     readonly findOwner: () => Promise<CellOwnerRecord | undefined>;
@@ -30,6 +34,7 @@
 /** Keeps one stream to the current owner of a cell: one fiber for each cell. */
 export class CellConnector {
     private stream: CellStream | undefined;
+    private lastUpdateMs = 0;
 
     private constructor(private readonly options: ConnectorOptions) {}
 
@@ -70,7 +75,9 @@
             );
             this.stream = stream;
             this.options.onConnected(true);
-            yield* Effect.raceFirst(running, this.reportLoop(stream)).pipe(
+            this.lastUpdateMs = this.options.clock.nowMs();
+            const loops = Effect.raceFirst(this.reportLoop(stream), this.untilReplaced(owner));
+            yield* Effect.raceFirst(running, loops).pipe(
                 Effect.ensuring(Effect.sync(() => this.disconnected(stream))),
             );
         });
@@ -85,6 +92,22 @@
         );
     }
 
+    /** Ends when the owner has been silent and another one has taken the cell. */
+    private untilReplaced(owner: CellOwnerRecord): Effect.Effect<void> {
+        return Effect.gen({ self: this }, function* () {
+            for (;;) {
+                yield* Effect.sleep(LookupIntervalMs);
+                if (this.options.clock.nowMs() - this.lastUpdateMs < SilentMs) {
+                    continue;
+                }
+                const next = yield* Effect.promise(() => this.options.findOwner());
+                if (next !== undefined && next.epoch > owner.epoch) {
+                    return;
+                }
+            }
+        });
+    }
+
     private report(stream: CellStream): void {
         const report = this.options.shares.report(this.options.cell, this.options.demand());
         stream.send({ case: "demand", value: report });
@@ -92,6 +115,7 @@
 
     private applyShares(update: ShareUpdateMessage): void {
         const shares = update.shares.map(share => ({ ...share, epoch: update.epoch }));
+        this.lastUpdateMs = this.options.clock.nowMs();
         this.options.shares.apply({ ...update, shares });
     }
 
--- a/packages/entry/src/cell-connectors.ts
+++ b/packages/entry/src/cell-connectors.ts
@@ -65,6 +65,7 @@
             region,
             shares,
             transports: runtime.transports,
+            clock: runtime.clock,
             random: runtime.random,
             findOwner: () => this.findOwner(cell),
             demand: () => demandOf(cell),
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -209,10 +209,24 @@
         if (this.callers?.listening !== true) {
             return { state: "starting", ready: false };
         }
+        if (!this.hasTargets()) {
+            return { state: "no-targets", ready: false };
+        }
         const isCutOff = this.runtime.config.noContactMs() > MaxNoContactMs;
         return { state: isCutOff ? "cut-off" : "ready", ready: !isCutOff };
     }
 
+    /** Whether each pool that answers requests has a target with a share of this process. */
+    private hasTargets(): boolean {
+        const tables = this.runtime.config.applied?.tables;
+        const routes = [...(tables?.routes.values() ?? [])].filter(route => route.kind === "request");
+        return routes.every(route => {
+            const pool = tables?.pools.get(route.pool);
+            const targets = tables && pool ? this.shares.targetsOf(pool, tables) : [];
+            return targets.some(target => target.slots > 0 && !target.leaving);
+        });
+    }
+
     private counters(): Record<string, number> {
         return {
             ...this.runtime.counters.snapshot(),
--- a/packages/scheduler/src/cell-host.ts
+++ b/packages/scheduler/src/cell-host.ts
@@ -19,10 +19,14 @@
 export class CellHost {
     private readonly ownership: CellOwnership;
     private current: CellTenure | undefined;
+    private isStopping = false;
+    private readonly stopped: Promise<void>;
+    private markStopped: () => void = () => undefined;
 
     private constructor(private readonly options: HostOptions) {
         const { cell, runtime } = options;
         const { name, address } = runtime.membership.self;
+        this.stopped = new Promise(resolve => (this.markStopped = resolve));
         this.ownership = CellOwnership.create({
             store: runtime.store,
             lease: runtime.lease,
@@ -60,17 +64,20 @@
         }
     }
 
-    /** Commits what is queued and gives the cell to the next owner. */
+    /** Ends the tenure, commits what is queued and gives the cell to the next owner. */
     async release(): Promise<void> {
-        const tenure = this.current;
-        this.current = undefined;
-        await tenure?.close(true);
+        this.isStopping = true;
+        await this.stopped;
         await this.ownership.release();
     }
 
     private followOwnership(): Effect.Effect<never> {
         return Effect.forever(
             Effect.gen({ self: this }, function* () {
+                if (this.isStopping) {
+                    this.markStopped();
+                    yield* Effect.never;
+                }
                 const epoch = this.ownership.epoch;
                 const tables = this.options.tables();
                 if (epoch === undefined || tables === undefined) {
@@ -97,18 +104,16 @@
         const { name, address } = runtime.membership.self;
         runtime.owners.learn({ cell: String(cell), owner: name, epoch, address });
         runtime.log.info("cell is served", { cell: String(cell), epoch });
-        const end = Effect.promise(async () => {
-            if (this.current === tenure) {
-                this.current = undefined;
-                await tenure.close(false);
-            }
+        const end = Effect.promise(() => {
+            this.current = undefined;
+            return tenure.close(this.isStopping);
         });
         return Effect.raceFirst(tenure.run(), this.untilLost(epoch)).pipe(Effect.ensuring(end));
     }
 
     private untilLost(epoch: number): Effect.Effect<void> {
         return Effect.gen({ self: this }, function* () {
-            while (this.ownership.epoch === epoch) {
+            while (this.ownership.epoch === epoch && !this.isStopping) {
                 yield* Effect.sleep(CheckMs);
             }
         });
--- a/packages/scheduler/src/cell-tenure.ts
+++ b/packages/scheduler/src/cell-tenure.ts
@@ -112,7 +112,7 @@
         }
         const { handedOver } = machine;
         const tenure = new CellTenure(options, log.value, machine, metrics, handedOver);
-        return handedOver === undefined || (await tenure.takeHandOver()) ? tenure : undefined;
+        return handedOver === undefined || (await tenure.takeHandOver(machine)) ? tenure : undefined;
     }
 
     /** Commits and drives the workers until interrupted. */
@@ -180,10 +180,10 @@
     }
 
     /** Records that the shares of the last owner are taken, so that no later owner relies on them. */
-    private async takeHandOver(): Promise<boolean> {
-        const recorded = this.log.append([HandOverRow.taken]);
+    private async takeHandOver(machine: CellStateMachine): Promise<boolean> {
+        void this.log.append([HandOverRow.taken]);
         await this.log.flush();
-        return Promise.race([recorded.then(result => result.isOk()), Promise.resolve(false)]);
+        return machine.handedOver === undefined;
     }
 
     private connect(worker: WorkerInfo): HttpWorkerClient {
