Add the placement benchmark's workload model

Cause: policies need one seeded, repeatable measure. Time steps of one second; hidden effects of pairs multiply, saturate and grow with load, so they are not of the form that the interference model assumes.

--- /dev/null
+++ b/packages/bench/src/bench-policies.ts
@@ -0,0 +1,34 @@
+import { FirstFitPolicy } from "@samphireward/placement/first-fit-policy";
+import { InterferenceAwarePolicy } from "@samphireward/placement/interference-aware-policy";
+import { InterferenceModel } from "@samphireward/placement/interference-model";
+import type { InterferenceWeights } from "@samphireward/placement/interference-weights";
+import { LeastLoadedPolicy } from "@samphireward/placement/least-loaded-policy";
+import { LoadOnlyPolicy } from "@samphireward/placement/load-only-policy";
+import type { BenchPolicy } from "./bench-policy.js";
+import type { HiddenInterference } from "./hidden-interference.js";
+import { OraclePredictor } from "./oracle-predictor.js";
+import type { UserProfile } from "./user-profile.js";
+
+const weightsOf = ({ classes, weights }: UserProfile): InterferenceWeights => ({
+    tailLatency: weights.tail,
+    batch: weights.throughput,
+    load: 0.1,
+    latencyCriticalClasses: new Set(classes.filter(({ kind }) => kind !== "batch").map(({ name }) => name)),
+});
+
+type Factory = (profile: UserProfile, hidden: HiddenInterference) => BenchPolicy;
+
+/** Makes a policy for one cell, by name. Cells share nothing, because their owners are different processes. */
+export const benchPolicies: Readonly<Record<string, Factory>> = {
+    "first-fit": () => ({ policy: FirstFitPolicy.create() }),
+    "least-loaded": () => ({ policy: LeastLoadedPolicy.create() }),
+    "load-only": () => ({ policy: LoadOnlyPolicy.create() }),
+    "interference-aware": profile => {
+        const model = InterferenceModel.create();
+        return { policy: InterferenceAwarePolicy.create(model, weightsOf(profile)), predictor: model, model };
+    },
+    oracle: (profile, hidden) => {
+        const predictor = OraclePredictor.create(profile.classes, hidden);
+        return { policy: InterferenceAwarePolicy.create(predictor, weightsOf(profile), "oracle"), predictor };
+    },
+};
--- /dev/null
+++ b/packages/bench/src/hidden-interference.ts
@@ -0,0 +1,77 @@
+import type { RandomSource } from "@samphireward/core/random-source";
+import type { SimClass } from "./sim-class.js";
+
+/** Most pairs hardly disturb each other; a few do so strongly. Upper ends of the effect by probability. */
+const effectRanges = [
+    { probability: 0.6, from: 0, to: 0.1 },
+    { probability: 0.25, from: 0.1, to: 0.5 },
+    { probability: 0.15, from: 0.5, to: 1.5 },
+] as const;
+
+/** Share of the processors at which a neighbour has about half of its greatest effect. */
+const HalfShare = 0.4;
+
+const drawEffect = (random: RandomSource): number => {
+    let rest = random.next();
+    for (const { probability, from, to } of effectRanges) {
+        if (rest < probability) {
+            return from + random.next() * (to - from);
+        }
+        rest -= probability;
+    }
+    return 0;
+};
+
+/** Requests share their worker's slots; their effect on each other is the wait for a slot. */
+const clearServiceOnItself = (effects: number[][]): void => {
+    const service = effects[0];
+    if (service !== undefined) {
+        service[0] = 0;
+    }
+};
+
+/** Effects saturate with the neighbour's share and grow with the square of the load. */
+const saturation = (share: number): number => (share * (1 + HalfShare)) / (share + HalfShare);
+const loadFactor = (load: number): number => 0.4 + 1.2 * Math.min(1, load) ** 2;
+
+/**
+ * The true pair slowdowns, unknown to the policies. Effects multiply, saturate and grow with load, so they are
+ * not of the form that the interference model assumes.
+ */
+export class HiddenInterference {
+    private constructor(
+        private readonly classes: readonly SimClass[],
+        private readonly effects: number[][],
+    ) {}
+
+    static create(classes: readonly SimClass[], random: RandomSource): HiddenInterference {
+        const effects = classes.map(() => classes.map(other => drawEffect(random) * other.harshness));
+        clearServiceOnItself(effects);
+        return new HiddenInterference(classes, effects);
+    }
+
+    /** Draws about half of the effects again. */
+    shift(random: RandomSource): void {
+        for (const row of this.effects) {
+            for (const [index, other] of this.classes.entries()) {
+                const redrawn = drawEffect(random) * other.harshness;
+                row[index] = random.next() < 0.5 ? redrawn : (row[index] ?? 0);
+            }
+        }
+        clearServiceOnItself(this.effects);
+    }
+
+    /** Slowdown of a class beside neighbours with the given shares of the processors, by class index. */
+    slowdown(affected: number, shares: readonly number[], load: number): number {
+        const row = this.effects[affected] ?? [];
+        const factor = loadFactor(load);
+        let slowdown = 1;
+        for (let other = 0; other < row.length; other++) {
+            const share = shares[other] ?? 0;
+            if (share > 0) {
+                slowdown *= 1 + (row[other] ?? 0) * saturation(share) * factor;
+            }
+        }
+        return slowdown;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/oracle-predictor.ts
@@ -0,0 +1,43 @@
+import { SlowdownPredictor } from "@samphireward/placement/slowdown-predictor";
+import type { HiddenInterference } from "./hidden-interference.js";
+import type { SimClass } from "./sim-class.js";
+
+/** Predicts with the true pair slowdowns; it knows no more than a policy of loads and of what runs where. */
+export class OraclePredictor extends SlowdownPredictor {
+    private readonly shares: number[];
+    private readonly indexes: ReadonlyMap<string, number>;
+
+    private constructor(
+        classes: readonly SimClass[],
+        private readonly hidden: HiddenInterference,
+    ) {
+        super();
+        this.shares = classes.map(() => 0);
+        this.indexes = new Map(classes.map(({ name }, index) => [name, index]));
+    }
+
+    static create(classes: readonly SimClass[], hidden: HiddenInterference): OraclePredictor {
+        return new OraclePredictor(classes, hidden);
+    }
+
+    override predict(
+        affected: string,
+        classes: ReadonlyMap<string, number>,
+        added: string,
+        addedProcessors: number,
+        processors: number,
+        load: number,
+    ): number {
+        this.shares.fill(0);
+        for (const [name, reserved] of classes) {
+            this.shares[this.indexOf(name)] = reserved / processors;
+        }
+        const addedIndex = this.indexOf(added);
+        this.shares[addedIndex] = (this.shares[addedIndex] ?? 0) + addedProcessors / processors;
+        return this.hidden.slowdown(this.indexOf(affected), this.shares, load);
+    }
+
+    private indexOf(name: string): number {
+        return this.indexes.get(name) ?? 0;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/sim-cell.ts
@@ -0,0 +1,247 @@
+import { Resources } from "@samphireward/core/resources";
+import { WorkClass } from "@samphireward/core/work-class";
+import type { EvictionCandidate } from "@samphireward/placement/eviction-candidate";
+import { EvictionPlanner } from "@samphireward/placement/eviction-planner";
+import type { EvictionSettings } from "@samphireward/placement/eviction-settings";
+import { InterferenceLearner } from "@samphireward/placement/interference-learner";
+import type { QueuedTask } from "@samphireward/placement/queued-task";
+import { TaskQueue } from "@samphireward/placement/task-queue";
+import type { UsageSample } from "@samphireward/placement/usage-sample";
+import type { BenchPolicy } from "./bench-policy.js";
+import type { SimTask } from "./sim-task.js";
+import type { SimWorker } from "./sim-worker.js";
+
+const none: ReadonlySet<string> = new Set();
+
+/** What the owner of a cell does: queue, placement, learning, throttling and eviction. */
+export class SimCell {
+    readonly queue = TaskQueue.create();
+    evictions = 0;
+    throttles = 0;
+    /** Processor seconds that evictions and lost workers undid since the last call of `takeLostWork`. */
+    private lostWork = 0;
+    private readonly waiting = new Map<string, SimTask>();
+    private readonly learner: InterferenceLearner | undefined;
+    private readonly planner: EvictionPlanner;
+    /** Worker held for a blocked task, and that task's key. */
+    private held: { readonly worker: string; readonly key: string } | undefined;
+
+    private constructor(
+        readonly workers: readonly SimWorker[],
+        private readonly policy: BenchPolicy,
+        eviction: Partial<EvictionSettings>,
+    ) {
+        this.learner = policy.model && InterferenceLearner.create(policy.model);
+        this.planner = EvictionPlanner.create(eviction);
+    }
+
+    static create(
+        workers: readonly SimWorker[],
+        policy: BenchPolicy,
+        eviction: Partial<EvictionSettings> = {},
+    ): SimCell {
+        return new SimCell(workers, policy, eviction);
+    }
+
+    submit(task: SimTask): void {
+        this.waiting.set(task.key, task);
+        this.queue.add(queuedTask(task));
+    }
+
+    cancelWaiting(key: string): void {
+        this.waiting.delete(key);
+        this.queue.remove(key);
+    }
+
+    waitingTasks(): SimTask[] {
+        return [...this.waiting.values()];
+    }
+
+    /** Starts what can start. */
+    place(nowMs: number): void {
+        this.releaseHold();
+        for (let progress = true; progress;) {
+            progress = false;
+            for (const queued of this.queue.candidates(nowMs)) {
+                progress = this.tryStart(queued, nowMs) || progress;
+            }
+        }
+        this.holdWorker(nowMs);
+    }
+
+    /** Ends a task on a worker: finished or cancelled. */
+    end(worker: SimWorker, task: SimTask, nowMs: number): void {
+        worker.remove(task);
+        this.learner?.recordComposition(worker.name, worker.classes, nowMs);
+    }
+
+    /** Requeues all tasks of a worker that was lost. */
+    loseWorker(worker: SimWorker, nowMs: number): void {
+        worker.alive = false;
+        [...worker.tasks].forEach(task => this.requeue(worker, task, nowMs));
+        this.planner.forgetWorker(worker.name);
+        this.learner?.forgetWorker(worker.name);
+    }
+
+    /** Takes a usage report with the service's measured tail relative to its limit. */
+    report(worker: SimWorker, sample: UsageSample, pressure: number, nowMs: number): void {
+        if (!worker.alive) {
+            return;
+        }
+        worker.reportedLoad = sample.load;
+        this.learner?.learn(sample);
+        const mayAct = pressure >= 1 || [...worker.tasks].some(({ share }) => share < 1);
+        const victims = mayAct ? this.victims(worker) : [];
+        const action = this.planner.observe(worker.name, pressure, victims, nowMs);
+        const task = action && [...worker.tasks].find(({ key }) => key === action.key);
+        if (action === undefined || task === undefined) {
+            return;
+        }
+        if (action.kind === "evict") {
+            this.evictions++;
+            this.requeue(worker, task, nowMs);
+        } else {
+            this.throttles += action.kind === "throttle" ? 1 : 0;
+            task.share = action.share;
+            worker.updateClasses();
+            this.learner?.recordComposition(worker.name, worker.classes, nowMs);
+        }
+    }
+
+    takeLostWork(): number {
+        const lost = this.lostWork;
+        this.lostWork = 0;
+        return lost;
+    }
+
+    private tryStart(queued: QueuedTask, nowMs: number): boolean {
+        const task = this.waiting.get(queued.key);
+        if (task === undefined) {
+            return false;
+        }
+        const rackCounts = this.rackCounts(task);
+        const views = this.workers
+            .filter(worker => worker.name !== this.held?.worker || queued.key === this.held.key)
+            .map(worker => worker.view);
+        const decision = this.policy.policy.choose({ ...queued, avoid: none, rackCounts }, views);
+        const worker = decision.isOk()
+            ? this.workers.find(({ name }) => name === decision.value)
+            : this.makeRoom(queued, nowMs);
+        if (worker === undefined) {
+            this.queue.markBlocked(queued.key, nowMs);
+            return false;
+        }
+        this.queue.remove(queued.key);
+        this.waiting.delete(queued.key);
+        worker.add(task);
+        this.learner?.recordComposition(worker.name, worker.classes, nowMs);
+        return true;
+    }
+
+    private rackCounts(task: SimTask): Map<string, number> {
+        const counts = new Map<string, number>();
+        if (task.simClass.kind === "watch") {
+            for (const worker of this.workers) {
+                const own = [...worker.tasks].filter(other => other.simClass === task.simClass).length;
+                counts.set(worker.rack, (counts.get(worker.rack) ?? 0) + own);
+            }
+        }
+        return counts;
+    }
+
+    /** Evicts batch work for an urgent task from the worker with the most of it. */
+    private makeRoom(queued: QueuedTask, nowMs: number): SimWorker | undefined {
+        if (queued.workClass !== WorkClass.LatencyCritical) {
+            return undefined;
+        }
+        const batchOn = (worker: SimWorker): number => this.victims(worker).length;
+        const worker = this.workers.filter(({ alive }) => alive).sort((a, b) => batchOn(b) - batchOn(a))[0];
+        if (worker === undefined) {
+            return undefined;
+        }
+        const free = worker.view.capacity.minus(worker.reserved);
+        const short = queued.resources.minus(free);
+        const shortage = Resources.create({
+            processors: Math.max(0, short.processors),
+            memoryMb: Math.max(0, short.memoryMb),
+        });
+        const actions = this.planner.makeRoom(shortage, this.victims(worker), nowMs);
+        for (const task of [...worker.tasks].filter(({ key }) =>
+            actions.some(action => action.key === key),
+        )) {
+            this.evictions++;
+            this.requeue(worker, task, nowMs);
+        }
+        return actions.length > 0 ? worker : undefined;
+    }
+
+    private victims(worker: SimWorker): EvictionCandidate[] {
+        return [...worker.tasks]
+            .filter(({ simClass }) => simClass.kind === "batch")
+            .map(task => ({
+                key: task.key,
+                resources: Resources.create(task.simClass),
+                lostWork: (task.doneSeconds - task.checkpointSeconds) * task.simClass.processors,
+                harm: this.harm(worker, task),
+                throttled: task.share < 1,
+            }));
+    }
+
+    private harm(worker: SimWorker, task: SimTask): number {
+        const { predictor } = this.policy;
+        const { capacity } = worker.view;
+        const service = worker.classes.keys().next().value ?? "";
+        const active = task.simClass.processors * task.share;
+        if (predictor === undefined) {
+            return active / capacity.processors;
+        }
+        const slowdown = (change: number): number =>
+            predictor.predict(
+                service,
+                worker.classes,
+                task.simClass.name,
+                change,
+                capacity.processors,
+                worker.reportedLoad,
+            );
+        return Math.max(0, slowdown(0) - slowdown(-active));
+    }
+
+    private requeue(worker: SimWorker, task: SimTask, nowMs: number): void {
+        this.lostWork += (task.doneSeconds - task.checkpointSeconds) * task.simClass.processors;
+        task.doneSeconds = task.checkpointSeconds;
+        task.share = 1;
+        this.end(worker, task, nowMs);
+        this.submit(task);
+    }
+
+    private releaseHold(): void {
+        if (this.held !== undefined && !this.queue.has(this.held.key)) {
+            this.held = undefined;
+        }
+    }
+
+    private holdWorker(nowMs: number): void {
+        const due = this.queue.taskToHoldFor(nowMs);
+        if (due === undefined || this.held !== undefined) {
+            return;
+        }
+        const free = (worker: SimWorker): number =>
+            worker.view.capacity.processors - worker.reserved.processors;
+        const worker = this.workers.filter(({ alive }) => alive).sort((a, b) => free(b) - free(a))[0];
+        if (worker !== undefined) {
+            this.held = { worker: worker.name, key: due.key };
+            this.queue.hold(due.key, true);
+        }
+    }
+}
+
+const queuedTask = ({ key, simClass, submittedMs }: SimTask): QueuedTask => ({
+    key,
+    submittedMs,
+    team: "team",
+    workClass: simClass.kind === "batch" ? WorkClass.Batch : WorkClass.LatencyCritical,
+    interferenceClass: simClass.name,
+    resources: Resources.create(simClass),
+    expectedRunMs: simClass.kind === "batch" ? simClass.runSeconds * 1000 : Infinity,
+});
--- /dev/null
+++ b/packages/bench/src/simulation.ts
@@ -0,0 +1,252 @@
+import { LatencyRecorder } from "@samphireward/core/latency-recorder";
+import type { RandomSource } from "@samphireward/core/random-source";
+import { SeededRandom } from "@samphireward/core/seeded-random";
+import type { EvictionSettings } from "@samphireward/placement/eviction-settings";
+import type { UsageSample } from "@samphireward/placement/usage-sample";
+import { benchPolicies } from "./bench-policies.js";
+import { draw } from "./draw.js";
+import { HiddenInterference } from "./hidden-interference.js";
+import type { RunResult } from "./run-result.js";
+import type { Scenario } from "./scenario.js";
+import { SimCell } from "./sim-cell.js";
+import { SimWorker } from "./sim-worker.js";
+import { TaskSource } from "./task-source.js";
+import type { UserProfile } from "./user-profile.js";
+
+const RunSeconds = 900;
+/** Not measured: the cells fill up and the policies learn. */
+const WarmUpSeconds = 180;
+const ReportSeconds = 2;
+const CheckpointSeconds = 30;
+const RequestsSampled = 4;
+/** Spread of the logarithm of request times, and its 99th percentile relative to the mean. */
+const RequestSigma = 0.35;
+const RequestP99 = Math.exp(2.326 * RequestSigma - RequestSigma ** 2 / 2);
+/** A worker is over its limit when its service's tail is this many times that of an undisturbed one. */
+const TailLimit = 2;
+const SlowdownNoise = 0.08;
+const TailNoise = 0.15;
+/** Keeps the generators of different seeds and streams apart. */
+const SeedStride = 7919;
+
+interface Report {
+    readonly arrivesSecond: number;
+    readonly worker: SimWorker;
+    readonly sample: UsageSample;
+    readonly pressure: number;
+}
+
+/** One seeded run of a policy in virtual time, one step for each second. */
+export class Simulation {
+    private readonly hidden: HiddenInterference;
+    private readonly cells: SimCell[];
+    private readonly workers: SimWorker[];
+    private readonly source: TaskSource;
+    private readonly latencies = LatencyRecorder.create();
+    private readonly reports: Report[] = [];
+    private readonly shiftRandom: RandomSource;
+    private readonly requestRandom: RandomSource;
+    private readonly noiseRandom: RandomSource;
+    private work = 0;
+    private queued = 0;
+    private evictionsBefore = 0;
+    private throttlesBefore = 0;
+
+    private constructor(
+        private readonly profile: UserProfile,
+        private readonly scenario: Scenario,
+        policyName: string,
+        seed: number,
+        eviction: Partial<EvictionSettings>,
+    ) {
+        // Separate generators, so that one policy's decisions do not change what another one meets.
+        const randomFor = (stream: number): RandomSource => SeededRandom.create(seed * SeedStride + stream);
+        this.shiftRandom = randomFor(2);
+        this.requestRandom = randomFor(3);
+        this.noiseRandom = randomFor(4);
+        this.hidden = HiddenInterference.create(profile.classes, randomFor(0));
+        this.source = TaskSource.create(profile, scenario, randomFor(1));
+        const perCell = profile.workers / profile.dataCentres.length;
+        this.workers = Array.from({ length: profile.workers }, (_, index) => {
+            const cell = Math.floor(index / perCell);
+            const rack = Math.floor((index % perCell) / profile.workersPerRack);
+            return SimWorker.create(`w${index}`, `${profile.dataCentres[cell]}-r${rack}`, cell, profile);
+        });
+        const create = benchPolicies[policyName];
+        if (create === undefined) {
+            throw new RangeError(`There is no policy "${policyName}"`);
+        }
+        this.cells = profile.dataCentres.map((_, cell) => {
+            const workers = this.workers.filter(worker => worker.cell === cell);
+            return SimCell.create(workers, create(profile, this.hidden), eviction);
+        });
+    }
+
+    static run(
+        profile: UserProfile,
+        scenario: Scenario,
+        policyName: string,
+        seed: number,
+        eviction: Partial<EvictionSettings> = {},
+    ): RunResult {
+        return new Simulation(profile, scenario, policyName, seed, eviction).run();
+    }
+
+    private run(): RunResult {
+        this.source.watches().forEach(task => this.cells[task.cell]?.submit(task));
+        for (let second = 0; second < RunSeconds; second++) {
+            if (second === WarmUpSeconds) {
+                this.startMeasuring();
+            }
+            this.applyEvents(second);
+            const isWave = this.isBetween(second);
+            this.source.arrivals(second * 1000, isWave).forEach(task => this.cells[task.cell]?.submit(task));
+            this.deliverReports(second);
+            this.cells.forEach(cell => cell.place(second * 1000));
+            this.stepWorkers(second);
+        }
+        const seconds = RunSeconds - WarmUpSeconds;
+        return {
+            p99Ms: this.latencies.percentileMs(99),
+            p999Ms: this.latencies.percentileMs(99.9),
+            throughput: this.work / seconds,
+            evictions: this.sum(cell => cell.evictions) - this.evictionsBefore,
+            throttles: this.sum(cell => cell.throttles) - this.throttlesBefore,
+            meanQueue: this.queued / seconds,
+        };
+    }
+
+    private startMeasuring(): void {
+        this.work = 0;
+        this.queued = 0;
+        this.cells.forEach(cell => cell.takeLostWork());
+        this.evictionsBefore = this.sum(cell => cell.evictions);
+        this.throttlesBefore = this.sum(cell => cell.throttles);
+    }
+
+    private isBetween(second: number): boolean {
+        const share = second / RunSeconds;
+        return share >= this.scenario.startShare && share < this.scenario.endShare;
+    }
+
+    private applyEvents(second: number): void {
+        const { scenario } = this;
+        if (second === Math.round(scenario.startShare * RunSeconds)) {
+            if (scenario.shiftsPairs) {
+                this.hidden.shift(this.shiftRandom);
+            }
+            this.lostWorkers().forEach(worker => this.cells[worker.cell]?.loseWorker(worker, second * 1000));
+            this.cancelShare(scenario.cancelledShare, second * 1000);
+        }
+        if (second === Math.round(scenario.endShare * RunSeconds)) {
+            this.lostWorkers().forEach(worker => (worker.alive = true));
+        }
+    }
+
+    private lostWorkers(): SimWorker[] {
+        const first = this.workers[0];
+        const isLost = {
+            nothing: () => false,
+            rack: (worker: SimWorker) => worker.rack === first?.rack,
+            "data-centre": (worker: SimWorker) => worker.cell === first?.cell,
+        }[this.scenario.lost];
+        return this.workers.filter(isLost);
+    }
+
+    private cancelShare(share: number, nowMs: number): void {
+        const isCancelled = (key: string): boolean => Number(key.slice(1)) % 100 < share * 100;
+        for (const cell of this.cells) {
+            for (const { key } of cell.waitingTasks().filter(task => isCancelled(task.key))) {
+                cell.cancelWaiting(key);
+            }
+            for (const worker of cell.workers) {
+                const tasks = [...worker.tasks].filter(({ simClass }) => simClass.kind === "batch");
+                tasks.filter(task => isCancelled(task.key)).forEach(task => cell.end(worker, task, nowMs));
+            }
+        }
+    }
+
+    private stepWorkers(second: number): void {
+        const { requestMs, slotUse, workers } = this.profile;
+        const factor = second / RunSeconds >= this.scenario.startShare ? this.scenario.loadFactor : 1;
+        const alive = this.workers.filter(worker => worker.alive);
+        const rate = ((8 * slotUse * 1000) / requestMs) * factor * workers;
+        const weights = alive.map(worker => 1 / (worker.slowdowns[0] ?? 1));
+        const weightSum = weights.reduce((sum, weight) => sum + weight, 0);
+        for (const [index, worker] of alive.entries()) {
+            // Slot shares follow free slots, so a slow worker gets fewer requests.
+            worker.step((rate * (weights[index] ?? 0)) / weightSum, this.hidden);
+            if (second >= WarmUpSeconds) {
+                this.recordRequests(worker);
+            }
+            this.runTasks(worker, second);
+            if ((second + Number(worker.name.slice(1))) % ReportSeconds === 0) {
+                this.sendReport(worker, second);
+            }
+        }
+        this.queued += this.sum(cell => cell.queue.size);
+        this.work -= this.sum(cell => cell.takeLostWork());
+    }
+
+    private recordRequests(worker: SimWorker): void {
+        const mean = this.profile.requestMs * (worker.slowdowns[0] ?? 1);
+        for (let count = 0; count < RequestsSampled; count++) {
+            const wait = worker.waitMs * draw.exponential(this.requestRandom);
+            this.latencies.record(mean * draw.logNormal(this.requestRandom, RequestSigma) + wait);
+        }
+    }
+
+    private runTasks(worker: SimWorker, second: number): void {
+        for (const task of [...worker.tasks]) {
+            const progress = task.share / (worker.slowdowns[task.classIndex] ?? 1);
+            task.doneSeconds += progress;
+            if (task.doneSeconds - task.checkpointSeconds >= CheckpointSeconds) {
+                task.checkpointSeconds = task.doneSeconds;
+            }
+            if (task.simClass.kind === "batch") {
+                this.work += progress * task.simClass.processors;
+            }
+            if (task.doneSeconds >= task.workSeconds) {
+                this.cells[worker.cell]?.end(worker, task, second * 1000);
+            }
+        }
+    }
+
+    private sendReport(worker: SimWorker, second: number): void {
+        const service = this.profile.classes[0]?.name ?? "";
+        const slowdowns = new Map<string, number>();
+        for (const { simClass, classIndex } of worker.tasks) {
+            if (!slowdowns.has(simClass.name)) {
+                const noise = draw.logNormal(this.noiseRandom, SlowdownNoise);
+                slowdowns.set(simClass.name, (worker.slowdowns[classIndex] ?? 1) * noise);
+            }
+        }
+        const undisturbed = this.profile.requestMs * RequestP99;
+        const tail = undisturbed * (worker.slowdowns[0] ?? 1) + worker.waitMs * Math.log(100);
+        const p99Ms = tail * draw.logNormal(this.noiseRandom, TailNoise);
+        this.reports.push({
+            arrivesSecond: second + this.scenario.lagSeconds,
+            worker,
+            pressure: p99Ms / undisturbed / TailLimit,
+            sample: {
+                worker: worker.name,
+                observedMs: second * 1000,
+                processors: this.profile.processors,
+                load: worker.load,
+                slowdowns,
+                serviceP99Ms: new Map([[service, p99Ms]]),
+            },
+        });
+    }
+
+    private deliverReports(second: number): void {
+        for (let next = this.reports[0]; next && next.arrivesSecond <= second; next = this.reports[0]) {
+            this.reports.shift();
+            this.cells[next.worker.cell]?.report(next.worker, next.sample, next.pressure, second * 1000);
+        }
+    }
+
+    private sum(value: (cell: SimCell) => number): number {
+        return this.cells.reduce((total, cell) => total + value(cell), 0);
+    }
+}
