Throttle the most harmful tasks first, several at once, and further before evicting

The planner throttled by least lost work, although throttling loses none, one task every 20 s, and evicted as soon as the few relevant tasks were throttled once.

Change: observe returns a list; the most harmful tasks are throttled first, as many as are estimated to bring the pressure below the limit, in steps down to a quarter; eviction only after that.

--- a/packages/placement/src/eviction-candidate.ts
+++ b/packages/placement/src/eviction-candidate.ts
@@ -6,7 +6,8 @@
     readonly resources: Resources;
     /** Processor seconds done since the last checkpoint, lost or repeated when it is evicted. */
     readonly lostWork: number;
-    /** Estimated share (0 to 1) of the worker's pressure that this task causes; 1 when unknown. */
+    /** Estimated part (0 to 1) of the worker's pressure that this task causes at its current share. */
     readonly harm: number;
-    readonly throttled: boolean;
+    /** Share (0 to 1) of its processors that it may use now; 1 when it is not throttled. */
+    readonly share: number;
 }
--- a/packages/placement/src/eviction-planner.ts
+++ b/packages/placement/src/eviction-planner.ts
@@ -10,7 +10,8 @@
     leavePressure: 0.8,
     enterReports: 3,
     leaveReports: 3,
-    throttleShare: 0.5,
+    throttleFactor: 0.5,
+    leastShare: 0.25,
     settleMs: 20_000,
     budget: 10,
     windowMs: 60_000,
@@ -19,15 +20,21 @@
 };
 
 /** Tasks that cause less than this part of the greatest harm on the worker are left alone. */
-const RelevantHarm = 0.5;
+const RelevantHarm = 0.25;
+
+const relevantOf = (candidates: readonly EvictionCandidate[]): EvictionCandidate[] => {
+    const greatest = Math.max(0, ...candidates.map(({ harm }) => harm));
+    return candidates.filter(({ harm }) => harm >= RelevantHarm * greatest);
+};
 
 const byLostWork = (a: EvictionCandidate, b: EvictionCandidate): number =>
     a.lostWork - b.lostWork || (a.key < b.key ? -1 : 1);
 
 /**
  * Chooses batch tasks to throttle or evict. Pressure is what was measured on a worker relative to its limit.
- * An overloaded worker first has one task throttled for each settle time; once all relevant tasks are
- * throttled, the one that loses least work is evicted, within the budget of the window.
+ * On an overloaded worker the tasks that cause most of it are throttled, as many as are estimated to bring the
+ * pressure below the limit. Once the relevant tasks are throttled as far as allowed, the one that loses least
+ * work is evicted, within the budget of the window. After each step the planner waits for its effect.
  */
 export class EvictionPlanner {
     private readonly states = new Map<string, PressureState>();
@@ -50,26 +57,29 @@
         this.states.delete(worker);
     }
 
-    /** Takes one report of a worker's pressure, and returns the action to carry out, if any. */
+    /** Takes one report of a worker's pressure, and returns the actions to carry out. */
     observe(
         worker: string,
         pressure: number,
         candidates: readonly EvictionCandidate[],
         nowMs: number,
-    ): EvictionAction | undefined {
+    ): readonly EvictionAction[] {
         const state = this.stateOf(worker);
         this.updateState(state, pressure);
+        const { enterPressure, leavePressure, settleMs } = this.settings;
         if (nowMs < state.settledMs) {
-            return undefined;
+            return [];
         }
-        const action = state.overloaded
-            ? pressure >= this.settings.enterPressure && this.relieve(candidates, nowMs)
-            : pressure <= this.settings.leavePressure && this.relax(candidates);
-        if (!action) {
-            return undefined;
+        let actions: readonly EvictionAction[] = [];
+        if (state.overloaded && pressure >= enterPressure) {
+            actions = this.relieve(pressure, candidates, nowMs);
+        } else if (!state.overloaded && pressure <= leavePressure) {
+            actions = this.relax(candidates);
+        }
+        if (actions.length > 0) {
+            state.settledMs = nowMs + settleMs;
         }
-        state.settledMs = nowMs + this.settings.settleMs;
-        return action;
+        return actions;
     }
 
     /**
@@ -98,28 +108,49 @@
         }
     }
 
-    private relieve(candidates: readonly EvictionCandidate[], nowMs: number): EvictionAction | undefined {
-        const greatest = Math.max(0, ...candidates.map(candidate => candidate.harm));
-        const relevant = candidates
-            .filter(candidate => candidate.harm >= RelevantHarm * greatest)
-            .sort(byLostWork);
-        const unthrottled = relevant.find(candidate => !candidate.throttled);
-        if (unthrottled !== undefined) {
-            return { kind: "throttle", key: unthrottled.key, share: this.settings.throttleShare };
+    private relieve(
+        pressure: number,
+        candidates: readonly EvictionCandidate[],
+        nowMs: number,
+    ): readonly EvictionAction[] {
+        const throttles = this.throttle(pressure, candidates);
+        if (throttles.length > 0) {
+            return throttles;
         }
         if (this.budget.remaining(nowMs) <= this.settings.urgentReserve) {
-            return undefined;
+            return [];
+        }
+        const victim = relevantOf(candidates)
+            .sort(byLostWork)
+            .find(({ key }) => this.mayEvictAgain(key, nowMs));
+        return victim === undefined ? [] : [this.evict(victim.key, nowMs)];
+    }
+
+    /** Throttling loses no work, so the most harmful tasks come first. */
+    private throttle(pressure: number, candidates: readonly EvictionCandidate[]): EvictionAction[] {
+        const { enterPressure, leavePressure, throttleFactor, leastShare } = this.settings;
+        const target = (enterPressure + leavePressure) / 2;
+        let excess = 1 - target / pressure;
+        const actions: EvictionAction[] = [];
+        for (const { key, harm, share } of relevantOf(candidates).sort((a, b) => b.harm - a.harm)) {
+            const reduced = Math.max(leastShare, share * throttleFactor);
+            if (excess > 0 && reduced < share) {
+                actions.push({ kind: "throttle", key, share: reduced });
+                excess -= harm * (1 - reduced / share);
+            }
         }
-        const victim = relevant.find(candidate => this.mayEvictAgain(candidate.key, nowMs));
-        return victim && this.evict(victim.key, nowMs);
+        return actions;
     }
 
-    /** Gives the processors back to one throttled task, the least harmful first. */
-    private relax(candidates: readonly EvictionCandidate[]): EvictionAction | undefined {
-        const throttled = candidates.filter(candidate => candidate.throttled);
+    /** Gives processors back to one throttled task, the least harmful first. */
+    private relax(candidates: readonly EvictionCandidate[]): EvictionAction[] {
+        const throttled = candidates.filter(({ share }) => share < 1);
         throttled.sort((a, b) => a.harm - b.harm || byLostWork(a, b));
-        const first = throttled[0];
-        return first && { kind: "unthrottle", key: first.key, share: 1 };
+        return throttled.slice(0, 1).map(({ key, share }) => ({
+            kind: "unthrottle",
+            key,
+            share: Math.min(1, share / this.settings.throttleFactor),
+        }));
     }
 
     private chooseFor(
--- a/packages/placement/src/eviction-settings.ts
+++ b/packages/placement/src/eviction-settings.ts
@@ -8,8 +8,10 @@
     readonly enterReports: number;
     /** Reports in a row below `leavePressure` after which it has recovered. */
     readonly leaveReports: number;
-    /** Share of its processors that a throttled task keeps. */
-    readonly throttleShare: number;
+    /** Factor by which each step of throttling reduces the share of a task's processors. */
+    readonly throttleFactor: number;
+    /** Least share that throttling leaves; only then is a task evicted. */
+    readonly leastShare: number;
     /** Time without a further action on a worker, so that the last one shows in the lagged reports. */
     readonly settleMs: number;
     /** Evictions allowed in each window. */
