--- a/packages/placement/src/eviction-planner.ts
+++ b/packages/placement/src/eviction-planner.ts
@@ -12,6 +12,7 @@
     leaveReports: 3,
     throttleFactor: 0.5,
     leastShare: 0.25,
+    evictPressure: 2,
     settleMs: 20_000,
     budget: 10,
     windowMs: 60_000,
@@ -117,7 +118,8 @@
         if (throttles.length > 0) {
             return throttles;
         }
-        if (this.budget.remaining(nowMs) <= this.settings.urgentReserve) {
+        const { evictPressure, urgentReserve } = this.settings;
+        if (pressure < evictPressure || this.budget.remaining(nowMs) <= urgentReserve) {
             return [];
         }
         const victim = relevantOf(candidates)
--- a/packages/placement/src/eviction-settings.ts
+++ b/packages/placement/src/eviction-settings.ts
@@ -12,6 +12,8 @@
     readonly throttleFactor: number;
     /** Least share that throttling leaves; only then is a task evicted. */
     readonly leastShare: number;
+    /** Pressure from which tasks are evicted once throttling is exhausted; below it the excess is tolerated. */
+    readonly evictPressure: number;
     /** Time without a further action on a worker, so that the last one shows in the lagged reports. */
     readonly settleMs: number;
     /** Evictions allowed in each window. */
--- a/packages/placement/tests/eviction-planner.test.ts
+++ b/packages/placement/tests/eviction-planner.test.ts
@@ -17,7 +17,13 @@
 
 // Guards against the wrong victim: eviction before throttling, or the loss of much work where little suffices.
 t.test("actions on an overloaded worker", t => {
-    const cases: { name: string; tasks: EvictionCandidate[]; expected: string[] }[] = [
+    const cases: { name: string; tasks: EvictionCandidate[]; expected: string[]; pressure?: number }[] = [
+        {
+            name: "a small excess is tolerated",
+            tasks: [task("a", 9, throttled)],
+            pressure: 1.4,
+            expected: [],
+        },
         {
             name: "the most harmful task is throttled, and suffices",
             tasks: [task("a", 1, { harm: 0.5 }), task("b", 9, { harm: 0.9 })],
@@ -45,9 +51,9 @@
         },
         { name: "nothing to act on", tasks: [], expected: [] },
     ];
-    for (const { name, tasks, expected } of cases) {
-        const planner = EvictionPlanner.create({ enterReports: 1 });
-        const actions = planner.observe("w", 1.5, tasks, 0);
+    for (const { name, tasks, expected, pressure } of cases) {
+        const planner = EvictionPlanner.create({ enterReports: 1, evictPressure: 1.5 });
+        const actions = planner.observe("w", pressure ?? 1.5, tasks, 0);
         t.strictSame(
             actions.map(({ kind, key, share }) => `${kind} ${key} ${share}`),
             expected,
@@ -59,7 +65,12 @@
 
 // Guards against actions that alternate around the limit.
 t.test("hysteresis and settle time", t => {
-    const planner = EvictionPlanner.create({ enterReports: 2, leaveReports: 2, settleMs: 10 });
+    const planner = EvictionPlanner.create({
+        enterReports: 2,
+        leaveReports: 2,
+        settleMs: 10,
+        evictPressure: 1,
+    });
     const kinds = [
         [0, 1.2],
         [1, 0.9],
@@ -116,6 +127,7 @@
         windowMs: 100,
         settleMs: 5,
         enterReports: 1,
+        evictPressure: 1,
     });
     const times = reports.flatMap(([worker, pressure, urgent], index) => {
         const tasks = [task(`k${index}`, 1, throttled), task(`l${index}`, 2, throttled)];
