Start band estimates from the estimate over all loads; compare costs in one band

Two reasons: each band learned from the prior on its own, and a task that lifted the load over the edge of a band was charged the difference of two bands' estimates.

Change: an estimate over all loads is learned too, a band starts from it with a deviation of 0.3; the policy compares before and after in the band of the load after.

--- a/packages/placement/src/interference-aware-policy.ts
+++ b/packages/placement/src/interference-aware-policy.ts
@@ -30,10 +30,11 @@
         const { interferenceClass: added, resources } = request;
         const total = worker.capacity.processors;
         const loadAfter = worker.measuredLoad + resources.processors / total;
+        // One load for both, so that the difference holds the effect of the task and not that of two load bands.
         const after = (affected: string): number =>
             this.predictor.predict(affected, worker.classes, added, resources.processors, total, loadAfter);
         const before = (affected: string): number =>
-            this.predictor.predict(affected, worker.classes, added, 0, total, worker.measuredLoad);
+            this.predictor.predict(affected, worker.classes, added, 0, total, loadAfter);
 
         let cost =
             this.weights.load * loadAfter + this.penalty(added, after(added), resources.processors / total);
--- a/packages/placement/src/interference-model.ts
+++ b/packages/placement/src/interference-model.ts
@@ -6,6 +6,7 @@
     bandEnds: [0.4, 0.7],
     priorEffect: 1,
     priorDeviation: 1,
+    bandDeviation: 0.3,
     noise: 0.2,
     driftPerHour: 1,
     caution: 0.5,
@@ -16,7 +17,8 @@
 const MaxSurprise = 2;
 
 /**
- * Estimates of the effect of each class on each other class in each load band. The slowdown of a class is taken
+ * Estimates of the effect of each class on each other class in each load band, and one over all loads, from
+ * which the estimate of a band starts: few reports fall into a single band. The slowdown of a class is taken
  * as 1 plus the sum of the effects of its neighbours, each weighted by its share of the processors. A report is
  * distributed over the pairs in proportion to their variance (a Kalman filter with a diagonal covariance):
  * pairs that are known well hardly move. Variance grows with time, so that a shift is learned.
@@ -41,12 +43,16 @@
         processors: number,
         load: number,
     ): number {
-        const pairs = this.estimates.get(affected)?.[this.bandOf(load)];
+        const bands = this.estimates.get(affected);
+        const pairs = bands?.[this.bandOf(load)];
+        const overall = bands?.at(-1);
+        const effectOf = (neighbour: string): number =>
+            this.cautiousEffect(pairs?.get(neighbour) ?? overall?.get(neighbour));
         let slowdown = 1;
         for (const [neighbour, reserved] of classes) {
-            slowdown += this.cautiousEffect(pairs?.get(neighbour)) * (reserved / processors);
+            slowdown += effectOf(neighbour) * (reserved / processors);
         }
-        slowdown += this.cautiousEffect(pairs?.get(added)) * (addedProcessors / processors);
+        slowdown += effectOf(added) * (addedProcessors / processors);
         return Math.max(1, slowdown);
     }
 
@@ -59,10 +65,18 @@
         slowdown: number,
         observedMs: number,
     ): void {
-        const shares = [...classes].map(([neighbour, reserved]) => ({
-            pair: this.agedPair(affected, neighbour, this.bandOf(load), observedMs),
-            share: reserved / processors,
-        }));
+        const bands = this.bandsOf(affected);
+        for (const band of [bands.length - 1, this.bandOf(load)]) {
+            const shares = [...classes].map(([neighbour, reserved]) => ({
+                pair: this.agedPair(bands, neighbour, band, observedMs),
+                share: reserved / processors,
+            }));
+            this.correct(shares, slowdown);
+        }
+    }
+
+    /** Distributes the difference between the reported and the expected slowdown over the pairs. */
+    private correct(shares: readonly { pair: PairEstimate; share: number }[], slowdown: number): void {
         const expected = shares.reduce((sum, { pair, share }) => sum + pair.effect * share, 1);
         const surprise = Math.max(-MaxSurprise, Math.min(MaxSurprise, slowdown - expected));
         const uncertainty = shares.reduce((sum, { pair, share }) => sum + pair.variance * share * share, 0);
@@ -102,26 +116,35 @@
         return band;
     }
 
-    private agedPair(affected: string, neighbour: string, band: number, nowMs: number): PairEstimate {
-        const bands = this.bandsOf(affected);
-        const pairs = bands[band] ?? new Map<string, PairEstimate>();
-        const prior = this.settings.priorDeviation ** 2;
-        const pair = pairs.get(neighbour) ?? {
-            effect: this.settings.priorEffect,
-            variance: prior,
+    private agedPair(
+        bands: readonly Map<string, PairEstimate>[],
+        neighbour: string,
+        band: number,
+        nowMs: number,
+    ): PairEstimate {
+        const limit = this.deviationOf(bands, band) ** 2;
+        const overall = bands.at(-1)?.get(neighbour);
+        const pair = bands[band]?.get(neighbour) ?? {
+            effect: overall?.effect ?? this.settings.priorEffect,
+            variance: limit,
             updatedMs: nowMs,
         };
-        pairs.set(neighbour, pair);
+        bands[band]?.set(neighbour, pair);
         const elapsedHours = Math.max(0, nowMs - pair.updatedMs) / MsPerHour;
-        pair.variance = Math.min(prior, pair.variance + elapsedHours * this.settings.driftPerHour ** 2);
+        pair.variance = Math.min(limit, pair.variance + elapsedHours * this.settings.driftPerHour ** 2);
         pair.updatedMs = nowMs;
         return pair;
     }
 
+    private deviationOf(bands: readonly unknown[], band: number): number {
+        return band === bands.length - 1 ? this.settings.priorDeviation : this.settings.bandDeviation;
+    }
+
+    /** The estimates of an affected class: one map for each load band, and last one for all loads. */
     private bandsOf(affected: string): Map<string, PairEstimate>[] {
         let bands = this.estimates.get(affected);
         if (bands === undefined) {
-            bands = Array.from({ length: this.settings.bandEnds.length + 1 }, () => new Map());
+            bands = Array.from({ length: this.settings.bandEnds.length + 2 }, () => new Map());
             this.estimates.set(affected, bands);
         }
         return bands;
--- a/packages/placement/src/interference-settings.ts
+++ b/packages/placement/src/interference-settings.ts
@@ -5,6 +5,8 @@
     /** Slowdown assumed for an unknown pair, for a neighbour that has all of the worker's processors. */
     readonly priorEffect: number;
     readonly priorDeviation: number;
+    /** Deviation of an effect in one load band from the effect over all loads. */
+    readonly bandDeviation: number;
     /** Standard deviation of a reported slowdown. */
     readonly noise: number;
     /** Growth of an estimate's deviation in the square root of an hour without reports. */
--- a/packages/placement/src/lowest-cost-policy.ts
+++ b/packages/placement/src/lowest-cost-policy.ts
@@ -6,6 +6,9 @@
 import type { PlacementRequest } from "./placement-request.js";
 import type { WorkerView } from "./worker-view.js";
 
+/** One value for all refusals: each new `Err` records a stack trace, which costs more than the decision. */
+const noRoom: PlacementDecision = Err("no open worker has enough free capacity");
+
 /**
  * Chooses the worker with the lowest cost among those with room; the first one when costs are equal. A
  * latency-critical task goes to a rack with the fewest tasks of its pool, so that the loss of a rack stops as
@@ -32,7 +35,7 @@
                 bestRackCount = rackCount;
             }
         }
-        return best === undefined ? Err("no open worker has enough free capacity") : Ok(best.name);
+        return best === undefined ? noRoom : Ok(best.name);
     }
 
     protected abstract cost(worker: WorkerView, request: PlacementRequest): number;
--- a/packages/placement/tests/interference-model.test.ts
+++ b/packages/placement/tests/interference-model.test.ts
@@ -31,6 +31,10 @@
     t.ok(isNear(model.effect("service", "b", 0.5), 0.2), String(model.effect("service", "b", 0.5)));
     t.ok(model.confidence("service", "a", 0.5) > 0.9);
     t.equal(model.confidence("service", "a", 0.9), 0, "another load band has its own estimate");
+    t.ok(
+        isNear(model.predict("service", new Map(), "a", processors, processors, 0.9), 4.05),
+        "from that of all loads",
+    );
     teach(model, [0.2, 2], 1200, 400_000);
     t.ok(isNear(model.effect("service", "a", 0.5), 0.2), String(model.effect("service", "a", 0.5)));
     t.ok(isNear(model.effect("service", "b", 0.5), 2), String(model.effect("service", "b", 0.5)));
