--- /dev/null
+++ b/packages/bench/src/bench-line.ts
@@ -0,0 +1,16 @@
+import type { RunResult } from "./run-result.js";
+
+/** One line of the benchmark's output: means over the seeds, and ratios to other policies' means. */
+export interface BenchLine extends RunResult {
+    readonly user: string;
+    readonly scenario: string;
+    readonly policy: string;
+    readonly seeds: readonly number[];
+    /** Weighted by the user's priorities, relative to the oracle's 1; greater is better. */
+    readonly score: number;
+    readonly p99ToOracle: number;
+    readonly throughputToOracle: number;
+    readonly p99ToLeastLoaded: number;
+    readonly throughputToLeastLoaded: number;
+    readonly evictionsOfLeastLoaded: number;
+}
--- /dev/null
+++ b/packages/bench/src/mean-result.ts
@@ -0,0 +1,15 @@
+import type { RunResult } from "./run-result.js";
+
+/** Means over the runs of several seeds. */
+export const meanResult = (results: readonly RunResult[]): RunResult => {
+    const mean = (value: (result: RunResult) => number): number =>
+        results.reduce((sum, result) => sum + value(result), 0) / results.length;
+    return {
+        p99Ms: mean(({ p99Ms }) => p99Ms),
+        p999Ms: mean(({ p999Ms }) => p999Ms),
+        throughput: mean(({ throughput }) => throughput),
+        evictions: mean(({ evictions }) => evictions),
+        throttles: mean(({ throttles }) => throttles),
+        meanQueue: mean(({ meanQueue }) => meanQueue),
+    };
+};
--- /dev/null
+++ b/packages/bench/src/quarantine-study.ts
@@ -0,0 +1,88 @@
+import type { RandomSource } from "@samphireward/core/random-source";
+import { SeededRandom } from "@samphireward/core/seeded-random";
+import { QuarantineTracker } from "@samphireward/placement/quarantine-tracker";
+import { WorkerHealth } from "@samphireward/placement/worker-health";
+
+const Workers = 30;
+const Broken = 2;
+const Seconds = 1800;
+const StartsPerSecond = 5;
+/** Share of the jobs that fail everywhere, and of the starts that fail by chance. */
+const BadJobs = 0.02;
+const ChanceFailures = 0.01;
+const MaxFailures = 3;
+
+const names = Array.from({ length: Workers }, (_, index) => `w${index}`);
+const brokenNames = new Set(names.slice(0, Broken));
+
+/** One cell with workers that fail everything from 300 s to 1200 s. */
+const run = (
+    failureThreshold: number,
+    successThreshold: number,
+    seed: number,
+): { lostStarts: number; healthySecondsLost: number; goodJobsFailed: number } => {
+    const random: RandomSource = SeededRandom.create(seed);
+    const tracker = QuarantineTracker.create({ failureThreshold, successThreshold });
+    tracker.setWorkers(names);
+    let lostStarts = 0;
+    let healthySecondsLost = 0;
+    let goodJobsFailed = 0;
+    for (let second = 0; second < Seconds; second++) {
+        tracker.refresh(second * 1000);
+        const isBroken = (name: string): boolean => second >= 300 && second < 1200 && brokenNames.has(name);
+        for (let start = 0; start < StartsPerSecond; start++) {
+            const job = `j${second}-${start}`;
+            const isBad = random.next() < BadJobs;
+            const failedOn = new Set<string>();
+            const started = new Set<string>();
+            while (failedOn.size < MaxFailures) {
+                const open = names.filter(
+                    name => !failedOn.has(name) && tracker.mayPlace(name, started.has(name) ? 1 : 0),
+                );
+                const worker = open[random.below(open.length)];
+                if (worker === undefined) {
+                    break;
+                }
+                started.add(worker);
+                if (!isBad && !isBroken(worker) && random.next() >= ChanceFailures) {
+                    tracker.recordSuccess(worker, job);
+                    break;
+                }
+                lostStarts += isBroken(worker) && !isBad ? 1 : 0;
+                failedOn.add(worker);
+                tracker.recordFailure(worker, job, second * 1000);
+            }
+            goodJobsFailed += !isBad && failedOn.size === MaxFailures ? 1 : 0;
+        }
+        healthySecondsLost += names.filter(
+            name => !isBroken(name) && tracker.health(name) !== WorkerHealth.Normal,
+        ).length;
+    }
+    return { lostStarts, healthySecondsLost, goodJobsFailed };
+};
+
+const seeds = [1, 2, 3, 4, 5];
+for (const [failureThreshold, successThreshold] of [
+    [1, 1],
+    [1, 3],
+    [2, 1],
+    [2, 3],
+    [3, 1],
+    [3, 3],
+    [5, 3],
+    [1_000_000, 1],
+] as const) {
+    const results = seeds.map(seed => run(failureThreshold, successThreshold, seed));
+    const mean = (key: keyof (typeof results)[number]): number =>
+        results.reduce((sum, result) => sum + result[key], 0) / results.length;
+    process.stdout.write(
+        `${JSON.stringify({
+            failureThreshold,
+            successThreshold,
+            seeds,
+            lostStarts: mean("lostStarts"),
+            healthySecondsLost: mean("healthySecondsLost"),
+            goodJobsFailed: mean("goodJobsFailed"),
+        })}\n`,
+    );
+}
