--- /dev/null
+++ b/packages/bench/src/bench-unit.ts
@@ -0,0 +1,6 @@
+/** One user and scenario, run with every policy. */
+export interface BenchUnit {
+    readonly user: string;
+    readonly scenario: string;
+    readonly seeds: readonly number[];
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,10 +1,9 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
-import type { BenchLine } from "./bench-line.js";
 import type { Bounds } from "./bounds.js";
 import { checkBounds } from "./check-bounds.js";
-import { runScenario } from "./run-scenario.js";
+import { runUnits } from "./run-units.js";
 import { scenarios } from "./scenarios.js";
 import { userProfiles } from "./user-profiles.js";
 
@@ -15,19 +14,19 @@
         check: { type: "boolean", default: false },
         user: { type: "string" },
         scenario: { type: "string" },
-        seeds: { type: "string", default: "1,2" },
+        seeds: { type: "string", default: "1,2,3" },
     },
 });
 const seeds = values.seeds.split(",").map(Number);
-const lines: BenchLine[] = [];
-for (const profile of userProfiles.filter(({ name }) => name === (values.user ?? name))) {
-    for (const scenario of scenarios.filter(({ name }) => name === (values.scenario ?? name))) {
-        for (const line of runScenario(profile, scenario, seeds)) {
-            lines.push(line);
-            process.stdout.write(`${JSON.stringify(line)}\n`);
-        }
-    }
-}
+const units = userProfiles
+    .filter(({ name }) => name === (values.user ?? name))
+    .flatMap(profile =>
+        scenarios
+            .filter(({ name }) => name === (values.scenario ?? name))
+            .map(scenario => ({ user: profile.name, scenario: scenario.name, seeds })),
+    );
+const lines = (await runUnits(units)).flat();
+lines.forEach(line => process.stdout.write(`${JSON.stringify(line)}\n`));
 if (values.check) {
     const problems = checkBounds(lines, JSON.parse(readFileSync(boundsFile, "utf8")) as Bounds);
     problems.forEach(problem => process.stderr.write(`${problem}\n`));
--- a/packages/bench/src/mean-result.ts
+++ b/packages/bench/src/mean-result.ts
@@ -9,6 +9,7 @@
         p999Ms: mean(({ p999Ms }) => p999Ms),
         throughput: mean(({ throughput }) => throughput),
         evictions: mean(({ evictions }) => evictions),
+        urgentEvictions: mean(({ urgentEvictions }) => urgentEvictions),
         throttles: mean(({ throttles }) => throttles),
         meanQueue: mean(({ meanQueue }) => meanQueue),
     };
--- a/packages/bench/src/run-result.ts
+++ b/packages/bench/src/run-result.ts
@@ -5,6 +5,8 @@
     /** Processor seconds of batch work done for each second; work that an eviction lost is not counted. */
     readonly throughput: number;
     readonly evictions: number;
+    /** Those of the evictions that made room for latency-critical tasks. */
+    readonly urgentEvictions: number;
     readonly throttles: number;
     /** Tasks in the queues after placement, on average over the seconds of the run. */
     readonly meanQueue: number;
--- a/packages/bench/src/run-scenario.ts
+++ b/packages/bench/src/run-scenario.ts
@@ -38,6 +38,7 @@
         p999Ms: rounded(result.p999Ms),
         throughput: rounded(result.throughput),
         evictions: rounded(result.evictions),
+        urgentEvictions: rounded(result.urgentEvictions),
         throttles: rounded(result.throttles),
         meanQueue: rounded(result.meanQueue),
         score: rounded(score(profile.weights, result, oracle)),
--- a/packages/bench/src/sim-cell.ts
+++ b/packages/bench/src/sim-cell.ts
@@ -18,6 +18,8 @@
 export class SimCell {
     readonly queue = TaskQueue.create();
     evictions = 0;
+    /** Those of the evictions that made room for latency-critical tasks. */
+    urgentEvictions = 0;
     throttles = 0;
     /** Processor seconds that evictions and lost workers undid since the last call of `takeLostWork`. */
     private lostWork = 0;
@@ -78,7 +80,7 @@
 
     /** Requeues all tasks of a worker that was lost. */
     loseWorker(worker: SimWorker, nowMs: number): void {
-        worker.alive = false;
+        worker.setAlive(false);
         [...worker.tasks].forEach(task => this.requeue(worker, task, nowMs));
         this.planner.forgetWorker(worker.name);
         this.learner?.forgetWorker(worker.name);
@@ -89,7 +91,7 @@
         if (!worker.alive) {
             return;
         }
-        worker.reportedLoad = sample.load;
+        worker.setReportedLoad(sample.load);
         this.learner?.learn(sample);
         const mayAct = pressure >= 1 || [...worker.tasks].some(({ share }) => share < 1);
         const victims = mayAct ? this.victims(worker) : [];
@@ -159,6 +161,7 @@
         for (const task of [...worker.tasks].filter(({ key }) =>
             actions.some(action => action.key === key),
         )) {
+            this.urgentEvictions++;
             this.evictions++;
             this.requeue(worker, task, nowMs);
         }
--- a/packages/bench/src/sim-worker.ts
+++ b/packages/bench/src/sim-worker.ts
@@ -12,13 +12,13 @@
     /** Reserved processors by class, throttled tasks with their reduced share. */
     readonly classes = new Map<string, number>();
     reserved: Resources;
-    alive = true;
-    /** Share of the processors in use, as last reported to the scheduler. */
-    reportedLoad = 0;
     /** True load and slowdowns by class index since the last `step`. */
     load = 0;
     readonly slowdowns: number[];
     slotUse = 0;
+    private isAlive = true;
+    private lastReportedLoad = 0;
+    private cachedView: WorkerView | undefined;
     private readonly shares: number[];
     private readonly capacity: Resources;
 
@@ -40,16 +40,37 @@
         return new SimWorker(name, rack, cell, profile);
     }
 
+    /** The worker as the scheduler sees it. */
     get view(): WorkerView {
-        return {
+        this.cachedView ??= {
             name: this.name,
             rack: this.rack,
             capacity: this.capacity,
             reserved: this.reserved,
-            measuredLoad: this.reportedLoad,
+            measuredLoad: this.lastReportedLoad,
             classes: this.classes,
-            open: this.alive,
+            open: this.isAlive,
         };
+        return this.cachedView;
+    }
+
+    get alive(): boolean {
+        return this.isAlive;
+    }
+
+    /** Share of the processors in use, as last reported to the scheduler. */
+    get reportedLoad(): number {
+        return this.lastReportedLoad;
+    }
+
+    setAlive(alive: boolean): void {
+        this.isAlive = alive;
+        this.cachedView = undefined;
+    }
+
+    setReportedLoad(load: number): void {
+        this.lastReportedLoad = load;
+        this.cachedView = undefined;
     }
 
     add(task: SimTask): void {
@@ -66,6 +87,7 @@
     }
 
     updateClasses(): void {
+        this.cachedView = undefined;
         this.classes.clear();
         const service = this.profile.classes[0];
         if (service !== undefined) {
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -50,6 +50,7 @@
     private work = 0;
     private queued = 0;
     private evictionsBefore = 0;
+    private urgentEvictionsBefore = 0;
     private throttlesBefore = 0;
 
     private constructor(
@@ -111,6 +112,7 @@
             p999Ms: this.latencies.percentileMs(99.9),
             throughput: this.work / seconds,
             evictions: this.sum(cell => cell.evictions) - this.evictionsBefore,
+            urgentEvictions: this.sum(cell => cell.urgentEvictions) - this.urgentEvictionsBefore,
             throttles: this.sum(cell => cell.throttles) - this.throttlesBefore,
             meanQueue: this.queued / seconds,
         };
@@ -121,6 +123,7 @@
         this.queued = 0;
         this.cells.forEach(cell => cell.takeLostWork());
         this.evictionsBefore = this.sum(cell => cell.evictions);
+        this.urgentEvictionsBefore = this.sum(cell => cell.urgentEvictions);
         this.throttlesBefore = this.sum(cell => cell.throttles);
     }
 
@@ -139,7 +142,7 @@
             this.cancelShare(scenario.cancelledShare, second * 1000);
         }
         if (second === Math.round(scenario.endShare * RunSeconds)) {
-            this.lostWorkers().forEach(worker => (worker.alive = true));
+            this.lostWorkers().forEach(worker => worker.setAlive(true));
         }
     }
 
--- a/packages/placement/src/interference-model.ts
+++ b/packages/placement/src/interference-model.ts
@@ -66,22 +66,25 @@
         observedMs: number,
     ): void {
         const bands = this.bandsOf(affected);
+        const shares = Float64Array.from(classes.values(), reserved => reserved / processors);
         for (const band of [bands.length - 1, this.bandOf(load)]) {
-            const shares = [...classes].map(([neighbour, reserved]) => ({
-                pair: this.agedPair(bands, neighbour, band, observedMs),
-                share: reserved / processors,
-            }));
-            this.correct(shares, slowdown);
+            const pairs = Array.from(classes.keys(), name => this.agedPair(bands, name, band, observedMs));
+            this.correct(pairs, shares, slowdown);
         }
     }
 
     /** Distributes the difference between the reported and the expected slowdown over the pairs. */
-    private correct(shares: readonly { pair: PairEstimate; share: number }[], slowdown: number): void {
-        const expected = shares.reduce((sum, { pair, share }) => sum + pair.effect * share, 1);
+    private correct(pairs: readonly PairEstimate[], shares: Float64Array, slowdown: number): void {
+        let expected = 1;
+        let total = this.settings.noise ** 2;
+        for (const [index, pair] of pairs.entries()) {
+            const share = shares[index] ?? 0;
+            expected += pair.effect * share;
+            total += pair.variance * share * share;
+        }
         const surprise = Math.max(-MaxSurprise, Math.min(MaxSurprise, slowdown - expected));
-        const uncertainty = shares.reduce((sum, { pair, share }) => sum + pair.variance * share * share, 0);
-        const total = uncertainty + this.settings.noise ** 2;
-        for (const { pair, share } of shares) {
+        for (const [index, pair] of pairs.entries()) {
+            const share = shares[index] ?? 0;
             const gain = (pair.variance * share) / total;
             pair.effect = Math.max(0, pair.effect + gain * surprise);
             pair.variance *= 1 - gain * share;
