--- a/packages/tasks/tests/faults/schedule.ts
+++ b/packages/tasks/tests/faults/schedule.ts
@@ -97,7 +97,7 @@
 
 const stepArbitrary: fc.Arbitrary<Step> = fc.record({
     op: fc.oneof(
-        { arbitrary: fc.constant<Step["op"]>("submit"), weight: 6 },
+        { arbitrary: fc.constantFrom<Step["op"]>("submit", "evict", "cancel"), weight: 12 },
         { arbitrary: fc.constantFrom(...opNames), weight: opNames.length },
     ),
     pick: fc.nat(1000),
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -33,8 +33,9 @@
     readonly workers: SimWorker[];
     readonly processes: SimProcess[] = [];
     readonly accepted = new Set<string>();
-    readonly refused = new Set<string>();
     readonly unknown = new Set<string>();
+    /** Keys of which some submission has no answer or one that leaves its effect open. */
+    private readonly mayBeRecorded = new Map<string, number>();
     readonly cancelled = new Set<string>();
     readonly keys: string[] = [];
     private readonly payloads = new Map<string, { runMs: number; fail?: boolean }>();
@@ -118,6 +119,7 @@
             expectedRunMs: 1000,
             payload: JSON.stringify(this.payloads.get(key)),
         };
+        this.mayBeRecorded.set(key, (this.mayBeRecorded.get(key) ?? 0) + 1);
         void owner.accept(spec).then(result => this.noteAnswer(key, result));
     }
 
@@ -142,7 +144,7 @@
             [...this.unknown].forEach(key => this.resubmit(key));
             void this.openDrained();
         }
-        this.checker.finish(this.accepted, this.refused, this.cancelled);
+        this.checker.finish(this.accepted, this.refusedKeys(), this.cancelled);
     }
 
     async run(ms: number): Promise<void> {
@@ -164,14 +166,18 @@
         this.unknown.delete(key);
         if (result.isOk()) {
             this.accepted.add(key);
-            this.refused.delete(key);
-        } else if (describeCode(result.error.code).outcome !== Outcome.NotRun) {
+        } else if (describeCode(result.error.code).outcome === Outcome.NotRun) {
+            this.mayBeRecorded.set(key, (this.mayBeRecorded.get(key) ?? 0) - 1);
+        } else {
             this.unknown.add(key);
-        } else if (!this.accepted.has(key)) {
-            this.refused.add(key);
         }
     }
 
+    /** Keys of which every submission was refused as not run. */
+    private refusedKeys(): string[] {
+        return this.keys.filter(key => this.mayBeRecorded.get(key) === 0);
+    }
+
     private scheduleTick(): void {
         this.events.after(TickMs, () => {
             this.scheduleTick();
