Let the log apply transitions, split the worker conversation, plan evictions

The owner therefore hands its state to the log and follows each transition as it is applied. Random schedules with late log answers found that a task accepted twice in the log (its first submission had timed out) was queued again while its start waited for the log, and was started on two workers as the same attempt. Ruled out: refusing the second acceptance, because the first may not be durable. Change: a task whose start waits for the log is not queued; a start record that the state did not take is freed. Usage reports feed the eviction planner; urgent tasks have room made; borrowed quota is taken back.

--- a/packages/tasks/src/attempt.ts
+++ b/packages/tasks/src/attempt.ts
@@ -1,6 +1,7 @@
 import type { Resources } from "@samphireward/core/resources";
-import { AttemptPhase } from "./attempt-phase.js";
 import { attemptId } from "./attempt-id.js";
+import { AttemptPhase } from "./attempt-phase.js";
+import type { Recorder } from "./recorder.js";
 import type { TaskRef } from "./task-ref.js";
 
 /** One attempt of a task on a worker, as the owner tracks it. Its reservation lasts as long as this object. */
@@ -9,12 +10,15 @@
     leaseBaseMs: number | undefined;
     /** A start or renewal is under way; the lease end is unknown. */
     callOutstanding = false;
-    /** Checkpoint of an eviction in progress. */
-    checkpoint: string | undefined;
-    checkpointTries = 0;
-    checkpointOutstanding = false;
+    /** When this owner saw it run first, by the monotonic clock. */
+    liveSinceMs = 0;
+    throttled = false;
     /** An eviction is decided; its transition may still wait for the log. */
     evicting = false;
+    checkpointTries = 0;
+    checkpointOutstanding = false;
+    /** Checkpoint of an eviction in progress. */
+    checkpoint: string | undefined;
     /** Error of a worker that rejected the command itself; counts as a failure of the task there. */
     rejection: string | undefined;
 
@@ -38,10 +42,22 @@
         return { key: this.key, attempt: this.attempt };
     }
 
-    /** Marks the attempt to be stopped, unless that is under way or done. */
+    /** Marks a running attempt to be stopped, unless that is under way or done. */
     requestStop(): void {
-        if (this.phase === AttemptPhase.Live || this.phase === AttemptPhase.StartSent) {
+        if (this.phase === AttemptPhase.Live) {
             this.phase = AttemptPhase.Stopping;
         }
     }
+
+    /** Records that the attempt has ended for certain and without an outcome. */
+    end(recorder: Recorder): void {
+        this.phase = AttemptPhase.Ended;
+        const wallMs = recorder.wallMs();
+        const { ref, checkpoint, rejection } = this;
+        if (rejection === undefined) {
+            recorder.record({ kind: "released", ...ref, checkpoint, wallMs });
+        } else {
+            recorder.record({ kind: "failed", ...ref, error: rejection, wallMs });
+        }
+    }
 }
--- a/packages/tasks/src/cell-owner.ts
+++ b/packages/tasks/src/cell-owner.ts
@@ -16,6 +16,9 @@
 
 type Answer = Promise<Result<TaskAnswer, CodedError>>;
 
+/** Largest payload of a task; every accepted task's payload is in the log and the snapshot. */
+const MaxPayloadBytes = 16 * 1024;
+
 /** Records of ended tasks are kept this long, so that a repeated submission is answered from them. */
 const KeepEndedMs = 24 * 60 * 60 * 1000;
 
@@ -86,8 +89,8 @@
         if (this.core.state.ended.has(key) || task.cancelRequested) {
             return this.answerCancel(key);
         }
-        const durable = await this.recordCancel(key);
-        return durable ? this.answerCancel(key) : Err(noOwner());
+        const recorded = await this.recordCancel(key);
+        return recorded.andThen(() => this.answerCancel(key));
     }
 
     /** Starts to move a running task: checkpoint, confirmed stop, queued with the checkpoint. */
@@ -113,8 +116,8 @@
         this.core.setTables(tables);
     }
 
-    /** Records an operator's mode for a worker. Resolves with whether it is durable. */
-    setWorkerMode(worker: string, mode: WorkerMode): Promise<boolean> {
+    /** Records an operator's mode for a worker. Resolves once it is durable. */
+    setWorkerMode(worker: string, mode: WorkerMode): Promise<Result<void, CodedError>> {
         return new Promise(resolve => {
             this.core.record({ kind: "worker-mode", worker, mode }, resolve);
             this.core.flush();
@@ -159,7 +162,7 @@
             return;
         }
         const drained = this.core.state.workerMode(link.entry.name) === WorkerMode.Drained;
-        if (link.leaving || drained) {
+        if (link.state.leaving || drained) {
             for (const key of link.attempts.keys()) {
                 this.core.evict(key);
             }
@@ -174,6 +177,10 @@
         if (this.core.task(spec.key) !== undefined) {
             return undefined;
         }
+        if (Buffer.byteLength(spec.payload) > MaxPayloadBytes) {
+            const message = `The payload exceeds ${MaxPayloadBytes} bytes`;
+            return CodedError.create(ResultCode.RequestTooLarge, message);
+        }
         const pool = this.core.placer.pool(spec.pool);
         if (pool !== undefined && !this.core.placer.admits(pool, spec.resources)) {
             const message = `The task alone exceeds the quota of team ${pool.team}`;
@@ -192,7 +199,7 @@
         return undefined;
     }
 
-    private recordCancel(key: string): Promise<boolean> {
+    private recordCancel(key: string): Promise<Result<void, CodedError>> {
         return new Promise(resolve => {
             this.core.record({ kind: "cancelled", key, wallMs: this.core.wallMs() }, resolve);
             this.core.flush();
--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -1,10 +1,14 @@
 import type { TaskState } from "@samphireward/core/task-state";
 import { CellState } from "./cell-state.js";
+import type { StateRow } from "./state-row.js";
 import type { TaskRecord } from "./task-record.js";
 import { TransitionCodec } from "./transition-codec.js";
 import type { WorkerMode } from "./worker-mode.js";
 
-type Row = readonly unknown[];
+type Row = StateRow;
+
+/** First column of an item. Never reused for another kind, because snapshots of earlier versions are read. */
+const Tag = { Task: 0, Ended: 1, WorkerMode: 2 } as const;
 
 /** Number of columns of a task specification. */
 const SpecColumns = 7;
@@ -43,20 +47,31 @@
     };
 };
 
-/** JSON text of a whole cell state for the snapshot. */
+/** A whole cell state as items of a snapshot. Ended tasks follow in the order of their end. */
 export class CellStateCodec {
-    static encode(state: CellState): string {
-        const waitingAndActive = [...state.tasks.values()].filter(task => !state.ended.has(task.spec.key));
-        const ended = [...state.ended].map(key => state.get(key) as TaskRecord);
-        const rows = [...waitingAndActive, ...ended].map(toRow);
-        return JSON.stringify([rows, ended.length, [...state.workerModes]]);
+    static toRows(state: CellState): StateRow[] {
+        const rows: StateRow[] = [];
+        for (const task of state.tasks.values()) {
+            if (!state.ended.has(task.spec.key)) {
+                rows.push([Tag.Task, ...toRow(task)]);
+            }
+        }
+        for (const key of state.ended) {
+            rows.push([Tag.Ended, ...toRow(state.get(key) as TaskRecord)]);
+        }
+        for (const entry of state.workerModes) {
+            rows.push([Tag.WorkerMode, ...entry]);
+        }
+        return rows;
     }
 
-    /** Throws a `SyntaxError` for text that is not JSON. */
-    static decode(text: string): CellState {
-        const [rows, endedCount, modes] = JSON.parse(text) as [Row[], number, [string, WorkerMode][]];
-        const records = rows.map(fromRow);
-        const endedKeys = records.slice(records.length - endedCount).map(record => record.spec.key);
-        return CellState.restore(records, endedKeys, modes);
+    static fromRows(rows: readonly StateRow[]): CellState {
+        const columnsOf = (tag: number): Row[] => rows.filter(row => row[0] === tag).map(row => row.slice(1));
+        const ended = columnsOf(Tag.Ended).map(fromRow);
+        return CellState.restore(
+            [...columnsOf(Tag.Task).map(fromRow), ...ended],
+            ended.map(record => record.spec.key),
+            columnsOf(Tag.WorkerMode) as [string, WorkerMode][],
+        );
     }
 }
--- a/packages/tasks/src/commit-queue.ts
+++ b/packages/tasks/src/commit-queue.ts
@@ -1,21 +1,26 @@
-import type { CodedError } from "@samphireward/core/coded-error";
+import { CodedError } from "@samphireward/core/coded-error";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { TransitionLog } from "@samphireward/state/transition-log";
+import type { Result } from "ts-results-es";
+import { Err } from "ts-results-es";
 import type { Transition } from "./transition.js";
+import { TransitionCodec } from "./transition-codec.js";
+import type { TransitionRow } from "./transition-row.js";
+
+/** Told once whether a transition is durable (and then applied), is not, or may be (`OwnerUnreachable`). */
+type Settled = (result: Result<void, CodedError>) => void;
 
 /** A transition that waits for the log. */
 interface Item {
     readonly transition: Transition;
-    readonly settled: ((durable: boolean) => void) | undefined;
+    readonly settled: Settled | undefined;
 }
 
-/** What happens with a batch. */
+/** What happens after an append. */
 interface Handlers {
-    /** A batch is durable. Called in log order; the state is changed here and nowhere else. */
-    readonly apply: (transitions: readonly Transition[]) => void;
-    /** Another owner has the cell; nothing of the batch is durable. */
+    /** Another owner has the cell. */
     readonly lost: (err: CodedError) => void;
-    /** No append is under way any more; more can be pushed and flushed. */
+    /** A batch is durable and no append is under way any more. */
     readonly idle: () => void;
 }
 
@@ -46,8 +51,8 @@
 };
 
 /**
- * Transitions on their way to the log, one append at a time. While an append is under way the state is exactly
- * what the log holds before it, so that a snapshot of the state belongs to a known position.
+ * Transitions on their way to the log, one append at a time, so that what waits meanwhile is written together
+ * and a submission that was not handed to the log can still be refused.
  */
 export class CommitQueue {
     private waiting: Item[] = [];
@@ -55,11 +60,11 @@
     private closed = false;
 
     private constructor(
-        private readonly log: TransitionLog<Transition>,
+        private readonly log: TransitionLog<TransitionRow>,
         private readonly handlers: Handlers,
     ) {}
 
-    static create(log: TransitionLog<Transition>, handlers: Handlers): CommitQueue {
+    static create(log: TransitionLog<TransitionRow>, handlers: Handlers): CommitQueue {
         return new CommitQueue(log, handlers);
     }
 
@@ -72,10 +77,9 @@
         return this.waiting.length;
     }
 
-    /** `settled` is called once: with true after the transition was applied, or with false when it never will be. */
-    push(transition: Transition, settled?: (durable: boolean) => void): void {
+    push(transition: Transition, settled?: Settled): void {
         if (this.closed) {
-            settled?.(false);
+            settled?.(Err(notOwner()));
         } else {
             this.waiting.push({ transition, settled });
         }
@@ -96,7 +100,7 @@
         this.closed = true;
         const dropped = this.waiting;
         this.waiting = [];
-        settleAll(dropped, false);
+        settleAll(dropped, Err(notOwner()));
     }
 
     private take(): Item[] {
@@ -113,26 +117,29 @@
     }
 
     private async append(batch: readonly Item[]): Promise<void> {
-        const transitions = batch.map(item => item.transition);
-        const result = await this.log.append(transitions);
+        const rows = batch.map(item => TransitionCodec.toRow(item.transition));
+        const result = await this.log.append(rows);
         this.appending = false;
         if (result.isOk()) {
-            this.handlers.apply(transitions);
-            settleAll(batch, true);
+            settleAll(batch, result);
             this.handlers.idle();
         } else if (result.error.code === ResultCode.StoreUnavailable && !this.closed) {
             // Nothing was written; the next tick tries again.
             this.waiting.unshift(...batch);
         } else {
-            settleAll(batch, false);
+            const mayBeDurable = result.error.code === ResultCode.OwnerUnreachable;
+            settleAll(batch, mayBeDurable ? result : Err(notOwner()));
             this.close();
             this.handlers.lost(result.error);
         }
     }
 }
 
-const settleAll = (items: readonly Item[], durable: boolean): void => {
+const notOwner = (): CodedError =>
+    CodedError.create(ResultCode.NoCellOwner, "Another scheduler has taken the cell");
+
+const settleAll = (items: readonly Item[], result: Result<void, CodedError>): void => {
     for (const { settled } of items) {
-        settled?.(durable);
+        settled?.(result);
     }
 };
--- a/packages/tasks/src/default-owner-timing.ts
+++ b/packages/tasks/src/default-owner-timing.ts
@@ -8,6 +8,7 @@
     marginMs: 500,
     deliveryMs: 1000,
     outcomeIntervalMs: 1000,
+    usageIntervalMs: 2000,
     retryMs: 500,
     submissionTimeoutMs: 2000,
     placementIntervalMs: 1000,
--- a/packages/tasks/src/describe-task.ts
+++ b/packages/tasks/src/describe-task.ts
@@ -12,14 +12,12 @@
     if (task.cancelRequested) {
         return `cancelled; worker ${task.worker} has not confirmed the stop yet`;
     }
-    switch (task.state) {
-        case TaskState.Starting:
-            return `the start is being sent to worker ${task.worker}`;
-        case TaskState.Checkpointing:
-            return `a checkpoint is being taken on worker ${task.worker}, to move the task`;
-        default:
-            return `runs on worker ${task.worker}`;
+    if (task.state === TaskState.Starting) {
+        return `the start is being sent to worker ${task.worker}`;
     }
+    return task.state === TaskState.Checkpointing
+        ? `a checkpoint is being taken on worker ${task.worker}, to move the task`
+        : `runs on worker ${task.worker}`;
 };
 
 const reasonOf = (core: OwnerCore, task: TaskRecord): string => {
--- a/packages/tasks/src/outcome-reader.ts
+++ b/packages/tasks/src/outcome-reader.ts
@@ -1,3 +1,5 @@
+import type { CodedError } from "@samphireward/core/coded-error";
+import type { Result } from "ts-results-es";
 import { attemptId } from "./attempt-id.js";
 import type { Attempt } from "./attempt.js";
 import { AttemptPhase } from "./attempt-phase.js";
@@ -8,6 +10,9 @@
 import type { Transition } from "./transition.js";
 import type { WorkerOutcome } from "./worker-outcome.js";
 
+/** Characters of a task's output or error that are kept, because each is in the log and the snapshot. */
+const MaxOutput = 1024;
+
 /** Without a current attempt here, only a finish of work that nobody runs again is of use. */
 const isStale = (task: TaskRecord, outcome: WorkerOutcome, current: Attempt | undefined): boolean =>
     current === undefined && (outcome.result !== "finished" || !isWaitingState(task.state));
@@ -63,7 +68,9 @@
             this.takeOne(outcome);
         }
         for (const attempt of stopped) {
-            this.endStopped(attempt);
+            if (attempt.phase === AttemptPhase.Stopped) {
+                attempt.end(this.recorder);
+            }
         }
     }
 
@@ -85,9 +92,9 @@
     private recordOutcome(outcome: WorkerOutcome, current: Attempt | undefined): void {
         const id = attemptId(outcome);
         const ref = { key: outcome.key, attempt: outcome.attempt };
-        const settled = (durable: boolean): void => {
+        const settled = (result: Result<void, CodedError>): void => {
             this.recorded.delete(id);
-            if (durable) {
+            if (result.isOk()) {
                 this.acknowledgements.set(id, ref);
             }
         };
@@ -103,25 +110,11 @@
         const wallMs = this.recorder.wallMs();
         switch (outcome.result) {
             case "finished":
-                return { kind: "finished", ...ref, output: outcome.output, wallMs };
+                return { kind: "finished", ...ref, output: outcome.output.slice(0, MaxOutput), wallMs };
             case "failed":
-                return { kind: "failed", ...ref, error: outcome.error ?? "no message", wallMs };
+                return { kind: "failed", ...ref, error: (outcome.error ?? "").slice(0, MaxOutput), wallMs };
             case "lease-lapsed":
                 return { kind: "released", ...ref, checkpoint, wallMs };
         }
     }
-
-    private endStopped(attempt: Attempt): void {
-        if (attempt.phase !== AttemptPhase.Stopped) {
-            return;
-        }
-        attempt.phase = AttemptPhase.Ended;
-        const { ref, checkpoint, rejection } = attempt;
-        const wallMs = this.recorder.wallMs();
-        if (rejection === undefined) {
-            this.recorder.record({ kind: "released", ...ref, checkpoint, wallMs });
-        } else {
-            this.recorder.record({ kind: "failed", ...ref, error: rejection, wallMs });
-        }
-    }
 }
--- a/packages/tasks/src/owner-core.ts
+++ b/packages/tasks/src/owner-core.ts
@@ -1,15 +1,18 @@
+import type { CodedError } from "@samphireward/core/coded-error";
 import { WorkClass } from "@samphireward/core/work-class";
 import { QuarantineTracker } from "@samphireward/placement/quarantine-tracker";
+import type { Result } from "ts-results-es";
 import { Attempt } from "./attempt.js";
 import { attemptId } from "./attempt-id.js";
 import { AttemptPhase } from "./attempt-phase.js";
-import { CellState } from "./cell-state.js";
+import type { CellState } from "./cell-state.js";
 import { CommitQueue } from "./commit-queue.js";
 import { defaultOwnerTiming } from "./default-owner-timing.js";
 import { isActiveState } from "./is-active-state.js";
 import type { OwnerOptions } from "./owner-options.js";
 import type { OwnerTables } from "./owner-tables.js";
 import type { OwnerTiming } from "./owner-timing.js";
+import { LoadManager } from "./load-manager.js";
 import { Placer } from "./placer.js";
 import { Recorder } from "./recorder.js";
 import { SubmissionQueue } from "./submission-queue.js";
@@ -20,6 +23,7 @@
 import { WorkerLink } from "./worker-link.js";
 import { WorkerMode } from "./worker-mode.js";
 import { WorkerSet } from "./worker-set.js";
+import type { WorkerUsage } from "./worker-usage.js";
 
 /**
  * State and decisions of a cell's owner. The state changes only when a batch is durable; commands to workers
@@ -31,23 +35,25 @@
     readonly workers: WorkerSet;
     readonly placer: Placer;
     readonly submissions: SubmissionQueue;
+    readonly load: LoadManager;
     readonly quarantine = QuarantineTracker.create();
 
     private readonly commits: CommitQueue;
     private deposedReason: string | undefined;
     private placementDueMs = 0;
     private forgetting = false;
+    /** Workers with something to do after the batch that is being applied. */
+    private readonly touched = new Set<WorkerLink>();
 
     private constructor(readonly options: OwnerOptions) {
         super();
-        const { clock, log, policy, tables } = options;
-        this.state = options.state ?? CellState.create();
+        const { clock, log, machine, policy, tables } = options;
+        this.state = machine.state;
         this.timing = { ...defaultOwnerTiming, ...options.timing };
         this.submissions = SubmissionQueue.create(clock, this.timing.submissionTimeoutMs);
         this.commits = CommitQueue.create(log, {
-            apply: transitions => this.applyBatch(transitions),
             lost: err => this.depose(err.message),
-            idle: () => this.flush(),
+            idle: () => this.act(),
         });
         const link = (entry: WorkerEntry, client: Parameters<typeof WorkerLink.create>[1]): WorkerLink =>
             WorkerLink.create(entry, client, this, clock, this.timing);
@@ -56,10 +62,20 @@
             task: key => this.task(key),
             openEntries: () => this.openEntries(),
             entries: () => this.entries(),
-            start: (task, entry, interferenceClass) => this.grant(task, entry, interferenceClass),
-            makeRoom: () => undefined,
+            start: (task, entry) => this.grant(task, entry),
+            makeRoom: task => this.load.makeRoom(task),
+            evict: key => this.evict(key),
         });
+        const cell = {
+            links: () => this.workers.all,
+            task: (key: string) => this.task(key),
+            workClass: (task: TaskRecord) => this.workClass(task),
+            interferenceClass: (task: TaskRecord) => this.interferenceClass(task),
+            evict: (key: string) => this.evict(key),
+        };
+        this.load = LoadManager.create(cell, clock, options.learner, options.evictions);
         this.inherit();
+        machine.onApply = transition => this.applyOne(transition);
     }
 
     static create(options: OwnerOptions): OwnerCore {
@@ -74,7 +90,7 @@
         return this.state.get(key);
     }
 
-    override record(transition: Transition, settled?: (durable: boolean) => void): void {
+    override record(transition: Transition, settled?: (result: Result<void, CodedError>) => void): void {
         this.commits.push(transition, settled);
     }
 
@@ -96,6 +112,14 @@
         return Math.round(this.options.clock.wallMs());
     }
 
+    override usageReported(worker: string, usage: WorkerUsage): void {
+        const link = this.workers.get(worker);
+        if (link !== undefined && this.active) {
+            this.load.report(link, usage, this.placer.serviceObjectiveMs);
+            this.flush();
+        }
+    }
+
     override workerChanged(): void {
         this.placementDueMs = 0;
     }
@@ -113,8 +137,8 @@
         }
         const wallMs = this.wallMs();
         for (const spec of this.submissions.take()) {
-            this.record({ kind: "accepted", spec, wallMs }, durable =>
-                durable ? this.submissions.recorded(spec.key) : this.submissions.lost(spec.key),
+            this.record({ kind: "accepted", spec, wallMs }, result =>
+                this.submissions.settle(spec.key, result),
             );
         }
         this.commits.flush();
@@ -173,22 +197,30 @@
     }
 
     private entries(): readonly WorkerEntry[] {
-        return [...this.workers.all].filter(link => !link.gone).map(link => link.entry);
+        return [...this.workers.all].filter(link => !link.state.gone).map(link => link.entry);
     }
 
     private refreshOpen(link: WorkerLink): void {
         const { name, taskCount } = link.entry;
         const allowed = this.state.workerMode(name) === WorkerMode.Open;
-        link.entry.open = link.usable && allowed && this.quarantine.mayPlace(name, taskCount);
+        link.entry.open = link.state.usable && allowed && this.quarantine.mayPlace(name, taskCount);
     }
 
     /** Reserves the capacity and records the start before any command is sent. */
-    private grant(task: TaskRecord, entry: WorkerEntry, interferenceClass: string): void {
+    private grant(task: TaskRecord, entry: WorkerEntry): void {
         const ref = { key: task.spec.key, attempt: task.attempt + 1 };
-        entry.reserve(attemptId(ref), task.spec.resources, interferenceClass);
+        this.reserve(ref, task, entry.name);
         this.record({ kind: "starting", ...ref, worker: entry.name });
     }
 
+    private reserve(ref: TaskRef, task: TaskRecord, worker: string): void {
+        const link = this.workers.getOrExpect(worker);
+        const { resources, pool } = task.spec;
+        const interferenceClass = this.interferenceClass(task);
+        link.entry.reserve(attemptId(ref), { resources, interferenceClass, pool });
+        this.load.compositionChanged(link);
+    }
+
     /** Takes over what an earlier owner recorded. */
     private inherit(): void {
         for (const task of this.state.tasks.values()) {
@@ -197,36 +229,45 @@
                 continue;
             }
             const ref = { key: task.spec.key, attempt: task.attempt };
-            const link = this.workers.getOrExpect(task.worker);
-            link.entry.reserve(attemptId(ref), task.spec.resources, this.interferenceClass(task));
-            link.add(Attempt.create(ref, task.spec.resources, AttemptPhase.Inherited));
+            this.reserve(ref, task, task.worker);
+            this.workers
+                .getOrExpect(task.worker)
+                .add(Attempt.create(ref, task.spec.resources, AttemptPhase.Inherited));
             this.placer.adopt(task);
         }
     }
 
+    private workClass(task: TaskRecord): WorkClass {
+        return this.placer.pool(task.spec.pool)?.class ?? WorkClass.Batch;
+    }
+
     private interferenceClass(task: TaskRecord): string {
         return this.placer.pool(task.spec.pool)?.interferenceClass ?? "";
     }
 
-    private applyBatch(transitions: readonly Transition[]): void {
-        const touched = new Set<WorkerLink>();
-        for (const transition of transitions) {
-            const link = this.applyOne(transition);
-            if (link !== undefined) {
-                touched.add(link);
-            }
-        }
+    /** Acts on what has just become durable. */
+    private act(): void {
         if (!this.active) {
             return;
         }
         this.placeIfDue();
-        for (const link of touched) {
+        for (const link of this.touched) {
             link.pump();
         }
+        this.touched.clear();
+        this.flush();
+    }
+
+    /** Applies a durable transition. */
+    private applyOne(transition: Transition): void {
+        const link = this.applyAndFollow(transition);
+        if (link !== undefined) {
+            this.touched.add(link);
+        }
     }
 
-    /** Applies a durable transition; returns the worker whose conversation it concerns. */
-    private applyOne(transition: Transition): WorkerLink | undefined {
+    /** Returns the worker whose conversation the transition concerns. */
+    private applyAndFollow(transition: Transition): WorkerLink | undefined {
         const key = "key" in transition ? transition.key : undefined;
         const before = key === undefined ? undefined : this.state.get(key);
         const worker = before?.worker;
@@ -256,11 +297,14 @@
     private granted(ref: TaskRef, worker: string): WorkerLink | undefined {
         const task = this.state.get(ref.key);
         const link = this.workers.get(worker);
-        if (task?.state === "starting" && task.attempt === ref.attempt && link !== undefined) {
+        this.placer.grantApplied(ref.key);
+        const applies = task?.state === "starting" && task.attempt === ref.attempt && task.worker === worker;
+        if (applies && link !== undefined) {
             link.add(Attempt.create(ref, task.spec.resources, AttemptPhase.ToStart));
         } else {
             // A transition before it in the log has ended or cancelled the task.
             this.free(ref, worker);
+            this.syncQueue(ref.key);
         }
         return link;
     }
@@ -297,7 +341,11 @@
     }
 
     private free(ref: TaskRef, worker: string): void {
-        this.workers.get(worker)?.entry.release(attemptId(ref));
+        const link = this.workers.get(worker);
+        if (link !== undefined) {
+            link.entry.release(attemptId(ref));
+            this.load.compositionChanged(link);
+        }
         this.placer.releaseQuota(ref.key);
         this.placementDueMs = 0;
     }
@@ -306,9 +354,4 @@
         this.placer.sync(key);
         this.placementDueMs = 0;
     }
-
-    /** Whether a task belongs to a latency-critical pool. */
-    isUrgent(task: TaskRecord): boolean {
-        return this.placer.pool(task.spec.pool)?.class === WorkClass.LatencyCritical;
-    }
 }
--- a/packages/tasks/src/owner-tables.ts
+++ b/packages/tasks/src/owner-tables.ts
@@ -8,4 +8,6 @@
     readonly quotas?: ReadonlyMap<string, Resources> | undefined;
     /** What each worker sets aside for the services of the cell's data centre. */
     readonly serviceReserve: Resources;
+    /** Latency that the service's p99 should keep; a worker above it counts as overloaded. */
+    readonly serviceObjectiveMs?: number | undefined;
 }
--- a/packages/tasks/src/owner-timing.ts
+++ b/packages/tasks/src/owner-timing.ts
@@ -9,6 +9,7 @@
     /** A command reaches the worker at most this long after its call has settled, or never (docs/PLATFORM.md). */
     readonly deliveryMs: number;
     readonly outcomeIntervalMs: number;
+    readonly usageIntervalMs: number;
     /** Wait after a failed call before the next one to the same worker. */
     readonly retryMs: number;
     /** A submission that is not recorded by then is refused. */
--- a/packages/tasks/src/placer.ts
+++ b/packages/tasks/src/placer.ts
@@ -18,9 +18,11 @@
     /** Every worker that is not gone, to tell a task that waits for space from one that waits for a worker. */
     readonly entries: () => readonly WorkerEntry[];
     /** Reserves and records the start. */
-    readonly start: (task: TaskRecord, entry: WorkerEntry, interferenceClass: string) => void;
+    readonly start: (task: TaskRecord, entry: WorkerEntry) => void;
     /** An urgent task has no room. Returns the worker on which room is being made, if any. */
     readonly makeRoom: (task: QueuedTask) => string | undefined;
+    /** Moves a running task away; returns false when that is not possible now. */
+    readonly evict: (key: string) => boolean;
 }
 
 /** Starts decided in one round; the rest waits for the next one, so that a round stays short. */
@@ -32,6 +34,8 @@
 export class Placer {
     private readonly queue = TaskQueue.create();
     private quotas: QuotaLedger | undefined;
+    /** Tasks whose start waits for the log. They must not be placed again before it is applied. */
+    private readonly granted = new Set<string>();
     private readonly reasons = new Map<string, string>();
     /** Worker that is kept free for a blocked task, by the task's key. */
     private readonly holds = new Map<string, WorkerEntry>();
@@ -63,6 +67,10 @@
         }
     }
 
+    get serviceObjectiveMs(): number | undefined {
+        return this.tables.serviceObjectiveMs;
+    }
+
     pool(name: string): Pool | undefined {
         return this.tables.pools.get(name);
     }
@@ -72,9 +80,17 @@
         return this.quotas?.admits(pool.team, resources) ?? true;
     }
 
+    /** The start of a task is applied. */
+    grantApplied(key: string): void {
+        this.granted.delete(key);
+    }
+
     /** Makes the queue agree with a task's record. */
     sync(key: string): void {
         const task = this.cell.task(key);
+        if (this.granted.has(key)) {
+            return;
+        }
         if (task === undefined || !isWaitingState(task.state)) {
             this.queue.remove(key);
             this.reasons.delete(key);
@@ -103,7 +119,7 @@
     /** Places what can be placed now. */
     run(nowMs: number): void {
         this.holdWorker(nowMs);
-        for (let starts = 0; starts < MaxStartsPerRound; ) {
+        for (let starts = 0; starts < MaxStartsPerRound;) {
             const placed = this.placeHeads(nowMs);
             if (placed === 0) {
                 return;
@@ -131,6 +147,8 @@
         const quota = this.quotas?.check(task.team, task.resources, task.workClass);
         if (quota?.isErr() === true) {
             this.reasons.set(task.key, quota.error);
+            const borrowed = this.quotas?.reclaim(task.team, task.resources, task.workClass) ?? [];
+            borrowed.forEach(key => this.cell.evict(key));
             return false;
         }
         const entry = this.choose(task, record);
@@ -139,10 +157,11 @@
             return false;
         }
         this.quotas?.adopt(task.key, task.team, task.resources, task.workClass);
+        this.granted.add(task.key);
         this.queue.remove(task.key);
         this.unhold(task.key);
         this.reasons.delete(task.key);
-        this.cell.start(record, entry, task.interferenceClass);
+        this.cell.start(record, entry);
         return true;
     }
 
@@ -152,7 +171,14 @@
         const open = this.cell
             .openEntries()
             .filter(entry => entry.open && (entry.heldFor === undefined || entry === held));
-        const request = { key, resources, interferenceClass, workClass, avoid: this.avoid(record) };
+        const request = {
+            key,
+            resources,
+            interferenceClass,
+            workClass,
+            avoid: this.avoid(record),
+            rackCounts: this.rackCounts(task, record.spec.pool),
+        };
         const decision = this.policy.choose(request, open);
         if (decision.isErr()) {
             this.reasons.set(key, this.explain(record, decision.error));
@@ -174,6 +200,15 @@
         return others ? failed : emptySet;
     }
 
+    /** Tasks of the pool in each rack; only latency-critical work is spread by it. */
+    private rackCounts(task: QueuedTask, pool: string): ReadonlyMap<string, number> {
+        const counts = new Map<string, number>();
+        for (const entry of task.workClass === WorkClass.LatencyCritical ? this.cell.entries() : []) {
+            counts.set(entry.rack, (counts.get(entry.rack) ?? 0) + (entry.poolCounts.get(pool) ?? 0));
+        }
+        return counts;
+    }
+
     private explain(record: TaskRecord, reason: string): string {
         const failed = record.failures.length === 0 ? "" : `failed on ${record.failures.join(", ")}; `;
         const couldHold = this.cell.entries().some(entry => entry.couldHold(record.spec.resources));
--- a/packages/tasks/src/recorder.ts
+++ b/packages/tasks/src/recorder.ts
@@ -1,5 +1,8 @@
+import type { CodedError } from "@samphireward/core/coded-error";
+import type { Result } from "ts-results-es";
 import type { TaskRecord } from "./task-record.js";
 import type { Transition } from "./transition.js";
+import type { WorkerUsage } from "./worker-usage.js";
 
 /** What a worker's conversation may ask of the cell's owner. */
 export abstract class Recorder {
@@ -9,8 +12,8 @@
     /** Durable state of a task. */
     abstract task(key: string): TaskRecord | undefined;
 
-    /** Queues a transition for the log; `settled` tells whether it became durable (and is then applied). */
-    abstract record(transition: Transition, settled?: (durable: boolean) => void): void;
+    /** Queues a transition for the log; `settled` is told once whether it became durable and was applied. */
+    abstract record(transition: Transition, settled?: (result: Result<void, CodedError>) => void): void;
 
     /** A worker has seen a higher epoch: this owner ends. */
     abstract depose(reason: string): void;
@@ -20,6 +23,9 @@
 
     abstract wallMs(): number;
 
+    /** A worker has reported its usage. */
+    abstract usageReported(worker: string, usage: WorkerUsage): void;
+
     /** A worker has become usable or unusable. */
     abstract workerChanged(): void;
 }
--- a/packages/tasks/src/submission-queue.ts
+++ b/packages/tasks/src/submission-queue.ts
@@ -3,7 +3,7 @@
 import { ResultCode } from "@samphireward/core/result-code";
 import type { TaskSpec } from "@samphireward/core/task-spec";
 import type { Result } from "ts-results-es";
-import { Err, Ok } from "ts-results-es";
+import { Err } from "ts-results-es";
 
 /** Submissions that may wait while the store is slow; more are refused at once. */
 const MaxWaiting = 10_000;
@@ -21,7 +21,10 @@
  * that it may be durable, and a refusal must not claim that it was not recorded.
  */
 export class SubmissionQueue {
-    private readonly byKey = new Map<string, { submission: Submission; promise: Promise<Result<void, CodedError>> }>();
+    private readonly byKey = new Map<
+        string,
+        { submission: Submission; promise: Promise<Result<void, CodedError>> }
+    >();
     private waiting: Submission[] = [];
 
     private constructor(
@@ -66,9 +69,10 @@
         return taken.map(({ spec }) => spec);
     }
 
-    /** The submission is durable. */
-    recorded(key: string): void {
-        this.settle(key, Ok.EMPTY);
+    /** The log has answered for a submission. */
+    settle(key: string, result: Result<void, CodedError>): void {
+        this.byKey.get(key)?.submission.settle(result);
+        this.byKey.delete(key);
     }
 
     /** Refuses what has waited too long. */
@@ -85,25 +89,15 @@
         }
     }
 
-    /** The log has refused the submission for good. */
-    lost(key: string): void {
-        this.settle(key, Err(lostError()));
-    }
-
     /** Refuses what was not handed to the log. */
     refuseWaiting(): void {
         const waiting = this.waiting;
         this.waiting = [];
         for (const { spec } of waiting) {
-            this.lost(spec.key);
+            this.settle(spec.key, Err(lostError()));
         }
     }
 
-    private settle(key: string, result: Result<void, CodedError>): void {
-        this.byKey.get(key)?.submission.settle(result);
-        this.byKey.delete(key);
-    }
-
     private timeoutError(submission: Submission): CodedError {
         return submission.handed
             ? CodedError.create(ResultCode.OwnerUnreachable, "The store has not confirmed the submission")
--- a/packages/tasks/src/transition-codec.ts
+++ b/packages/tasks/src/transition-codec.ts
@@ -1,9 +1,10 @@
 import { Resources } from "@samphireward/core/resources";
 import type { TaskSpec } from "@samphireward/core/task-spec";
 import type { Transition } from "./transition.js";
+import type { TransitionRow } from "./transition-row.js";
 import type { WorkerMode } from "./worker-mode.js";
 
-type Row = readonly unknown[];
+type Row = TransitionRow;
 
 /** Tags of the rows. A tag is never reused for another kind, because records of earlier versions are replayed. */
 const Tag = {
@@ -55,7 +56,11 @@
     const ref = { key: fields[0] as string, attempt: fields[1] as number };
     switch (tag) {
         case Tag.Accepted:
-            return { kind: "accepted", spec: TransitionCodec.specFromRow(fields), wallMs: fields[7] as number };
+            return {
+                kind: "accepted",
+                spec: TransitionCodec.specFromRow(fields),
+                wallMs: fields[7] as number,
+            };
         case Tag.Starting:
             return { kind: "starting", ...ref, worker: fields[2] as string };
         case Tag.Running:
@@ -81,15 +86,15 @@
     }
 };
 
-/** Compact JSON text of transitions for the log: one array for each, with a tag in place of field names. */
+/** Transitions as rows for the log: one array for each, with a tag in place of field names. */
 export class TransitionCodec {
-    static encode(transitions: readonly Transition[]): string {
-        return JSON.stringify(transitions.map(toRow));
+    static toRow(transition: Transition): TransitionRow {
+        return toRow(transition);
     }
 
-    /** Throws a `SyntaxError` for text that `encode` did not write. */
-    static decode(text: string): Transition[] {
-        return (JSON.parse(text) as Row[]).map(fromRow);
+    /** Throws a `SyntaxError` for a row that `toRow` did not make. */
+    static fromRow(row: TransitionRow): Transition {
+        return fromRow(row);
     }
 
     static specToRow(spec: TaskSpec): Row {
--- a/packages/tasks/src/transition.ts
+++ b/packages/tasks/src/transition.ts
@@ -10,7 +10,11 @@
     | ({ readonly kind: "running" } & TaskRef)
     | ({ readonly kind: "checkpointing" } & TaskRef)
     /** The attempt has ended for certain without an outcome; the task waits again. */
-    | ({ readonly kind: "released"; readonly checkpoint?: string | undefined; readonly wallMs: number } & TaskRef)
+    | ({
+          readonly kind: "released";
+          readonly checkpoint?: string | undefined;
+          readonly wallMs: number;
+      } & TaskRef)
     | ({ readonly kind: "finished"; readonly output: string; readonly wallMs: number } & TaskRef)
     | ({ readonly kind: "failed"; readonly error: string; readonly wallMs: number } & TaskRef)
     | { readonly kind: "cancelled"; readonly key: string; readonly wallMs: number }
--- a/packages/tasks/src/worker-entry.ts
+++ b/packages/tasks/src/worker-entry.ts
@@ -4,6 +4,7 @@
 interface Reservation {
     readonly resources: Resources;
     readonly interferenceClass: string;
+    readonly pool: string;
 }
 
 /**
@@ -16,6 +17,8 @@
     /** Task for which the worker is kept free. */
     heldFor: string | undefined;
     readonly classes = new Map<string, number>();
+    /** Number of tasks of each pool. */
+    readonly poolCounts = new Map<string, number>();
     reserved: Resources;
 
     private readonly reservations = new Map<string, Reservation>();
@@ -35,6 +38,11 @@
         return new WorkerEntry(name, rack, capacity, service);
     }
 
+    /** The service's reserve on this worker. */
+    get serviceReserve(): Resources {
+        return this.service;
+    }
+
     get taskCount(): number {
         return this.reservations.size;
     }
@@ -44,17 +52,27 @@
         return this.service.plus(resources).fitsIn(this.capacity);
     }
 
+    /** What a task lacks here; each value is at least 0. */
+    shortage(resources: Resources): Resources {
+        const over = this.reserved.plus(resources).minus(this.capacity);
+        return Resources.create({
+            processors: Math.max(0, over.processors),
+            memoryMb: Math.max(0, over.memoryMb),
+            accelerators: Math.max(0, over.accelerators),
+        });
+    }
+
     fits(resources: Resources): boolean {
         return this.reserved.plus(resources).fitsIn(this.capacity);
     }
 
-    reserve(key: string, resources: Resources, interferenceClass: string): void {
-        this.reservations.set(key, { resources, interferenceClass });
+    reserve(id: string, reservation: Reservation): void {
+        this.reservations.set(id, reservation);
         this.recompute();
     }
 
-    release(key: string): void {
-        if (this.reservations.delete(key)) {
+    release(id: string): void {
+        if (this.reservations.delete(id)) {
             this.recompute();
         }
     }
@@ -74,10 +92,12 @@
     private recompute(): void {
         let sum = this.service.plus(this.foreign);
         this.classes.clear();
-        for (const { resources, interferenceClass } of this.reservations.values()) {
+        this.poolCounts.clear();
+        for (const { resources, interferenceClass, pool } of this.reservations.values()) {
             sum = sum.plus(resources);
             const processors = (this.classes.get(interferenceClass) ?? 0) + resources.processors;
             this.classes.set(interferenceClass, processors);
+            this.poolCounts.set(pool, (this.poolCounts.get(pool) ?? 0) + 1);
         }
         this.reserved = sum;
     }
--- a/packages/tasks/src/worker-set.ts
+++ b/packages/tasks/src/worker-set.ts
@@ -3,7 +3,7 @@
 import { UnreachableWorkerClient } from "./unreachable-worker-client.js";
 import type { WorkerClient } from "./worker-client.js";
 import { WorkerEntry } from "./worker-entry.js";
-import { WorkerLink } from "./worker-link.js";
+import type { WorkerLink } from "./worker-link.js";
 
 /** How the set makes its parts. */
 interface Factory {
@@ -116,7 +116,7 @@
         const { name, rack, capacity, leaving, taskAddress } = worker;
         const entry = WorkerEntry.create(name, rack, capacity, this.serviceReserve);
         const link = this.factory.link(entry, this.factory.connect(worker));
-        link.leaving = leaving;
+        link.state.leaving = leaving;
         this.links.set(name, link);
         this.addresses.set(name, taskAddress);
     }
@@ -124,7 +124,7 @@
     private refresh(link: WorkerLink, worker: WorkerInfo, isFirstListing: boolean): void {
         link.entry.rack = worker.rack;
         link.entry.setCapacity(worker.capacity, this.serviceReserve);
-        link.leaving = worker.leaving;
+        link.state.leaving = worker.leaving;
         if (isFirstListing) {
             link.reconnect(this.factory.connect(worker));
             this.addresses.set(worker.name, worker.taskAddress);
@@ -143,9 +143,9 @@
 
     private findShapes(): void {
         this.shapes = new Map();
-        for (const { entry, gone } of this.links.values()) {
+        for (const { entry, state } of this.links.values()) {
             const { processors, memoryMb, accelerators } = entry.capacity;
-            if (!gone) {
+            if (!state.gone) {
                 this.shapes.set(`${processors}|${memoryMb}|${accelerators}`, entry);
             }
         }
--- a/packages/tasks/tests/faults/invariant-checker.ts
+++ b/packages/tasks/tests/faults/invariant-checker.ts
@@ -38,7 +38,10 @@
         this.checkRecord(worker, task, checkpoint);
         const here = this.running.get(worker) ?? new Map<string, RunningTask>();
         this.running.set(worker, here.set(`${key}#${attempt}`, task));
-        const sum = [...here.values()].reduce((total, { resources }) => total.plus(resources), Resources.none);
+        const sum = [...here.values()].reduce(
+            (total, { resources }) => total.plus(resources),
+            Resources.none,
+        );
         if (!sum.fitsIn(capacity)) {
             this.report(`${worker} runs more than it can hold`);
         }
--- a/packages/tasks/tests/faults/sim-log.ts
+++ b/packages/tasks/tests/faults/sim-log.ts
@@ -6,8 +6,10 @@
 import { Err, Ok } from "ts-results-es";
 import { CellState } from "../../src/cell-state.js";
 import { CellStateCodec } from "../../src/cell-state-codec.js";
+import { CellStateMachine } from "../../src/cell-state-machine.js";
 import type { Transition } from "../../src/transition.js";
 import { TransitionCodec } from "../../src/transition-codec.js";
+import type { TransitionRow } from "../../src/transition-row.js";
 import type { EventQueue } from "./event-queue.js";
 import { Mutant } from "./mutant.js";
 import type { SimProcess } from "./sim-process.js";
@@ -28,25 +30,22 @@
         private readonly mutant: Mutant,
     ) {}
 
-    static create(
-        events: EventQueue,
-        random: SeededRandom,
-        faultRate: () => number,
-        mutant: Mutant,
-    ): SimLog {
+    static create(events: EventQueue, random: SeededRandom, faultRate: () => number, mutant: Mutant): SimLog {
         return new SimLog(events, random, faultRate, mutant);
     }
 
     /** Takes the cell for a new owner; returns the state as the new owner reads it. */
-    takeOver(): CellState {
+    takeOver(): CellStateMachine {
         this.epoch += 1;
-        return CellStateCodec.decode(CellStateCodec.encode(this.durable));
+        const machine = CellStateMachine.create();
+        machine.restore(JSON.parse(JSON.stringify(CellStateCodec.toRows(this.durable))) as TransitionRow[]);
+        return machine;
     }
 
-    handle(process: SimProcess): TransitionLog<Transition> {
-        const append = (transitions: readonly Transition[]): Promise<Result<void, CodedError>> =>
-            this.append(process, transitions);
-        return new (class extends TransitionLog<Transition> {
+    handle(process: SimProcess, machine: CellStateMachine): TransitionLog<TransitionRow> {
+        const append = (rows: readonly TransitionRow[]): Promise<Result<void, CodedError>> =>
+            this.append(process, machine, rows);
+        return new (class extends TransitionLog<TransitionRow> {
             override append = append;
         })();
     }
@@ -56,17 +55,27 @@
         this.blocked.splice(0).forEach(run => run());
     }
 
-    private append(process: SimProcess, transitions: readonly Transition[]): Promise<Result<void, CodedError>> {
-        const text = TransitionCodec.encode(transitions);
+    private append(
+        process: SimProcess,
+        machine: CellStateMachine,
+        rows: readonly TransitionRow[],
+    ): Promise<Result<void, CodedError>> {
+        const text = JSON.stringify(rows);
         return new Promise(resolve => {
             if (this.random.next() < this.faultRate() / 4) {
                 const full = CodedError.create(ResultCode.StoreUnavailable, "the queue is full");
                 resolve(Err(full));
                 return;
             }
+            const confirm = (result: Result<void, CodedError>): void => {
+                if (result.isOk()) {
+                    rows.forEach(row => machine.apply(row));
+                }
+                resolve(result);
+            };
             const early = this.mutant === Mutant.NoWriteAhead;
             if (early) {
-                resolve(Ok.EMPTY);
+                confirm(Ok.EMPTY);
             }
             const write = (): void => {
                 // A process that was killed before its write left has written nothing.
@@ -75,18 +84,27 @@
                 }
                 const result = this.write(process, text);
                 const answerMs = this.random.next() < this.faultRate() ? 3000 : 1 + this.random.below(20);
-                this.events.after(answerMs, () => process.deliver(() => resolve(result)));
+                this.events.after(answerMs, () =>
+                    process.deliver(() => !early && confirm(this.blur(process, result))),
+                );
             };
             const writeMs = early ? 400 : 1 + this.random.below(60);
             this.events.after(writeMs, () => (this.stalled ? this.blocked.push(write) : write()));
         });
     }
 
+    /** Another owner's records can hide whether an append of this one was written. */
+    private blur(process: SimProcess, result: Result<void, CodedError>): Result<void, CodedError> {
+        const isHidden = process.epoch !== this.epoch && this.random.next() < 0.5;
+        return isHidden ? Err(CodedError.create(ResultCode.OwnerUnreachable, "not known")) : result;
+    }
+
     private write(process: SimProcess, text: string): Result<void, CodedError> {
         if (process.epoch !== this.epoch && this.mutant !== Mutant.NoEpochFencing) {
             return Err(CodedError.create(ResultCode.StaleEpoch, "another owner has the log"));
         }
-        for (const transition of TransitionCodec.decode(text)) {
+        for (const row of JSON.parse(text) as TransitionRow[]) {
+            const transition = TransitionCodec.fromRow(row);
             this.durable.apply(transition);
             this.transitions.push(transition);
         }
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -1,9 +1,11 @@
 import { ManualClock } from "@samphireward/core/manual-clock";
 import { Outcome } from "@samphireward/core/outcome";
 import { describeCode } from "@samphireward/core/describe-code";
+import type { Pool } from "@samphireward/core/pool";
 import { Resources } from "@samphireward/core/resources";
 import type { ResultCode } from "@samphireward/core/result-code";
 import { SeededRandom } from "@samphireward/core/seeded-random";
+import { WorkClass } from "@samphireward/core/work-class";
 import { LeastLoadedPolicy } from "@samphireward/placement/least-loaded-policy";
 import type { WorkerModel } from "@samphireward/standins/worker/worker-model";
 import type { Result } from "ts-results-es";
@@ -23,6 +25,12 @@
 /** Clocks of workers: two at the ends of the allowed deviation. */
 const rates = [1, 0.92, 1.1, 1];
 
+const pool = (name: string, workClass: WorkClass): [string, Pool] => [
+    name,
+    { name, class: workClass, team: "presses", zones: ["herning-a"], interferenceClass: name },
+];
+const pools = new Map([pool("cutting", WorkClass.Batch), pool("proofs", WorkClass.LatencyCritical)]);
+
 /** A cell with its log, workers, directory and scheduler processes under a manual clock. */
 export class Simulation {
     readonly clock = ManualClock.create(1000);
@@ -91,7 +99,10 @@
     }
 
     /** Runs a command at a worker. All workers are up to date first, so that the checker sees ends in order. */
-    atWorker<T>(worker: SimWorker, command: (model: WorkerModel) => Result<T, ResultCode>): Result<T, ResultCode> {
+    atWorker<T>(
+        worker: SimWorker,
+        command: (model: WorkerModel) => Result<T, ResultCode>,
+    ): Result<T, ResultCode> {
         this.workers.forEach(other => other.model.advance());
         return command(worker.model);
     }
@@ -110,7 +121,7 @@
         }
         const spec = {
             key,
-            pool: "cutting",
+            pool: key.endsWith("5") || key.endsWith("6") ? "proofs" : "cutting",
             resources: Resources.create({
                 processors: 1 + (key.length % 2),
                 memoryMb: 2000,
@@ -206,18 +217,19 @@
     }
 
     private takeOver(): void {
-        const state = this.log.takeOver();
+        const machine = this.log.takeOver();
         const process = SimProcess.create(this.log.epoch);
         process.leaseUntilMs = this.clock.nowMs() + StoreLeaseMs;
         const early = { deliveryMs: 0, marginMs: -2500, clockRateMargin: 0 };
         process.owner = CellOwner.create({
             clock: this.clock,
-            log: this.log.handle(process),
+            log: this.log.handle(process, machine),
+            machine,
             policy: LeastLoadedPolicy.create(),
-            tables: { pools: new Map(), serviceReserve: Resources.none },
+            tables: { pools, serviceReserve: Resources.none },
             connect: info => SimClient.create(this, process, this.findWorker(info.name)),
-            mayGrant: () => this.mutant === Mutant.NoEpochFencing || process.leaseUntilMs > this.clock.nowMs(),
-            state,
+            mayGrant: () =>
+                this.mutant === Mutant.NoEpochFencing || process.leaseUntilMs > this.clock.nowMs(),
             timing: this.mutant === Mutant.EarlyReassign ? early : {},
         });
         this.processes.push(process);
