--- a/packages/standins/src/worker/standin-worker.ts
+++ b/packages/standins/src/worker/standin-worker.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
 import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
 import { Resources } from "@samphireward/core/resources";
 import { SystemClock } from "@samphireward/core/system-clock";
 import { ServicePort } from "./service-port.js";
@@ -17,11 +18,13 @@
 /** How often due tasks end when no call arrives. */
 const AdvanceIntervalMs = 50;
 
-const listen = async (server: Server, address: string): Promise<void> => {
+const listen = async (server: Server, address: string): Promise<string> => {
     const colon = address.lastIndexOf(":");
     const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
     server.listen({ host, port: Number(address.slice(colon + 1)) });
     await once(server, "listening");
+    const bound = server.address() as AddressInfo;
+    return `${address.slice(0, colon)}:${bound.port}`;
 };
 
 /** One stand-in worker with its task port and its service port. */
@@ -47,11 +50,12 @@
         return new StandinWorker(settings);
     }
 
-    /** Opens both ports. Rejects when an address is in use. */
-    async start(): Promise<void> {
-        await listen(this.taskPort.server, this.settings.taskListen);
-        await listen(this.servicePort.server, this.settings.serviceListen);
+    /** Opens both ports and returns their addresses. Rejects when an address is in use. */
+    async start(): Promise<{ readonly taskAddress: string; readonly serviceAddress: string }> {
+        const taskAddress = await listen(this.taskPort.server, this.settings.taskListen);
+        const serviceAddress = await listen(this.servicePort.server, this.settings.serviceListen);
         this.timer = setInterval(() => this.advance(), AdvanceIntervalMs);
+        return { taskAddress, serviceAddress };
     }
 
     close(): void {
--- /dev/null
+++ b/packages/tasks/src/attempt-book.ts
@@ -0,0 +1,184 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { QuarantineTracker } from "@samphireward/placement/quarantine-tracker";
+import { Attempt } from "./attempt.js";
+import { attemptId } from "./attempt-id.js";
+import { AttemptPhase } from "./attempt-phase.js";
+import type { CellStatistics } from "./cell-statistics.js";
+import type { CellState } from "./cell-state.js";
+import { isActiveState } from "./is-active-state.js";
+import type { LoadManager } from "./load-manager.js";
+import type { Placer } from "./placer.js";
+import type { Recorder } from "./recorder.js";
+import type { TaskRecord } from "./task-record.js";
+import type { TaskRef } from "./task-ref.js";
+import type { Transition } from "./transition.js";
+import type { WorkerEntry } from "./worker-entry.js";
+import type { WorkerLink } from "./worker-link.js";
+import type { WorkerSet } from "./worker-set.js";
+
+/** Parts of the owner that follow the state's changes. */
+interface Parts {
+    readonly state: CellState;
+    readonly workers: WorkerSet;
+    readonly placer: Placer;
+    readonly load: LoadManager;
+    readonly quarantine: QuarantineTracker;
+    readonly statistics: CellStatistics;
+    readonly recorder: Recorder;
+    readonly clock: Clock;
+}
+
+/** Keeps attempts, reservations, quotas and the queue in step with the cell's durable state. */
+export class AttemptBook {
+    private constructor(private readonly parts: Parts) {}
+
+    static create(parts: Parts): AttemptBook {
+        return new AttemptBook(parts);
+    }
+
+    findLink(task: TaskRecord | undefined): WorkerLink | undefined {
+        return task?.worker === undefined ? undefined : this.parts.workers.get(task.worker);
+    }
+
+    findAttempt(task: TaskRecord | undefined): Attempt | undefined {
+        const attempt = task && this.findLink(task)?.attempts.get(task.spec.key);
+        return attempt?.attempt === task?.attempt ? attempt : undefined;
+    }
+
+    /** Reserves the capacity and records the start before any command is sent. */
+    grant(task: TaskRecord, entry: WorkerEntry): void {
+        const ref = { key: task.spec.key, attempt: task.attempt + 1 };
+        this.reserve(ref, task, entry.name);
+        this.parts.recorder.record({ kind: "starting", ...ref, worker: entry.name });
+    }
+
+    private reserve(ref: TaskRef, task: TaskRecord, worker: string): void {
+        const link = this.parts.workers.getOrExpect(worker);
+        const { resources, pool } = task.spec;
+        const interferenceClass = this.parts.placer.pool(pool)?.interferenceClass ?? "";
+        link.entry.reserve(attemptId(ref), { resources, interferenceClass, pool });
+        this.parts.load.compositionChanged(link);
+    }
+
+    /** Takes over what an earlier owner recorded. */
+    inherit(): void {
+        for (const task of this.parts.state.tasks.values()) {
+            this.parts.placer.sync(task.spec.key);
+            if (!isActiveState(task.state) || task.worker === undefined) {
+                continue;
+            }
+            const ref = { key: task.spec.key, attempt: task.attempt };
+            this.reserve(ref, task, task.worker);
+            this.parts.workers
+                .getOrExpect(task.worker)
+                .add(Attempt.create(ref, task.spec.resources, AttemptPhase.Inherited));
+            this.parts.placer.adopt(task);
+        }
+    }
+
+    /** Starts the eviction of a running task. Returns whether it is one that can be evicted now. */
+    evict(key: string): boolean {
+        const task = this.parts.state.get(key);
+        const attempt = this.findAttempt(task);
+        const runs = task?.state === "running" && !task.cancelRequested;
+        if (!runs || attempt === undefined || attempt.phase !== AttemptPhase.Live || attempt.evicting) {
+            return false;
+        }
+        attempt.evicting = true;
+        this.parts.recorder.record({ kind: "checkpointing", ...attempt.ref });
+        return true;
+    }
+
+    /** Applies a durable transition and follows it; returns the worker whose conversation it concerns. */
+    apply(transition: Transition): WorkerLink | undefined {
+        const key = "key" in transition ? transition.key : undefined;
+        const before = key === undefined ? undefined : this.parts.state.get(key);
+        const worker = before?.worker;
+        const stateBefore = before?.state;
+        this.parts.state.apply(transition);
+        if (before !== undefined && stateBefore !== undefined) {
+            this.parts.statistics.count(transition, stateBefore, before, this.parts.recorder.wallMs());
+        }
+        switch (transition.kind) {
+            case "accepted":
+                this.syncQueue(transition.spec.key);
+                return undefined;
+            case "starting":
+                return this.granted(transition, transition.worker);
+            case "released":
+            case "finished":
+            case "failed":
+                return this.ended(transition, worker);
+            case "cancelled":
+                return this.cancelled(transition.key);
+            case "worker-mode":
+                this.parts.recorder.workerChanged();
+                return undefined;
+            case "running":
+            case "checkpointing":
+            case "forgotten":
+                return undefined;
+        }
+    }
+
+    private granted(ref: TaskRef, worker: string): WorkerLink | undefined {
+        const task = this.parts.state.get(ref.key);
+        const link = this.parts.workers.get(worker);
+        this.parts.placer.grantApplied(ref.key);
+        const applies = task?.state === "starting" && task.attempt === ref.attempt && task.worker === worker;
+        if (applies && link !== undefined) {
+            link.add(Attempt.create(ref, task.spec.resources, AttemptPhase.ToStart));
+        } else {
+            // A transition before it in the log has ended or cancelled the task.
+            this.free(ref, worker);
+            this.syncQueue(ref.key);
+        }
+        return link;
+    }
+
+    private ended(transition: Transition & TaskRef, worker: string | undefined): WorkerLink | undefined {
+        const ref = { key: transition.key, attempt: transition.attempt };
+        const link = worker === undefined ? undefined : this.parts.workers.get(worker);
+        if (link?.attempts.get(ref.key)?.attempt === ref.attempt) {
+            link.remove(ref);
+            this.free(ref, link.entry.name);
+            this.judge(transition, link.entry.name);
+        }
+        this.syncQueue(ref.key);
+        return link;
+    }
+
+    private judge(transition: Transition & TaskRef, worker: string): void {
+        if (transition.kind === "failed") {
+            this.parts.quarantine.recordFailure(worker, transition.key, this.parts.clock.nowMs());
+        } else if (transition.kind === "finished") {
+            this.parts.quarantine.recordSuccess(worker, transition.key);
+        }
+    }
+
+    private cancelled(key: string): WorkerLink | undefined {
+        const task = this.parts.state.get(key);
+        const attempt = this.findAttempt(task);
+        const link = this.findLink(task);
+        if (attempt !== undefined && task?.cancelRequested === true) {
+            link?.stop(attempt);
+        }
+        this.syncQueue(key);
+        return link;
+    }
+
+    private free(ref: TaskRef, worker: string): void {
+        const link = this.parts.workers.get(worker);
+        if (link !== undefined) {
+            link.entry.release(attemptId(ref));
+            this.parts.load.compositionChanged(link);
+        }
+        this.parts.placer.releaseQuota(ref.key);
+        this.parts.recorder.workerChanged();
+    }
+
+    private syncQueue(key: string): void {
+        this.parts.placer.sync(key);
+        this.parts.recorder.workerChanged();
+    }
+}
--- a/packages/tasks/src/cell-owner.ts
+++ b/packages/tasks/src/cell-owner.ts
@@ -5,12 +5,17 @@
 import type { WorkerInfo } from "@samphireward/core/worker-info";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
+import type { CellStatus } from "./cell-status.js";
+import { chooseForgotten } from "./choose-forgotten.js";
+import { describeCell } from "./describe-cell.js";
 import { describeTask } from "./describe-task.js";
 import { OwnerCore } from "./owner-core.js";
 import type { OwnerOptions } from "./owner-options.js";
 import type { OwnerTables } from "./owner-tables.js";
 import type { TaskAnswer } from "./task-answer.js";
 import type { TaskStatus } from "./task-status.js";
+import type { PoolStatistics } from "./pool-statistics.js";
+import { WorkerCommand } from "./worker-command.js";
 import type { WorkerLink } from "./worker-link.js";
 import { WorkerMode } from "./worker-mode.js";
 
@@ -19,15 +24,6 @@
 /** Largest payload of a task; every accepted task's payload is in the log and the snapshot. */
 const MaxPayloadBytes = 16 * 1024;
 
-/** Records of ended tasks are kept this long, so that a repeated submission is answered from them. */
-const KeepEndedMs = 24 * 60 * 60 * 1000;
-
-/** Bound on the records of ended tasks; 20,000 are about 4 MB of memory. */
-const MaxEnded = 20_000;
-
-/** Records dropped with one transition. */
-const MaxForgottenAtOnce = 1000;
-
 /**
  * The owner of one cell: accepts, places, starts, watches, moves and ends the cell's tasks. All calls are made
  * from one sequential process; `tick` carries on what time has made due.
@@ -95,7 +91,7 @@
 
     /** Starts to move a running task: checkpoint, confirmed stop, queued with the checkpoint. */
     evict(key: string): boolean {
-        const started = this.core.evict(key);
+        const started = this.core.attempts.evict(key);
         this.core.flush();
         return started;
     }
@@ -116,14 +112,36 @@
         this.core.setTables(tables);
     }
 
-    /** Records an operator's mode for a worker. Resolves once it is durable. */
-    setWorkerMode(worker: string, mode: WorkerMode): Promise<Result<void, CodedError>> {
+    /** Carries out an operator's command for a worker. Resolves once it is durable. */
+    commandWorker(worker: string, command: WorkerCommand): Promise<Result<void, CodedError>> {
+        const mode = modeOf[command];
+        if (mode === undefined || !this.hasWorker(worker)) {
+            const message = `No worker "${worker}" in the cell, or no command "${command}"`;
+            return Promise.resolve(Err(CodedError.create(ResultCode.BadRequest, message)));
+        }
+        if (command === WorkerCommand.Release) {
+            this.core.quarantine.release(worker);
+        }
         return new Promise(resolve => {
             this.core.record({ kind: "worker-mode", worker, mode }, resolve);
             this.core.flush();
         });
     }
 
+    hasWorker(name: string): boolean {
+        return this.core.workers.get(name) !== undefined;
+    }
+
+    /** The cell with its workers, for operators. */
+    describe(): CellStatus {
+        return describeCell(this.core);
+    }
+
+    /** Events of each pool since this owner took the cell. */
+    get statistics(): ReadonlyMap<string, PoolStatistics> {
+        return this.core.statistics.pools;
+    }
+
     /** Carries on with everything that is due. */
     tick(): void {
         this.tickCell();
@@ -137,7 +155,7 @@
     tickCell(): void {
         if (this.core.active) {
             this.core.submissions.expire();
-            this.forgetOld();
+            this.core.forget(chooseForgotten(this.core.state, this.core.wallMs()));
             this.core.placeIfDue();
             this.core.flush();
         }
@@ -164,7 +182,7 @@
         const drained = this.core.state.workerMode(link.entry.name) === WorkerMode.Drained;
         if (link.state.leaving || drained) {
             for (const key of link.attempts.keys()) {
-                this.core.evict(key);
+                this.core.attempts.evict(key);
             }
         }
         link.tick();
@@ -219,24 +237,14 @@
         const cancelled = task?.cancelRequested === true || task?.state === TaskState.Cancelled;
         return this.answer(cancelled ? ResultCode.TaskCancelled : ResultCode.TaskAlreadyAccepted, key);
     }
-
-    private forgetOld(): void {
-        const { ended } = this.core.state;
-        const keys: string[] = [];
-        const limitMs = this.core.wallMs() - KeepEndedMs;
-        for (const key of ended) {
-            const tooMany = ended.size - keys.length > MaxEnded;
-            const tooOld = (this.core.task(key)?.wallMs ?? 0) < limitMs;
-            if (keys.length >= MaxForgottenAtOnce || (!tooMany && !tooOld)) {
-                break;
-            }
-            keys.push(key);
-        }
-        if (keys.length > 0) {
-            this.core.forget(keys);
-        }
-    }
 }
 
+const modeOf: Readonly<Record<string, WorkerMode | undefined>> = {
+    [WorkerCommand.Drain]: WorkerMode.Drained,
+    [WorkerCommand.Undrain]: WorkerMode.Open,
+    [WorkerCommand.Quarantine]: WorkerMode.Quarantined,
+    [WorkerCommand.Release]: WorkerMode.Open,
+};
+
 const noOwner = (): CodedError =>
     CodedError.create(ResultCode.NoCellOwner, "This scheduler does not own the cell");
--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -28,7 +28,7 @@
         record.worker ?? "",
         record.output,
         record.cancelRequested ? 1 : 0,
-        record.checkpoint ?? "",
+        record.checkpoint === undefined ? 0 : [record.checkpoint],
         record.failures.length === 0 ? 0 : record.failures,
     ]);
 
@@ -42,7 +42,7 @@
         worker: ((worker as string | undefined) ?? "") === "" ? undefined : (worker as string),
         output: (output ?? "") as string,
         cancelRequested: cancel === 1,
-        checkpoint: ((checkpoint as string | undefined) ?? "") === "" ? undefined : (checkpoint as string),
+        checkpoint: Array.isArray(checkpoint) ? (checkpoint[0] as string) : undefined,
         failures: Array.isArray(failures) ? (failures as string[]) : [],
     };
 };
--- /dev/null
+++ b/packages/tasks/src/describe-cell.ts
@@ -0,0 +1,39 @@
+import { WorkerHealth } from "@samphireward/placement/worker-health";
+import type { CellStatus } from "./cell-status.js";
+import type { OwnerCore } from "./owner-core.js";
+import type { WorkerLink } from "./worker-link.js";
+import { WorkerMode } from "./worker-mode.js";
+import type { WorkerStatus } from "./worker-status.js";
+
+const stateOf = (core: OwnerCore, { entry, state }: WorkerLink): WorkerStatus["state"] => {
+    if (state.gone) {
+        return "gone";
+    }
+    if (state.leaving) {
+        return "leaving";
+    }
+    const mode = core.state.workerMode(entry.name);
+    const health = core.quarantine.health(entry.name);
+    if (mode === WorkerMode.Drained) {
+        return "drained";
+    }
+    if (mode === WorkerMode.Quarantined || health === WorkerHealth.Quarantined) {
+        return "quarantined";
+    }
+    if (!state.usable) {
+        return "unreachable";
+    }
+    return health === WorkerHealth.Probation ? "probation" : "open";
+};
+
+/** The cell with its workers, for operators. */
+export const describeCell = (core: OwnerCore): CellStatus => {
+    const workers: WorkerStatus[] = [];
+    let running = 0;
+    for (const link of core.workers.all) {
+        const { name, rack, capacity, reserved, taskCount } = link.entry;
+        workers.push({ name, rack, state: stateOf(core, link), capacity, reserved, tasks: taskCount });
+        running += taskCount;
+    }
+    return { workers, queued: core.placer.waiting, running };
+};
--- a/packages/tasks/src/describe-task.ts
+++ b/packages/tasks/src/describe-task.ts
@@ -4,8 +4,8 @@
 import type { TaskStatus } from "./task-status.js";
 
 const describeActive = (core: OwnerCore, task: TaskRecord): string => {
-    const link = core.findLink(task);
-    const problem = link?.describe(core.findAttempt(task)) ?? "";
+    const link = core.attempts.findLink(task);
+    const problem = link?.describe(core.attempts.findAttempt(task)) ?? "";
     if (problem !== "") {
         return problem;
     }
--- a/packages/tasks/src/owner-core.ts
+++ b/packages/tasks/src/owner-core.ts
@@ -2,13 +2,11 @@
 import { WorkClass } from "@samphireward/core/work-class";
 import { QuarantineTracker } from "@samphireward/placement/quarantine-tracker";
 import type { Result } from "ts-results-es";
-import { Attempt } from "./attempt.js";
-import { attemptId } from "./attempt-id.js";
-import { AttemptPhase } from "./attempt-phase.js";
+import { AttemptBook } from "./attempt-book.js";
+import { CellStatistics } from "./cell-statistics.js";
 import type { CellState } from "./cell-state.js";
 import { CommitQueue } from "./commit-queue.js";
 import { defaultOwnerTiming } from "./default-owner-timing.js";
-import { isActiveState } from "./is-active-state.js";
 import type { OwnerOptions } from "./owner-options.js";
 import type { OwnerTables } from "./owner-tables.js";
 import type { OwnerTiming } from "./owner-timing.js";
@@ -17,7 +15,6 @@
 import { Recorder } from "./recorder.js";
 import { SubmissionQueue } from "./submission-queue.js";
 import type { TaskRecord } from "./task-record.js";
-import type { TaskRef } from "./task-ref.js";
 import type { Transition } from "./transition.js";
 import type { WorkerEntry } from "./worker-entry.js";
 import { WorkerLink } from "./worker-link.js";
@@ -36,7 +33,9 @@
     readonly placer: Placer;
     readonly submissions: SubmissionQueue;
     readonly load: LoadManager;
+    readonly attempts: AttemptBook;
     readonly quarantine = QuarantineTracker.create();
+    readonly statistics = CellStatistics.create();
 
     private readonly commits: CommitQueue;
     private deposedReason: string | undefined;
@@ -62,19 +61,22 @@
             task: key => this.task(key),
             openEntries: () => this.openEntries(),
             entries: () => this.entries(),
-            start: (task, entry) => this.grant(task, entry),
+            start: (task, entry) => this.attempts.grant(task, entry),
             makeRoom: task => this.load.makeRoom(task),
-            evict: key => this.evict(key),
+            evict: key => this.attempts.evict(key),
         });
         const cell = {
             links: () => this.workers.all,
             task: (key: string) => this.task(key),
             workClass: (task: TaskRecord) => this.workClass(task),
             interferenceClass: (task: TaskRecord) => this.interferenceClass(task),
-            evict: (key: string) => this.evict(key),
+            evict: (key: string) => this.attempts.evict(key),
         };
         this.load = LoadManager.create(cell, clock, options.learner, options.evictions);
-        this.inherit();
+        const { state, workers, placer, load, quarantine, statistics } = this;
+        const parts = { state, workers, placer, load, quarantine, statistics, recorder: this, clock };
+        this.attempts = AttemptBook.create(parts);
+        this.attempts.inherit();
         machine.onApply = transition => this.applyOne(transition);
     }
 
@@ -157,34 +159,12 @@
 
     /** Drops records of ended tasks, one transition at a time. */
     forget(keys: readonly string[]): void {
-        if (!this.forgetting) {
+        if (keys.length > 0 && !this.forgetting) {
             this.forgetting = true;
             this.record({ kind: "forgotten", keys }, () => (this.forgetting = false));
         }
     }
 
-    /** Starts the eviction of a running task. Returns whether it is one that can be evicted now. */
-    evict(key: string): boolean {
-        const task = this.state.get(key);
-        const attempt = this.findAttempt(task);
-        const runs = task?.state === "running" && !task.cancelRequested;
-        if (!runs || attempt === undefined || attempt.phase !== AttemptPhase.Live || attempt.evicting) {
-            return false;
-        }
-        attempt.evicting = true;
-        this.record({ kind: "checkpointing", ...attempt.ref });
-        return true;
-    }
-
-    findLink(task: TaskRecord | undefined): WorkerLink | undefined {
-        return task?.worker === undefined ? undefined : this.workers.get(task.worker);
-    }
-
-    findAttempt(task: TaskRecord | undefined): Attempt | undefined {
-        const attempt = task && this.findLink(task)?.attempts.get(task.spec.key);
-        return attempt?.attempt === task?.attempt ? attempt : undefined;
-    }
-
     private openEntries(): readonly WorkerEntry[] {
         const open: WorkerEntry[] = [];
         for (const link of this.workers.all) {
@@ -206,37 +186,6 @@
         link.entry.open = link.state.usable && allowed && this.quarantine.mayPlace(name, taskCount);
     }
 
-    /** Reserves the capacity and records the start before any command is sent. */
-    private grant(task: TaskRecord, entry: WorkerEntry): void {
-        const ref = { key: task.spec.key, attempt: task.attempt + 1 };
-        this.reserve(ref, task, entry.name);
-        this.record({ kind: "starting", ...ref, worker: entry.name });
-    }
-
-    private reserve(ref: TaskRef, task: TaskRecord, worker: string): void {
-        const link = this.workers.getOrExpect(worker);
-        const { resources, pool } = task.spec;
-        const interferenceClass = this.interferenceClass(task);
-        link.entry.reserve(attemptId(ref), { resources, interferenceClass, pool });
-        this.load.compositionChanged(link);
-    }
-
-    /** Takes over what an earlier owner recorded. */
-    private inherit(): void {
-        for (const task of this.state.tasks.values()) {
-            this.placer.sync(task.spec.key);
-            if (!isActiveState(task.state) || task.worker === undefined) {
-                continue;
-            }
-            const ref = { key: task.spec.key, attempt: task.attempt };
-            this.reserve(ref, task, task.worker);
-            this.workers
-                .getOrExpect(task.worker)
-                .add(Attempt.create(ref, task.spec.resources, AttemptPhase.Inherited));
-            this.placer.adopt(task);
-        }
-    }
-
     private workClass(task: TaskRecord): WorkClass {
         return this.placer.pool(task.spec.pool)?.class ?? WorkClass.Batch;
     }
@@ -260,98 +209,9 @@
 
     /** Applies a durable transition. */
     private applyOne(transition: Transition): void {
-        const link = this.applyAndFollow(transition);
+        const link = this.attempts.apply(transition);
         if (link !== undefined) {
             this.touched.add(link);
         }
     }
-
-    /** Returns the worker whose conversation the transition concerns. */
-    private applyAndFollow(transition: Transition): WorkerLink | undefined {
-        const key = "key" in transition ? transition.key : undefined;
-        const before = key === undefined ? undefined : this.state.get(key);
-        const worker = before?.worker;
-        this.state.apply(transition);
-        switch (transition.kind) {
-            case "accepted":
-                this.syncQueue(transition.spec.key);
-                return undefined;
-            case "starting":
-                return this.granted(transition, transition.worker);
-            case "released":
-            case "finished":
-            case "failed":
-                return this.ended(transition, worker);
-            case "cancelled":
-                return this.cancelled(transition.key);
-            case "worker-mode":
-                this.placementDueMs = 0;
-                return undefined;
-            case "running":
-            case "checkpointing":
-            case "forgotten":
-                return undefined;
-        }
-    }
-
-    private granted(ref: TaskRef, worker: string): WorkerLink | undefined {
-        const task = this.state.get(ref.key);
-        const link = this.workers.get(worker);
-        this.placer.grantApplied(ref.key);
-        const applies = task?.state === "starting" && task.attempt === ref.attempt && task.worker === worker;
-        if (applies && link !== undefined) {
-            link.add(Attempt.create(ref, task.spec.resources, AttemptPhase.ToStart));
-        } else {
-            // A transition before it in the log has ended or cancelled the task.
-            this.free(ref, worker);
-            this.syncQueue(ref.key);
-        }
-        return link;
-    }
-
-    private ended(transition: Transition & TaskRef, worker: string | undefined): WorkerLink | undefined {
-        const ref = { key: transition.key, attempt: transition.attempt };
-        const link = worker === undefined ? undefined : this.workers.get(worker);
-        if (link?.attempts.get(ref.key)?.attempt === ref.attempt) {
-            link.remove(ref);
-            this.free(ref, link.entry.name);
-            this.judge(transition, link.entry.name);
-        }
-        this.syncQueue(ref.key);
-        return link;
-    }
-
-    private judge(transition: Transition & TaskRef, worker: string): void {
-        if (transition.kind === "failed") {
-            this.quarantine.recordFailure(worker, transition.key, this.options.clock.nowMs());
-        } else if (transition.kind === "finished") {
-            this.quarantine.recordSuccess(worker, transition.key);
-        }
-    }
-
-    private cancelled(key: string): WorkerLink | undefined {
-        const task = this.state.get(key);
-        const attempt = this.findAttempt(task);
-        const link = this.findLink(task);
-        if (attempt !== undefined && task?.cancelRequested === true) {
-            link?.stop(attempt);
-        }
-        this.syncQueue(key);
-        return link;
-    }
-
-    private free(ref: TaskRef, worker: string): void {
-        const link = this.workers.get(worker);
-        if (link !== undefined) {
-            link.entry.release(attemptId(ref));
-            this.load.compositionChanged(link);
-        }
-        this.placer.releaseQuota(ref.key);
-        this.placementDueMs = 0;
-    }
-
-    private syncQueue(key: string): void {
-        this.placer.sync(key);
-        this.placementDueMs = 0;
-    }
 }
--- /dev/null
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -0,0 +1,154 @@
+import { Resources } from "@samphireward/core/resources";
+import { ResultCode } from "@samphireward/core/result-code";
+import t from "tap";
+import type { CellOwner } from "../src/cell-owner.js";
+import { Simulation } from "./faults/simulation.js";
+
+/** A cell with an owner and four idle workers of 4 processors, 8,000 MB and 1 accelerator. */
+const createCell = async (): Promise<{ sim: Simulation; owner: CellOwner }> => {
+    const sim = Simulation.create(1);
+    await sim.run(5000);
+    const owner = sim.current?.owner;
+    if (owner === undefined) {
+        throw new Error("the cell has no owner");
+    }
+    return { sim, owner };
+};
+
+const spec = (key: string, runMs: number, processors = 1, fail = false) => ({
+    key,
+    pool: "cutting",
+    resources: Resources.create({ processors, memoryMb: 100 }),
+    expectedRunMs: runMs,
+    payload: JSON.stringify(fail ? { runMs, fail } : { runMs }),
+});
+
+// Guards against a repeated submission that runs twice or gets no answer.
+t.test("a key is accepted once", async t => {
+    const { sim, owner } = await createCell();
+    const answers = Promise.all([owner.accept(spec("k", 500)), owner.accept(spec("k", 500))]);
+    await sim.run(2000);
+    const codes = (await answers).map(answer => (answer.isOk() ? answer.value.code : answer.error.code));
+    t.strictSame(codes, [ResultCode.TaskAccepted, ResultCode.TaskAlreadyAccepted]);
+    const again = owner.accept(spec("k", 500));
+    await sim.run(3000);
+    const last = await again;
+    t.equal(last.isOk() && last.value.code, ResultCode.TaskAlreadyAccepted);
+    t.strictSame([owner.status("k")?.state, owner.status("k")?.output], ["finished", "ran 500 ms"]);
+    t.strictSame(sim.checker.violations, []);
+});
+
+// Guards against work that can never run and waits for ever, and against oversized log records.
+t.test("a task that cannot run is refused with the reason", async t => {
+    const { owner } = await createCell();
+    const large = await owner.accept(spec("large", 500, 5));
+    t.equal(large.isErr() && large.error.code, ResultCode.TaskFitsNoWorker);
+    t.match(large.isErr() && large.error.message, /needs 5 processors.*workers have: 4 processors/);
+    const long = await owner.accept({ ...spec("long", 1), payload: "x".repeat(20_000) });
+    t.equal(long.isErr() && long.error.code, ResultCode.RequestTooLarge);
+});
+
+// Guards against a job that is tried for ever, and against one that is ended after failing on one bad worker.
+t.test("a job that fails on three workers ends as failed", async t => {
+    const { sim, owner } = await createCell();
+    void owner.accept(spec("bad", 100, 1, true));
+    await sim.run(15_000);
+    const status = owner.status("bad");
+    t.strictSame([status?.state, status?.attempt], ["failed", 3]);
+    t.match(status?.reason, /failed on w-\d, w-\d, w-\d; the last error: the task ended with an error/);
+});
+
+// Guards against a wave of cancellations that is lost, and against cancelled work that keeps running.
+t.test("a wave of cancellations ends every task in any state", async t => {
+    const { sim, owner } = await createCell();
+    const keys = Array.from({ length: 3000 }, (_, index) => `wave-${index}`);
+    keys.forEach(key => void owner.accept(spec(key, 60_000)));
+    await sim.run(2000);
+    t.equal(owner.describe().running, 16);
+    t.match(owner.status("wave-2999")?.reason, /no open worker has enough free capacity|its turn/);
+    const answers = Promise.all(keys.map(key => owner.cancel(key)));
+    await sim.run(5000);
+    const codes = new Set((await answers).map(answer => answer.isOk() && answer.value.code));
+    t.strictSame([...codes], [ResultCode.TaskCancelled]);
+    t.ok(keys.every(key => owner.status(key)?.state === "cancelled"));
+    t.equal(owner.describe().running, 0);
+    t.ok(sim.workers.every(worker => worker.model.tasks().length === 0));
+    const unknown = await owner.cancel("nobody");
+    t.equal(unknown.isErr() && unknown.error.code, ResultCode.TaskUnknown);
+});
+
+// Guards against evicted work that starts from the beginning or runs twice.
+t.test("evicted work resumes from its checkpoint", async t => {
+    const { sim, owner } = await createCell();
+    void owner.accept(spec("k", 10_000));
+    await sim.run(6000);
+    t.ok(owner.evict("k"));
+    t.notOk(owner.evict("k"), "an eviction in progress is not started again");
+    await sim.run(6000);
+    const status = owner.status("k");
+    t.strictSame([status?.state, status?.attempt], ["finished", 2], "the second attempt ran only the rest");
+    t.strictSame(sim.checker.violations, []);
+});
+
+// Guards against a drained or leaving worker that keeps work or gets new work.
+for (const way of ["drain", "leave"] as const) {
+    t.test(`a worker that is to ${way} hands its tasks over`, async t => {
+        const { sim, owner } = await createCell();
+        Array.from({ length: 8 }, (_, index) => owner.accept(spec(`t-${index}`, 20_000)));
+        await sim.run(2000);
+        const [worker] = sim.workers;
+        t.equal(worker?.model.tasks().length, 2);
+        if (way === "drain") {
+            void owner.commandWorker("w-0", "drain");
+        } else if (worker !== undefined) {
+            worker.leaving = true;
+        }
+        await sim.run(5000);
+        t.equal(worker?.model.tasks().length, 0);
+        t.equal(owner.describe().running, 8);
+        t.equal(owner.describe().workers[0]?.state, way === "drain" ? "drained" : "leaving");
+        const unknown = await owner.commandWorker("w-9", "drain");
+        t.ok(unknown.isErr());
+    });
+}
+
+// Guards against tasks of a dead worker that are lost or restarted before their lease has ended.
+t.test("tasks of a silent worker are released after their lease", async t => {
+    const { sim, owner } = await createCell();
+    void owner.accept(spec("k", 30_000));
+    await sim.run(2000);
+    const worker = sim.workers.find(({ name }) => name === owner.status("k")?.worker);
+    worker?.die();
+    await sim.run(4000);
+    t.match(owner.status("k")?.reason, /does not answer; the task is released in \d+ s/);
+    await sim.run(8000);
+    const status = owner.status("k");
+    t.strictSame([status?.state, status?.attempt], ["running", 2]);
+    t.not(status?.worker, worker?.name);
+    t.strictSame(sim.checker.violations, []);
+});
+
+// Guards against a worker that fails everything and empties the queue.
+t.test("a worker that fails everything is quarantined", async t => {
+    const { sim, owner } = await createCell();
+    const [bad] = sim.workers;
+    if (bad !== undefined) {
+        bad.model.failTasks = true;
+    }
+    Array.from({ length: 12 }, (_, index) => owner.accept(spec(`t-${index}`, 1000, 4)));
+    await sim.run(12_000);
+    t.equal(owner.describe().workers[0]?.state, "quarantined");
+    await sim.run(10_000);
+    t.equal(owner.statistics.get("cutting")?.finished, 12);
+});
+
+// Guards against urgent work that waits behind batch work on a full cell.
+t.test("an urgent task displaces batch work", async t => {
+    const { sim, owner } = await createCell();
+    Array.from({ length: 4 }, (_, index) => owner.accept(spec(`batch-${index}`, 60_000, 4)));
+    await sim.run(3000);
+    void owner.accept({ ...spec("urgent", 1000, 2), pool: "proofs" });
+    await sim.run(4000);
+    t.equal(owner.status("urgent")?.state, "finished");
+    t.equal(owner.statistics.get("cutting")?.evictions, 1);
+});
--- a/packages/tasks/tests/faults/schedule.ts
+++ b/packages/tasks/tests/faults/schedule.ts
@@ -85,7 +85,7 @@
     },
     drain: (sim: Simulation, pick: number): void => {
         const worker = pickFrom(sim.workers, pick);
-        void (worker && sim.current?.owner?.setWorkerMode(worker.name, "drained"));
+        void (worker && sim.current?.owner?.commandWorker(worker.name, "drain"));
     },
     stallLog: (sim: Simulation): void => {
         sim.log.stalled = true;
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -169,7 +169,7 @@
 
     private async openDrained(): Promise<void> {
         for (const worker of this.log.durable.workerModes.keys()) {
-            await this.current?.owner?.setWorkerMode(worker, "open");
+            await this.current?.owner?.commandWorker(worker, "undrain");
         }
     }
 
