--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -37,7 +37,7 @@
     return {
         spec: TransitionCodec.specFromRow(row),
         state: state as TaskState,
-        wallMs: wallMs as number,
+        wallMs: (wallMs ?? 0) as number,
         attempt: (attempt ?? 0) as number,
         worker: ((worker as string | undefined) ?? "") === "" ? undefined : (worker as string),
         output: (output ?? "") as string,
