--- a/packages/core/src/json-client.ts
+++ b/packages/core/src/json-client.ts
@@ -4,6 +4,15 @@
 
 const MaxAnswerBytes = 16 * 1024 * 1024;
 
+/** Decoded JSON, `undefined` for an empty answer, or the reason why the text is not JSON. */
+const parseAnswer = (text: string): unknown => {
+    try {
+        return text === "" ? undefined : JSON.parse(text);
+    } catch (err) {
+        return err;
+    }
+};
+
 /** Options of one call. */
 interface CallOptions {
     readonly body?: unknown;
@@ -45,14 +54,11 @@
                 });
                 res.on("error", reject);
                 res.on("end", () => {
-                    try {
-                        const answer = Buffer.concat(chunks).toString("utf8");
-                        resolve({
-                            status: res.statusCode ?? 0,
-                            body: answer === "" ? undefined : JSON.parse(answer),
-                        });
-                    } catch (err) {
-                        reject(err);
+                    const body = parseAnswer(Buffer.concat(chunks).toString("utf8"));
+                    if (body instanceof Error) {
+                        reject(body);
+                    } else {
+                        resolve({ status: res.statusCode ?? 0, body });
                     }
                 });
             });
--- a/packages/entry/src/cell-summary.ts
+++ b/packages/entry/src/cell-summary.ts
@@ -15,14 +15,11 @@
             state: Schema.String,
             capacity: resources,
             reserved: resources,
-            tasks: Schema.Array(Schema.String),
+            tasks: count,
         }),
     ),
     queued: count,
     running: count,
-    finished: count,
-    failed: count,
-    cancelled: count,
     pools: Schema.Record(
         Schema.String,
         Schema.Struct({
--- a/packages/scheduler/src/cell-operations.ts
+++ b/packages/scheduler/src/cell-operations.ts
@@ -1,18 +1,8 @@
 import { ResultCode } from "@samphireward/core/result-code";
-import type { Resources } from "@samphireward/core/resources";
 import { TaskState } from "@samphireward/core/task-state";
-import type { WorkerInfo } from "@samphireward/core/worker-info";
 import type { CellOwner } from "@samphireward/tasks/cell-owner";
 import type { CellState } from "@samphireward/tasks/cell-state";
-import { WorkerMode } from "@samphireward/tasks/worker-mode";
-import type { PoolMetrics } from "./pool-metrics.js";
-
-const modes: Readonly<Record<string, WorkerMode>> = {
-    drain: WorkerMode.Drained,
-    undrain: WorkerMode.Open,
-    quarantine: WorkerMode.Quarantined,
-    release: WorkerMode.Open,
-};
+import type { WorkerCommand } from "@samphireward/tasks/worker-command";
 
 /** What the operators' view of a cell is made from. */
 interface OperationsParts {
@@ -20,21 +10,17 @@
     readonly owner: string;
     readonly epoch: number;
     readonly cellOwner: CellOwner;
-    /** The durable state. */
     readonly state: () => CellState;
-    readonly workers: () => readonly WorkerInfo[];
-    readonly serviceReserve: () => Resources;
-    readonly metrics: PoolMetrics;
 }
 
-/** One worker as operators see it. */
-interface WorkerSummary {
-    readonly name: string;
-    readonly rack: string;
-    readonly state: string;
-    readonly capacity: Resources;
-    readonly reserved: Resources;
-    readonly tasks: readonly string[];
+/** Tasks of one pool as operators see them. */
+interface PoolSummary {
+    queued: number;
+    running: number;
+    finished: number;
+    failed: number;
+    evictions: number;
+    waitHistogram: string;
 }
 
 /** Operators' commands and view of one cell (docs/admin-api.md). */
@@ -46,46 +32,44 @@
     }
 
     /** Records an operator's command for a worker. */
-    async setWorkerMode(worker: string, command: string): Promise<ResultCode> {
-        const mode = modes[command];
-        if (mode === undefined || !this.parts.workers().some(({ name }) => name === worker)) {
-            return ResultCode.BadRequest;
-        }
-        const durable = await this.parts.cellOwner.setWorkerMode(worker, mode);
-        return durable ? ResultCode.Answered : ResultCode.NoCellOwner;
+    async commandWorker(worker: string, command: string): Promise<ResultCode> {
+        const result = await this.parts.cellOwner.commandWorker(worker, command as WorkerCommand);
+        return result.isOk() ? ResultCode.Answered : result.error.code;
     }
 
     describe(): unknown {
-        const tasks = [...this.parts.state().tasks.values()];
-        const count = (...states: TaskState[]): number =>
-            tasks.filter(task => states.includes(task.state)).length;
-        return {
-            cell: this.parts.cell,
-            owner: this.parts.owner,
-            epoch: this.parts.epoch,
-            workers: this.parts.workers().map(worker => this.summarize(worker)),
-            queued: count(TaskState.Queued, TaskState.Evicted),
-            running: count(TaskState.Starting, TaskState.Running, TaskState.Checkpointing),
-            finished: count(TaskState.Finished),
-            failed: count(TaskState.Failed),
-            cancelled: count(TaskState.Cancelled),
-            pools: this.parts.metrics.describe(tasks),
-        };
+        const { cell, owner, epoch, cellOwner } = this.parts;
+        return { cell, owner, epoch, ...cellOwner.describe(), pools: this.describePools() };
     }
 
-    private summarize(worker: WorkerInfo): WorkerSummary {
-        const tasks = [...this.parts.state().tasks.values()].filter(task => task.worker === worker.name);
-        const reserved = tasks.reduce(
-            (sum, task) => sum.plus(task.spec.resources),
-            this.parts.serviceReserve(),
-        );
-        return {
-            name: worker.name,
-            rack: worker.rack,
-            state: worker.leaving ? "leaving" : this.parts.state().workerMode(worker.name),
-            capacity: worker.capacity,
-            reserved,
-            tasks: tasks.map(task => task.spec.key),
-        };
+    /** `queued` and `running` are states now; the other figures count since this owner took the cell. */
+    private describePools(): Record<string, PoolSummary> {
+        const pools: Record<string, PoolSummary> = {};
+        for (const [name, statistics] of this.parts.cellOwner.statistics) {
+            const { finished, failed, evictions, wait } = statistics;
+            pools[name] = {
+                queued: 0,
+                running: 0,
+                finished,
+                failed,
+                evictions,
+                waitHistogram: wait.encode(),
+            };
+        }
+        for (const { spec, state } of this.parts.state().tasks.values()) {
+            const pool = pools[spec.pool];
+            if (pool !== undefined && (state === TaskState.Queued || state === TaskState.Evicted)) {
+                pool.queued += 1;
+            } else if (pool !== undefined && activeStates.has(state)) {
+                pool.running += 1;
+            }
+        }
+        return pools;
     }
 }
+
+const activeStates: ReadonlySet<TaskState> = new Set([
+    TaskState.Starting,
+    TaskState.Running,
+    TaskState.Checkpointing,
+]);
--- a/packages/scheduler/src/cell-session.ts
+++ b/packages/scheduler/src/cell-session.ts
@@ -122,7 +122,7 @@
     }
 
     private async command(requestId: number, worker: string, command: string): Promise<void> {
-        const code = await this.parts.operations.setWorkerMode(worker, command);
+        const code = await this.parts.operations.commandWorker(worker, command);
         this.send({ case: "cell", value: { requestId, code, json: "{}" } });
     }
 
--- a/packages/scheduler/src/cell-tenure.ts
+++ b/packages/scheduler/src/cell-tenure.ts
@@ -5,6 +5,7 @@
 import type { WorkerInfo } from "@samphireward/core/worker-info";
 import { WorkClass } from "@samphireward/core/work-class";
 import { InterferenceAwarePolicy } from "@samphireward/placement/interference-aware-policy";
+import { InterferenceLearner } from "@samphireward/placement/interference-learner";
 import { InterferenceModel } from "@samphireward/placement/interference-model";
 import type { Hello } from "@samphireward/protocol/gen/samphireward_pb";
 import type { HandedGrant } from "@samphireward/routing/handed-grant";
@@ -15,15 +16,14 @@
 import { GroupCommitLog } from "@samphireward/state/group-commit-log";
 import { CellOwner } from "@samphireward/tasks/cell-owner";
 import { HttpWorkerClient } from "@samphireward/tasks/http-worker-client";
+import { runCellOwner } from "@samphireward/tasks/run-cell-owner";
 import * as Effect from "effect/Effect";
 import { CellOperations } from "./cell-operations.js";
 import { CellSession } from "./cell-session.js";
-import { CellStateMachine } from "./cell-state-machine.js";
 import { CellTables } from "./cell-tables.js";
-import { EncodedLog } from "./encoded-log.js";
+import { HandOverMachine } from "./hand-over-machine.js";
 import { HandOverRow } from "./hand-over-row.js";
 import type { LogRow } from "./log-row.js";
-import { PoolMetrics } from "./pool-metrics.js";
 import { TenureLimits } from "./tenure-limits.js";
 
 /** What a tenure needs from its process. */
@@ -43,26 +43,26 @@
     private readonly allocator: SlotAllocator;
     private readonly operations: CellOperations;
     private cellTables: CellTables;
-    private workers: readonly WorkerInfo[] = [];
 
     private constructor(
         private readonly options: TenureOptions,
         private readonly log: GroupCommitLog<LogRow, LogRow>,
-        machine: CellStateMachine,
-        metrics: PoolMetrics,
+        machine: HandOverMachine,
         handedOver: readonly HandedGrant[] | undefined,
     ) {
         const { cell, epoch, runtime, ownership, tables } = options;
         this.cellTables = CellTables.create(tables, cell);
+        const model = InterferenceModel.create();
         this.owner = CellOwner.create({
             clock: runtime.clock,
-            log: EncodedLog.create(log),
-            policy: this.createPolicy(),
+            log,
+            machine: machine.tasks,
+            policy: this.createPolicy(model),
+            learner: InterferenceLearner.create(model),
             tables: this.cellTables.owner,
             connect: worker => this.connect(worker),
             mayGrant: () => ownership.canGrant(),
             deposed: () => ownership.markDeposed(epoch),
-            state: machine.copyForOwner(),
         });
         this.allocator = SlotAllocator.create({
             clock: runtime.clock,
@@ -81,18 +81,14 @@
             owner: runtime.membership.self.name,
             epoch,
             cellOwner: this.owner,
-            state: () => machine.state,
-            workers: () => this.workers,
-            serviceReserve: () => this.cellTables.owner.serviceReserve,
-            metrics,
+            state: () => machine.tasks.state,
         });
     }
 
     /** Replays the log and starts the epoch in it. `undefined` when the cell was lost or the store failed. */
     static async open(options: TenureOptions): Promise<CellTenure | undefined> {
         const { cell, epoch, runtime, ownership } = options;
-        const metrics = PoolMetrics.create(runtime.clock);
-        const machine = CellStateMachine.create(metrics);
+        const machine = HandOverMachine.create();
         const log = await GroupCommitLog.open<LogRow, LogRow>({
             store: runtime.store,
             clock: runtime.clock,
@@ -111,7 +107,7 @@
             return undefined;
         }
         const { handedOver } = machine;
-        const tenure = new CellTenure(options, log.value, machine, metrics, handedOver);
+        const tenure = new CellTenure(options, log.value, machine, handedOver);
         return handedOver === undefined || (await tenure.takeHandOver(machine)) ? tenure : undefined;
     }
 
@@ -120,7 +116,7 @@
         const log = this.options.runtime.log;
         const loops = {
             commits: this.log.run(),
-            owner: every(TenureLimits.tickMs, () => this.owner.tick()),
+            owner: runCellOwner(this.owner),
         };
         const running = Object.entries(loops).map(([name, loop]) => keepRunning(name, loop, log));
         return Effect.all(running, { concurrency: "unbounded", discard: true });
@@ -147,16 +143,16 @@
         const { cell } = this.options;
         const cells = tables.zones.get(cell.dataCentre)?.cells ?? 1;
         this.cellTables = CellTables.create(tables, cell);
-        this.workers = workers.filter(
+        const own = workers.filter(
             ({ dataCentre, rack }) =>
                 dataCentre === cell.dataCentre &&
                 CellName.ofRack(dataCentre, rack, cells).index === cell.index,
         );
         this.owner.setTables(this.cellTables.owner);
-        this.owner.updateWorkers(this.workers);
+        this.owner.updateWorkers(own);
         const { slotsPerWorker: slots, connectionsPerWorker: connections } = this.cellTables;
         this.allocator.setWorkers(
-            this.workers.map(({ name, serviceAddress, leaving }) => ({
+            own.map(({ name, serviceAddress, leaving }) => ({
                 worker: name,
                 serviceAddress,
                 slots,
@@ -180,7 +176,7 @@
     }
 
     /** Records that the shares of the last owner are taken, so that no later owner relies on them. */
-    private async takeHandOver(machine: CellStateMachine): Promise<boolean> {
+    private async takeHandOver(machine: HandOverMachine): Promise<boolean> {
         void this.log.append([HandOverRow.taken]);
         await this.log.flush();
         return machine.handedOver === undefined;
@@ -197,10 +193,10 @@
         });
     }
 
-    private createPolicy(): InterferenceAwarePolicy {
+    private createPolicy(model: InterferenceModel): InterferenceAwarePolicy {
         const pools = [...this.options.tables.pools.values()];
         const latencyCritical = pools.filter(pool => pool.class === WorkClass.LatencyCritical);
-        return InterferenceAwarePolicy.create(InterferenceModel.create(), {
+        return InterferenceAwarePolicy.create(model, {
             tailLatency: 1,
             batch: 1,
             load: 1,
@@ -208,6 +204,3 @@
         });
     }
 }
-
-const every = (intervalMs: number, action: () => void): Effect.Effect<never> =>
-    Effect.sync(action).pipe(Effect.andThen(Effect.sleep(intervalMs)), Effect.forever);
--- a/packages/scheduler/src/tenure-limits.ts
+++ b/packages/scheduler/src/tenure-limits.ts
@@ -1,7 +1,5 @@
 /** Time constants and bounds of a cell's owner (docs/design.md, sections 5 to 7). */
 export const TenureLimits = {
-    /** A queued task or an answer waits at most this long for the owner's next step. */
-    tickMs: 50,
     /** Longer than a takeover takes (lease 4 s, delay 1 s, replay and reconnection 2 s), so that requests go on. */
     shareTtlMs: 8_000,
     /** For clocks of different rates: 10% of the TTL and 0.5 s. */
--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -1,10 +1,14 @@
 import type { TaskState } from "@samphireward/core/task-state";
 import { CellState } from "./cell-state.js";
+import type { StateRow } from "./state-row.js";
 import type { TaskRecord } from "./task-record.js";
 import { TransitionCodec } from "./transition-codec.js";
 import type { WorkerMode } from "./worker-mode.js";
 
-type Row = readonly unknown[];
+type Row = StateRow;
+
+/** First column of an item. Never reused for another kind, because snapshots of earlier versions are read. */
+const Tag = { Task: 0, Ended: 1, WorkerMode: 2 } as const;
 
 /** Number of columns of a task specification. */
 const SpecColumns = 7;
@@ -24,7 +28,7 @@
         record.worker ?? "",
         record.output,
         record.cancelRequested ? 1 : 0,
-        record.checkpoint ?? "",
+        record.checkpoint === undefined ? 0 : [record.checkpoint],
         record.failures.length === 0 ? 0 : record.failures,
     ]);
 
@@ -33,43 +37,41 @@
     return {
         spec: TransitionCodec.specFromRow(row),
         state: state as TaskState,
-        wallMs: wallMs as number,
+        wallMs: (wallMs ?? 0) as number,
         attempt: (attempt ?? 0) as number,
         worker: ((worker as string | undefined) ?? "") === "" ? undefined : (worker as string),
         output: (output ?? "") as string,
         cancelRequested: cancel === 1,
-        checkpoint: ((checkpoint as string | undefined) ?? "") === "" ? undefined : (checkpoint as string),
+        checkpoint: Array.isArray(checkpoint) ? (checkpoint[0] as string) : undefined,
         failures: Array.isArray(failures) ? (failures as string[]) : [],
     };
 };
 
-/** A whole cell state for the snapshot: items of one task each after a head, or all of it as JSON text. */
+/** A whole cell state as items of a snapshot. Ended tasks follow in the order of their end. */
 export class CellStateCodec {
-    static toItems(state: CellState): Row[] {
-        const waitingAndActive = [...state.tasks.values()].filter(task => !state.ended.has(task.spec.key));
-        const ended = [...state.ended].map(key => state.get(key) as TaskRecord);
-        const rows = [...waitingAndActive, ...ended].map(toRow);
-        return [[ended.length, [...state.workerModes]], ...rows];
-    }
-
-    /** An empty list is the state of a new cell. */
-    static fromItems(items: readonly Row[]): CellState {
-        const [head, ...rows] = items;
-        if (head === undefined) {
-            return CellState.create();
+    static toRows(state: CellState): StateRow[] {
+        const rows: StateRow[] = [];
+        for (const task of state.tasks.values()) {
+            if (!state.ended.has(task.spec.key)) {
+                rows.push([Tag.Task, ...toRow(task)]);
+            }
         }
-        const [endedCount, modes] = head as [number, [string, WorkerMode][]];
-        const records = rows.map(fromRow);
-        const endedKeys = records.slice(records.length - endedCount).map(record => record.spec.key);
-        return CellState.restore(records, endedKeys, modes);
-    }
-
-    static encode(state: CellState): string {
-        return JSON.stringify(CellStateCodec.toItems(state));
+        for (const key of state.ended) {
+            rows.push([Tag.Ended, ...toRow(state.get(key) as TaskRecord)]);
+        }
+        for (const entry of state.workerModes) {
+            rows.push([Tag.WorkerMode, ...entry]);
+        }
+        return rows;
     }
 
-    /** Throws a `SyntaxError` for text that is not JSON. */
-    static decode(text: string): CellState {
-        return CellStateCodec.fromItems(JSON.parse(text) as Row[]);
+    static fromRows(rows: readonly StateRow[]): CellState {
+        const columnsOf = (tag: number): Row[] => rows.filter(row => row[0] === tag).map(row => row.slice(1));
+        const ended = columnsOf(Tag.Ended).map(fromRow);
+        return CellState.restore(
+            [...columnsOf(Tag.Task).map(fromRow), ...ended],
+            ended.map(record => record.spec.key),
+            columnsOf(Tag.WorkerMode) as [string, WorkerMode][],
+        );
     }
 }
--- a/packages/tasks/src/transition-codec.ts
+++ b/packages/tasks/src/transition-codec.ts
@@ -1,9 +1,10 @@
 import { Resources } from "@samphireward/core/resources";
 import type { TaskSpec } from "@samphireward/core/task-spec";
 import type { Transition } from "./transition.js";
+import type { TransitionRow } from "./transition-row.js";
 import type { WorkerMode } from "./worker-mode.js";
 
-type Row = readonly unknown[];
+type Row = TransitionRow;
 
 /** Tags of the rows. A tag is never reused for another kind, because records of earlier versions are replayed. */
 const Tag = {
@@ -85,24 +86,14 @@
     }
 };
 
-/** Compact JSON text of transitions for the log: one array for each, with a tag in place of field names. */
+/** Transitions as rows for the log: one array for each, with a tag in place of field names. */
 export class TransitionCodec {
-    static encode(transitions: readonly Transition[]): string {
-        return JSON.stringify(transitions.map(toRow));
-    }
-
-    /** Throws a `SyntaxError` for text that `encode` did not write. */
-    static decode(text: string): Transition[] {
-        return (JSON.parse(text) as Row[]).map(fromRow);
-    }
-
-    /** One transition as the log stores it. */
-    static toRow(transition: Transition): Row {
+    static toRow(transition: Transition): TransitionRow {
         return toRow(transition);
     }
 
     /** Throws a `SyntaxError` for a row that `toRow` did not make. */
-    static fromRow(row: Row): Transition {
+    static fromRow(row: TransitionRow): Transition {
         return fromRow(row);
     }
 
--- a/packages/tasks/tests/faults/schedule.ts
+++ b/packages/tasks/tests/faults/schedule.ts
@@ -85,7 +85,7 @@
     },
     drain: (sim: Simulation, pick: number): void => {
         const worker = pickFrom(sim.workers, pick);
-        void (worker && sim.current?.owner?.setWorkerMode(worker.name, "drained"));
+        void (worker && sim.current?.owner?.commandWorker(worker.name, "drain"));
     },
     stallLog: (sim: Simulation): void => {
         sim.log.stalled = true;
@@ -97,7 +97,7 @@
 
 const stepArbitrary: fc.Arbitrary<Step> = fc.record({
     op: fc.oneof(
-        { arbitrary: fc.constant<Step["op"]>("submit"), weight: 6 },
+        { arbitrary: fc.constantFrom<Step["op"]>("submit", "evict", "cancel"), weight: 12 },
         { arbitrary: fc.constantFrom(...opNames), weight: opNames.length },
     ),
     pick: fc.nat(1000),
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -1,9 +1,11 @@
 import { ManualClock } from "@samphireward/core/manual-clock";
 import { Outcome } from "@samphireward/core/outcome";
 import { describeCode } from "@samphireward/core/describe-code";
+import type { Pool } from "@samphireward/core/pool";
 import { Resources } from "@samphireward/core/resources";
 import type { ResultCode } from "@samphireward/core/result-code";
 import { SeededRandom } from "@samphireward/core/seeded-random";
+import { WorkClass } from "@samphireward/core/work-class";
 import { LeastLoadedPolicy } from "@samphireward/placement/least-loaded-policy";
 import type { WorkerModel } from "@samphireward/standins/worker/worker-model";
 import type { Result } from "ts-results-es";
@@ -23,6 +25,12 @@
 /** Clocks of workers: two at the ends of the allowed deviation. */
 const rates = [1, 0.92, 1.1, 1];
 
+const pool = (name: string, workClass: WorkClass): [string, Pool] => [
+    name,
+    { name, class: workClass, team: "presses", zones: ["herning-a"], interferenceClass: name },
+];
+const pools = new Map([pool("cutting", WorkClass.Batch), pool("proofs", WorkClass.LatencyCritical)]);
+
 /** A cell with its log, workers, directory and scheduler processes under a manual clock. */
 export class Simulation {
     readonly clock = ManualClock.create(1000);
@@ -33,8 +41,9 @@
     readonly workers: SimWorker[];
     readonly processes: SimProcess[] = [];
     readonly accepted = new Set<string>();
-    readonly refused = new Set<string>();
     readonly unknown = new Set<string>();
+    /** Keys of which some submission has no answer or one that leaves its effect open. */
+    private readonly mayBeRecorded = new Map<string, number>();
     readonly cancelled = new Set<string>();
     readonly keys: string[] = [];
     private readonly payloads = new Map<string, { runMs: number; fail?: boolean }>();
@@ -112,7 +121,7 @@
         }
         const spec = {
             key,
-            pool: "cutting",
+            pool: key.endsWith("5") || key.endsWith("6") ? "proofs" : "cutting",
             resources: Resources.create({
                 processors: 1 + (key.length % 2),
                 memoryMb: 2000,
@@ -121,6 +130,7 @@
             expectedRunMs: 1000,
             payload: JSON.stringify(this.payloads.get(key)),
         };
+        this.mayBeRecorded.set(key, (this.mayBeRecorded.get(key) ?? 0) + 1);
         void owner.accept(spec).then(result => this.noteAnswer(key, result));
     }
 
@@ -145,7 +155,7 @@
             [...this.unknown].forEach(key => this.resubmit(key));
             void this.openDrained();
         }
-        this.checker.finish(this.accepted, this.refused, this.cancelled);
+        this.checker.finish(this.accepted, this.refusedKeys(), this.cancelled);
     }
 
     async run(ms: number): Promise<void> {
@@ -159,7 +169,7 @@
 
     private async openDrained(): Promise<void> {
         for (const worker of this.log.durable.workerModes.keys()) {
-            await this.current?.owner?.setWorkerMode(worker, "open");
+            await this.current?.owner?.commandWorker(worker, "undrain");
         }
     }
 
@@ -167,14 +177,18 @@
         this.unknown.delete(key);
         if (result.isOk()) {
             this.accepted.add(key);
-            this.refused.delete(key);
-        } else if (describeCode(result.error.code).outcome !== Outcome.NotRun) {
+        } else if (describeCode(result.error.code).outcome === Outcome.NotRun) {
+            this.mayBeRecorded.set(key, (this.mayBeRecorded.get(key) ?? 0) - 1);
+        } else {
             this.unknown.add(key);
-        } else if (!this.accepted.has(key)) {
-            this.refused.add(key);
         }
     }
 
+    /** Keys of which every submission was refused as not run. */
+    private refusedKeys(): string[] {
+        return this.keys.filter(key => this.mayBeRecorded.get(key) === 0);
+    }
+
     private scheduleTick(): void {
         this.events.after(TickMs, () => {
             this.scheduleTick();
@@ -203,19 +217,19 @@
     }
 
     private takeOver(): void {
-        const state = this.log.takeOver();
+        const machine = this.log.takeOver();
         const process = SimProcess.create(this.log.epoch);
         process.leaseUntilMs = this.clock.nowMs() + StoreLeaseMs;
         const early = { deliveryMs: 0, marginMs: -2500, clockRateMargin: 0 };
         process.owner = CellOwner.create({
             clock: this.clock,
-            log: this.log.handle(process),
+            log: this.log.handle(process, machine),
+            machine,
             policy: LeastLoadedPolicy.create(),
-            tables: { pools: new Map(), serviceReserve: Resources.none },
+            tables: { pools, serviceReserve: Resources.none },
             connect: info => SimClient.create(this, process, this.findWorker(info.name)),
             mayGrant: () =>
                 this.mutant === Mutant.NoEpochFencing || process.leaseUntilMs > this.clock.nowMs(),
-            state,
             timing: this.mutant === Mutant.EarlyReassign ? early : {},
         });
         this.processes.push(process);
