Give each deployment of the demo its own loopback address

Cause: ports chosen by binding to port 0 lie in the range for outgoing connections; a connection of another process took 127.0.0.1:46637 before the scheduler listened on it (EADDRINUSE in scheduler-vm-1.log), and the test waited for a process that had ended. Change: an address of 127.64.0.0/10 for each process and ports below 32768.

--- a/packages/demo/src/caller-result.ts
+++ b/packages/demo/src/caller-result.ts
@@ -9,4 +9,8 @@
     /** Whether any byte of the request left the caller. */
     readonly sent: boolean;
     readonly latencyMs: number;
+    /** Callers' address of the entry process; empty when there was none. */
+    readonly entry: string;
+    /** When the request was made, by the harness's monotonic clock. */
+    readonly startMs: number;
 }
--- a/packages/demo/src/caller.ts
+++ b/packages/demo/src/caller.ts
@@ -31,7 +31,7 @@
         for (;;) {
             const address = this.balancer.pick();
             if (address === undefined) {
-                return this.failed(req, startMs, false);
+                return this.failed(req, "", startMs, false);
             }
             const result = await this.send(req, address, startMs);
             if (result.sent || result.code !== 0) {
@@ -54,13 +54,14 @@
             const req = request(options, res => {
                 const chunks: Buffer[] = [];
                 res.on("data", (chunk: Buffer) => chunks.push(chunk));
-                res.on("error", () => resolve(this.failed(call, startMs, true)));
+                res.on("error", () => resolve(this.failed(call, address, startMs, true)));
                 res.on("end", () => {
                     const body = Buffer.concat(chunks).toString("utf8");
                     const code = Number(res.headers["samphireward-code"] ?? 0);
                     const whole = body === call.id.padEnd(call.bytes, ".");
                     const latencyMs = performance.now() - startMs;
-                    resolve({ id: call.id, idempotent: call.idempotent, code, whole, sent: true, latencyMs });
+                    const { id, idempotent } = call;
+                    resolve({ id, idempotent, code, whole, sent: true, latencyMs, entry: address, startMs });
                 });
             });
             req.on("socket", socket => {
@@ -69,12 +70,18 @@
                     socket.once("connect", () => (sent = true));
                 }
             });
-            req.on("error", () => resolve(this.failed(call, startMs, sent)));
+            req.on("error", () => resolve(this.failed(call, address, startMs, sent)));
             req.end();
         });
     }
 
-    private failed({ id, idempotent }: CallerRequest, startMs: number, sent: boolean): CallerResult {
-        return { id, idempotent, code: 0, whole: false, sent, latencyMs: performance.now() - startMs };
+    private failed(
+        { id, idempotent }: CallerRequest,
+        entry: string,
+        startMs: number,
+        sent: boolean,
+    ): CallerResult {
+        const latencyMs = performance.now() - startMs;
+        return { id, idempotent, code: 0, whole: false, sent, latencyMs, entry, startMs };
     }
 }
--- a/packages/demo/src/deployment-addresses.ts
+++ b/packages/demo/src/deployment-addresses.ts
@@ -30,9 +30,9 @@
         readonly workers: readonly WorkerAddresses[],
     ) {}
 
-    static async create(plan: UserPlan): Promise<DeploymentAddresses> {
+    static create(plan: UserPlan): DeploymentAddresses {
         const workerCount = plan.zones.reduce((sum, zone) => sum + zone.workers, 0);
-        const free = await freeAddresses(2 + plan.entryVms * 4 + workerCount * 2);
+        const free = freeAddresses(2 + plan.entryVms * 4 + workerCount * 2);
         const take = (): string => free.pop() ?? "";
         const entryVms = Array.from({ length: plan.entryVms }, (_, index) => {
             const zone = plan.zones[index % plan.zones.length];
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -36,9 +36,9 @@
     ) {}
 
     /** Chooses addresses and writes the settings files; starts nothing. */
-    static async create(plan: UserPlan): Promise<Deployment> {
+    static create(plan: UserPlan): Deployment {
         const dir = mkdtempSync(join(tmpdir(), `samphireward-${plan.user}-`));
-        const addresses = await DeploymentAddresses.create(plan);
+        const addresses = DeploymentAddresses.create(plan);
         return new Deployment(plan, addresses, dir, writeSettings(dir, plan, addresses));
     }
 
--- a/packages/demo/src/free-addresses.ts
+++ b/packages/demo/src/free-addresses.ts
@@ -1,20 +1,17 @@
-import type { Server } from "node:net";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+/** Below the range that the system takes for outgoing connections, which could occupy a chosen port. */
+const FirstPort = 10_000;
 
-const bind = (): Promise<Server> =>
-    new Promise((resolve, reject) => {
-        const server = createServer();
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", () => resolve(server));
-    });
+let nextPort = FirstPort;
 
-const release = (server: Server): Promise<void> => new Promise(resolve => server.close(() => resolve()));
+/** Loopback address of this process alone, so that deployments of other processes never use the same ports. */
+const ownLoopback = (): string => {
+    const { pid } = process;
+    return `127.${64 + ((pid >> 16) & 63)}.${(pid >> 8) & 255}.${pid & 255}`;
+};
 
-/** Loopback addresses with ports that are free now. All are held until every one is chosen, so that none repeats. */
-export const freeAddresses = async (count: number): Promise<string[]> => {
-    const servers = await Promise.all(Array.from({ length: count }, bind));
-    const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`);
-    await Promise.all(servers.map(release));
-    return addresses;
+/** Loopback addresses (`ip:port`) that no other deployment uses. */
+export const freeAddresses = (count: number): string[] => {
+    const first = nextPort;
+    nextPort += count;
+    return Array.from({ length: count }, (_, index) => `${ownLoopback()}:${first + index}`);
 };
--- a/packages/demo/src/run-report.ts
+++ b/packages/demo/src/run-report.ts
@@ -20,6 +20,7 @@
     private readonly latency = LatencyRecorder.create();
     private readonly codes = new Map<number, number>();
     private taskLines: string[] = [];
+    private failureLines: string[] = [];
 
     private constructor(private readonly user: string) {}
 
@@ -30,6 +31,7 @@
     ): Promise<RunReport> {
         const report = new RunReport(deployment.plan.user);
         report.countResults(results);
+        report.describeFailures(deployment, results);
         const stats = await Promise.all(
             deployment.addresses.workers.map(worker =>
                 deployment.read<WorkerStats>(worker.task, "/v1/stats"),
@@ -58,6 +60,7 @@
             `${this.user}: requests by code  ${codes.join(", ")}`,
             `${this.user}: answered latency  p50 ${this.ms(50)}, p99 ${this.ms(99)}, p99.9 ${this.ms(99.9)}`,
             ...this.taskLines,
+            ...this.failureLines,
             `${this.user}: violations        ${this.violations.length}`,
             ...this.violations.map(violation => `${this.user}:   ${violation}`),
         ];
@@ -79,6 +82,21 @@
         }
     }
 
+    /** Unanswered requests by second of the run, entry process and code. */
+    private describeFailures(deployment: Deployment, results: readonly CallerResult[]): void {
+        const firstMs = Math.min(...results.map(result => result.startMs));
+        const counts = new Map<string, number>();
+        for (const { code, startMs, entry } of results.filter(result => result.code !== answeredCode)) {
+            const second = Math.floor((startMs - firstMs) / 1000);
+            const vm = deployment.addresses.entryVms.find(({ callers }) => callers === entry)?.name ?? "none";
+            const key = `second ${second}, ${vm}, code ${code}`;
+            counts.set(key, (counts.get(key) ?? 0) + 1);
+        }
+        this.failureLines = [...counts].map(
+            ([key, count]) => `${this.user}: unanswered        ${key}: ${count}`,
+        );
+    }
+
     private checkWorkers(stats: readonly WorkerStats[], results: readonly CallerResult[]): void {
         const runs = new Map<string, number>();
         for (const [id, count] of stats.flatMap(worker => Object.entries(worker.requests))) {
--- a/packages/demo/src/run-user.ts
+++ b/packages/demo/src/run-user.ts
@@ -30,7 +30,7 @@
     disturb,
     inspect,
 }: RunOptions): Promise<RunReport> => {
-    const deployment = await Deployment.create(plan);
+    const deployment = Deployment.create(plan);
     const balancer = Balancer.create(deployment.addresses.entryVms);
     const caller = Caller.create(balancer);
     const load = loadPlan[plan.user as keyof typeof loadPlan];
