--- a/packages/state/src/log-ring.ts
+++ b/packages/state/src/log-ring.ts
@@ -90,7 +90,7 @@
         }
         const found = this.remember(current);
         if (found.position < record.position) {
-            return WriteOutcome.notWritten();
+            return WriteOutcome.missing();
         }
         const isOurs = found.position === record.position && found.writer === record.writer;
         return isOurs ? WriteOutcome.durable() : WriteOutcome.occupied(found);
--- a/packages/state/src/write-outcome.ts
+++ b/packages/state/src/write-outcome.ts
@@ -27,7 +27,7 @@
         return new WriteOutcome("occupied", occupant);
     }
 
-    /** The slot was deleted, which no owner ever does. */
+    /** The slot was deleted or went back to an earlier record; no owner does either, so nothing more is written. */
     static missing<T>(): WriteOutcome<T> {
         return new WriteOutcome("missing");
     }
--- a/packages/state/tests/config-feed.test.ts
+++ b/packages/state/tests/config-feed.test.ts
@@ -11,6 +11,8 @@
 import { MemoryKeyValueStore } from "../src/testing/memory-key-value-store.js";
 import { StoreFault } from "../src/testing/store-fault.js";
 
+t.setTimeout(0);
+
 const read = (file: string): string =>
     readFileSync(join(process.cwd(), "examples", "kloverknap", file), "utf8");
 const tables = { routes: read("routes.toml"), pools: read("pools.toml") };
--- a/packages/state/tests/membership.test.ts
+++ b/packages/state/tests/membership.test.ts
@@ -12,6 +12,8 @@
 import { ProcessLease } from "../src/process-lease.js";
 import { MemoryKeyValueStore } from "../src/testing/memory-key-value-store.js";
 
+t.setTimeout(0);
+
 /** Processes that exchange over a network in which single directions can be cut. */
 class Network extends PeerExchange {
     readonly clock = ManualClock.create();
