Fix a wrong "not run" answer of a deposed owner

Cause: an owner whose answer was lost, and whose read of the slot was answered only after the ring had wrapped, reported StaleEpoch for a transition that was durable. The write's lost answer was remembered only when the read failed.

Change: each outcome of a write says whether the try may have taken effect.

--- a/packages/standins/tests/store/store-process.test.ts
+++ b/packages/standins/tests/store/store-process.test.ts
@@ -13,8 +13,8 @@
 import { ConfigFeed } from "@samphireward/state/config-feed";
 import { GroupCommitLog } from "@samphireward/state/group-commit-log";
 import { HttpKeyValueStore } from "@samphireward/state/http-key-value-store";
-import { LogStateMachine } from "@samphireward/state/log-state-machine";
 import { ProcessLease } from "@samphireward/state/process-lease";
+import { ListStateMachine } from "@samphireward/state/testing/list-state-machine";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import type { Test } from "tap";
@@ -25,19 +25,6 @@
 const clock = SystemClock.create();
 const entryFile = join(process.cwd(), "packages", "standins", "dist", "src", "store", "main.js");
 
-class TextList extends LogStateMachine<string, string> {
-    texts: string[] = [];
-    override apply(text: string): void {
-        this.texts.push(text);
-    }
-    override snapshot(): readonly string[] {
-        return this.texts;
-    }
-    override restore(items: readonly string[]): void {
-        this.texts = [...items];
-    }
-}
-
 const freePort = async (): Promise<number> => {
     const server = createServer().listen(0, "127.0.0.1");
     await once(server, "listening");
@@ -98,7 +85,7 @@
 
 const openLog = async (store: HttpKeyValueStore, ownership: CellOwnership) => {
     await until(() => ownership.epoch !== undefined);
-    const state = new TextList();
+    const state = ListStateMachine.create<string>();
     const epoch = ownership.epoch ?? 0;
     const options = { store, clock, cell: "a/0", owner: "s", epoch, state, commitIntervalMs: 20 };
     return { state, log: (await GroupCommitLog.open(options)).unwrap() };
@@ -130,9 +117,9 @@
     await owner.release();
     const successor = startOwner(t, second, "s2", false);
     const next = await openLog(second, successor);
-    t.strictSame(next.state.texts.slice(0, 3), ["before", "lost answer", "in the outage"]);
+    t.strictSame(next.state.items.slice(0, 3), ["before", "lost answer", "in the outage"]);
     // It is refused when it expires before the commit, and durable when its record may have been written.
-    t.equal(impatient.isOk(), next.state.texts.includes("impatient"));
+    t.equal(impatient.isOk(), next.state.items.includes("impatient"));
     const stale = await log.append(["stale"]);
     t.equal(stale.isErr() && stale.error.code, ResultCode.StaleEpoch);
 });
--- a/packages/state/src/group-commit-log.ts
+++ b/packages/state/src/group-commit-log.ts
@@ -207,6 +207,7 @@
 
     private async writeBatch(batch: LogBatch<T>): Promise<boolean> {
         const outcome = await this.ring.write(batch.record, batch.value);
+        batch.mayBeWritten ||= outcome.mayBeWritten;
         switch (outcome.kind) {
             case "durable":
                 this.finish(batch);
@@ -215,7 +216,6 @@
                 this.retryLater(batch);
                 return false;
             case "unknown":
-                batch.mayBeWritten = true;
                 return false;
             case "occupied":
                 // An occupant of a later position has replaced whatever was at ours.
--- a/packages/state/src/http-key-value-store.ts
+++ b/packages/state/src/http-key-value-store.ts
@@ -12,7 +12,7 @@
 import type { StoreError } from "./store-error.js";
 import type { WatchResult } from "./watch-result.js";
 
-/** Connections kept to the store; a pending watch holds one. */
+/** Connections for all calls but watches. */
 const MaxSockets = 32;
 
 interface Options {
@@ -30,6 +30,8 @@
     /** Time of each answered call except watches. */
     readonly latency = LatencyRecorder.create();
     private readonly agent = new Agent({ keepAlive: true, maxSockets: MaxSockets });
+    /** A pending watch occupies its connection, so watches must not share a bounded number with other calls. */
+    private readonly watchAgent = new Agent({ keepAlive: true });
 
     private constructor(private readonly options: Options) {
         super();
@@ -42,6 +44,7 @@
     /** Closes all connections. */
     close(): void {
         this.agent.destroy();
+        this.watchAgent.destroy();
     }
 
     override async get(key: string): Promise<Result<KvEntry | undefined, StoreError>> {
@@ -108,7 +111,7 @@
         const startMs = this.options.clock.nowMs();
         this.counters.add(`store.${kind}`);
         const answer = await sendJson({
-            agent: this.agent,
+            agent: kind === "watch" ? this.watchAgent : this.agent,
             address: this.options.address,
             method,
             path,
--- a/packages/state/src/log-ring.ts
+++ b/packages/state/src/log-ring.ts
@@ -80,7 +80,7 @@
             // The write may still be delayed on its way, so the same record must be written again.
             return WriteOutcome.unknown();
         }
-        return this.judge(record, read.value);
+        return this.judge(record, read.value).afterLostAnswer();
     }
 
     /** Decides what a slot whose revision is not the expected one says about this record. */
--- a/packages/state/src/write-outcome.ts
+++ b/packages/state/src/write-outcome.ts
@@ -6,6 +6,8 @@
         readonly kind: "durable" | "not-written" | "unknown" | "occupied" | "missing",
         /** The record that is in the slot in its place. */
         readonly occupant?: LogRecord<T>,
+        /** Whether this try may have taken effect before what was found in the slot. */
+        readonly mayBeWritten = false,
     ) {}
 
     static durable<T>(): WriteOutcome<T> {
@@ -19,7 +21,7 @@
 
     /** This try may have taken effect or may still do so. */
     static unknown<T>(): WriteOutcome<T> {
-        return new WriteOutcome("unknown");
+        return new WriteOutcome("unknown", undefined, true);
     }
 
     /** Another record of the same or a higher position is in the slot. */
@@ -27,6 +29,11 @@
         return new WriteOutcome("occupied", occupant);
     }
 
+    /** The same finding after a write whose answer was lost. */
+    afterLostAnswer(): WriteOutcome<T> {
+        return new WriteOutcome(this.kind, this.occupant, true);
+    }
+
     /** The slot was deleted or went back to an earlier record; no owner does either, so nothing more is written. */
     static missing<T>(): WriteOutcome<T> {
         return new WriteOutcome("missing");
--- a/packages/state/tests/group-commit-log.test.ts
+++ b/packages/state/tests/group-commit-log.test.ts
@@ -3,28 +3,15 @@
 import * as fc from "fast-check";
 import t from "tap";
 import { GroupCommitLog } from "../src/group-commit-log.js";
-import { LogStateMachine } from "../src/log-state-machine.js";
 import { packItems } from "../src/pack-items.js";
+import { ListStateMachine } from "../src/testing/list-state-machine.js";
 import { MemoryKeyValueStore } from "../src/testing/memory-key-value-store.js";
 import { StoreFault } from "../src/testing/store-fault.js";
 
-class TextList extends LogStateMachine<string, string> {
-    texts: string[] = [];
-    override apply(text: string): void {
-        this.texts.push(text);
-    }
-    override snapshot(): readonly string[] {
-        return this.texts;
-    }
-    override restore(items: readonly string[]): void {
-        this.texts = [...items];
-    }
-}
-
 const clock = ManualClock.create();
 
 const open = async (store: MemoryKeyValueStore, epoch: number, ringSlots = 256) => {
-    const state = new TextList();
+    const state = ListStateMachine.create<string>();
     const opened = await GroupCommitLog.open({
         store,
         clock,
@@ -49,7 +36,7 @@
     const appends = ["a", "b", "c"].map(text => log.append([text]));
     t.equal(await log.commit(), 0);
     await Promise.all(appends);
-    t.strictSame(state.texts, ["a", "b", "c"]);
+    t.strictSame(state.items, ["a", "b", "c"]);
     t.equal(log.counters.get("log.writes"), 2, "the epoch record and one group");
     const writes = store.calls.writes;
     await log.commit();
@@ -86,7 +73,7 @@
     await log.commit();
     t.equal(await lost, ResultCode.Answered);
     const next = await open(store, 2);
-    t.strictSame(next.state.texts, ["patient", ...many, "lost"]);
+    t.strictSame(next.state.items, ["patient", ...many, "lost"]);
 });
 
 // Guards against a deposed owner that claims to know the outcome of a record that was overwritten.
@@ -96,12 +83,22 @@
         { fault: StoreFault.LostBeforeApply, code: ResultCode.OwnerUnreachable, isDurable: false },
         { fault: StoreFault.Refused, code: ResultCode.StaleEpoch, isDurable: false },
     ];
-    for (const { fault, code, isDurable } of cases) {
+    // The read that resolves a lost answer fails, or it is answered only after the slot was overwritten.
+    for (const { fault, code, isDurable, isReadHeld } of cases.flatMap(row => [
+        { ...row, isReadHeld: false },
+        { ...row, isReadHeld: true },
+    ])) {
         const store = MemoryKeyValueStore.create(clock);
         const { log } = await open(store, 1, 4);
-        store.failNext(fault, StoreFault.Refused);
+        store.failNext(fault);
+        if (isReadHeld) {
+            store.holdAfter(fault === StoreFault.LostAfterApply ? 2 : 1);
+        } else {
+            store.failAfter(1, StoreFault.Refused);
+        }
         const pending = codeOf(log.append(["old"]));
-        await log.commit();
+        const first = log.commit();
+        await new Promise(resolve => setImmediate(resolve));
         const next = await open(store.connect(), 2, 4);
         for (let count = 0; count < 9; count += 1) {
             const append = next.log.append([`new ${count}`]);
@@ -109,10 +106,12 @@
             t.ok((await append).isOk());
         }
         store.clearFaults();
+        store.release();
+        await first;
         await log.commit();
-        t.equal(await pending, code, fault);
+        t.equal(await pending, code, `${fault}, held: ${isReadHeld}`);
         t.equal(await codeOf(log.append(["more"])), ResultCode.StaleEpoch, fault);
-        t.equal(next.state.texts.includes("old"), isDurable, fault);
+        t.equal(next.state.items.includes("old"), isDurable, fault);
     }
 });
 
@@ -129,7 +128,7 @@
         cell: "a/0",
         owner: "s",
         epoch: 4,
-        state: new TextList(),
+        state: ListStateMachine.create<string>(),
         ringSlots: 4,
     });
     t.equal(late.isErr() && late.error.code, ResultCode.StaleEpoch);
@@ -150,7 +149,7 @@
     const other = store.connect();
     other.failAfter(2, StoreFault.Refused);
     const next = await open(other, 2, 4);
-    t.strictSame(next.state.texts, state.texts);
+    t.strictSame(next.state.items, state.items);
     t.ok(next.log.counters.get("log.reads") > 4, "the failed list was replaced by single reads");
 });
 
--- a/packages/state/tests/model/check-owners.ts
+++ b/packages/state/tests/model/check-owners.ts
@@ -11,15 +11,16 @@
 export const checkOwners = async (t: Test, processes: number, seed: number): Promise<void> => {
     let acknowledged = 0;
     let takeovers = 0;
+    let problems: string[] = [];
     const property = fc.asyncProperty(arbitrarySchedule(processes), async operations => {
         const history = await ScheduleRun.run(processes, operations);
         acknowledged += history.filter(event => event.type === "acknowledged").length;
         takeovers += history.filter(event => event.type === "opened").length;
-        const problems = checkHistory(history);
-        return problems.length === 0 ? true : Promise.reject(new Error(problems.join("; ")));
+        problems = checkHistory(history);
+        return problems.length === 0;
     });
     const details = await fc.check(property, { seed, numRuns });
-    t.notOk(details.failed, fc.defaultReportMessage(details) ?? "");
+    t.notOk(details.failed, `${problems.join("; ")} ${fc.defaultReportMessage(details) ?? ""}`);
     t.comment(`${details.numRuns} schedules, ${acknowledged} acknowledged, ${takeovers} takeovers`);
     // Schedules in which nothing happens would prove nothing.
     t.ok(acknowledged > 20 * numRuns && takeovers > 2 * numRuns, `${acknowledged} ${takeovers}`);
--- a/packages/state/tests/model/model-process.ts
+++ b/packages/state/tests/model/model-process.ts
@@ -2,31 +2,14 @@
 import { CellOwnership } from "../../src/cell-ownership.js";
 import { GroupCommitLog } from "../../src/group-commit-log.js";
 import type { KeyValueStore } from "../../src/key-value-store.js";
-import { LogStateMachine } from "../../src/log-state-machine.js";
 import { ProcessLease } from "../../src/process-lease.js";
+import { ListStateMachine } from "../../src/testing/list-state-machine.js";
 import type { MemoryKeyValueStore } from "../../src/testing/memory-key-value-store.js";
 import type { HistoryEvent } from "./history-event.js";
 
 /** Cell and ring of all model tests; the small ring wraps within one schedule. */
 export const modelCell = { cell: "a/0", ringSlots: 4 } as const;
 
-/** Keeps the ids of all transitions in order. */
-class IdList extends LogStateMachine<number, number> {
-    ids: number[] = [];
-
-    override apply(id: number): void {
-        this.ids.push(id);
-    }
-
-    override snapshot(): readonly number[] {
-        return this.ids;
-    }
-
-    override restore(ids: readonly number[]): void {
-        this.ids = [...ids];
-    }
-}
-
 interface Options {
     readonly name: string;
     readonly clock: ManualClock;
@@ -109,13 +92,13 @@
 
     private async open(epoch: number): Promise<void> {
         const { connection, breakStore, clock, name: owner, record } = this.options;
-        const state = new IdList();
+        const state = ListStateMachine.create<number>();
         const store = breakStore(connection);
         const opened = await GroupCommitLog.open({ store, clock, owner, epoch, state, ...modelCell });
         if (opened.isOk()) {
             this.log = opened.value;
             this.logEpoch = epoch;
-            record({ type: "opened", epoch, ids: [...state.ids] });
+            record({ type: "opened", epoch, ids: [...state.items] });
         } else {
             record({ type: "open-failed", epoch, code: opened.error.code });
         }
