--- a/packages/state/src/log-ring.ts
+++ b/packages/state/src/log-ring.ts
@@ -80,7 +80,7 @@
             // The write may still be delayed on its way, so the same record must be written again.
             return WriteOutcome.unknown();
         }
-        return this.judge(record, read.value);
+        return this.judge(record, read.value).afterLostAnswer();
     }
 
     /** Decides what a slot whose revision is not the expected one says about this record. */
@@ -90,7 +90,7 @@
         }
         const found = this.remember(current);
         if (found.position < record.position) {
-            return WriteOutcome.notWritten();
+            return WriteOutcome.missing();
         }
         const isOurs = found.position === record.position && found.writer === record.writer;
         return isOurs ? WriteOutcome.durable() : WriteOutcome.occupied(found);
