--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -60,12 +60,7 @@
     start(name: string): ManagedProcess {
         const kind = name.split("-")[0] as keyof typeof programs;
         const program = require.resolve(programs[kind]);
-        const process = ManagedProcess.create(
-            name,
-            program,
-            this.settings.get(name) ?? "",
-            join(this.dir, `${name}.log`),
-        );
+        const process = ManagedProcess.create(name, program, this.settings.get(name) ?? "", this.dir);
         this.processes.set(name, process);
         return process;
     }
--- a/packages/demo/src/managed-process.ts
+++ b/packages/demo/src/managed-process.ts
@@ -1,6 +1,9 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
 import { closeSync, openSync } from "node:fs";
+import { join } from "node:path";
+import type { ProcessUsage } from "./process-usage.js";
+import { readProcessUsage } from "./read-process-usage.js";
 
 const StopTimeoutMs = 15_000;
 
@@ -18,6 +21,7 @@
     private constructor(
         readonly name: string,
         private readonly child: ChildProcess,
+        private readonly bytesFile: string,
     ) {
         this.ended = new Promise(resolve => {
             child.once("close", (exitCode, signal) => {
@@ -27,18 +31,23 @@
         });
     }
 
-    /** Starts a compiled program with a settings file. */
-    static create(name: string, program: string, settingsFile: string, logFile: string): ManagedProcess {
-        const log = openSync(logFile, "a");
-        const child = spawn(process.execPath, ["--enable-source-maps", program, "--config", settingsFile], {
+    /** Starts a compiled program with a settings file. Its log and its socket counts go to `dir`. */
+    static create(name: string, program: string, settingsFile: string, dir: string): ManagedProcess {
+        const log = openSync(join(dir, `${name}.log`), "a");
+        const counter = new URL("./count-bytes.js", import.meta.url).href;
+        const args = ["--enable-source-maps", "--import", counter, program, "--config", settingsFile];
+        const bytesFile = join(dir, `${name}.bytes.json`);
+        const child = spawn(process.execPath, args, {
             stdio: ["ignore", log, log],
+            env: { ...process.env, BYTES_FILE: bytesFile },
         });
         closeSync(log);
-        return new ManagedProcess(name, child);
+        return new ManagedProcess(name, child, bytesFile);
     }
 
-    get pid(): number | undefined {
-        return this.child.pid;
+    /** What the process has used so far. */
+    usage(): ProcessUsage {
+        return readProcessUsage(this.child.pid ?? 0, this.bytesFile);
     }
 
     get running(): boolean {
--- /dev/null
+++ b/packages/demo/src/measure-control.ts
@@ -0,0 +1,120 @@
+import { parseArgs } from "node:util";
+import { applyTables } from "./apply-tables.js";
+import { Balancer } from "./balancer.js";
+import { Deployment } from "./deployment.js";
+import type { ProcessUsage } from "./process-usage.js";
+import { TaskLoad } from "./task-load.js";
+import type { UserPlan } from "./user-plan.js";
+import { userPlans } from "./user-plans.js";
+
+const SettleMs = 12_000;
+const MeasureMs = 10_000;
+const EndTimeoutMs = 20_000;
+
+/** One point of a slope: the size of the deployment and the rate of task starts. */
+interface Point {
+    readonly entryVms: number;
+    readonly workers: number;
+    readonly startsPerSecond: number;
+}
+
+const points: Readonly<Record<string, readonly Point[]>> = {
+    vms: [3, 6, 12].map(entryVms => ({ entryVms, workers: 30, startsPerSecond: 0 })),
+    workers: [9, 30, 90].map(workers => ({ entryVms: 3, workers, startsPerSecond: 0 })),
+    starts: [5, 20, 60].map(startsPerSecond => ({ entryVms: 3, workers: 30, startsPerSecond })),
+};
+
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+const planOf = ({ entryVms, workers }: Point): UserPlan => ({
+    ...userPlans.kloverknap,
+    entryVms,
+    zones: userPlans.kloverknap.zones.map(zone => ({ ...zone, workers: workers / 3 })),
+});
+
+const namesOf = (deployment: Deployment, role: string): string[] =>
+    deployment.addresses.entryVms.map(({ name }) => `${role}-${name}`);
+
+const readAll = (deployment: Deployment, role: string): ProcessUsage[] =>
+    namesOf(deployment, role).map(name => deployment.process(name).usage());
+
+const mean = (values: readonly number[]): number =>
+    values.reduce((sum, value) => sum + value, 0) / values.length;
+
+const summarize = (
+    before: readonly ProcessUsage[],
+    after: readonly ProcessUsage[],
+): Record<string, number> => {
+    const seconds = MeasureMs / 1000;
+    const rate = (field: keyof ProcessUsage): number[] =>
+        after.map((usage, index) => (usage[field] - (before[index]?.[field] ?? 0)) / seconds);
+    const round = (value: number): number => Math.round(value * 10) / 10;
+    const bytes = rate("bytesRead").map((read, index) => read + (rate("bytesWritten")[index] ?? 0));
+    return {
+        cpuMsPerSecond: round(mean(rate("cpuMs"))),
+        cpuMsPerSecondMax: round(Math.max(...rate("cpuMs"))),
+        rssMb: round(Math.max(...after.map(usage => usage.rssMb))),
+        bytesPerSecond: Math.round(mean(bytes)),
+        bytesPerSecondMax: Math.round(Math.max(...bytes)),
+    };
+};
+
+const storeCalls = async (deployment: Deployment): Promise<Record<string, number>> => {
+    const { calls } = await deployment.read<{ calls: Record<string, number> }>(
+        deployment.addresses.store,
+        "/v1/stats",
+    );
+    return calls;
+};
+
+const submitSteadily = async (tasks: TaskLoad, rate: number): Promise<void> => {
+    const startMs = performance.now();
+    const total = (rate * MeasureMs) / 1000;
+    const pending: Promise<void>[] = [];
+    for (let index = 0; index < total; index += 1) {
+        await sleep(Math.max(0, startMs + (index * 1000) / rate - performance.now()));
+        pending.push(tasks.submit({ key: `task-${index}`, payload: JSON.stringify({ runMs: 500 }) }));
+    }
+    await Promise.all(pending);
+};
+
+const measure = async (point: Point): Promise<void> => {
+    const deployment = Deployment.create(planOf(point));
+    const balancer = Balancer.create(deployment.addresses.entryVms);
+    const tasks = TaskLoad.create({ balancer, path: "/cutting-plan", count: 0, seed: 1, name: "measure" });
+    try {
+        await deployment.startAll();
+        await applyTables(deployment);
+        balancer.start();
+        await deployment.untilServing();
+        await sleep(SettleMs);
+        const before = { entry: readAll(deployment, "entry"), scheduler: readAll(deployment, "scheduler") };
+        const callsBefore = await storeCalls(deployment);
+        await Promise.all([
+            sleep(MeasureMs),
+            point.startsPerSecond > 0 ? submitSteadily(tasks, point.startsPerSecond) : undefined,
+        ]);
+        const callsAfter = await storeCalls(deployment);
+        const perSecond = Object.fromEntries(
+            Object.entries(callsAfter).map(([kind, count]) => [
+                kind,
+                Math.round(((count - (callsBefore[kind] ?? 0)) * 10_000) / MeasureMs) / 10,
+            ]),
+        );
+        for (const role of ["entry", "scheduler"] as const) {
+            const usage = summarize(before[role], readAll(deployment, role));
+            process.stdout.write(`${JSON.stringify({ ...point, role, ...usage })}\n`);
+        }
+        process.stdout.write(`${JSON.stringify({ ...point, role: "store", callsPerSecond: perSecond })}\n`);
+        await tasks.untilEnded(EndTimeoutMs);
+    } finally {
+        balancer.stop();
+        tasks.close();
+        await deployment.stopAll();
+    }
+};
+
+const { values } = parseArgs({ options: { slope: { type: "string", default: "vms" } } });
+for (const point of points[values.slope] ?? []) {
+    await measure(point);
+}
--- a/packages/demo/src/task-load.ts
+++ b/packages/demo/src/task-load.ts
@@ -60,7 +60,8 @@
         this.clients.forEach(client => client.close());
     }
 
-    private async submit(body: { key: string; payload: string }): Promise<void> {
+    /** Submits one task, again and again with the same key until it is accepted. */
+    async submit(body: { key: string; payload: string }): Promise<void> {
         for (let tries = 0; tries < MaxTries; tries += 1) {
             const answer = await this.call("POST", this.options.path, body);
             if (answer !== undefined && (answer.status === 202 || answer.status === 200)) {
