--- /dev/null
+++ b/packages/demo/src/measure-takeover.ts
@@ -0,0 +1,113 @@
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { Tables } from "@samphireward/core/tables";
+import { applyTables } from "./apply-tables.js";
+import { Balancer } from "./balancer.js";
+import { Deployment } from "./deployment.js";
+import { TaskLoad } from "./task-load.js";
+import type { UserPlan } from "./user-plan.js";
+import { userPlans } from "./user-plans.js";
+
+const Cell = "herning-a/0";
+const PollMs = 20;
+const SettleMs = 3_000;
+
+const plan: UserPlan = {
+    ...userPlans.kloverknap,
+    entryVms: 3,
+    zones: userPlans.kloverknap.zones.map(zone => ({ ...zone, workers: 3 })),
+};
+
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Keys of urgent tasks whose home is the measured cell. */
+const urgentKeys = (count: number): string[] => {
+    const read = (file: string): string => readFileSync(join(process.cwd(), "examples", plan.user, file), "utf8");
+    const tables = Tables.create(read("routes.toml"), read("pools.toml")).unwrap();
+    const pool = tables.pools.get("bolt-watches");
+    const keys: string[] = [];
+    for (let index = 0; pool !== undefined && keys.length < count; index += 1) {
+        if (String(tables.homeCell(pool, `urgent-${index}`)) === Cell) {
+            keys.push(`urgent-${index}`);
+        }
+    }
+    return keys;
+};
+
+const ownerOf = async (deployment: Deployment): Promise<string> => {
+    const { value } = await deployment.read<{ value: string }>(
+        deployment.addresses.store,
+        `/v1/kv/cell/${Cell}/owner`,
+    );
+    return (JSON.parse(value) as { owner: string }).owner;
+};
+
+/** Waits until a worker of the cell has started the task. */
+const untilStarted = async (deployment: Deployment, key: string): Promise<void> => {
+    const workers = deployment.addresses.workers.filter(({ dataCentre }) => dataCentre === "herning-a");
+    await deployment.until(`the start of ${key}`, async () => {
+        for (;;) {
+            const stats = await Promise.all(
+                workers.map(({ task }) => deployment.read<{ starts: Record<string, number> }>(task, "/v1/stats")),
+            );
+            if (stats.some(({ starts }) => Object.keys(starts).some(attempt => attempt.startsWith(`${key}#`)))) {
+                return true;
+            }
+            await sleep(PollMs);
+        }
+    });
+};
+
+const measureOnce = async (
+    deployment: Deployment,
+    tasks: TaskLoad,
+    key: string,
+    signal: NodeJS.Signals,
+): Promise<number> => {
+    const name = await ownerOf(deployment);
+    const owner = deployment.process(name);
+    const startMs = performance.now();
+    owner.signal(signal);
+    const submitted = tasks.submit({ key, payload: JSON.stringify({ runMs: 200 }) });
+    await untilStarted(deployment, key);
+    const startedMs = performance.now() - startMs;
+    await submitted;
+    owner.signal("SIGCONT");
+    if (signal === "SIGKILL") {
+        deployment.start(name);
+    }
+    await sleep(SettleMs);
+    return Math.round(startedMs);
+};
+
+const main = async (): Promise<void> => {
+    const { values } = parseArgs({
+        options: {
+            rounds: { type: "string", default: "5" },
+            signal: { type: "string", default: "SIGKILL" },
+        },
+    });
+    const deployment = Deployment.create(plan);
+    const balancer = Balancer.create(deployment.addresses.entryVms);
+    const tasks = TaskLoad.create({ balancer, path: "/bolt-watch", count: 0, seed: 1, name: "urgent" });
+    try {
+        await deployment.startAll();
+        await applyTables(deployment);
+        balancer.start();
+        await deployment.untilServing();
+        await sleep(SettleMs);
+        const startsMs: number[] = [];
+        for (const key of urgentKeys(Number(values.rounds))) {
+            startsMs.push(await measureOnce(deployment, tasks, key, values.signal as NodeJS.Signals));
+        }
+        startsMs.sort((a, b) => a - b);
+        process.stdout.write(`${JSON.stringify({ signal: values.signal, startsMs })}\n`);
+    } finally {
+        balancer.stop();
+        tasks.close();
+        await deployment.stopAll();
+    }
+};
+
+await main();
