Check owner and member keys against schemas

Cause: one value that does not parse would have ended the loop that reads all registrations, or a cell's ownership loop.

Change: owner records and registrations are decoded as the configuration is; an unreadable registration is left out, and an unreadable owner key counts as owned.

--- a/packages/state/src/cell-ownership.ts
+++ b/packages/state/src/cell-ownership.ts
@@ -2,9 +2,10 @@
 import { Counters } from "@samphireward/core/counters";
 import type * as Effect from "effect/Effect";
 import { CellKeys } from "./cell-keys.js";
+import { decodeJson } from "./decode-json.js";
 import type { KeyValueStore } from "./key-value-store.js";
 import type { KvEntry } from "./kv-entry.js";
-import type { OwnerRecord } from "./owner-record.js";
+import { OwnerRecord } from "./owner-record.js";
 import type { ProcessLease } from "./process-lease.js";
 import { repeatStep } from "./repeat-step.js";
 import { StoreErrorKind } from "./store-error-kind.js";
@@ -135,10 +136,13 @@
     }
 
     private isFree(entry: KvEntry | undefined): boolean {
-        this.currentOwner = entry === undefined ? undefined : (JSON.parse(entry.value) as OwnerRecord);
         if (entry === undefined) {
+            this.currentOwner = undefined;
             return true;
         }
+        const owner = decodeJson(OwnerRecord, entry.value);
+        // A key that cannot be read still shows that some process holds the cell.
+        this.currentOwner = owner.isOk() ? owner.value : undefined;
         // A claim of this process whose answer was lost and which took effect later is claimed again.
         return (
             this.currentOwner?.owner === this.options.owner && entry.leaseId === this.options.lease.leaseId
--- a/packages/state/src/config-feed.ts
+++ b/packages/state/src/config-feed.ts
@@ -13,10 +13,10 @@
 import type { ConfigProposal } from "./config-proposal.js";
 import type { KeyValueStore } from "./key-value-store.js";
 import type { KvEntry } from "./kv-entry.js";
-import { parseStoredConfig } from "./parse-stored-config.js";
+import { decodeJson } from "./decode-json.js";
 import type { ProposalError } from "./proposal-error.js";
 import { repeatStep } from "./repeat-step.js";
-import type { StoredConfig } from "./stored-config.js";
+import { StoredConfig } from "./stored-config.js";
 
 interface Options {
     readonly store: KeyValueStore;
@@ -146,7 +146,7 @@
         if (entry === undefined) {
             return;
         }
-        const stored = parseStoredConfig(entry.value);
+        const stored = decodeJson(StoredConfig, entry.value);
         if (stored.isErr()) {
             const problem = { file: ConfigLimits.key, key: "", message: stored.error };
             this.reject(entry.value, [problem], source);
--- a/packages/state/src/config-proposer.ts
+++ b/packages/state/src/config-proposer.ts
@@ -9,10 +9,10 @@
 import { ConfigLimits } from "./config-limits.js";
 import type { ConfigProposal } from "./config-proposal.js";
 import type { KeyValueStore } from "./key-value-store.js";
-import { parseStoredConfig } from "./parse-stored-config.js";
+import { decodeJson } from "./decode-json.js";
 import type { ProposalError } from "./proposal-error.js";
 import { StoreErrorKind } from "./store-error-kind.js";
-import type { StoredConfig } from "./stored-config.js";
+import { StoredConfig } from "./stored-config.js";
 
 interface Options {
     readonly store: KeyValueStore;
@@ -87,7 +87,7 @@
             return Err(read.error.message);
         }
         const keyRevision = read.value?.revision ?? 0;
-        const parsed = read.value === undefined ? undefined : parseStoredConfig(read.value.value);
+        const parsed = read.value === undefined ? undefined : decodeJson(StoredConfig, read.value.value);
         const stored = parsed?.isOk() ? parsed.value : undefined;
         const applied = this.options.applied();
         if (stored === undefined || stored.revision < (applied?.revision ?? 0)) {
--- a/packages/state/src/parse-stored-config.ts
+++ b/packages/state/src/decode-json.ts
@@ -1,21 +1,23 @@
+import type * as Schema from "effect/Schema";
 import { makeFormatterStandardSchemaV1 } from "effect/SchemaIssue";
 import * as SchemaParser from "effect/SchemaParser";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
-import { StoredConfig } from "./stored-config.js";
 
 const formatIssue = makeFormatterStandardSchemaV1();
-const decode = SchemaParser.decodeUnknownResult(StoredConfig);
 
-/** Parses the value of `config/current`. The error names what is wrong. */
-export const parseStoredConfig = (value: string): Result<StoredConfig, string> => {
+/** Parses a value of the store and checks it against a schema; unknown keys are ignored. The error names what is wrong. */
+export const decodeJson = <S extends Schema.ConstraintDecoder<unknown>>(
+    schema: S,
+    text: string,
+): Result<S["Type"], string> => {
     let json: unknown;
     try {
-        json = JSON.parse(value);
+        json = JSON.parse(text);
     } catch (err) {
         return Err(`not JSON: ${(err as Error).message}`);
     }
-    const decoded = decode(json);
+    const decoded = SchemaParser.decodeUnknownResult(schema)(json);
     if (decoded._tag === "Success") {
         return Ok(decoded.success);
     }
--- a/packages/state/src/member-info.ts
+++ b/packages/state/src/member-info.ts
@@ -1,16 +1,20 @@
-/** A process as it describes itself to its peers. */
-export interface MemberInfo {
-    readonly name: string;
-    readonly role: "entry" | "scheduler";
-    readonly region: string;
-    readonly dataCentre: string;
+import * as Schema from "effect/Schema";
+
+/** Schema of a process as it describes itself to its peers, and of the key `member/<name>`. */
+export const MemberInfo = Schema.Struct({
+    name: Schema.String,
+    role: Schema.Literals(["entry", "scheduler"]),
+    region: Schema.String,
+    dataCentre: Schema.String,
     /** `ip:port` of the peer port. */
-    readonly address: string;
+    address: Schema.String,
     /** Start time in milliseconds since 1970; a restarted process has a higher one. */
-    readonly incarnation: number;
+    incarnation: Schema.Finite,
     /** Grows while the process runs. */
-    readonly heartbeat: number;
-    readonly configRevision: number;
+    heartbeat: Schema.Finite,
+    configRevision: Schema.Int,
     /** The process is shutting down. */
-    readonly leaving: boolean;
-}
+    leaving: Schema.Boolean,
+});
+
+export type MemberInfo = (typeof MemberInfo)["Type"];
--- a/packages/state/src/member-registration.ts
+++ b/packages/state/src/member-registration.ts
@@ -1,8 +1,9 @@
 import type { Clock } from "@samphireward/core/clock";
 import { Counters } from "@samphireward/core/counters";
 import type * as Effect from "effect/Effect";
+import { decodeJson } from "./decode-json.js";
 import type { KeyValueStore } from "./key-value-store.js";
-import type { MemberInfo } from "./member-info.js";
+import { MemberInfo } from "./member-info.js";
 import { MemberState } from "./member-state.js";
 import type { Membership } from "./membership.js";
 import { MembershipLimits } from "./membership-limits.js";
@@ -45,7 +46,8 @@
         this.counters.add("registration.reads");
         this.lastReadMs = clock.nowMs();
         const entries = listed.value.entries;
-        membership.mergeRegistered(entries.map(entry => JSON.parse(entry.value) as MemberInfo));
+        const registered = entries.map(entry => decodeJson(MemberInfo, entry.value));
+        membership.mergeRegistered(registered.flatMap(result => (result.isOk() ? [result.value] : [])));
         if (!isRegistered && membership.replacedBy === undefined) {
             const own = entries.find(entry => entry.key === `${prefix}${membership.self.name}`);
             await this.register(own?.revision ?? 0);
--- a/packages/state/src/owner-record.ts
+++ b/packages/state/src/owner-record.ts
@@ -1,8 +1,12 @@
-/** Value of the key `cell/<name>/owner`. */
-export interface OwnerRecord {
+import * as Schema from "effect/Schema";
+
+/** Schema of the key `cell/<name>/owner`. */
+export const OwnerRecord = Schema.Struct({
     /** Name of the scheduler process. */
-    readonly owner: string;
-    readonly epoch: number;
+    owner: Schema.String,
+    epoch: Schema.Int,
     /** `ip:port` where entry processes attach. */
-    readonly address: string;
-}
+    address: Schema.String,
+});
+
+export type OwnerRecord = (typeof OwnerRecord)["Type"];
--- a/packages/state/tests/membership.test.ts
+++ b/packages/state/tests/membership.test.ts
@@ -179,6 +179,8 @@
         return { lease, membership, registration };
     };
     const a = await start("a");
+    // Guards against one unreadable registration that stops all processes from reading the others.
+    table.table.put("member/other", "{", 0).unwrap();
     const b = await start("b");
     t.equal(stateOf(b.membership, "a"), MemberState.Suspected, "known, but not heard of yet");
     await network.rounds(2);
