--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -47,31 +47,31 @@
     };
 };
 
-/** A whole cell state as items of a snapshot. Ended tasks follow in the order of their end. */
-export class CellStateCodec {
-    static toRows(state: CellState): StateRow[] {
-        const rows: StateRow[] = [];
-        for (const task of state.tasks.values()) {
-            if (!state.ended.has(task.spec.key)) {
-                rows.push([Tag.Task, ...toRow(task)]);
-            }
-        }
-        for (const key of state.ended) {
-            rows.push([Tag.Ended, ...toRow(state.get(key) as TaskRecord)]);
-        }
-        for (const entry of state.workerModes) {
-            rows.push([Tag.WorkerMode, ...entry]);
+const toRows = (state: CellState): StateRow[] => {
+    const rows: StateRow[] = [];
+    for (const task of state.tasks.values()) {
+        if (!state.ended.has(task.spec.key)) {
+            rows.push([Tag.Task, ...toRow(task)]);
         }
-        return rows;
     }
-
-    static fromRows(rows: readonly StateRow[]): CellState {
-        const columnsOf = (tag: number): Row[] => rows.filter(row => row[0] === tag).map(row => row.slice(1));
-        const ended = columnsOf(Tag.Ended).map(fromRow);
-        return CellState.restore(
-            [...columnsOf(Tag.Task).map(fromRow), ...ended],
-            ended.map(record => record.spec.key),
-            columnsOf(Tag.WorkerMode) as [string, WorkerMode][],
-        );
+    for (const key of state.ended) {
+        rows.push([Tag.Ended, ...toRow(state.get(key) as TaskRecord)]);
+    }
+    for (const entry of state.workerModes) {
+        rows.push([Tag.WorkerMode, ...entry]);
     }
-}
+    return rows;
+};
+
+const fromRows = (rows: readonly StateRow[]): CellState => {
+    const columnsOf = (tag: number): Row[] => rows.filter(row => row[0] === tag).map(row => row.slice(1));
+    const ended = columnsOf(Tag.Ended).map(fromRow);
+    return CellState.restore(
+        [...columnsOf(Tag.Task).map(fromRow), ...ended],
+        ended.map(record => record.spec.key),
+        columnsOf(Tag.WorkerMode) as [string, WorkerMode][],
+    );
+};
+
+/** A whole cell state as items of a snapshot. Ended tasks follow in the order of their end. */
+export const CellStateCodec = { toRows, fromRows } as const;
--- a/packages/tasks/src/transition-codec.ts
+++ b/packages/tasks/src/transition-codec.ts
@@ -20,10 +20,29 @@
     WorkerMode: 9,
 } as const;
 
+const specToRow = (spec: TaskSpec): Row => {
+    const { processors, memoryMb, accelerators } = spec.resources;
+    return [spec.key, spec.pool, processors, memoryMb, accelerators, spec.expectedRunMs, spec.payload];
+};
+
+const specFromRow = (row: Row): TaskSpec => {
+    const [key, pool, processors, memoryMb, accelerators, expectedRunMs, payload] = row as [
+        string,
+        string,
+        number,
+        number,
+        number,
+        number,
+        string,
+    ];
+    const resources = Resources.create({ processors, memoryMb, accelerators });
+    return { key, pool, resources, expectedRunMs, payload };
+};
+
 const toRow = (transition: Transition): Row => {
     switch (transition.kind) {
         case "accepted":
-            return [Tag.Accepted, ...TransitionCodec.specToRow(transition.spec), transition.wallMs];
+            return [Tag.Accepted, ...specToRow(transition.spec), transition.wallMs];
         case "starting":
             return [Tag.Starting, transition.key, transition.attempt, transition.worker];
         case "running":
@@ -58,7 +77,7 @@
         case Tag.Accepted:
             return {
                 kind: "accepted",
-                spec: TransitionCodec.specFromRow(fields),
+                spec: specFromRow(fields),
                 wallMs: fields[7] as number,
             };
         case Tag.Starting:
@@ -86,33 +105,8 @@
     }
 };
 
-/** Transitions as rows for the log: one array for each, with a tag in place of field names. */
-export class TransitionCodec {
-    static toRow(transition: Transition): TransitionRow {
-        return toRow(transition);
-    }
-
-    /** Throws a `SyntaxError` for a row that `toRow` did not make. */
-    static fromRow(row: TransitionRow): Transition {
-        return fromRow(row);
-    }
-
-    static specToRow(spec: TaskSpec): Row {
-        const { processors, memoryMb, accelerators } = spec.resources;
-        return [spec.key, spec.pool, processors, memoryMb, accelerators, spec.expectedRunMs, spec.payload];
-    }
-
-    static specFromRow(row: Row): TaskSpec {
-        const [key, pool, processors, memoryMb, accelerators, expectedRunMs, payload] = row as [
-            string,
-            string,
-            number,
-            number,
-            number,
-            number,
-            string,
-        ];
-        const resources = Resources.create({ processors, memoryMb, accelerators });
-        return { key, pool, resources, expectedRunMs, payload };
-    }
-}
+/**
+ * Transitions as rows for the log: one array for each, with a tag in place of field names. `fromRow` throws a
+ * `SyntaxError` for a row that `toRow` did not make.
+ */
+export const TransitionCodec = { toRow, fromRow, specToRow, specFromRow } as const;
