--- a/packages/bench/src/instant-log.ts
+++ b/packages/bench/src/instant-log.ts
@@ -1,27 +1,27 @@
 import type { CodedError } from "@samphireward/core/coded-error";
 import { TransitionLog } from "@samphireward/state/transition-log";
-import type { CellStateMachine } from "@samphireward/tasks/cell-state-machine";
-import type { TransitionRow } from "@samphireward/tasks/transition-row";
+import type { Transition } from "@samphireward/tasks/transition";
+import { TransitionCodec } from "@samphireward/tasks/transition-codec";
 import type { Result } from "ts-results-es";
 import { Ok } from "ts-results-es";
 
 /** A log that is durable at once. It encodes each row as the real one does, and counts the bytes. */
-export class InstantLog extends TransitionLog<TransitionRow> {
+export class InstantLog extends TransitionLog<Transition> {
     bytes = 0;
     transitions = 0;
 
-    private constructor(private readonly machine: CellStateMachine) {
+    private constructor() {
         super();
     }
 
-    static create(machine: CellStateMachine): InstantLog {
-        return new InstantLog(machine);
+    static create(): InstantLog {
+        return new InstantLog();
     }
 
-    override append(rows: readonly TransitionRow[]): Promise<Result<void, CodedError>> {
+    override append(transitions: readonly Transition[]): Promise<Result<void, CodedError>> {
+        const rows = transitions.map(transition => TransitionCodec.toRow(transition));
         this.bytes += JSON.stringify(rows).length;
         this.transitions += rows.length;
-        rows.forEach(row => this.machine.apply(row));
         return Promise.resolve(Ok(undefined));
     }
 }
--- a/packages/bench/src/task-cost.ts
+++ b/packages/bench/src/task-cost.ts
@@ -4,7 +4,8 @@
 import { Resources } from "@samphireward/core/resources";
 import { LeastLoadedPolicy } from "@samphireward/placement/least-loaded-policy";
 import { CellOwner } from "@samphireward/tasks/cell-owner";
-import { CellStateMachine } from "@samphireward/tasks/cell-state-machine";
+import { CellState } from "@samphireward/tasks/cell-state";
+import { CellStateCodec } from "@samphireward/tasks/cell-state-codec";
 import { InstantLog } from "./instant-log.js";
 import { InstantWorker } from "./instant-worker.js";
 
@@ -26,15 +27,15 @@
 class BenchCell {
     readonly clock = ManualClock.create(1000);
     readonly workers = Array.from({ length: WorkerCount }, () => InstantWorker.create());
-    readonly machine = CellStateMachine.create();
-    readonly log = InstantLog.create(this.machine);
+    readonly state = CellState.create();
+    readonly log = InstantLog.create();
     readonly owner: CellOwner;
 
     private constructor(room: number) {
         this.owner = CellOwner.create({
             clock: this.clock,
             log: this.log,
-            machine: this.machine,
+            state: this.state,
             policy: LeastLoadedPolicy.create(),
             tables: { pools: new Map(), serviceReserve: Resources.none },
             connect: info => this.workers[Number(info.name)] as InstantWorker,
@@ -121,7 +122,7 @@
     const cell = BenchCell.create(tasks);
     await cell.tickUntil(() => cell.owner.describe().workers.every(worker => worker.state === "open"));
     const heapBefore = heapBytes();
-    const isEnded = (): boolean => cell.machine.state.ended.size === tasks;
+    const isEnded = (): boolean => cell.state.ended.size === tasks;
     print("accept", tasks, tasks, await measure(() => cell.accept(tasks)));
     const heapQueued = heapBytes();
     print("start", tasks, tasks, await measure(() => cell.tickUntil(() => cell.running === tasks)));
@@ -146,7 +147,7 @@
         ended: bytesEach(heapEnded),
     };
     const logBytes = Math.round(cell.log.bytes / tasks);
-    const snapshotBytes = Math.round(JSON.stringify(cell.machine.snapshot()).length / tasks);
+    const snapshotBytes = Math.round(JSON.stringify(CellStateCodec.toItems(cell.state)).length / tasks);
     printLine({ what: "bytes-each", tasks, ...memory, logBytes, snapshotBytes });
 };
 
@@ -156,7 +157,7 @@
     await cell.accept(tasks);
     await cell.tickUntil(() => cell.running >= Math.min(tasks, 1500));
     const wave = Array.from({ length: Math.min(WaveSize, tasks) }, (_, index) => `task-${index}`);
-    const { ended } = cell.machine.state;
+    const { ended } = cell.state;
     const cancelAll = async (): Promise<void> => {
         await Promise.all(wave.map(key => cell.owner.cancel(key)));
     };
--- a/packages/tasks/src/cell-owner.ts
+++ b/packages/tasks/src/cell-owner.ts
@@ -122,10 +122,12 @@
         if (command === WorkerCommand.Release) {
             this.core.quarantine.release(worker);
         }
-        return new Promise(resolve => {
-            this.core.record({ kind: "worker-mode", worker, mode }, resolve);
-            this.core.flush();
-        });
+        return this.recordMode(worker, mode);
+    }
+
+    /** Records a worker's mode. Resolves with whether it is durable. */
+    async setWorkerMode(worker: string, mode: WorkerMode): Promise<boolean> {
+        return (await this.recordMode(worker, mode)).isOk();
     }
 
     hasWorker(name: string): boolean {
@@ -217,6 +219,13 @@
         return undefined;
     }
 
+    private recordMode(worker: string, mode: WorkerMode): Promise<Result<void, CodedError>> {
+        return new Promise(resolve => {
+            this.core.record({ kind: "worker-mode", worker, mode }, resolve);
+            this.core.flush();
+        });
+    }
+
     private recordCancel(key: string): Promise<Result<void, CodedError>> {
         return new Promise(resolve => {
             this.core.record({ kind: "cancelled", key, wallMs: this.core.wallMs() }, resolve);
--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -47,7 +47,7 @@
     };
 };
 
-const toRows = (state: CellState): StateRow[] => {
+const toItems = (state: CellState): StateRow[] => {
     const rows: StateRow[] = [];
     for (const task of state.tasks.values()) {
         if (!state.ended.has(task.spec.key)) {
@@ -63,7 +63,7 @@
     return rows;
 };
 
-const fromRows = (rows: readonly StateRow[]): CellState => {
+const fromItems = (rows: readonly StateRow[]): CellState => {
     const columnsOf = (tag: number): Row[] => rows.filter(row => row[0] === tag).map(row => row.slice(1));
     const ended = columnsOf(Tag.Ended).map(fromRow);
     return CellState.restore(
@@ -73,5 +73,5 @@
     );
 };
 
-/** A whole cell state as items of a snapshot. Ended tasks follow in the order of their end. */
-export const CellStateCodec = { toRows, fromRows } as const;
+/** A whole cell state as items of a snapshot. Ended tasks follow in the order of their end; no items are a new cell. */
+export const CellStateCodec = { toItems, fromItems } as const;
--- a/packages/tasks/src/commit-queue.ts
+++ b/packages/tasks/src/commit-queue.ts
@@ -4,8 +4,6 @@
 import type { Result } from "ts-results-es";
 import { Err } from "ts-results-es";
 import type { Transition } from "./transition.js";
-import { TransitionCodec } from "./transition-codec.js";
-import type { TransitionRow } from "./transition-row.js";
 
 /** Told once whether a transition is durable (and then applied), is not, or may be (`OwnerUnreachable`). */
 type Settled = (result: Result<void, CodedError>) => void;
@@ -18,6 +16,8 @@
 
 /** What happens after an append. */
 interface Handlers {
+    /** A batch is durable. Called in log order; the state is changed here and nowhere else. */
+    readonly apply: (transition: Transition) => void;
     /** Another owner has the cell. */
     readonly lost: (err: CodedError) => void;
     /** A batch is durable and no append is under way any more. */
@@ -60,11 +60,11 @@
     private closed = false;
 
     private constructor(
-        private readonly log: TransitionLog<TransitionRow>,
+        private readonly log: TransitionLog<Transition>,
         private readonly handlers: Handlers,
     ) {}
 
-    static create(log: TransitionLog<TransitionRow>, handlers: Handlers): CommitQueue {
+    static create(log: TransitionLog<Transition>, handlers: Handlers): CommitQueue {
         return new CommitQueue(log, handlers);
     }
 
@@ -117,10 +117,11 @@
     }
 
     private async append(batch: readonly Item[]): Promise<void> {
-        const rows = batch.map(item => TransitionCodec.toRow(item.transition));
-        const result = await this.log.append(rows);
+        const transitions = batch.map(item => item.transition);
+        const result = await this.log.append(transitions);
         this.appending = false;
         if (result.isOk()) {
+            transitions.forEach(transition => this.handlers.apply(transition));
             settleAll(batch, result);
             this.handlers.idle();
         } else if (result.error.code === ResultCode.StoreUnavailable && !this.closed) {
--- a/packages/tasks/src/owner-core.ts
+++ b/packages/tasks/src/owner-core.ts
@@ -4,7 +4,7 @@
 import type { Result } from "ts-results-es";
 import { AttemptBook } from "./attempt-book.js";
 import { CellStatistics } from "./cell-statistics.js";
-import type { CellState } from "./cell-state.js";
+import { CellState } from "./cell-state.js";
 import { CommitQueue } from "./commit-queue.js";
 import { defaultOwnerTiming } from "./default-owner-timing.js";
 import type { OwnerOptions } from "./owner-options.js";
@@ -46,11 +46,12 @@
 
     private constructor(readonly options: OwnerOptions) {
         super();
-        const { clock, log, machine, policy, tables } = options;
-        this.state = machine.state;
+        const { clock, log, policy, tables } = options;
+        this.state = options.state ?? CellState.create();
         this.timing = { ...defaultOwnerTiming, ...options.timing };
         this.submissions = SubmissionQueue.create(clock, this.timing.submissionTimeoutMs);
         this.commits = CommitQueue.create(log, {
+            apply: transition => this.applyOne(transition),
             lost: err => this.depose(err.message),
             idle: () => this.act(),
         });
@@ -77,7 +78,6 @@
         const parts = { state, workers, placer, load, quarantine, statistics, recorder: this, clock };
         this.attempts = AttemptBook.create(parts);
         this.attempts.inherit();
-        machine.onApply = transition => this.applyOne(transition);
     }
 
     static create(options: OwnerOptions): OwnerCore {
--- a/packages/tasks/src/owner-options.ts
+++ b/packages/tasks/src/owner-options.ts
@@ -4,19 +4,16 @@
 import type { InterferenceLearner } from "@samphireward/placement/interference-learner";
 import type { PlacementPolicy } from "@samphireward/placement/placement-policy";
 import type { TransitionLog } from "@samphireward/state/transition-log";
-import type { CellStateMachine } from "./cell-state-machine.js";
+import type { CellState } from "./cell-state.js";
 import type { OwnerTables } from "./owner-tables.js";
 import type { OwnerTiming } from "./owner-timing.js";
-import type { TransitionRow } from "./transition-row.js";
+import type { Transition } from "./transition.js";
 import type { WorkerClient } from "./worker-client.js";
 
 /** What a cell's owner is made of. */
 export interface OwnerOptions {
     readonly clock: Clock;
-    /** Applies each transition to `machine` once it is durable, before its append resolves. */
-    readonly log: TransitionLog<TransitionRow>;
-    /** The state up to the log's position at takeover. Belongs to this owner from then on. */
-    readonly machine: CellStateMachine;
+    readonly log: TransitionLog<Transition>;
     readonly policy: PlacementPolicy;
     readonly tables: OwnerTables;
     /** Makes a client that commands the worker under this owner's epoch. */
@@ -25,6 +22,8 @@
     readonly mayGrant: () => boolean;
     /** Told once when another owner has taken the cell. */
     readonly deposed?: (reason: string) => void;
+    /** State up to the log's position at takeover; empty for a new cell. Only the owner changes it from then on. */
+    readonly state?: CellState;
     /** Teaches the policy's interference model from the workers' usage reports. */
     readonly learner?: InterferenceLearner;
     readonly evictions?: Partial<EvictionSettings>;
--- a/packages/tasks/tests/cell-state.test.ts
+++ b/packages/tasks/tests/cell-state.test.ts
@@ -174,8 +174,8 @@
         const rows = JSON.stringify(transitions.map(each => TransitionCodec.toRow(each)));
         const decoded = (JSON.parse(rows) as TransitionRow[]).map(row => TransitionCodec.fromRow(row));
         const state = replay(transitions);
-        const items = JSON.stringify(CellStateCodec.toRows(state));
-        const restored = CellStateCodec.fromRows(JSON.parse(items) as StateRow[]);
+        const items = JSON.stringify(CellStateCodec.toItems(state));
+        const restored = CellStateCodec.fromItems(JSON.parse(items) as StateRow[]);
         const isSame = (a: CellState, b: CellState): boolean =>
             isDeepStrictEqual([a.tasks, [...a.ended], a.workerModes], [b.tasks, [...b.ended], b.workerModes]);
         return isSame(replay(decoded), state) && isSame(restored, state);
--- a/packages/tasks/tests/faults/sim-log.ts
+++ b/packages/tasks/tests/faults/sim-log.ts
@@ -6,9 +6,9 @@
 import { Err, Ok } from "ts-results-es";
 import { CellState } from "../../src/cell-state.js";
 import { CellStateCodec } from "../../src/cell-state-codec.js";
-import { CellStateMachine } from "../../src/cell-state-machine.js";
 import type { Transition } from "../../src/transition.js";
 import { TransitionCodec } from "../../src/transition-codec.js";
+import type { StateRow } from "../../src/state-row.js";
 import type { TransitionRow } from "../../src/transition-row.js";
 import type { EventQueue } from "./event-queue.js";
 import { Mutant } from "./mutant.js";
@@ -35,17 +35,16 @@
     }
 
     /** Takes the cell for a new owner; returns the state as the new owner reads it. */
-    takeOver(): CellStateMachine {
+    takeOver(): CellState {
         this.epoch += 1;
-        const machine = CellStateMachine.create();
-        machine.restore(JSON.parse(JSON.stringify(CellStateCodec.toRows(this.durable))) as TransitionRow[]);
-        return machine;
+        const items = JSON.stringify(CellStateCodec.toItems(this.durable));
+        return CellStateCodec.fromItems(JSON.parse(items) as StateRow[]);
     }
 
-    handle(process: SimProcess, machine: CellStateMachine): TransitionLog<TransitionRow> {
-        const append = (rows: readonly TransitionRow[]): Promise<Result<void, CodedError>> =>
-            this.append(process, machine, rows);
-        return new (class extends TransitionLog<TransitionRow> {
+    handle(process: SimProcess): TransitionLog<Transition> {
+        const append = (transitions: readonly Transition[]): Promise<Result<void, CodedError>> =>
+            this.append(process, transitions);
+        return new (class extends TransitionLog<Transition> {
             override append = append;
         })();
     }
@@ -57,25 +56,18 @@
 
     private append(
         process: SimProcess,
-        machine: CellStateMachine,
-        rows: readonly TransitionRow[],
+        transitions: readonly Transition[],
     ): Promise<Result<void, CodedError>> {
-        const text = JSON.stringify(rows);
+        const text = JSON.stringify(transitions.map(each => TransitionCodec.toRow(each)));
         return new Promise(resolve => {
             if (this.random.next() < this.faultRate() / 4) {
                 const full = CodedError.create(ResultCode.StoreUnavailable, "the queue is full");
                 resolve(Err(full));
                 return;
             }
-            const confirm = (result: Result<void, CodedError>): void => {
-                if (result.isOk()) {
-                    rows.forEach(row => machine.apply(row));
-                }
-                resolve(result);
-            };
             const early = this.mutant === Mutant.NoWriteAhead;
             if (early) {
-                confirm(Ok.EMPTY);
+                resolve(Ok.EMPTY);
             }
             const write = (): void => {
                 // A process that was killed before its write left has written nothing.
@@ -85,7 +77,7 @@
                 const result = this.write(process, text);
                 const answerMs = this.random.next() < this.faultRate() ? 3000 : 1 + this.random.below(20);
                 this.events.after(answerMs, () =>
-                    process.deliver(() => !early && confirm(this.blur(process, result))),
+                    process.deliver(() => !early && resolve(this.blur(process, result))),
                 );
             };
             const writeMs = early ? 400 : 1 + this.random.below(60);
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -217,14 +217,14 @@
     }
 
     private takeOver(): void {
-        const machine = this.log.takeOver();
+        const state = this.log.takeOver();
         const process = SimProcess.create(this.log.epoch);
         process.leaseUntilMs = this.clock.nowMs() + StoreLeaseMs;
         const early = { deliveryMs: 0, marginMs: -2500, clockRateMargin: 0 };
         process.owner = CellOwner.create({
             clock: this.clock,
-            log: this.log.handle(process, machine),
-            machine,
+            log: this.log.handle(process),
+            state,
             policy: LeastLoadedPolicy.create(),
             tables: { pools, serviceReserve: Resources.none },
             connect: info => SimClient.create(this, process, this.findWorker(info.name)),
--- a/packages/tasks/tests/run-cell-owner.test.ts
+++ b/packages/tasks/tests/run-cell-owner.test.ts
@@ -6,14 +6,16 @@
 import { FirstFitPolicy } from "@samphireward/placement/first-fit-policy";
 import { StandinWorker } from "@samphireward/standins/worker/standin-worker";
 import { GroupCommitLog } from "@samphireward/state/group-commit-log";
+import { LogStateMachine } from "@samphireward/state/log-state-machine";
 import { MemoryKeyValueStore } from "@samphireward/state/testing/memory-key-value-store";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import t from "tap";
 import { CellOwner } from "../src/cell-owner.js";
-import { CellStateMachine } from "../src/cell-state-machine.js";
+import { CellState } from "../src/cell-state.js";
 import { HttpWorkerClient } from "../src/http-worker-client.js";
 import { runCellOwner } from "../src/run-cell-owner.js";
+import type { Transition } from "../src/transition.js";
 
 const cell = "herning-a/0";
 const capacity = { processors: 4, memoryMb: 8000, accelerators: 0 };
@@ -25,6 +27,23 @@
     return HttpWorkerClient.create({ host, port: Number(port), cell, epoch, timeoutMs: 1000, agent });
 };
 
+/** Collects the log's transitions, from which the owner's state is replayed. */
+class Transitions extends LogStateMachine<Transition, Transition> {
+    private all: Transition[] = [];
+
+    override apply(transition: Transition): void {
+        this.all.push(transition);
+    }
+
+    override snapshot(): readonly Transition[] {
+        return this.all;
+    }
+
+    override restore(items: readonly Transition[]): void {
+        this.all = [...items];
+    }
+}
+
 const spec = (key: string, runMs: number) => ({
     key,
     pool: "cutting",
@@ -43,14 +62,16 @@
 };
 
 const startOwner = async (info: WorkerInfo, epoch: number) => {
-    const machine = CellStateMachine.create();
+    const machine = new Transitions();
     const clock = SystemClock.create();
     const opened = await GroupCommitLog.open({ store, clock, cell, owner: "s", epoch, state: machine });
     const log = opened.unwrap();
+    const state = CellState.create();
+    machine.snapshot().forEach(transition => state.apply(transition));
     const owner = CellOwner.create({
         clock,
         log,
-        machine,
+        state,
         policy: FirstFitPolicy.create(),
         tables: { pools: new Map(), serviceReserve: Resources.none },
         connect: worker => connect(worker.taskAddress, epoch),
