--- a/packages/tasks/tests/cell-owner.test.ts
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -152,3 +152,22 @@
     t.equal(owner.status("urgent")?.state, "finished");
     t.equal(owner.statistics.get("cutting")?.evictions, 1);
 });
+
+// Guards against running work that ends with the store, and against a refusal that claims more than is known.
+t.test("running tasks outlive a store outage", async t => {
+    const { sim, owner } = await createCell();
+    void owner.accept(spec("k", 20_000));
+    await sim.run(2000);
+    sim.log.stalled = true;
+    const handed = owner.accept(spec("handed", 1000));
+    const waiting = owner.accept(spec("waiting", 1000));
+    await sim.run(30_000);
+    const codes = (await Promise.all([handed, waiting])).map(answer => answer.isErr() && answer.error.code);
+    t.strictSame(codes, [ResultCode.OwnerUnreachable, ResultCode.StoreUnavailable]);
+    sim.log.heal();
+    await sim.run(15_000);
+    t.strictSame([owner.status("k")?.state, owner.status("k")?.attempt], ["finished", 1]);
+    t.equal(owner.status("handed")?.state, "finished", "its answer left open whether it was recorded");
+    t.equal(owner.status("waiting"), undefined);
+    t.strictSame(sim.checker.violations, []);
+});
