--- a/packages/tasks/src/attempt.ts
+++ b/packages/tasks/src/attempt.ts
@@ -12,7 +12,8 @@
     callOutstanding = false;
     /** When this owner saw it run first, by the monotonic clock. */
     liveSinceMs = 0;
-    throttled = false;
+    /** Share of its processors that it may use. */
+    share = 1;
     /** An eviction is decided; its transition may still wait for the log. */
     evicting = false;
     checkpointTries = 0;
--- a/packages/tasks/src/load-manager.ts
+++ b/packages/tasks/src/load-manager.ts
@@ -54,6 +54,12 @@
         this.learner?.recordComposition(entry.name, new Map(entry.classes), this.clock.nowMs());
     }
 
+    /** The worker has left the cell. */
+    forgetWorker(name: string): void {
+        this.planner.forgetWorker(name);
+        this.learner?.forgetWorker(name);
+    }
+
     /** Takes a worker's usage report, which describes the state `lagMs` ago. */
     report(link: WorkerLink, usage: WorkerUsage, serviceObjectiveMs: number | undefined): void {
         const { entry } = link;
@@ -62,10 +68,8 @@
         this.learn(link, usage);
         const pressure = this.pressure(link, usage, serviceObjectiveMs);
         const candidates = this.candidates(link, usage);
-        const action = this.planner.observe(entry.name, pressure, candidates, this.clock.nowMs());
-        if (action !== undefined) {
-            this.carryOut(link, action);
-        }
+        const actions = this.planner.observe(entry.name, pressure, candidates, this.clock.nowMs());
+        actions.forEach(action => this.carryOut(link, action));
     }
 
     /** Evicts batch tasks so that an urgent task fits on one worker; returns that worker. */
@@ -118,7 +122,7 @@
             resources: attempt.resources,
             lostWork: seconds * attempt.resources.processors,
             harm: used === undefined || total === 0 ? 1 : used / total,
-            throttled: attempt.throttled,
+            share: attempt.share,
         };
     }
 
@@ -134,7 +138,7 @@
     private async throttle(link: WorkerLink, attempt: Attempt, action: EvictionAction): Promise<void> {
         const answer = await link.throttle(attempt, action.share);
         if (answer.isOk()) {
-            attempt.throttled = action.kind === "throttle";
+            attempt.share = action.share;
         }
     }
 
--- a/packages/tasks/src/owner-core.ts
+++ b/packages/tasks/src/owner-core.ts
@@ -57,7 +57,9 @@
         });
         const link = (entry: WorkerEntry, client: Parameters<typeof WorkerLink.create>[1]): WorkerLink =>
             WorkerLink.create(entry, client, this, clock, this.timing);
-        this.workers = WorkerSet.create({ connect: options.connect, link }, tables.serviceReserve);
+        const dropped = (name: string): void => this.load.forgetWorker(name);
+        const factory = { connect: options.connect, link, dropped };
+        this.workers = WorkerSet.create(factory, tables.serviceReserve);
         this.placer = Placer.create(policy, tables, {
             task: key => this.task(key),
             openEntries: () => this.openEntries(),
