--- a/packages/demo/src/measure-takeover.ts
+++ b/packages/demo/src/measure-takeover.ts
@@ -23,7 +23,8 @@
 
 /** Keys of urgent tasks whose home is the measured cell. */
 const urgentKeys = (count: number): string[] => {
-    const read = (file: string): string => readFileSync(join(process.cwd(), "examples", plan.user, file), "utf8");
+    const read = (file: string): string =>
+        readFileSync(join(process.cwd(), "examples", plan.user, file), "utf8");
     const tables = Tables.create(read("routes.toml"), read("pools.toml")).unwrap();
     const pool = tables.pools.get("bolt-watches");
     const keys: string[] = [];
@@ -49,9 +50,13 @@
     await deployment.until(`the start of ${key}`, async () => {
         for (;;) {
             const stats = await Promise.all(
-                workers.map(({ task }) => deployment.read<{ starts: Record<string, number> }>(task, "/v1/stats")),
+                workers.map(({ task }) =>
+                    deployment.read<{ starts: Record<string, number> }>(task, "/v1/stats"),
+                ),
             );
-            if (stats.some(({ starts }) => Object.keys(starts).some(attempt => attempt.startsWith(`${key}#`)))) {
+            if (
+                stats.some(({ starts }) => Object.keys(starts).some(attempt => attempt.startsWith(`${key}#`)))
+            ) {
                 return true;
             }
             await sleep(PollMs);
--- a/packages/scheduler/src/cell-tenure.ts
+++ b/packages/scheduler/src/cell-tenure.ts
@@ -21,6 +21,7 @@
 import { CellOperations } from "./cell-operations.js";
 import { CellSession } from "./cell-session.js";
 import { CellTables } from "./cell-tables.js";
+import { EncodedLog } from "./encoded-log.js";
 import { HandOverMachine } from "./hand-over-machine.js";
 import { HandOverRow } from "./hand-over-row.js";
 import type { LogRow } from "./log-row.js";
@@ -55,8 +56,8 @@
         const model = InterferenceModel.create();
         this.owner = CellOwner.create({
             clock: runtime.clock,
-            log,
-            machine: machine.tasks,
+            log: EncodedLog.create(log),
+            state: machine.copyState(),
             policy: this.createPolicy(model),
             learner: InterferenceLearner.create(model),
             tables: this.cellTables.owner,
@@ -81,7 +82,7 @@
             owner: runtime.membership.self.name,
             epoch,
             cellOwner: this.owner,
-            state: () => machine.tasks.state,
+            state: () => machine.state,
         });
     }
 
--- a/packages/scheduler/src/hand-over-machine.ts
+++ b/packages/scheduler/src/hand-over-machine.ts
@@ -1,12 +1,17 @@
 import type { HandedGrant } from "@samphireward/routing/handed-grant";
 import { LogStateMachine } from "@samphireward/state/log-state-machine";
-import { CellStateMachine } from "@samphireward/tasks/cell-state-machine";
+import { CellState } from "@samphireward/tasks/cell-state";
+import { CellStateCodec } from "@samphireward/tasks/cell-state-codec";
+import { TransitionCodec } from "@samphireward/tasks/transition-codec";
 import { HandOverRow } from "./hand-over-row.js";
 import type { LogRow } from "./log-row.js";
 
-/** What a cell's log builds up: the tasks' state, and slot shares that an owner handed over on a planned stop. */
+/**
+ * What a cell's log builds up: the tasks' state, and slot shares that an owner handed over on a planned stop.
+ * The owner keeps a copy of its own, so that a snapshot never depends on when the owner notes a commit.
+ */
 export class HandOverMachine extends LogStateMachine<LogRow, LogRow> {
-    readonly tasks = CellStateMachine.create();
+    private current = CellState.create();
     private handed: readonly HandedGrant[] | undefined;
 
     private constructor() {
@@ -22,23 +27,33 @@
         return this.handed;
     }
 
+    /** The durable state of the tasks. */
+    get state(): CellState {
+        return this.current;
+    }
+
+    /** A copy of the tasks' state, for the owner to change. */
+    copyState(): CellState {
+        return CellStateCodec.fromItems(CellStateCodec.toItems(this.current));
+    }
+
     override apply(row: LogRow): void {
         if (row[0] === HandOverRow.tag) {
             this.handed = row[1] as HandedGrant[] | undefined;
         } else {
-            this.tasks.apply(row);
+            this.current.apply(TransitionCodec.fromRow(row));
         }
     }
 
     override snapshot(): readonly LogRow[] {
         const handed = this.handed === undefined ? [] : [HandOverRow.of(this.handed)];
-        return [...handed, ...this.tasks.snapshot()];
+        return [...handed, ...CellStateCodec.toItems(this.current)];
     }
 
     override restore(items: readonly LogRow[]): void {
         const first = items[0];
         const hasHandOver = first?.[0] === HandOverRow.tag;
         this.handed = hasHandOver ? (first[1] as HandedGrant[]) : undefined;
-        this.tasks.restore(hasHandOver ? items.slice(1) : items);
+        this.current = CellStateCodec.fromItems(hasHandOver ? items.slice(1) : items);
     }
 }
--- a/packages/tasks/src/attempt.ts
+++ b/packages/tasks/src/attempt.ts
@@ -12,7 +12,7 @@
     callOutstanding = false;
     /** When this owner saw it run first, by the monotonic clock. */
     liveSinceMs = 0;
-    /** Share (0 to 1) of its processors that it may use. */
+    /** Share of its processors that it may use. */
     share = 1;
     /** An eviction is decided; its transition may still wait for the log. */
     evicting = false;
@@ -23,17 +23,33 @@
     /** Error of a worker that rejected the command itself; counts as a failure of the task there. */
     rejection: string | undefined;
 
+    /** The worker's attempts that are to be stopped, kept so that they are found without a search. */
+    stopping: Set<Attempt> | undefined;
+
     private constructor(
         readonly key: string,
         readonly attempt: number,
         readonly resources: Resources,
-        public phase: AttemptPhase,
+        private currentPhase: AttemptPhase,
     ) {}
 
     static create(ref: TaskRef, resources: Resources, phase: AttemptPhase): Attempt {
         return new Attempt(ref.key, ref.attempt, resources, phase);
     }
 
+    get phase(): AttemptPhase {
+        return this.currentPhase;
+    }
+
+    set phase(phase: AttemptPhase) {
+        this.currentPhase = phase;
+        if (phase === AttemptPhase.Stopping) {
+            this.stopping?.add(this);
+        } else {
+            this.stopping?.delete(this);
+        }
+    }
+
     /** Name of the attempt's reservation. */
     get id(): string {
         return attemptId(this);
--- a/packages/tasks/src/load-manager.ts
+++ b/packages/tasks/src/load-manager.ts
@@ -54,6 +54,12 @@
         this.learner?.recordComposition(entry.name, new Map(entry.classes), this.clock.nowMs());
     }
 
+    /** The worker has left the cell. */
+    forgetWorker(name: string): void {
+        this.planner.forgetWorker(name);
+        this.learner?.forgetWorker(name);
+    }
+
     /** Takes a worker's usage report, which describes the state `lagMs` ago. */
     report(link: WorkerLink, usage: WorkerUsage, serviceObjectiveMs: number | undefined): void {
         const { entry } = link;
--- a/packages/tasks/src/worker-set.ts
+++ b/packages/tasks/src/worker-set.ts
@@ -9,6 +9,8 @@
 interface Factory {
     readonly connect: (worker: WorkerInfo) => WorkerClient;
     readonly link: (entry: WorkerEntry, client: WorkerClient) => WorkerLink;
+    /** A worker was dropped. */
+    readonly dropped: (name: string) => void;
 }
 
 /** The cell's workers: what the directory lists, and what the records still name. */
@@ -138,6 +140,7 @@
         if (link.entry.taskCount === 0) {
             this.links.delete(name);
             this.addresses.delete(name);
+            this.factory.dropped(name);
         }
     }
 
--- a/packages/tasks/tests/cell-owner.test.ts
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -94,7 +94,7 @@
 for (const way of ["drain", "leave"] as const) {
     t.test(`a worker that is to ${way} hands its tasks over`, async t => {
         const { sim, owner } = await createCell();
-        Array.from({ length: 8 }, (_, index) => owner.accept(spec(`t-${index}`, 20_000)));
+        void Array.from({ length: 8 }, (_, index) => owner.accept(spec(`t-${index}`, 20_000)));
         await sim.run(2000);
         const [worker] = sim.workers;
         t.equal(worker?.model.tasks().length, 2);
@@ -135,7 +135,7 @@
     if (bad !== undefined) {
         bad.model.failTasks = true;
     }
-    Array.from({ length: 12 }, (_, index) => owner.accept(spec(`t-${index}`, 1000, 4)));
+    void Array.from({ length: 12 }, (_, index) => owner.accept(spec(`t-${index}`, 1000, 4)));
     await sim.run(12_000);
     t.equal(owner.describe().workers[0]?.state, "quarantined");
     await sim.run(10_000);
@@ -145,10 +145,29 @@
 // Guards against urgent work that waits behind batch work on a full cell.
 t.test("an urgent task displaces batch work", async t => {
     const { sim, owner } = await createCell();
-    Array.from({ length: 4 }, (_, index) => owner.accept(spec(`batch-${index}`, 60_000, 4)));
+    void Array.from({ length: 4 }, (_, index) => owner.accept(spec(`batch-${index}`, 60_000, 4)));
     await sim.run(3000);
     void owner.accept({ ...spec("urgent", 1000, 2), pool: "proofs" });
     await sim.run(4000);
     t.equal(owner.status("urgent")?.state, "finished");
     t.equal(owner.statistics.get("cutting")?.evictions, 1);
 });
+
+// Guards against running work that ends with the store, and against a refusal that claims more than is known.
+t.test("running tasks outlive a store outage", async t => {
+    const { sim, owner } = await createCell();
+    void owner.accept(spec("k", 20_000));
+    await sim.run(2000);
+    sim.log.stalled = true;
+    const handed = owner.accept(spec("handed", 1000));
+    const waiting = owner.accept(spec("waiting", 1000));
+    await sim.run(30_000);
+    const codes = (await Promise.all([handed, waiting])).map(answer => answer.isErr() && answer.error.code);
+    t.strictSame(codes, [ResultCode.OwnerUnreachable, ResultCode.StoreUnavailable]);
+    sim.log.heal();
+    await sim.run(15_000);
+    t.strictSame([owner.status("k")?.state, owner.status("k")?.attempt], ["finished", 1]);
+    t.equal(owner.status("handed")?.state, "finished", "its answer left open whether it was recorded");
+    t.equal(owner.status("waiting"), undefined);
+    t.strictSame(sim.checker.violations, []);
+});
