Build the options of a request without a spread

Cause: the profile of the handler showed 5% of its own time in one object spread, and what reads the resulting object was slower too.

Change: RequestJob takes the checked head as one field. The benchmark compares 30 short rounds in turn and reports the median of the paired ratios.

--- a/packages/bench/src/request-cost.ts
+++ b/packages/bench/src/request-cost.ts
@@ -5,8 +5,10 @@
 const MostTimesPassThrough = 1.3;
 const LeastGoodputAtFiveTimes = 0.95;
 
-const Rounds = 5;
-const RequestsPerRound = 6_000;
+/** Many short rounds in turn, because other work on the machine changes the costs from second to second. */
+const Rounds = 30;
+const WarmUpRounds = 4;
+const RequestsPerRound = 2_500;
 const Concurrency = 16;
 const LatencyRate = 1_000;
 const LatencyRequests = 10_000;
@@ -62,25 +64,22 @@
     const handler = await startRole("handler", { ports, slots: 64 });
     const load = await startRole("load", {});
     const costs: { passThrough: number[]; handler: number[] } = { passThrough: [], handler: [] };
-    // The first round of each warms up the compiler and is not counted.
-    for (let index = 0; index <= Rounds; index += 1) {
+    for (let index = 0; index < WarmUpRounds + Rounds; index += 1) {
         const passThroughUs = await measureCost(passThrough, load.process, bodyBytes);
         const handlerUs = await measureCost(handler, load.process, bodyBytes);
-        if (index > 0) {
+        if (index >= WarmUpRounds) {
             costs.passThrough.push(passThroughUs);
             costs.handler.push(handlerUs);
         }
     }
-    const passThroughUs = median(costs.passThrough);
-    const handlerUs = median(costs.handler);
-    const times = handlerUs / passThroughUs;
+    const times = median(costs.handler.map((cost, index) => cost / (costs.passThrough[index] ?? cost)));
     print({
         measure: "processor time for each request",
         bodyBytes,
-        passThroughUs: round(passThroughUs, 1),
-        handlerUs: round(handlerUs, 1),
+        passThroughUs: round(median(costs.passThrough), 1),
+        handlerUs: round(median(costs.handler), 1),
+        smallest: [Math.min(...costs.passThrough), Math.min(...costs.handler)].map(cost => round(cost, 1)),
         times: round(times, 2),
-        rounds: { passThrough: costs.passThrough.map(Math.round), handler: costs.handler.map(Math.round) },
     });
     [backEnd, passThrough, handler, load].forEach(each => each.process.stop());
     return times <= MostTimesPassThrough;
--- a/packages/routing/src/pool-dispatcher.ts
+++ b/packages/routing/src/pool-dispatcher.ts
@@ -117,11 +117,11 @@
     }
 
     private dispatchNext(): boolean {
-        const next = [...this.queues].find(([, queue]) => queue.size > 0);
-        if (next === undefined) {
+        const name = this.nextRoute();
+        const queue = name === undefined ? undefined : this.queues.get(name);
+        if (name === undefined || queue === undefined) {
             return false;
         }
-        const [name, queue] = next;
         const target = this.takeSlot();
         if (target === undefined) {
             return false;
@@ -138,6 +138,16 @@
         return true;
     }
 
+    /** The first route in turn that has waiting requests. */
+    private nextRoute(): string | undefined {
+        for (const [name, queue] of this.queues) {
+            if (queue.size > 0) {
+                return name;
+            }
+        }
+        return undefined;
+    }
+
     /** The next request that can still be answered in time; drops those that cannot. */
     private shiftTimely(queue: FairQueue<WaitingRequest>): WaitingRequest | undefined {
         const nowMs = this.options.clock.nowMs();
--- a/packages/routing/src/request-handler.ts
+++ b/packages/routing/src/request-handler.ts
@@ -12,7 +12,7 @@
 import { LinkRegistry } from "./link-registry.js";
 import { PoolDispatcher } from "./pool-dispatcher.js";
 import type { RequestContext } from "./request-context.js";
-import { requestHead } from "./request-head.js";
+import { checkRequest } from "./check-request.js";
 import { RequestJob } from "./request-job.js";
 import type { RequestRecord } from "./request-record.js";
 import type { RequestSettings } from "./request-settings.js";
@@ -53,6 +53,10 @@
     private ticks = 0;
     private isDraining = false;
     private onDrained: (() => void)[] = [];
+    private readonly onClosed = (job: RequestJob): void => {
+        this.jobs.delete(job);
+        this.checkDrained();
+    };
 
     private constructor(private readonly options: HandlerOptions) {
         const { clock, shares, claimer, onOutcome } = options;
@@ -112,18 +116,16 @@
             this.refuse(res, ResultCode.QueueFull);
             return;
         }
-        const head = requestHead(req, tables);
+        const head = checkRequest(req, tables);
         if (head.isErr()) {
             this.refuse(res, head.error);
             return;
         }
-        const dispatcher =
-            this.dispatchers.get(head.value.route.pool) ?? this.addDispatcher(head.value.route.pool);
-        const job = RequestJob.start(
-            { ...head.value, context: this.context, dispatcher, onClosed: closed => this.remove(closed) },
-            req,
-            res,
-        );
+        const { pool } = head.value.route;
+        const dispatcher = this.dispatchers.get(pool) ?? this.addDispatcher(pool);
+        // A spread of the head into these options took 5% of the processor time of a request.
+        const options = { head: head.value, context: this.context, dispatcher, onClosed: this.onClosed };
+        const job = RequestJob.start(options, req, res);
         this.jobs.add(job);
     }
 
@@ -201,11 +203,6 @@
         }
     }
 
-    private remove(job: RequestJob): void {
-        this.jobs.delete(job);
-        this.checkDrained();
-    }
-
     private checkDrained(): void {
         if (this.isDraining && this.jobs.size === 0) {
             this.onDrained.forEach(resolve => resolve());
--- a/packages/routing/src/request-job.ts
+++ b/packages/routing/src/request-job.ts
@@ -37,7 +37,8 @@
         res: ServerResponse,
     ) {
         super();
-        const { route, customer, idempotencyKey, allowedMs, context } = options;
+        const { head, context } = options;
+        const { route, customer, idempotencyKey, allowedMs } = head;
         this.routeName = route.name;
         this.customer = customer;
         this.receivedAtMs = context.clock.nowMs();
@@ -59,7 +60,7 @@
     static start(options: JobOptions, req: IncomingMessage, res: ServerResponse): RequestJob {
         const job = new RequestJob(options, req, res);
         options.dispatcher.budget.countRequest();
-        if (options.hasBody) {
+        if (options.head.hasBody) {
             job.readBody();
         } else {
             job.enqueue();
@@ -120,7 +121,7 @@
     }
 
     private readBody(): void {
-        const { route } = this.options;
+        const { route } = this.options.head;
         this.reader = BodyReader.start(this.req, route.maxBodyBytes, this.context.bodies, {
             onBody: body => {
                 this.body = body;
@@ -140,7 +141,7 @@
             return;
         }
         this.isQueued = true;
-        this.dispatcher.enqueue(this, this.options.route.maxQueue);
+        this.dispatcher.enqueue(this, this.options.head.route.maxQueue);
     }
 
     private async claimAndSend(claim: KeyClaim, target: TargetState): Promise<void> {
@@ -203,7 +204,7 @@
         const { clock, random, settings, counters } = this.context;
         const delayMs = backoffDelay(Math.max(1, this.sender.count), random);
         const decision = retryDecision({
-            idempotent: this.options.route.idempotent,
+            idempotent: this.options.head.route.idempotent,
             bytesSent: this.sender.mayHaveRun,
             answer: this.caller.isStarted ? AnswerState.TruncatedAfterForward : state,
             remainingMs: this.deadlineAtMs - clock.nowMs() - delayMs,
@@ -224,7 +225,7 @@
      * or the target may only be slow with this request, and then the first answer still counts.
      */
     private repeatSilent(): void {
-        const mayRepeat = this.options.route.idempotent && !this.caller.isStarted;
+        const mayRepeat = this.options.head.route.idempotent && !this.caller.isStarted;
         if (!mayRepeat || this.sender.count >= this.context.settings.maxAttempts) {
             return;
         }
@@ -277,7 +278,8 @@
         if (!this.isOver) {
             this.stop(false);
         }
-        const { route, customer, context } = this.options;
+        const { context } = this.options;
+        const { route, customer } = this.options.head;
         const { res, status, code, isEnded } = this.caller;
         const isGone = code === ResultCode.Answered && !(isEnded && res.writableFinished);
         context.onOutcome({
--- a/packages/routing/src/sender.ts
+++ b/packages/routing/src/sender.ts
@@ -69,7 +69,7 @@
     /** Sends the request to a target whose slot is taken, on a connection that the route's kind allows. */
     start(target: TargetState, body: Buffer | undefined): void {
         const { clock, settings } = this.context;
-        const { idempotent } = this.options.route;
+        const { idempotent } = this.options.head.route;
         const validSinceMs = idempotent ? -Infinity : clock.nowMs() - settings.validatedMs;
         target.connections.acquire(validSinceMs, connection => {
             if (connection === undefined) {
@@ -127,7 +127,7 @@
         } else {
             send.target.countSuccess();
             const durationMs = this.context.clock.nowMs() - send.sentAtMs;
-            this.dispatcher.serviceTimes.record(this.options.route.name, durationMs);
+            this.dispatcher.serviceTimes.record(this.options.head.route.name, durationMs);
         }
         this.dispatcher.releaseSlot(send.target);
     }
@@ -192,7 +192,7 @@
     private abandon(send: Send): void {
         this.active.delete(send);
         send.attempt?.abort();
-        const { route } = this.options;
+        const { route } = this.options.head;
         const holdMs = Math.min(LongestHoldMs, this.dispatcher.serviceTimes.expectedMs(route.name));
         setTimeout(() => this.dispatcher.releaseSlot(send.target), holdMs).unref();
     }
