Add the repository's own lint rules

Ruled out: no-restricted-syntax selectors, because they cannot see comments, nor names across statements.

Change: packages/eslint-plugin with five rules (typed options, message ids, table-driven tests, a page each that a test compares with the rule). eslint.config.js loads the compiled plugin; the lint script builds first.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,3 +1,5 @@
+// The lint script compiles the repository's own rules first.
+import { plugin } from "./packages/eslint-plugin/dist/src/plugin.js";
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
@@ -34,4 +36,26 @@
             "prefer-arrow-callback": "error",
         },
     },
+    {
+        files: ["packages/*/src/**/*.ts"],
+        plugins: { samphireward: plugin },
+        rules: {
+            "samphireward/one-export": "error",
+            "samphireward/no-file-banner": "error",
+            "samphireward/doc-comment": "error",
+            "samphireward/private-constructor": "error",
+        },
+    },
+    {
+        files: ["packages/*/tests/**/*.ts"],
+        plugins: { samphireward: plugin },
+        rules: {
+            "samphireward/one-export": "error",
+            "samphireward/no-file-banner": "error",
+        },
+    },
+    {
+        files: ["packages/*/tests/**/*.test.ts"],
+        rules: { "samphireward/test-states-failure": "error" },
+    },
 );
--- /dev/null
+++ b/packages/eslint-plugin/src/plugin.ts
@@ -0,0 +1,17 @@
+import { docComment } from "./rules/doc-comment.js";
+import { noFileBanner } from "./rules/no-file-banner.js";
+import { oneExport } from "./rules/one-export.js";
+import { privateConstructor } from "./rules/private-constructor.js";
+import { testStatesFailure } from "./rules/test-states-failure.js";
+
+/** The plugin that eslint.config.js loads as `samphireward`. */
+export const plugin = {
+    meta: { name: "@samphireward/eslint-plugin", version: "0.1.0" },
+    rules: {
+        "doc-comment": docComment,
+        "no-file-banner": noFileBanner,
+        "one-export": oneExport,
+        "private-constructor": privateConstructor,
+        "test-states-failure": testStatesFailure,
+    },
+};
--- /dev/null
+++ b/packages/eslint-plugin/src/rules/test-states-failure.ts
@@ -0,0 +1,74 @@
+import type { TSESTree } from "@typescript-eslint/utils";
+import { AST_NODE_TYPES } from "@typescript-eslint/utils";
+import { createRule } from "../create-rule.js";
+
+type Options = [{ pattern: string }];
+type MessageIds = "missing";
+
+const isTestCall = (node: TSESTree.CallExpression): boolean => {
+    const callee = node.callee.type === AST_NODE_TYPES.MemberExpression ? node.callee.property : node.callee;
+    const takesFunction = node.arguments.some(
+        argument =>
+            argument.type === AST_NODE_TYPES.ArrowFunctionExpression ||
+            argument.type === AST_NODE_TYPES.FunctionExpression,
+    );
+    return callee.type === AST_NODE_TYPES.Identifier && callee.name === "test" && takesFunction;
+};
+
+/** Each top-level test has a comment, before or inside it, that says which failure it guards against. */
+export const testStatesFailure = createRule<Options, MessageIds>({
+    name: "test-states-failure",
+    meta: {
+        type: "suggestion",
+        docs: { description: "Require a comment that states which failure a test guards against" },
+        messages: {
+            missing: `Expected a comment such as "Guards against ..." before or inside the test.`,
+        },
+        schema: [
+            {
+                type: "object",
+                properties: { pattern: { type: "string" } },
+                additionalProperties: false,
+            },
+        ],
+    },
+    defaultOptions: [{ pattern: "\\bguards? against\\b" }],
+    create: (context, [{ pattern }]) => {
+        const source = context.sourceCode;
+        const expected = new RegExp(pattern, "i");
+        let depth = 0;
+
+        // A test in a loop or block shares the comments of its top-level statement.
+        const statementOf = (node: TSESTree.Node): TSESTree.Node => {
+            let statement = node;
+            while (statement.parent !== undefined && statement.parent.type !== AST_NODE_TYPES.Program) {
+                statement = statement.parent;
+            }
+            return statement;
+        };
+
+        const isStated = (node: TSESTree.Node): boolean => {
+            const statement = statementOf(node);
+            const before = source.getCommentsBefore(statement);
+            const inside = source.getCommentsInside(statement);
+            return [...before, ...inside].some(comment => expected.test(comment.value));
+        };
+
+        return {
+            CallExpression: node => {
+                if (!isTestCall(node)) {
+                    return;
+                }
+                if (depth === 0 && !isStated(node)) {
+                    context.report({ node, messageId: "missing" });
+                }
+                depth += 1;
+            },
+            "CallExpression:exit": node => {
+                if (isTestCall(node)) {
+                    depth -= 1;
+                }
+            },
+        };
+    },
+});
