Add samphireward-ctl

Cause: operators had no way to apply tables, and callers none to submit or cancel tasks, except by hand-written HTTP calls. A lost answer to an apply left them not knowing whether the change is in force.

Ruled out: repeating a write blindly (it can be applied once and then be reported as a conflict with itself); taking a refusal after a lost answer as proof of "not run"; a diff of our own (the library diff is used).

Change: one class for each command over an AdminClient on Node's http. Calls are classified by what can have happened: a refused connection is 2xxx, everything after it is 3xxx.

Conclusion: exit codes are those of core's table. cancel exits with 0 when every key is cancelled; status passes on the task's own code, so it exits with 4 for a cancelled task.

--- /dev/null
+++ b/packages/ctl/src/answers/history-answer.ts
@@ -0,0 +1,15 @@
+import * as Schema from "effect/Schema";
+
+/** `GET /v1/config/history`: the changes that the process has seen, newest first. */
+export const HistoryAnswer = Schema.Struct({
+    changes: Schema.Array(
+        Schema.Struct({
+            revision: Schema.Int,
+            changeId: Schema.String,
+            author: Schema.String,
+            timeMs: Schema.Int,
+        }),
+    ),
+});
+
+export type HistoryAnswer = (typeof HistoryAnswer)["Type"];
--- /dev/null
+++ b/packages/ctl/src/answers/members-answer.ts
@@ -0,0 +1,19 @@
+import * as Schema from "effect/Schema";
+
+/** `GET /v1/members`: the processes that an entry process knows. */
+export const MembersAnswer = Schema.Struct({
+    members: Schema.Array(
+        Schema.Struct({
+            name: Schema.String,
+            role: Schema.String,
+            region: Schema.String,
+            dataCentre: Schema.String,
+            address: Schema.String,
+            /** Revision of the configuration that the process runs. */
+            revision: Schema.Int,
+            state: Schema.Literals(["alive", "suspected", "gone"]),
+        }),
+    ),
+});
+
+export type MembersAnswer = (typeof MembersAnswer)["Type"];
--- /dev/null
+++ b/packages/ctl/src/answers/task-answer.ts
@@ -0,0 +1,16 @@
+import { ResultCode } from "@samphireward/core/result-code";
+import * as Schema from "effect/Schema";
+
+/** `GET /v1/tasks/<key>`: where a task is and why. */
+export const TaskAnswer = Schema.Struct({
+    code: Schema.Literals(Object.values(ResultCode)),
+    key: Schema.String,
+    pool: Schema.String,
+    state: Schema.String,
+    attempt: Schema.Int,
+    worker: Schema.optionalKey(Schema.String),
+    reason: Schema.optionalKey(Schema.String),
+    output: Schema.optionalKey(Schema.String),
+});
+
+export type TaskAnswer = (typeof TaskAnswer)["Type"];
--- /dev/null
+++ b/packages/ctl/src/commands/cancel.ts
@@ -0,0 +1,114 @@
+import { CodedError } from "@samphireward/core/coded-error";
+import { describeCode } from "@samphireward/core/describe-code";
+import { Outcome } from "@samphireward/core/outcome";
+import { ResultCode } from "@samphireward/core/result-code";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import type { AdminClient } from "../admin-client.js";
+import { CancelAnswer } from "../answers/cancel-answer.js";
+import type { CommandContext } from "../command-context.js";
+import type { CommandResult } from "../command-result.js";
+import { Command } from "../command.js";
+import { OptionKind } from "../option-kind.js";
+import { poolOption } from "../pool-option.js";
+import { readText } from "../read-text.js";
+
+type KeyResult = CancelAnswer["results"][number] & { readonly message?: string };
+
+/** Keys in one call: about 100 KB of JSON with keys of 200 characters. */
+const KeysPerCall = 500;
+
+const isCancelled = ({ code }: KeyResult): boolean => {
+    const { outcome } = describeCode(code);
+    return outcome === Outcome.Answered || outcome === Outcome.Cancelled;
+};
+
+const cancelBatch = async (
+    client: AdminClient,
+    pool: string,
+    keys: readonly string[],
+): Promise<KeyResult[]> => {
+    const call = {
+        method: "POST",
+        path: "/v1/tasks/cancel",
+        body: { pool, keys },
+        repeatable: true,
+    } as const;
+    const answer = await client.query(call, CancelAnswer);
+    if (answer.isErr()) {
+        const { code, message } = answer.error;
+        return keys.map(key => ({ key, code, message }));
+    }
+    const codes = new Map(answer.value.results.map(({ key, code }) => [key, code]));
+    const message = "The answer does not name this key";
+    return keys.map(key => ({
+        key,
+        ...(codes.has(key)
+            ? { code: codes.get(key) ?? ResultCode.Answered }
+            : { code: ResultCode.AnswerMalformed, message }),
+    }));
+};
+
+/** Result code of the whole command: one that may have taken effect goes before a refusal. */
+const overallCode = (failed: readonly KeyResult[]): ResultCode => {
+    const uncertain = failed.find(({ code }) => describeCode(code).outcome === Outcome.MayHaveRun);
+    return (uncertain ?? failed[0])?.code ?? ResultCode.Answered;
+};
+
+const summarize = (results: readonly KeyResult[]): CommandResult => {
+    const failed = results.filter(result => !isCancelled(result));
+    const lines = failed.map(({ key, code, message }) => {
+        const info = describeCode(code);
+        return `${key}: ${code} ${info.name}: ${message ?? info.meaning}`;
+    });
+    const head = `${results.length - failed.length} of ${results.length} tasks cancelled`;
+    return {
+        code: overallCode(failed),
+        json: { cancelled: results.length - failed.length, results },
+        text: [head, ...lines].join("\n"),
+    };
+};
+
+/** `cancel`: cancels tasks by their keys. Repeating it has no further effect. */
+export class CancelCommand extends Command {
+    override readonly name = "cancel";
+    override readonly summary = "Cancel tasks of one pool.";
+    override readonly options = {
+        ...poolOption,
+        from: {
+            kind: OptionKind.Text,
+            placeholder: "FILE",
+            description: "File with one key on each line; - is standard input.",
+        },
+    };
+    override readonly operands = "[KEY...]";
+    override readonly operandCount = [0, Infinity] as const;
+
+    static create(): CancelCommand {
+        return new CancelCommand();
+    }
+
+    override async run(context: CommandContext): Promise<Result<CommandResult, CodedError>> {
+        const keys = await this.readKeys(context);
+        if (keys.isErr()) {
+            return Err(keys.error);
+        }
+        const results: KeyResult[] = [];
+        for (let start = 0; start < keys.value.length; start += KeysPerCall) {
+            const batch = keys.value.slice(start, start + KeysPerCall);
+            results.push(...(await cancelBatch(context.client, context.options.required("pool"), batch)));
+        }
+        return Ok(summarize(results));
+    }
+
+    private async readKeys(context: CommandContext): Promise<Result<string[], CodedError>> {
+        const from = context.options.text("from");
+        const listed = from === undefined ? Ok("") : await readText("from", from, context.terminal);
+        return listed.andThen(text => {
+            const lines = text.split("\n").map(line => line.trim());
+            const keys = [...new Set([...context.operands, ...lines])].filter(key => key !== "");
+            const message = "Expected at least one key, as an operand or with --from";
+            return keys.length > 0 ? Ok(keys) : Err(CodedError.create(ResultCode.UsageError, message));
+        });
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/commands/check.ts
@@ -0,0 +1,30 @@
+import type { CodedError } from "@samphireward/core/coded-error";
+import { ResultCode } from "@samphireward/core/result-code";
+import type { Result } from "ts-results-es";
+import { Ok } from "ts-results-es";
+import type { CommandContext } from "../command-context.js";
+import type { CommandResult } from "../command-result.js";
+import { Command } from "../command.js";
+import { problemsResult } from "../problems-result.js";
+import { readTables } from "../read-tables.js";
+import { tableOptions } from "../table-options.js";
+
+/** `check`: checks both tables without calling a process. */
+export class CheckCommand extends Command {
+    override readonly name = "check";
+    override readonly summary = "Check both tables offline and list every problem.";
+    override readonly options = tableOptions;
+    override readonly needsAddress = false;
+
+    static create(): CheckCommand {
+        return new CheckCommand();
+    }
+
+    override run(context: CommandContext): Promise<Result<CommandResult, CodedError>> {
+        const tables = readTables(context.options);
+        const result: CommandResult = tables.isErr()
+            ? problemsResult(tables.error)
+            : { code: ResultCode.Answered, json: { problems: [] }, text: "The tables are valid." };
+        return Promise.resolve(Ok(result));
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/commands/status.ts
@@ -0,0 +1,37 @@
+import type { CodedError } from "@samphireward/core/coded-error";
+import type { Result } from "ts-results-es";
+import { TaskAnswer } from "../answers/task-answer.js";
+import type { CommandContext } from "../command-context.js";
+import type { CommandResult } from "../command-result.js";
+import { Command } from "../command.js";
+import { poolOption } from "../pool-option.js";
+import { taskPath } from "../task-path.js";
+
+const describe = (task: TaskAnswer): string => {
+    const lines = [`${task.key} (pool ${task.pool}): ${task.state}, attempt ${task.attempt}`];
+    if (task.worker !== undefined && task.worker !== "") {
+        lines.push(`worker: ${task.worker}`);
+    }
+    if (task.output !== undefined && task.output !== "") {
+        lines.push(`output: ${task.output}`);
+    }
+    return lines.join("\n");
+};
+
+/** `status`: state, attempt, worker and output of a task. */
+export class StatusCommand extends Command {
+    override readonly name = "status";
+    override readonly summary = "Show the state of a task.";
+    override readonly options = poolOption;
+    override readonly operands = "KEY";
+    override readonly operandCount = [1, 1] as const;
+
+    static create(): StatusCommand {
+        return new StatusCommand();
+    }
+
+    override async run(context: CommandContext): Promise<Result<CommandResult, CodedError>> {
+        const answer = await context.client.get(taskPath(context), TaskAnswer);
+        return answer.map(task => ({ code: task.code, json: { task }, text: describe(task) }));
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/commands/why.ts
@@ -0,0 +1,89 @@
+import type { CodedError } from "@samphireward/core/coded-error";
+import { ConfigDocument } from "@samphireward/core/config-document";
+import { Resources } from "@samphireward/core/resources";
+import { Tables } from "@samphireward/core/tables";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import { CellsAnswer } from "../answers/cells-answer.js";
+import { TaskAnswer } from "../answers/task-answer.js";
+import type { CommandContext } from "../command-context.js";
+import type { CommandResult } from "../command-result.js";
+import { Command } from "../command.js";
+import { formatResources } from "../format-resources.js";
+import { poolOption } from "../pool-option.js";
+import { taskPath } from "../task-path.js";
+
+type Cell = CellsAnswer["cells"][number];
+
+const homeCellOf = (config: ConfigDocument, task: TaskAnswer): string | undefined => {
+    const tables = Tables.create(config.routes, config.pools);
+    const pool = tables.isOk() ? tables.value.pools.get(task.pool) : undefined;
+    return tables.isOk() && pool !== undefined ? String(tables.value.homeCell(pool, task.key)) : undefined;
+};
+
+const workerStates = (cell: Cell): string => {
+    const counts = new Map<string, number>();
+    for (const worker of cell.workers) {
+        counts.set(worker.state, (counts.get(worker.state) ?? 0) + 1);
+    }
+    return [...counts].map(([state, count]) => `${count} ${state}`).join(", ") || "none";
+};
+
+const mostFree = (cell: Cell): string => {
+    const free = cell.workers.map(({ capacity, reserved }) => Resources.create(capacity).minus(reserved));
+    const most = Resources.create({
+        processors: Math.max(0, ...free.map(({ processors }) => processors)),
+        memoryMb: Math.max(0, ...free.map(({ memoryMb }) => memoryMb)),
+        accelerators: Math.max(0, ...free.map(({ accelerators }) => accelerators)),
+    });
+    return formatResources(most);
+};
+
+const cellLines = (name: string | undefined, cell: Cell | undefined): string[] => {
+    if (cell === undefined) {
+        return [`home cell: ${name ?? "unknown"}; its state cannot be read now`];
+    }
+    return [
+        `home cell: ${cell.cell}, owner ${cell.owner || "(none)"}, epoch ${cell.epoch}`,
+        `in the cell: ${cell.queued} tasks queued, ${cell.running} running`,
+        `workers: ${workerStates(cell)}`,
+        `most that one worker has free of each: ${mostFree(cell)}`,
+    ];
+};
+
+const explain = (task: TaskAnswer, name: string | undefined, cell: Cell | undefined): CommandResult => {
+    const place = task.worker ? ` on ${task.worker}` : "";
+    const head = `${task.key} (pool ${task.pool}): ${task.state}${place}, attempt ${task.attempt}`;
+    const reason = `reason: ${task.reason || "none given"}`;
+    return {
+        code: task.code,
+        json: { task, homeCell: name, cell },
+        text: [head, reason, ...cellLines(name, cell)].join("\n"),
+    };
+};
+
+/** `why`: why a task is where it is or is waiting, with the state of its home cell. */
+export class WhyCommand extends Command {
+    override readonly name = "why";
+    override readonly summary = "Explain why a task is where it is, or why it waits.";
+    override readonly options = poolOption;
+    override readonly operands = "KEY";
+    override readonly operandCount = [1, 1] as const;
+
+    static create(): WhyCommand {
+        return new WhyCommand();
+    }
+
+    override async run(context: CommandContext): Promise<Result<CommandResult, CodedError>> {
+        const task = await context.client.get(taskPath(context), TaskAnswer);
+        if (task.isErr()) {
+            return Err(task.error);
+        }
+        // The task's own reason is shown also when its cell cannot be read.
+        const config = await context.client.get("/v1/config", ConfigDocument);
+        const cells = await context.client.get("/v1/cells", CellsAnswer);
+        const name = config.isOk() ? homeCellOf(config.value, task.value) : undefined;
+        const cell = cells.isOk() ? cells.value.cells.find(item => item.cell === name) : undefined;
+        return Ok(explain(task.value, name, cell));
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/config-writer.ts
@@ -0,0 +1,136 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { CodedError } from "@samphireward/core/coded-error";
+import { ConfigDocument } from "@samphireward/core/config-document";
+import { describeCode } from "@samphireward/core/describe-code";
+import { ResultCode } from "@samphireward/core/result-code";
+import type { Result } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
+import type { AdminClient } from "./admin-client.js";
+import { AppliedAnswer } from "./answers/applied-answer.js";
+import { ConflictAnswer } from "./answers/conflict-answer.js";
+import { HistoryAnswer } from "./answers/history-answer.js";
+import { ProblemsAnswer } from "./answers/problems-answer.js";
+import type { ConfigChange } from "./config-change.js";
+import { decodeAnswer } from "./decode-answer.js";
+import type { HttpAnswer } from "./http-answer.js";
+import type { HttpCall } from "./http-call.js";
+import type { WriteOutcome } from "./write-outcome.js";
+
+type WriteResult = Result<WriteOutcome, CodedError>;
+
+const Attempts = 4;
+const DefaultRetryDelayMs = 250;
+
+/**
+ * Writes the tables. After a lost answer the change is looked for by its id, and then the same write is sent
+ * again: `expectedRevision` and the change id make sure that it takes effect at most once.
+ */
+export class ConfigWriter {
+    private constructor(
+        private readonly client: AdminClient,
+        private readonly change: ConfigChange,
+        private readonly retryDelayMs: number,
+    ) {}
+
+    static create(
+        client: AdminClient,
+        change: ConfigChange,
+        retryDelayMs = DefaultRetryDelayMs,
+    ): ConfigWriter {
+        return new ConfigWriter(client, change, retryDelayMs);
+    }
+
+    async write(): Promise<WriteResult> {
+        let result = await this.put();
+        if (!this.isLost(result)) {
+            return result;
+        }
+        for (let attempt = 1; attempt < Attempts; attempt += 1) {
+            await delay(this.retryDelayMs);
+            const found = await this.findById();
+            if (found !== undefined) {
+                return Ok(found);
+            }
+            result = await this.put();
+            const settled = await this.settle(result);
+            if (settled !== undefined) {
+                return settled;
+            }
+        }
+        return this.unknown(result);
+    }
+
+    private isLost(result: WriteResult): boolean {
+        return result.isErr() && describeCode(result.error.code).outcome === "may-have-run";
+    }
+
+    private async put(): Promise<WriteResult> {
+        const call: HttpCall = { method: "PUT", path: "/v1/config", body: this.change, repeatable: false };
+        const sent = await this.client.call(call);
+        return sent.andThen(answer => this.read(call, answer));
+    }
+
+    private read(call: HttpCall, answer: HttpAnswer): WriteResult {
+        const source = this.client.source(call);
+        switch (answer.status) {
+            case 200:
+                return decodeAnswer(source, answer.text, AppliedAnswer).map(({ revision }) => ({
+                    kind: "applied",
+                    revision,
+                    foundById: false,
+                }));
+            case describeCode(ResultCode.ConfigConflict).httpStatus:
+                return decodeAnswer(source, answer.text, ConflictAnswer).map(({ current }) =>
+                    current.changeId === this.change.changeId
+                        ? { kind: "applied", revision: current.revision, foundById: true }
+                        : { kind: "conflict", current },
+                );
+            case describeCode(ResultCode.TablesInvalid).httpStatus:
+                return decodeAnswer(source, answer.text, ProblemsAnswer).map(({ problems }) => ({
+                    kind: "invalid",
+                    problems,
+                }));
+            default:
+                return Err(this.client.refusal(answer));
+        }
+    }
+
+    /** Looks for the change in what the process has seen; `undefined` does not prove that it was not applied. */
+    private async findById(): Promise<WriteOutcome | undefined> {
+        const { changeId } = this.change;
+        const current = await this.client.get("/v1/config", ConfigDocument);
+        if (current.isOk() && current.value.changeId === changeId) {
+            return { kind: "applied", revision: current.value.revision, foundById: true };
+        }
+        const history = await this.client.get("/v1/config/history", HistoryAnswer);
+        const changes = history.isOk() ? history.value.changes : [];
+        const entry = changes.find(item => item.changeId === changeId);
+        return entry && { kind: "applied", revision: entry.revision, foundById: true };
+    }
+
+    /** What the answer to a repeated write proves about the change; `undefined` when nothing. */
+    private async settle(result: WriteResult): Promise<WriteResult | undefined> {
+        if (result.isErr() || result.value.kind === "invalid") {
+            return undefined;
+        }
+        const outcome = result.value;
+        if (outcome.kind === "applied") {
+            return Ok({ ...outcome, foundById: true });
+        }
+        const found = await this.findById();
+        if (found !== undefined) {
+            return Ok(found);
+        }
+        // The next revision is another change, so this one can no longer take effect.
+        const isNext = outcome.current.revision === this.change.expectedRevision + 1;
+        return isNext ? result : undefined;
+    }
+
+    private unknown(last: WriteResult): WriteResult {
+        const detail = last.isErr() ? `: ${last.error.message}` : "";
+        const message =
+            `The answer was lost and the change may have been applied${detail}. ` +
+            `Look for change id ${this.change.changeId} in "config history".`;
+        return Err(CodedError.create(ResultCode.ConnectionLost, message));
+    }
+}
--- /dev/null
+++ b/packages/ctl/src/describe-conflict.ts
@@ -0,0 +1,56 @@
+import type { ConfigDocument } from "@samphireward/core/config-document";
+import { ResultCode } from "@samphireward/core/result-code";
+import { createTwoFilesPatch } from "diff";
+import type { CommandResult } from "./command-result.js";
+import type { ConfigChange } from "./config-change.js";
+import { formatTime } from "./format-time.js";
+import type { TableTexts } from "./table-texts.js";
+
+const ContextLines = 2;
+
+interface Side extends TableTexts {
+    readonly label: string;
+}
+
+const lineDiff = (from: Side, to: Side): string =>
+    (["routes", "pools"] as const)
+        .filter(table => from[table] !== to[table])
+        .map(table =>
+            createTwoFilesPatch(
+                `${table} ${from.label}`,
+                `${table} ${to.label}`,
+                from[table],
+                to[table],
+                undefined,
+                undefined,
+                { context: ContextLines },
+            ),
+        )
+        .map(patch => patch.replace(/^=+\n/, "").trimEnd())
+        .join("\n");
+
+/**
+ * Shows who changed the tables and what. When the tables at the expected revision are known, the line diff
+ * shows the other operator's change; otherwise it leads from the tables in force to the caller's.
+ */
+export const describeConflict = (
+    change: ConfigChange,
+    base: ConfigDocument | undefined,
+    current: ConfigDocument,
+): CommandResult => {
+    const { routes, pools, ...other } = current;
+    const inForce: Side = { label: `at revision ${current.revision}`, routes, pools };
+    const isBaseKnown = base?.revision === change.expectedRevision;
+    const diff = isBaseKnown
+        ? lineDiff({ ...base, label: `at revision ${base.revision}` }, inForce)
+        : lineDiff(inForce, { ...change, label: "of this change" });
+    const about = isBaseKnown ? "What changed" : "From the tables in force to this change";
+    const head =
+        `Expected revision ${change.expectedRevision}, but revision ${current.revision} is in force: ` +
+        `${current.author} changed the tables at ${formatTime(current.timeMs)} (change id ${current.changeId}).`;
+    return {
+        code: ResultCode.ConfigConflict,
+        json: { expectedRevision: change.expectedRevision, current: other, diff },
+        text: `${head}\nNothing was applied. ${about}:\n${diff || "(the tables are equal)"}`,
+    };
+};
--- /dev/null
+++ b/packages/ctl/src/format-overview.ts
@@ -0,0 +1,15 @@
+import { allCommands } from "./all-commands.js";
+import { programName } from "./program-name.js";
+
+/** Usage of the program with the list of commands. */
+export const formatOverview = (): string => {
+    const width = Math.max(...allCommands.map(({ name }) => name.length));
+    return [
+        `Usage: ${programName} COMMAND [options]`,
+        "",
+        "Commands:",
+        ...allCommands.map(({ name, summary }) => `  ${name.padEnd(width)}  ${summary}`),
+        "",
+        `"${programName} COMMAND --help" lists the options of a command.`,
+    ].join("\n");
+};
--- /dev/null
+++ b/packages/ctl/src/http-answer.ts
@@ -0,0 +1,9 @@
+import type { ResultCode } from "@samphireward/core/result-code";
+
+/** A whole HTTP answer of a process. */
+export interface HttpAnswer {
+    readonly status: number;
+    /** From the header `samphireward-code` or the body's `code`; `undefined` when neither holds a known code. */
+    readonly code: ResultCode | undefined;
+    readonly text: string;
+}
--- /dev/null
+++ b/packages/ctl/src/pool-option.ts
@@ -0,0 +1,11 @@
+import { OptionKind } from "./option-kind.js";
+
+/** Option of the commands that look up tasks. */
+export const poolOption = {
+    pool: {
+        kind: OptionKind.Text,
+        placeholder: "POOL",
+        description: "Pool of the task; together with the key it determines the task's cell.",
+        required: true,
+    },
+} as const;
--- /dev/null
+++ b/packages/ctl/src/problems-result.ts
@@ -0,0 +1,11 @@
+import { ResultCode } from "@samphireward/core/result-code";
+import type { TableProblem } from "@samphireward/core/table-problem";
+import type { CommandResult } from "./command-result.js";
+import { formatProblems } from "./format-problems.js";
+
+/** Result of a command whose tables are invalid. */
+export const problemsResult = (problems: readonly TableProblem[]): CommandResult => ({
+    code: ResultCode.TablesInvalid,
+    json: { problems },
+    text: `The tables are invalid (${problems.length} problems):\n${formatProblems(problems)}`,
+});
--- /dev/null
+++ b/packages/ctl/src/process-terminal.ts
@@ -0,0 +1,27 @@
+import { text } from "node:stream/consumers";
+import { Terminal } from "./terminal.js";
+
+/** The process's own standard streams. */
+export class ProcessTerminal extends Terminal {
+    static create(): ProcessTerminal {
+        // A reader such as `head` may close the pipe early; that is no error of the command.
+        process.stdout.on("error", (err: NodeJS.ErrnoException) => {
+            if (err.code !== "EPIPE") {
+                throw err;
+            }
+        });
+        return new ProcessTerminal();
+    }
+
+    override writeOut(output: string): void {
+        process.stdout.write(output);
+    }
+
+    override writeError(output: string): void {
+        process.stderr.write(output);
+    }
+
+    override readInput(): Promise<string> {
+        return text(process.stdin);
+    }
+}
--- /dev/null
+++ b/packages/ctl/tests/commands/apply.test.ts
@@ -0,0 +1,104 @@
+import t from "tap";
+import { exampleTables } from "../example-tables.js";
+import type { FakeAdminServer } from "../fake-admin-server.js";
+import { run } from "../run.js";
+import { withServer } from "../with-server.js";
+
+const apply = (server: FakeAdminServer, ...more: string[]): ReturnType<typeof run> =>
+    run(["apply", ...exampleTables.args, "--address", server.address, "--author", "first", ...more]);
+
+const ownChanges = (server: FakeAdminServer): number =>
+    server.changes.filter(({ author }) => author === "first").length;
+
+// Guards against a lost or repeated change, and against an answer that says something else than what happened.
+t.test("apply reports what became of the change", async t => {
+    const cases = [
+        { name: "first tables", faults: [], exitCode: 0, code: 1003, changes: 1 },
+        { name: "lost answer, applied", faults: ["apply-and-destroy"], exitCode: 0, code: 1003, changes: 1 },
+        {
+            name: "lost request, applied by the repetition",
+            faults: ["destroy"],
+            exitCode: 0,
+            code: 1003,
+            changes: 1,
+        },
+        { name: "store unavailable", faults: ["store-unavailable"], exitCode: 2, code: 2004, changes: 0 },
+        { name: "conflict", faults: ["other-change"], exitCode: 6, code: 5002, changes: 0 },
+        {
+            name: "lost, then conflict",
+            faults: ["destroy", "other-change"],
+            exitCode: 6,
+            code: 5002,
+            changes: 0,
+        },
+        {
+            name: "lost, then the store is unavailable: unknown",
+            faults: ["destroy", "store-unavailable", "store-unavailable", "store-unavailable"],
+            exitCode: 3,
+            code: 3001,
+            changes: 0,
+        },
+    ] as const;
+    for (const { name, faults, exitCode, code, changes } of cases) {
+        await withServer(async server => {
+            server.writeFaults.push(...faults);
+            const result = await apply(server, "--json");
+            t.equal(result.exitCode, exitCode, `${name}: ${result.out}`);
+            t.equal(result.json["code"], code, name);
+            t.equal(ownChanges(server), changes, name);
+        });
+    }
+});
+
+// Guards against a conflict report that hides who changed what.
+t.test("a conflict names the author and shows the changed lines", async t => {
+    await withServer(async server => {
+        await apply(server);
+        server.writeFaults.push("other-change");
+        const late = await apply(server);
+        t.match(late.out, /Expected revision 1, but revision 2 is in force: second-operator changed/);
+        t.match(late.out, /^-maxQueue = 200$/m);
+        t.match(late.out, /^\+maxQueue = 250$/m);
+        t.match(late.out, /Nothing was applied\. What changed:/);
+
+        // The tables of revision 1 are no longer known, so the diff leads to the caller's tables.
+        const old = await apply(server, "--expect-revision", "1");
+        t.equal(old.exitCode, 6);
+        t.match(old.out, /From the tables in force to this change:/);
+        t.match(old.out, /^-maxQueue = 250$/m);
+        t.match(old.out, /^\+maxQueue = 200$/m);
+    });
+});
+
+// Guards against a change that is reported as not applied because another one followed it.
+t.test("a lost answer is resolved from the history after a later change", async t => {
+    await withServer(async server => {
+        server.writeFaults.push("apply-and-destroy");
+        server.answer("GET /v1/config", { status: 404, body: { code: 2000 } });
+        const result = await apply(server, "--json");
+        t.match(result.json, { code: 1003, revision: 1, foundById: true });
+        t.equal(ownChanges(server), 1);
+    });
+});
+
+// Guards against invalid tables that are sent, and against the server's own problems being dropped.
+t.test("invalid tables", async t => {
+    await withServer(async server => {
+        const args = ["apply", "--address", server.address, "--json"];
+        const swapped = ["--routes", exampleTables.args[3] ?? "", "--pools", exampleTables.args[1] ?? ""];
+        const local = await run([...args, ...swapped]);
+        t.equal(local.exitCode, 5);
+        t.ok((local.json["problems"] as unknown[]).length > 1, "every problem is listed");
+        t.equal(server.requests.length, 0);
+
+        const missing = await run([...args, "--routes", "/nonexistent/r", "--pools", "/nonexistent/p"]);
+        t.equal(missing.exitCode, 5);
+        t.equal((missing.json["problems"] as unknown[]).length, 2);
+
+        const problem = { file: "pools", key: "pools.x", message: "Expected y" };
+        server.answer("PUT /v1/config", { status: 422, body: { code: 5001, problems: [problem] } });
+        const remote = await run([...args, ...exampleTables.args]);
+        t.equal(remote.exitCode, 5);
+        t.strictSame(remote.json["problems"], [problem]);
+    });
+});
--- /dev/null
+++ b/packages/ctl/tests/commands/commands.test.ts
@@ -0,0 +1,292 @@
+import t from "tap";
+import { exampleTables } from "../example-tables.js";
+import { run } from "../run.js";
+import { withServer } from "../with-server.js";
+
+const resources = { processors: 4, memoryMb: 8_000, accelerators: 0 };
+const none = { processors: 0, memoryMb: 0, accelerators: 0 };
+const cell = {
+    cell: "herning-b/0",
+    owner: "scheduler-1",
+    epoch: 3,
+    workers: [
+        { name: "w1", rack: "r1", state: "open", capacity: resources, reserved: none, tasks: 0 },
+        { name: "w2", rack: "r1", state: "drained", capacity: resources, reserved: resources, tasks: 2 },
+    ],
+    queued: 1,
+    running: 2,
+};
+const change = { revision: 4, changeId: "c4", author: "ann", timeMs: 1_790_000_000_000 };
+const config = { ...change, routes: exampleTables.routes, pools: exampleTables.pools };
+const member = {
+    name: "entry-1",
+    role: "entry",
+    region: "jylland",
+    dataCentre: "herning-a",
+    address: "127.0.0.1:1",
+    revision: 4,
+    state: "alive",
+};
+const task = {
+    code: 1000,
+    key: "k1",
+    pool: "cutting",
+    state: "running",
+    attempt: 2,
+    worker: "w1",
+    reason: "placed",
+};
+const waiting = { ...task, state: "queued", worker: "", reason: "no open worker has 2 cores free" };
+const cancelled = { ...task, code: 4001, state: "cancelled" };
+const unknown = { code: 2104, message: "No task with this key is known." };
+
+interface CommandCase {
+    readonly args: readonly string[];
+    readonly answers: Readonly<Record<string, { status: number; body: unknown }>>;
+    readonly exitCode: number;
+    readonly json: Readonly<Record<string, unknown>>;
+    /** Expected in the text for people. */
+    readonly text: RegExp;
+}
+
+const ok = (body: unknown): { status: number; body: unknown } => ({ status: 200, body });
+
+const cases: readonly CommandCase[] = [
+    {
+        args: ["config", "show"],
+        answers: { "GET /v1/config": ok(config) },
+        exitCode: 0,
+        json: { code: 1000, ...config },
+        text: /# revision 4, change id c4\n# ann, 2026-09-21 14:13:20Z\n/,
+    },
+    {
+        args: ["config", "show", "--table", "routes"],
+        answers: { "GET /v1/config": ok(config) },
+        exitCode: 0,
+        json: { code: 1000, ...config },
+        text: /^\[routes\.proof-render\]\n/,
+    },
+    {
+        args: ["config", "history"],
+        answers: { "GET /v1/config/history": ok({ changes: [change] }) },
+        exitCode: 0,
+        json: { code: 1000, changes: [change] },
+        text: /^REVISION +TIME +AUTHOR +CHANGE ID\n +4 {2}2026-09-21 14:13:20Z {2}ann +c4\n$/,
+    },
+    {
+        args: ["members"],
+        answers: { "GET /v1/members": ok({ members: [member] }) },
+        exitCode: 0,
+        json: { code: 1000, members: [member] },
+        text: /entry-1 +entry +jylland +herning-a +127\.0\.0\.1:1 +4 +alive/,
+    },
+    {
+        args: ["cells"],
+        answers: { "GET /v1/cells": ok({ cells: [cell] }) },
+        exitCode: 0,
+        json: { code: 1000, cells: [cell] },
+        text: /herning-b\/0 +scheduler-1 +3 +2 +1 +2/,
+    },
+    {
+        args: ["cells", "--workers"],
+        answers: { "GET /v1/cells": ok({ cells: [cell] }) },
+        exitCode: 0,
+        json: { code: 1000, cells: [cell] },
+        text: /herning-b\/0 +w2 +r1 +drained +2 +4 of 4 +8000 of 8000 +0 of 0/,
+    },
+    {
+        args: ["health"],
+        answers: { "GET /v1/health": ok({ state: "serving", revision: 4 }) },
+        exitCode: 0,
+        json: { code: 1000, state: "serving", revision: 4 },
+        text: /serving, revision 4/,
+    },
+    {
+        args: ["health"],
+        answers: { "GET /v1/health": { status: 503, body: { state: "draining", revision: 4 } } },
+        exitCode: 2,
+        json: { code: 2008, state: "draining", revision: 4 },
+        text: /draining, revision 4/,
+    },
+    {
+        args: ["status", "k1", "--pool", "cutting"],
+        answers: { "GET /v1/tasks/k1": ok(task) },
+        exitCode: 0,
+        json: { code: 1000, task },
+        text: /k1 \(pool cutting\): running, attempt 2\nworker: w1/,
+    },
+    {
+        args: ["status", "k1", "--pool", "cutting"],
+        answers: { "GET /v1/tasks/k1": ok(cancelled) },
+        exitCode: 4,
+        json: { code: 4001, task: cancelled },
+        text: /cancelled/,
+    },
+    {
+        args: ["status", "a/b", "--pool", "cutting"],
+        answers: { "GET /v1/tasks/a%2Fb": { status: 404, body: unknown } },
+        exitCode: 2,
+        json: { ...unknown, name: "TaskUnknown" },
+        text: /error 2104 TaskUnknown/,
+    },
+    {
+        // The key's home cell in the example tables is herning-b/0.
+        args: ["why", "k1", "--pool", "cutting"],
+        answers: {
+            "GET /v1/tasks/k1": ok(waiting),
+            "GET /v1/config": ok(config),
+            "GET /v1/cells": ok({ cells: [cell] }),
+        },
+        exitCode: 0,
+        json: { code: 1000, task: waiting, homeCell: "herning-b/0", cell },
+        text: /reason: no open worker has 2 cores free\nhome cell: herning-b\/0, owner scheduler-1, epoch 3\n.*1 tasks queued, 2 running\nworkers: 1 open, 1 drained\n.*4 cores/,
+    },
+    {
+        args: ["why", "k1", "--pool", "cutting"],
+        answers: { "GET /v1/tasks/k1": ok(waiting), "GET /v1/cells": { status: 503, body: { code: 2007 } } },
+        exitCode: 0,
+        json: { code: 1000, task: waiting },
+        text: /home cell: unknown; its state cannot be read now/,
+    },
+    {
+        args: ["cancel", "k1", "k2", "--pool", "cutting"],
+        answers: {
+            "POST /v1/tasks/cancel": ok({
+                results: [
+                    { key: "k1", code: 4001 },
+                    { key: "k2", code: 4001 },
+                ],
+            }),
+        },
+        exitCode: 0,
+        json: {
+            code: 1000,
+            cancelled: 2,
+            results: [
+                { key: "k1", code: 4001 },
+                { key: "k2", code: 4001 },
+            ],
+        },
+        text: /^2 of 2 tasks cancelled\n$/,
+    },
+    {
+        args: ["cancel", "k1", "k2", "--pool", "cutting"],
+        answers: {
+            "POST /v1/tasks/cancel": ok({
+                results: [
+                    { key: "k1", code: 2104 },
+                    { key: "k2", code: 3005 },
+                ],
+            }),
+        },
+        exitCode: 3,
+        json: {
+            code: 3005,
+            cancelled: 0,
+            results: [
+                { key: "k1", code: 2104 },
+                { key: "k2", code: 3005 },
+            ],
+        },
+        text: /0 of 2 tasks cancelled\nk1: 2104 TaskUnknown: .*\nk2: 3005 OwnerUnreachable/,
+    },
+    {
+        args: ["drain", "w1"],
+        answers: {
+            "GET /v1/cells": ok({ cells: [cell] }),
+            "POST /v1/workers/w1/drain": ok({ code: 1000 }),
+        },
+        exitCode: 0,
+        json: { code: 1000, worker: "w1", cell: "herning-b/0", command: "drain" },
+        text: /w1 \(herning-b\/0\): drain is recorded/,
+    },
+    {
+        args: ["release", "w9"],
+        answers: { "GET /v1/cells": ok({ cells: [cell] }) },
+        exitCode: 2,
+        json: { code: 2001, name: "BadRequest" },
+        text: /Expected the name of a worker of a cell, got "w9"/,
+    },
+    {
+        args: ["quarantine", "w1", "--cell", "herning-b/0"],
+        answers: { "POST /v1/workers/w1/quarantine": { status: 503, body: { code: 2007 } } },
+        exitCode: 2,
+        json: { code: 2007, name: "NoCellOwner" },
+        text: /error 2007 NoCellOwner: No scheduler owns/,
+    },
+    {
+        args: ["submit", "--path", "/cutting-plan", "--key", "k1", "--payload", "{}"],
+        answers: { "POST /cutting-plan": { status: 202, body: { code: 1001, key: "k1" } } },
+        exitCode: 0,
+        json: { code: 1001, key: "k1", answer: { code: 1001, key: "k1" } },
+        text: /k1: The task is recorded and will run\./,
+    },
+    {
+        args: ["submit", "--path", "/cutting-plan", "--key", "k1", "--payload", "{}"],
+        answers: { "POST /cutting-plan": { status: 422, body: { code: 2101, message: "needs 99 cores" } } },
+        exitCode: 2,
+        json: { code: 2101, name: "TaskFitsNoWorker", message: "needs 99 cores" },
+        text: /error 2101 TaskFitsNoWorker: needs 99 cores/,
+    },
+];
+
+// Guards against a JSON shape, text or exit code that changes unnoticed, for each command.
+t.test("commands", async t => {
+    for (const { args, answers, exitCode, json, text } of cases) {
+        const name = `${args.join(" ")} (exit ${exitCode})`;
+        await withServer(async server => {
+            for (const [call, answer] of Object.entries(answers)) {
+                server.answer(call, answer);
+            }
+            const forPrograms = await run([...args, "--address", server.address, "--json"]);
+            t.equal(forPrograms.exitCode, exitCode, name);
+            t.match(forPrograms.json, json, name);
+            const forPeople = await run([...args, "--address", server.address]);
+            t.equal(forPeople.exitCode, exitCode, name);
+            t.match(forPeople.out + forPeople.error, text, name);
+        });
+    }
+});
+
+// Guards against keys of a long list that are dropped, sent twice or sent in one call too large.
+t.test("cancel reads keys from standard input and sends them in batches", async t => {
+    await withServer(async server => {
+        const keys = Array.from({ length: 1_100 }, (_, index) => `k${index}`);
+        server.answer("POST /v1/tasks/cancel", ok({ results: keys.map(key => ({ key, code: 4001 })) }));
+        const args = [
+            "cancel",
+            "k0",
+            "--pool",
+            "cutting",
+            "--from",
+            "-",
+            "--address",
+            server.address,
+            "--json",
+        ];
+        const result = await run(args, `\n${keys.join("\r\n")}\n`);
+        t.equal(result.json["cancelled"], 1_100);
+        const sent = server.requests.map(({ body }) => body["keys"] as string[]);
+        t.strictSame(
+            sent.map(batch => batch.length),
+            [500, 500, 100],
+        );
+        t.strictSame(sent.flat().sort(), [...keys].sort());
+    });
+});
+
+// Guards against sizes and hints that do not reach the entry process.
+t.test("submit sends sizes and hints", async t => {
+    await withServer(async server => {
+        server.answer("POST /cutting-plan", { status: 202, body: { code: 1001 } });
+        const sizes = ["--processors", "1.5", "--memory-mb", "2000", "--expected-run-ms", "500"];
+        const args = ["submit", "--path", "/cutting-plan", "--key", "k", "--payload-file", "-", ...sizes];
+        await run([...args, "--address", server.address], "work");
+        t.strictSame(server.requests[0]?.body, {
+            key: "k",
+            resources: { processors: 1.5, memoryMb: 2_000, accelerators: 0 },
+            expectedRunMs: 500,
+            payload: "work",
+        });
+    });
+});
--- /dev/null
+++ b/packages/ctl/tests/fake-admin-server.ts
@@ -0,0 +1,152 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { json } from "node:stream/consumers";
+import type { ConfigDocument } from "@samphireward/core/config-document";
+
+type Body = Record<string, unknown>;
+
+/** What goes wrong with one write of the tables. */
+type WriteFault = "none" | "apply-and-destroy" | "destroy" | "store-unavailable" | "other-change";
+
+/** An answer that replaces the usual one of a path; `truncate` ends it early, `silent` never sends it. */
+interface FixedAnswer {
+    readonly status: number;
+    readonly body: unknown;
+    readonly fault?: "truncate" | "silent" | "destroy";
+}
+
+/** A small administration port with one configuration and fixed other answers. */
+export class FakeAdminServer {
+    readonly changes: ConfigDocument[] = [];
+    /** One for each write, in order; afterwards none. */
+    readonly writeFaults: WriteFault[] = [];
+    /** By method and path without query; the list is used up to its last element, which stays. */
+    readonly answers = new Map<string, FixedAnswer[]>();
+    readonly requests: { call: string; url: string; body: Body; authorization: string | undefined }[] = [];
+
+    private constructor(private readonly server: Server) {}
+
+    static async start(): Promise<FakeAdminServer> {
+        const server = createServer();
+        const fake = new FakeAdminServer(server);
+        server.on("request", (req, res) => void fake.serve(req, res));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return fake;
+    }
+
+    get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Number of requests of one method and path. */
+    count(call: string): number {
+        return this.requests.filter(item => item.call === call).length;
+    }
+
+    answer(call: string, ...answers: FixedAnswer[]): void {
+        this.answers.set(call, answers);
+    }
+
+    applyOther(): void {
+        const revision = (this.changes.at(-1)?.revision ?? 0) + 1;
+        const last = this.changes.at(-1) ?? { routes: "", pools: "" };
+        const { routes, pools } = last;
+        this.changes.push({
+            revision,
+            changeId: `other-${revision}`,
+            author: "second-operator",
+            timeMs: 1_790_000_000_000,
+            routes: routes.replace("maxQueue = 200", "maxQueue = 250"),
+            pools,
+        });
+    }
+
+    async stop(): Promise<void> {
+        this.server.closeAllConnections();
+        await new Promise(resolve => this.server.close(resolve));
+    }
+
+    private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const url = req.url ?? "";
+        const call = `${req.method} ${url.split("?")[0]}`;
+        const body = req.method === "GET" ? {} : ((await json(req)) as Body);
+        this.requests.push({ call, url, body, authorization: req.headers.authorization });
+        const fixed = this.answers.get(call);
+        const answer = fixed !== undefined && fixed.length > 1 ? fixed.shift() : fixed?.[0];
+        if (answer !== undefined) {
+            this.sendFixed(res, answer);
+        } else if (call === "PUT /v1/config") {
+            this.write(res, body);
+        } else {
+            this.read(res, call);
+        }
+    }
+
+    private sendFixed(res: ServerResponse, { status, body, fault }: FixedAnswer): void {
+        if (fault === "silent") {
+            return;
+        }
+        if (fault === "destroy") {
+            res.destroy();
+            return;
+        }
+        if (fault === "truncate") {
+            res.writeHead(status, { "content-length": "1000" });
+            res.write(JSON.stringify(body), () => res.destroy());
+            return;
+        }
+        this.send(res, status, body);
+    }
+
+    private send(res: ServerResponse, status: number, body: unknown): void {
+        res.writeHead(status, { "content-type": "application/json" });
+        res.end(typeof body === "string" ? body : JSON.stringify(body));
+    }
+
+    private read(res: ServerResponse, call: string): void {
+        const current = this.changes.at(-1);
+        if (call === "GET /v1/config" && current !== undefined) {
+            this.send(res, 200, current);
+        } else if (call === "GET /v1/config/history") {
+            const changes = this.changes.map(({ revision, changeId, author, timeMs }) => ({
+                revision,
+                changeId,
+                author,
+                timeMs,
+            }));
+            this.send(res, 200, { changes: changes.reverse() });
+        } else {
+            this.send(res, 404, { code: 2000 });
+        }
+    }
+
+    private write(res: ServerResponse, body: Body): void {
+        const fault = this.writeFaults.shift() ?? "none";
+        if (fault === "destroy") {
+            res.destroy();
+            return;
+        }
+        if (fault === "store-unavailable") {
+            this.send(res, 503, { code: 2004 });
+            return;
+        }
+        if (fault === "other-change") {
+            this.applyOther();
+        }
+        const current = this.changes.at(-1);
+        const isExpected = body["expectedRevision"] === (current?.revision ?? 0);
+        if (isExpected) {
+            const revision = (current?.revision ?? 0) + 1;
+            const { changeId, author, routes, pools } = body as unknown as ConfigDocument;
+            this.changes.push({ revision, changeId, author, timeMs: 1_790_000_000_000, routes, pools });
+        }
+        if (fault === "apply-and-destroy") {
+            res.destroy();
+        } else if (isExpected) {
+            this.send(res, 200, { code: 1003, revision: this.changes.at(-1)?.revision });
+        } else {
+            this.send(res, 409, { code: 5002, current });
+        }
+    }
+}
--- /dev/null
+++ b/packages/ctl/tests/run.ts
@@ -0,0 +1,20 @@
+import { runCtl } from "../src/run-ctl.js";
+import { RecordingTerminal } from "./recording-terminal.js";
+
+/** What one command line gave. */
+interface RunResult {
+    readonly exitCode: number;
+    readonly out: string;
+    readonly error: string;
+    /** The JSON document on standard output; empty when there is none. */
+    readonly json: Record<string, unknown>;
+}
+
+/** Runs a command line in this process. */
+export const run = async (args: readonly string[], input = ""): Promise<RunResult> => {
+    const terminal = new RecordingTerminal(input);
+    const exitCode = await runCtl(args, terminal);
+    const isJson = args.includes("--json");
+    const json = isJson ? (JSON.parse(terminal.out) as Record<string, unknown>) : {};
+    return { exitCode, out: terminal.out, error: terminal.error, json };
+};
