Let reads lag in the property test of ConfigWriter

Change: the fake server can answer a number of reads with the first change only, as a process that lags does; the number is a second input of the property.

--- a/packages/ctl/tests/config-writer.test.ts
+++ b/packages/ctl/tests/config-writer.test.ts
@@ -10,10 +10,12 @@
 t.test("every answer about a change is true under any sequence of faults", async t => {
     const property = fc.asyncProperty(
         fc.array(fc.constantFrom(...faults), { maxLength: 6 }),
-        async sequence => {
+        fc.nat({ max: 8 }),
+        async (sequence, laggingReads) => {
             await withServer(async server => {
                 server.applyOther();
                 server.writeFaults.push(...sequence);
+                server.laggingReads = laggingReads;
                 const client = AdminClient.create([server.address], { token: undefined, timeoutMs: 5_000 });
                 const change = {
                     expectedRevision: 1,
--- a/packages/ctl/tests/fake-admin-server.ts
+++ b/packages/ctl/tests/fake-admin-server.ts
@@ -21,6 +21,8 @@
     readonly changes: ConfigDocument[] = [];
     /** One for each write, in order; afterwards none. */
     readonly writeFaults: WriteFault[] = [];
+    /** Number of reads that are answered with the first change only, as a process that lags answers them. */
+    laggingReads = 0;
     /** By method and path without query; the list is used up to its last element, which stays. */
     readonly answers = new Map<string, FixedAnswer[]>();
     readonly requests: { call: string; url: string; body: Body; authorization: string | undefined }[] = [];
@@ -105,11 +107,13 @@
     }
 
     private read(res: ServerResponse, call: string): void {
-        const current = this.changes.at(-1);
+        const known = this.laggingReads > 0 ? this.changes.slice(0, 1) : this.changes;
+        this.laggingReads -= 1;
+        const current = known.at(-1);
         if (call === "GET /v1/config" && current !== undefined) {
             this.send(res, 200, current);
         } else if (call === "GET /v1/config/history") {
-            const changes = this.changes.map(({ revision, changeId, author, timeMs }) => ({
+            const changes = known.map(({ revision, changeId, author, timeMs }) => ({
                 revision,
                 changeId,
                 author,
