Add samphireward-report

Cause: no page shows how fast each route uses up its error budget over all entry processes; percentiles of single processes cannot be averaged.

Ruled out: reading the counters once for throughput (they are since the start of each process, so rates need two readings); a plotting script in the page (the plots are SVG from echarts' server-side rendering).

Change: reads GET /v1/metrics of all addresses or saved files, merges buckets and HdrHistograms, and prints burn rates over 5 min, 30 min and 1 h, the two multi-window rules (14.4 and 6; the usual 6 h window of the second is cut to the hour that processes keep), percentiles, and for each pool wait, throughput and evictions: as text, JSON or one HTML page. A source that cannot be read is named in the report and in the exit code. A chart that is not disposed of keeps a timer and the process never exits; a test starts the program to guard against it.

--- a/packages/ctl/src/format-table.ts
+++ b/packages/ctl/src/format-table.ts
@@ -1,16 +1,19 @@
-/** Text table with columns padded to their widest cell; numbers are aligned on the right. */
-export const formatTable = (
-    header: readonly string[],
-    rows: readonly (readonly (string | number)[])[],
-): string => {
-    const widths = header.map((title, column) =>
-        Math.max(title.length, ...rows.map(row => String(row[column] ?? "").length)),
-    );
-    const line = (cells: readonly (string | number)[]): string =>
-        cells
-            .map((cell, column) => {
-                const width = widths[column] ?? 0;
-                return typeof cell === "number" ? String(cell).padStart(width) : cell.padEnd(width);
+type Row = readonly (string | number)[];
+
+const NumberPattern = /^(-|[\d.,]+)$/;
+
+/** Text table with columns padded to their widest cell. Columns of numbers are aligned on the right. */
+export const formatTable = (header: readonly string[], rows: readonly Row[]): string => {
+    const columns = header.map((title, index) => {
+        const cells = rows.map(row => String(row[index] ?? ""));
+        const width = Math.max(title.length, ...cells.map(cell => cell.length));
+        return { width, isNumeric: cells.length > 0 && cells.every(cell => NumberPattern.test(cell)) };
+    });
+    const line = (row: Row): string =>
+        columns
+            .map(({ width, isNumeric }, index) => {
+                const cell = String(row[index] ?? "");
+                return isNumeric ? cell.padStart(width) : cell.padEnd(width);
             })
             .join("  ")
             .trimEnd();
--- /dev/null
+++ b/packages/report/src/burn-windows.ts
@@ -0,0 +1,8 @@
+const MinuteMs = 60_000;
+
+/** Windows of the burn rate in milliseconds: 5 minutes, 30 minutes and 1 hour. */
+export const burnWindows = {
+    fiveMinutes: 5 * MinuteMs,
+    thirtyMinutes: 30 * MinuteMs,
+    oneHour: 60 * MinuteMs,
+} as const;
--- /dev/null
+++ b/packages/report/src/charts/burn-chart.ts
@@ -0,0 +1,27 @@
+import { burnRules } from "../burn-rules.js";
+import { burnWindows } from "../burn-windows.js";
+import type { MergedMetrics } from "../merged-metrics.js";
+import type { RouteSeries } from "../route-series.js";
+import { renderLineChart } from "./line-chart.js";
+import { timeSteps } from "./time-steps.js";
+
+const windows = [
+    { name: "5 min", windowMs: burnWindows.fiveMinutes },
+    { name: "30 min", windowMs: burnWindows.thirtyMinutes },
+    { name: "1 h", windowMs: burnWindows.oneHour },
+];
+
+/** Burn rates of a route over time with the thresholds of the rules, as SVG text. */
+export const renderBurnChart = (series: RouteSeries, { startMs, endMs }: MergedMetrics): string =>
+    renderLineChart({
+        title: "Burn rate (1 uses up the error budget exactly)",
+        isLogarithmic: false,
+        lines: windows.map(({ name, windowMs }) => ({
+            name,
+            points: timeSteps(startMs, endMs).map(timeMs => [
+                timeMs,
+                series.burn(timeMs, windowMs, startMs).burnRate,
+            ]),
+        })),
+        limits: burnRules.map(({ name, threshold }) => ({ name: `${name} ${threshold}`, value: threshold })),
+    });
--- /dev/null
+++ b/packages/report/src/latency-summary.ts
@@ -0,0 +1,7 @@
+/** Percentiles in milliseconds; `undefined` when nothing was recorded. */
+export interface LatencySummary {
+    readonly count: number;
+    readonly p50Ms: number | undefined;
+    readonly p99Ms: number | undefined;
+    readonly p999Ms: number | undefined;
+}
--- /dev/null
+++ b/packages/report/src/merge-routes.ts
@@ -0,0 +1,41 @@
+import { LatencyRecorder } from "@samphireward/core/latency-recorder";
+import type { MetricsSnapshot } from "./metrics-snapshot.js";
+import type { RouteBucket } from "./route-bucket.js";
+import { RouteSeries } from "./route-series.js";
+
+/** Length of a bucket of GET /v1/metrics. */
+const BucketMs = 10_000;
+
+const addBucket = (
+    merged: Map<number, RouteBucket>,
+    bucket: MetricsSnapshot["routes"][string]["buckets"][number],
+): void => {
+    // Buckets of different processes need not start at the same moment.
+    const startMs = Math.floor(bucket.startMs / BucketMs) * BucketMs;
+    const known = merged.get(startMs);
+    const latency = known?.latency ?? LatencyRecorder.create();
+    latency.merge(LatencyRecorder.decode(bucket.histogram));
+    merged.set(startMs, {
+        startMs,
+        good: (known?.good ?? 0) + bucket.good,
+        bad: (known?.bad ?? 0) + bucket.bad,
+        latency,
+    });
+};
+
+const mergeRoute = (name: string, snapshots: readonly MetricsSnapshot[]): RouteSeries => {
+    const rows = snapshots.flatMap(({ routes }) => routes[name] ?? []);
+    const merged = new Map<number, RouteBucket>();
+    for (const bucket of rows.flatMap(({ buckets }) => buckets)) {
+        addBucket(merged, bucket);
+    }
+    // The newest snapshot is last, so its objective holds while a new configuration spreads.
+    const objective = rows.at(-1)?.objective ?? { latencyMs: 0, ratio: 0 };
+    return RouteSeries.create(name, objective, [...merged.values()]);
+};
+
+/** Adds up each route's buckets over the processes. `snapshots` are one for each process, oldest first. */
+export const mergeRoutes = (snapshots: readonly MetricsSnapshot[]): RouteSeries[] => {
+    const names = new Set(snapshots.flatMap(({ routes }) => Object.keys(routes)));
+    return [...names].sort().map(name => mergeRoute(name, snapshots));
+};
--- /dev/null
+++ b/packages/report/src/route-series.ts
@@ -0,0 +1,58 @@
+import { LatencyRecorder } from "@samphireward/core/latency-recorder";
+import type { RouteBucket } from "./route-bucket.js";
+import type { WindowBurn } from "./window-burn.js";
+
+interface Objective {
+    readonly latencyMs: number;
+    readonly ratio: number;
+}
+
+/** Buckets of one route over all processes, in the order of time. */
+export class RouteSeries {
+    private constructor(
+        readonly route: string,
+        readonly objective: Objective,
+        private readonly buckets: readonly RouteBucket[],
+    ) {}
+
+    static create(route: string, objective: Objective, buckets: readonly RouteBucket[]): RouteSeries {
+        return new RouteSeries(
+            route,
+            objective,
+            [...buckets].sort((a, b) => a.startMs - b.startMs),
+        );
+    }
+
+    /** Start of the first bucket. */
+    get startMs(): number | undefined {
+        return this.buckets[0]?.startMs;
+    }
+
+    /** Burn rate over the window that ends at `endMs`. `dataStartMs` is the start of the first bucket of any route. */
+    burn(endMs: number, windowMs: number, dataStartMs: number): WindowBurn {
+        const inside = this.between(endMs - windowMs, endMs);
+        const good = inside.reduce((sum, bucket) => sum + bucket.good, 0);
+        const bad = inside.reduce((sum, bucket) => sum + bucket.bad, 0);
+        const errorRatio = good + bad === 0 ? undefined : bad / (good + bad);
+        return {
+            windowMs,
+            coveredMs: Math.max(0, Math.min(windowMs, endMs - dataStartMs)),
+            good,
+            bad,
+            burnRate: errorRatio === undefined ? undefined : errorRatio / (1 - this.objective.ratio),
+        };
+    }
+
+    /** All latencies of the buckets that start in the interval. */
+    latency(fromMs: number, toMs: number): LatencyRecorder {
+        const merged = LatencyRecorder.create();
+        for (const bucket of this.between(fromMs, toMs)) {
+            merged.merge(bucket.latency);
+        }
+        return merged;
+    }
+
+    private between(fromMs: number, toMs: number): readonly RouteBucket[] {
+        return this.buckets.filter(({ startMs }) => startMs >= fromMs && startMs < toMs);
+    }
+}
--- /dev/null
+++ b/packages/report/src/summarize-latency.ts
@@ -0,0 +1,9 @@
+import type { LatencyRecorder } from "@samphireward/core/latency-recorder";
+import type { LatencySummary } from "./latency-summary.js";
+
+/** Reads the percentiles of a histogram. */
+export const summarizeLatency = (recorder: LatencyRecorder): LatencySummary => {
+    const at = (percentile: number): number | undefined =>
+        recorder.count === 0 ? undefined : recorder.percentileMs(percentile);
+    return { count: recorder.count, p50Ms: at(50), p99Ms: at(99), p999Ms: at(99.9) };
+};
