--- a/packages/report/src/charts/line-chart.ts
+++ b/packages/report/src/charts/line-chart.ts
@@ -22,10 +22,10 @@
     return Math.max(...values, ...limits.map(({ value }) => value)) * 1.1;
 };
 
-/** At most six labels fit beside each other. */
+/** Wide enough for labels of five characters; the axis may halve it. */
 const labelInterval = ({ lines }: LineChart): number => {
     const points = lines[0]?.points ?? [];
-    return ((points.at(-1)?.[0] ?? 0) - (points[0]?.[0] ?? 0)) / 6;
+    return ((points.at(-1)?.[0] ?? 0) - (points[0]?.[0] ?? 0)) / 3;
 };
 
 const limitLines = ({ limits }: LineChart): object => ({
--- /dev/null
+++ b/packages/report/tests/docs.test.ts
@@ -0,0 +1,17 @@
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import t from "tap";
+import { burnRules } from "../src/burn-rules.js";
+import { reportOptions } from "../src/report-options.js";
+
+// Guards against an option or a threshold that the operators' page does not name.
+t.test("the page lists every option and rule", t => {
+    const page = readFileSync(join(process.cwd(), "docs/operations/reading-the-report.md"), "utf8");
+    for (const name of Object.keys(reportOptions)) {
+        t.ok(page.includes(`| \`--${name}`), name);
+    }
+    for (const { name, threshold } of burnRules) {
+        t.ok(page.includes(`| ${name} | ${threshold} |`), name);
+    }
+    t.end();
+});
