--- a/packages/ctl/src/commands/apply.ts
+++ b/packages/ctl/src/commands/apply.ts
@@ -5,7 +5,6 @@
 import { ResultCode } from "@samphireward/core/result-code";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
-import type { AdminClient } from "../admin-client.js";
 import type { CommandContext } from "../command-context.js";
 import type { CommandResult } from "../command-result.js";
 import { Command } from "../command.js";
@@ -47,16 +46,6 @@
     },
 } as const;
 
-const readCurrent = async (client: AdminClient): Promise<Result<ConfigDocument | undefined, CodedError>> => {
-    const call = { method: "GET", path: "/v1/config", repeatable: true } as const;
-    const answer = await client.call(call);
-    // A process without tables answers 404.
-    if (answer.isOk() && answer.value.status === 404) {
-        return Ok(undefined);
-    }
-    return client.get(call.path, ConfigDocument);
-};
-
 /** `apply`: checks both tables, records them under a new revision and can wait until it is in force. */
 export class ApplyCommand extends Command {
     override readonly name = "apply";
@@ -72,18 +61,18 @@
         if (tables.isErr()) {
             return Ok(problemsResult(tables.error));
         }
-        const base = await readCurrent(context.client);
+        const base = await context.client.get("/v1/config", ConfigDocument);
         return base.isErr() ? Err(base.error) : this.write(context, tables.value, base.value);
     }
 
     private async write(
         context: CommandContext,
         tables: TableTexts,
-        base: ConfigDocument | undefined,
+        base: ConfigDocument,
     ): Promise<Result<CommandResult, CodedError>> {
         const change: ConfigChange = {
             ...tables,
-            expectedRevision: context.options.number("expect-revision") ?? base?.revision ?? 0,
+            expectedRevision: context.options.number("expect-revision") ?? base.revision,
             changeId: randomUUID(),
             author: context.options.text("author") ?? `${userInfo().username}@${hostname()}`,
         };
--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -1,11 +1,11 @@
 import type { CodedError } from "@samphireward/core/coded-error";
 import type { Result } from "ts-results-es";
-import { TaskAnswer } from "../answers/task-answer.js";
+import type { TaskAnswer } from "../answers/task-answer.js";
 import type { CommandContext } from "../command-context.js";
 import type { CommandResult } from "../command-result.js";
 import { Command } from "../command.js";
 import { poolOption } from "../pool-option.js";
-import { taskPath } from "../task-path.js";
+import { readTask } from "../read-task.js";
 
 const describe = (task: TaskAnswer): string => {
     const lines = [`${task.key} (pool ${task.pool}): ${task.state}, attempt ${task.attempt}`];
@@ -31,7 +31,7 @@
     }
 
     override async run(context: CommandContext): Promise<Result<CommandResult, CodedError>> {
-        const answer = await context.client.get(taskPath(context), TaskAnswer);
+        const answer = await readTask(context);
         return answer.map(task => ({ code: task.code, json: { task }, text: describe(task) }));
     }
 }
--- a/packages/ctl/src/commands/why.ts
+++ b/packages/ctl/src/commands/why.ts
@@ -5,13 +5,13 @@
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import { CellsAnswer } from "../answers/cells-answer.js";
-import { TaskAnswer } from "../answers/task-answer.js";
+import type { TaskAnswer } from "../answers/task-answer.js";
 import type { CommandContext } from "../command-context.js";
 import type { CommandResult } from "../command-result.js";
 import { Command } from "../command.js";
 import { formatResources } from "../format-resources.js";
 import { poolOption } from "../pool-option.js";
-import { taskPath } from "../task-path.js";
+import { readTask } from "../read-task.js";
 
 type Cell = CellsAnswer["cells"][number];
 
@@ -75,7 +75,7 @@
     }
 
     override async run(context: CommandContext): Promise<Result<CommandResult, CodedError>> {
-        const task = await context.client.get(taskPath(context), TaskAnswer);
+        const task = await readTask(context);
         if (task.isErr()) {
             return Err(task.error);
         }
--- a/packages/ctl/src/describe-conflict.ts
+++ b/packages/ctl/src/describe-conflict.ts
@@ -30,17 +30,17 @@
         .join("\n");
 
 /**
- * Shows who changed the tables and what. When the tables at the expected revision are known, the line diff
+ * Shows who changed the tables and what. When `base` is the expected revision, the line diff
  * shows the other operator's change; otherwise it leads from the tables in force to the caller's.
  */
 export const describeConflict = (
     change: ConfigChange,
-    base: ConfigDocument | undefined,
+    base: ConfigDocument,
     current: ConfigDocument,
 ): CommandResult => {
     const { routes, pools, ...other } = current;
     const inForce: Side = { label: `at revision ${current.revision}`, routes, pools };
-    const isBaseKnown = base?.revision === change.expectedRevision;
+    const isBaseKnown = base.revision === change.expectedRevision;
     const diff = isBaseKnown
         ? lineDiff({ ...base, label: `at revision ${base.revision}` }, inForce)
         : lineDiff(inForce, { ...change, label: "of this change" });
--- a/packages/ctl/tests/commands/commands.test.ts
+++ b/packages/ctl/tests/commands/commands.test.ts
@@ -122,6 +122,13 @@
         json: { code: 4001, task: cancelled },
         text: /cancelled/,
     },
+    {
+        args: ["status", "k1", "--pool", "cutting"],
+        answers: { "GET /v1/tasks/k1": { status: 422, body: { ...task, code: 2102, state: "failed" } } },
+        exitCode: 2,
+        json: { code: 2102, task: { ...task, code: 2102, state: "failed" } },
+        text: /failed, attempt 2/,
+    },
     {
         args: ["status", "a/b", "--pool", "cutting"],
         answers: { "GET /v1/tasks/a%2Fb": { status: 404, body: unknown } },
--- a/packages/report/src/merge-pools.ts
+++ b/packages/report/src/merge-pools.ts
@@ -14,45 +14,54 @@
 const MsPerS = 1_000;
 const MsPerHour = 3_600_000;
 
-const sum = (pools: readonly PoolMetrics[], count: Count): number =>
-    pools.reduce((total, pool) => total + pool[count], 0);
-
-/** Growth per `unitMs`; a process that was restarted between its readings is left out. */
-const rate = (
-    readings: readonly Readings[],
-    pool: string,
-    count: Count,
-    unitMs: number,
-): number | undefined => {
-    const rates = readings.flatMap(({ first, last }) => {
-        const elapsedMs = last.wallMs - first.wallMs;
-        const growth = (last.pools[pool]?.[count] ?? 0) - (first.pools[pool]?.[count] ?? 0);
-        return elapsedMs > 0 && growth >= 0 ? [(growth * unitMs) / elapsedMs] : [];
-    });
-    return rates.length === 0 ? undefined : rates.reduce((total, value) => total + value, 0);
+/** Readings that are at most this much older than the newest one describe the same state. */
+const SameTimeMs = 30_000;
+
+/** Growth per `unitMs`; `undefined` with one reading and when the counts began again in between. */
+const rate = ({ first, last }: Readings, pool: string, count: Count, unitMs: number): number | undefined => {
+    const elapsedMs = last.wallMs - first.wallMs;
+    const growth = (last.pools[pool]?.[count] ?? 0) - (first.pools[pool]?.[count] ?? 0);
+    return elapsedMs > 0 && growth >= 0 ? (growth * unitMs) / elapsedMs : undefined;
+};
+
+const taskCount = (metrics: PoolMetrics | undefined): number =>
+    metrics === undefined ? -1 : metrics.queued + metrics.running + metrics.finished + metrics.failed;
+
+/** The process that knows most of the pool: one that does not reach a cell's owner lacks that cell's tasks. */
+const mostComplete = (name: string, readings: readonly Readings[]): Readings | undefined => {
+    const newestMs = Math.max(...readings.map(({ last }) => last.wallMs));
+    return readings
+        .filter(({ last }) => last.wallMs >= newestMs - SameTimeMs)
+        .sort((a, b) => taskCount(b.last.pools[name]) - taskCount(a.last.pools[name]))[0];
 };
 
-const mergePool = (name: string, readings: readonly Readings[]): PoolReport => {
-    const pools = readings.flatMap(({ last }) => last.pools[name] ?? []);
-    const wait = LatencyRecorder.create();
-    for (const { waitHistogram } of pools) {
-        wait.merge(LatencyRecorder.decode(waitHistogram));
+const reportPool = (name: string, readings: readonly Readings[]): PoolReport[] => {
+    const chosen = mostComplete(name, readings);
+    const metrics = chosen?.last.pools[name];
+    if (chosen === undefined || metrics === undefined) {
+        return [];
     }
-    return {
-        pool: name,
-        queued: sum(pools, "queued"),
-        running: sum(pools, "running"),
-        finished: sum(pools, "finished"),
-        failed: sum(pools, "failed"),
-        evictions: sum(pools, "evictions"),
-        finishedPerS: rate(readings, name, "finished", MsPerS),
-        evictionsPerHour: rate(readings, name, "evictions", MsPerHour),
-        wait: summarizeLatency(wait),
-    };
+    const { queued, running, finished, failed, evictions, waitHistogram } = metrics;
+    return [
+        {
+            pool: name,
+            queued,
+            running,
+            finished,
+            failed,
+            evictions,
+            finishedPerS: rate(chosen, name, "finished", MsPerS),
+            evictionsPerHour: rate(chosen, name, "evictions", MsPerHour),
+            wait: summarizeLatency(LatencyRecorder.decode(waitHistogram)),
+        },
+    ];
 };
 
-/** Adds up each pool over the processes. */
+/**
+ * One row for each pool. Every entry process reports the totals of all cells whose owners it reaches, so the
+ * processes are not added up: the most complete of the newest readings is used.
+ */
 export const mergePools = (readings: readonly Readings[]): PoolReport[] => {
     const names = new Set(readings.flatMap(({ last }) => Object.keys(last.pools)));
-    return [...names].sort().map(name => mergePool(name, readings));
+    return [...names].sort().flatMap(name => reportPool(name, readings));
 };
--- a/packages/report/src/merge-snapshots.ts
+++ b/packages/report/src/merge-snapshots.ts
@@ -2,6 +2,7 @@
 import { ResultCode } from "@samphireward/core/result-code";
 import type { Result } from "ts-results-es";
 import { Err, Result as ResultOf } from "ts-results-es";
+import { burnWindows } from "./burn-windows.js";
 import { mergePools } from "./merge-pools.js";
 import { mergeRoutes } from "./merge-routes.js";
 import type { MergedMetrics } from "./merged-metrics.js";
@@ -25,7 +26,11 @@
     const routes = mergeRoutes(latest);
     return {
         processes: latest.map(({ process }) => process).sort(),
-        startMs: Math.min(endMs, ...routes.flatMap(({ startMs }) => startMs ?? [])),
+        // A route with few requests keeps older buckets than an hour.
+        startMs: Math.max(
+            endMs - burnWindows.oneHour,
+            Math.min(endMs, ...routes.flatMap(({ startMs }) => startMs ?? [])),
+        ),
         endMs,
         spreadMs: endMs - Math.min(...latest.map(({ wallMs }) => wallMs)),
         routes,
--- a/packages/report/src/merged-metrics.ts
+++ b/packages/report/src/merged-metrics.ts
@@ -4,7 +4,7 @@
 /** Metrics of all processes together. */
 export interface MergedMetrics {
     readonly processes: readonly string[];
-    /** Start of the first bucket; equal to `endMs` without buckets. */
+    /** Start of the first bucket, at most an hour before the end; equal to `endMs` without buckets. */
     readonly startMs: number;
     /** Time of the newest reading. */
     readonly endMs: number;
--- a/packages/report/src/pool-report.ts
+++ b/packages/report/src/pool-report.ts
@@ -1,6 +1,6 @@
 import type { LatencySummary } from "./latency-summary.js";
 
-/** One pool over all processes. Counts are since each process started. */
+/** One pool over all cells. Counts are since the cells' owners started. */
 export interface PoolReport {
     readonly pool: string;
     readonly queued: number;
--- a/packages/report/src/render-html.ts
+++ b/packages/report/src/render-html.ts
@@ -43,7 +43,7 @@
 const notes = [
     "Burn rate: share of bad requests divided by the share that the objective allows.",
     "page: at least 14.4 over both 1 h and 5 min. ticket: at least 6 over both 1 h and 30 min (the usual long window is 6 h; processes keep 1 h).",
-    "Windows reach back as far as there is data. Counts of pools are since each process started; rates need two readings. Times are UTC.",
+    "Windows reach back as far as there is data. Counts of pools are since the cells' owners started; rates need two readings. Times are UTC.",
 ];
 
 /** One self-contained page without scripts: tables, and plots as SVG. */
