Let batch tasks wait where they would disturb latency-critical work

Change: a task that may wait (PlacementRequest.mayWait, set by the owner for a bounded time) is not placed where the predicted slowdown of latency-critical work exceeds toleratedSlowdown. The reason differs from a lack of room, so the queue does not hold other tasks back. Users' settings: kloverknap 2.0 for at most 300 s, agency 1.7 for at most 600 s.

--- a/packages/bench/src/bench-policies.ts
+++ b/packages/bench/src/bench-policies.ts
@@ -9,10 +9,11 @@
 import { OraclePredictor } from "./oracle-predictor.js";
 import type { UserProfile } from "./user-profile.js";
 
-const weightsOf = ({ classes, weights }: UserProfile): InterferenceWeights => ({
+const weightsOf = ({ classes, weights, toleratedSlowdown }: UserProfile): InterferenceWeights => ({
     tailLatency: weights.tail,
     batch: weights.throughput,
     load: 0.1,
+    toleratedSlowdown,
     latencyCriticalClasses: new Set(classes.filter(({ kind }) => kind !== "batch").map(({ name }) => name)),
 });
 
--- a/packages/bench/src/mean-result.ts
+++ b/packages/bench/src/mean-result.ts
@@ -11,6 +11,7 @@
         evictions: mean(({ evictions }) => evictions),
         urgentEvictions: mean(({ urgentEvictions }) => urgentEvictions),
         throttles: mean(({ throttles }) => throttles),
+        longestWaitSeconds: mean(({ longestWaitSeconds }) => longestWaitSeconds),
         meanQueue: mean(({ meanQueue }) => meanQueue),
     };
 };
--- a/packages/bench/src/run-result.ts
+++ b/packages/bench/src/run-result.ts
@@ -8,6 +8,8 @@
     /** Those of the evictions that made room for latency-critical tasks. */
     readonly urgentEvictions: number;
     readonly throttles: number;
+    /** Longest time from the submission of a batch task to its first start. */
+    readonly longestWaitSeconds: number;
     /** Tasks in the queues after placement, on average over the seconds of the run. */
     readonly meanQueue: number;
 }
--- a/packages/bench/src/run-scenario.ts
+++ b/packages/bench/src/run-scenario.ts
@@ -40,6 +40,7 @@
         evictions: rounded(result.evictions),
         urgentEvictions: rounded(result.urgentEvictions),
         throttles: rounded(result.throttles),
+        longestWaitSeconds: rounded(result.longestWaitSeconds),
         meanQueue: rounded(result.meanQueue),
         score: rounded(score(profile.weights, result, oracle)),
         p99ToOracle: rounded(result.p99Ms / oracle.p99Ms),
--- a/packages/bench/src/sim-cell.ts
+++ b/packages/bench/src/sim-cell.ts
@@ -8,6 +8,7 @@
 import type { QueuedTask } from "@samphireward/placement/queued-task";
 import { TaskQueue } from "@samphireward/placement/task-queue";
 import type { UsageSample } from "@samphireward/placement/usage-sample";
+import { WaitReason } from "@samphireward/placement/wait-reason";
 import type { BenchPolicy } from "./bench-policy.js";
 import type { SimTask } from "./sim-task.js";
 import type { SimWorker } from "./sim-worker.js";
@@ -20,6 +21,7 @@
     evictions = 0;
     /** Those of the evictions that made room for latency-critical tasks. */
     urgentEvictions = 0;
+    longestWaitMs = 0;
     throttles = 0;
     /** Processor seconds that evictions and lost workers undid since the last call of `takeLostWork`. */
     private lostWork = 0;
@@ -32,6 +34,7 @@
     private constructor(
         readonly workers: readonly SimWorker[],
         private readonly policy: BenchPolicy,
+        private readonly patienceSeconds: number,
         eviction: Partial<EvictionSettings>,
     ) {
         this.learner = policy.model && InterferenceLearner.create(policy.model);
@@ -41,9 +44,10 @@
     static create(
         workers: readonly SimWorker[],
         policy: BenchPolicy,
-        eviction: Partial<EvictionSettings> = {},
+        patienceSeconds: number,
+        eviction: Partial<EvictionSettings>,
     ): SimCell {
-        return new SimCell(workers, policy, eviction);
+        return new SimCell(workers, policy, patienceSeconds, eviction);
     }
 
     submit(task: SimTask): void {
@@ -115,16 +119,22 @@
         const views = this.workers
             .filter(worker => worker.name !== this.held?.worker || queued.key === this.held.key)
             .map(worker => worker.view);
-        const decision = this.policy.policy.choose({ ...queued, avoid: none, rackCounts }, views);
+        const waitedMs = nowMs - queued.submittedMs;
+        const mayWait = queued.workClass === WorkClass.Batch && waitedMs < this.patienceSeconds * 1000;
+        const decision = this.policy.policy.choose({ ...queued, avoid: none, rackCounts, mayWait }, views);
         const worker = decision.isOk()
             ? this.workers.find(({ name }) => name === decision.value)
             : this.makeRoom(queued, nowMs);
         if (worker === undefined) {
-            this.queue.markBlocked(queued.key, nowMs);
+            if (!decision.isErr() || decision.error === WaitReason.NoRoom) {
+                this.queue.markBlocked(queued.key, nowMs);
+            }
             return false;
         }
         this.queue.remove(queued.key);
         this.waiting.delete(queued.key);
+        const isFirstStart = task.checkpointSeconds === 0;
+        this.longestWaitMs = Math.max(this.longestWaitMs, isFirstStart ? waitedMs : 0);
         worker.add(task);
         this.learner?.recordComposition(worker.name, worker.classes, nowMs);
         return true;
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -79,7 +79,7 @@
         }
         this.cells = profile.dataCentres.map((_, cell) => {
             const workers = this.workers.filter(worker => worker.cell === cell);
-            return SimCell.create(workers, create(profile, this.hidden), eviction);
+            return SimCell.create(workers, create(profile, this.hidden), profile.patienceSeconds, eviction);
         });
     }
 
@@ -114,6 +114,7 @@
             evictions: this.sum(cell => cell.evictions) - this.evictionsBefore,
             urgentEvictions: this.sum(cell => cell.urgentEvictions) - this.urgentEvictionsBefore,
             throttles: this.sum(cell => cell.throttles) - this.throttlesBefore,
+            longestWaitSeconds: Math.max(...this.cells.map(cell => cell.longestWaitMs)) / 1000,
             meanQueue: this.queued / seconds,
         };
     }
--- a/packages/bench/src/user-profile.ts
+++ b/packages/bench/src/user-profile.ts
@@ -17,6 +17,9 @@
     /** First the service, then the watches, then batch classes. */
     readonly classes: readonly SimClass[];
     readonly watches: number;
+    /** When a batch task waits although a worker has room, and for how long at most. */
+    readonly toleratedSlowdown: number;
+    readonly patienceSeconds: number;
     /** Weights of the score; they sum to 1. */
     readonly weights: { readonly tail: number; readonly throughput: number; readonly evictions: number };
 }
--- a/packages/bench/src/user-profiles.ts
+++ b/packages/bench/src/user-profiles.ts
@@ -32,6 +32,8 @@
             simClass("noisy", "batch", 2, 6_000, 60, 0.1, 2),
         ],
         watches: 20,
+        toleratedSlowdown: 2,
+        patienceSeconds: 300,
         weights: { tail: 0.2, throughput: 0.5, evictions: 0.3 },
     },
     {
@@ -53,6 +55,8 @@
             simClass("noisy", "batch", 8, 24_000, 60, 0.1, 2),
         ],
         watches: 40,
+        toleratedSlowdown: 1.7,
+        patienceSeconds: 600,
         weights: { tail: 0.7, throughput: 0.15, evictions: 0.15 },
     },
 ];
--- a/packages/placement/src/interference-aware-policy.ts
+++ b/packages/placement/src/interference-aware-policy.ts
@@ -4,10 +4,14 @@
 import type { SlowdownPredictor } from "./slowdown-predictor.js";
 import type { WorkerView } from "./worker-view.js";
 
+/** Smallest relative increase of a slowdown that counts as a disturbance. */
+const NoticeableFactor = 1.01;
+
 /**
  * Chooses the worker on which the task adds least to the weighted slowdowns: its own and those of what already
  * runs there. Slowdowns of latency-critical work count by their square, because the tail of the latency is set
- * by the most disturbed workers.
+ * by the most disturbed workers. A task that may wait is not placed where it would slow down latency-critical work
+ * beyond what is tolerated.
  */
 export class InterferenceAwarePolicy extends LowestCostPolicy {
     private constructor(
@@ -40,13 +44,27 @@
             this.weights.load * loadAfter + this.penalty(added, after(added), resources.processors / total);
         for (const [affected, processors] of worker.classes) {
             const share = processors / total;
+            const slowdownAfter = after(affected);
+            const slowdownBefore = before(affected);
+            if (request.mayWait === true && this.disturbs(affected, slowdownBefore, slowdownAfter)) {
+                return Infinity;
+            }
             cost +=
-                this.penalty(affected, after(affected), share) -
-                this.penalty(affected, before(affected), share);
+                this.penalty(affected, slowdownAfter, share) - this.penalty(affected, slowdownBefore, share);
         }
         return cost;
     }
 
+    /** A task that hardly adds to the slowdown is no reason to wait, however slow the worker already is. */
+    private disturbs(affected: string, before: number, after: number): boolean {
+        const { latencyCriticalClasses, toleratedSlowdown } = this.weights;
+        return (
+            after > toleratedSlowdown &&
+            after > before * NoticeableFactor &&
+            latencyCriticalClasses.has(affected)
+        );
+    }
+
     private penalty(affected: string, slowdown: number, share: number): number {
         const { tailLatency, batch, latencyCriticalClasses } = this.weights;
         return latencyCriticalClasses.has(affected)
--- a/packages/placement/src/interference-weights.ts
+++ b/packages/placement/src/interference-weights.ts
@@ -6,5 +6,7 @@
     readonly batch: number;
     /** Weight of the measured load after placement; decides between workers without known interference. */
     readonly load: number;
+    /** Predicted slowdown of latency-critical work above which a task that may wait is not placed. */
+    readonly toleratedSlowdown: number;
     readonly latencyCriticalClasses: ReadonlySet<string>;
 }
--- a/packages/placement/src/lowest-cost-policy.ts
+++ b/packages/placement/src/lowest-cost-policy.ts
@@ -4,10 +4,12 @@
 import type { PlacementDecision } from "./placement-decision.js";
 import { PlacementPolicy } from "./placement-policy.js";
 import type { PlacementRequest } from "./placement-request.js";
+import { WaitReason } from "./wait-reason.js";
 import type { WorkerView } from "./worker-view.js";
 
-/** One value for all refusals: each new `Err` records a stack trace, which costs more than the decision. */
-const noRoom: PlacementDecision = Err("no open worker has enough free capacity");
+/** Made once: each new `Err` records a stack trace, which costs more than the decision. */
+const noRoom: PlacementDecision = Err(WaitReason.NoRoom);
+const wouldDisturb: PlacementDecision = Err(WaitReason.WouldDisturb);
 
 /**
  * Chooses the worker with the lowest cost among those with room; the first one when costs are equal. A
@@ -17,6 +19,7 @@
 export abstract class LowestCostPolicy extends PlacementPolicy {
     override choose(request: PlacementRequest, workers: readonly WorkerView[]): PlacementDecision {
         const spreads = request.workClass === WorkClass.LatencyCritical && request.rackCounts !== undefined;
+        let hasRoomSomewhere = false;
         let best: WorkerView | undefined;
         let bestCost = Infinity;
         let bestRackCount = Infinity;
@@ -24,19 +27,27 @@
             if (!hasRoom(worker, request)) {
                 continue;
             }
+            hasRoomSomewhere = true;
             const rackCount = spreads ? (request.rackCounts?.get(worker.rack) ?? 0) : 0;
             if (rackCount > bestRackCount) {
                 continue;
             }
             const cost = this.cost(worker, request);
+            if (cost === Infinity) {
+                continue;
+            }
             if (best === undefined || rackCount < bestRackCount || cost < bestCost) {
                 best = worker;
                 bestCost = cost;
                 bestRackCount = rackCount;
             }
         }
-        return best === undefined ? noRoom : Ok(best.name);
+        if (best !== undefined) {
+            return Ok(best.name);
+        }
+        return hasRoomSomewhere ? wouldDisturb : noRoom;
     }
 
+    /** `Infinity` when the task should rather wait. */
     protected abstract cost(worker: WorkerView, request: PlacementRequest): number;
 }
--- a/packages/placement/tests/placement-policies.test.ts
+++ b/packages/placement/tests/placement-policies.test.ts
@@ -11,9 +11,16 @@
 import { LoadOnlyPolicy } from "../src/load-only-policy.js";
 import type { PlacementPolicy } from "../src/placement-policy.js";
 import type { PlacementRequest } from "../src/placement-request.js";
+import { WaitReason } from "../src/wait-reason.js";
 import type { WorkerView } from "../src/worker-view.js";
 
-const weights = { tailLatency: 1, batch: 1, load: 0.1, latencyCriticalClasses: new Set(["service"]) };
+const weights = {
+    tailLatency: 1,
+    batch: 1,
+    load: 0.1,
+    toleratedSlowdown: 1.3,
+    latencyCriticalClasses: new Set(["service"]),
+};
 const interferenceAware = (): PlacementPolicy =>
     InterferenceAwarePolicy.create(InterferenceModel.create(), weights);
 const policies = (): PlacementPolicy[] => [
@@ -60,6 +67,23 @@
     t.end();
 });
 
+// Guards against batch work that waits without end, and against a wait that is reported as a lack of room.
+t.test("a task that may wait is not placed where it disturbs", t => {
+    const full = view("full", { reserved: Resources.create({ processors: 16 }) });
+    const quiet = view("quiet", { classes: new Map() });
+    const cases: { name: string; workers: WorkerView[]; mayWait: boolean; expected: string }[] = [
+        { name: "waits", workers: [view("busy")], mayWait: true, expected: WaitReason.WouldDisturb },
+        { name: "no longer waits", workers: [view("busy")], mayWait: false, expected: "busy" },
+        { name: "finds a quiet worker", workers: [view("busy"), quiet], mayWait: true, expected: "quiet" },
+        { name: "no room", workers: [full], mayWait: true, expected: WaitReason.NoRoom },
+    ];
+    for (const { name, workers, mayWait, expected } of cases) {
+        const decision = interferenceAware().choose(request({ mayWait }), workers);
+        t.equal(decision.isOk() ? decision.value : decision.error, expected, name);
+    }
+    t.end();
+});
+
 // Guards against latency-critical tasks of a pool that are lost together with one rack.
 t.test("latency-critical tasks are spread over racks", t => {
     const workers = ["r0", "r1", "r2"].map(rack =>
