--- /dev/null
+++ b/packages/bench/src/placement-scale.ts
@@ -0,0 +1,66 @@
+import { SeededRandom } from "@samphireward/core/seeded-random";
+import { ScaleFleet } from "./scale-fleet.js";
+
+/** Fleet sizes with their running tasks; the last one is the target in two years. */
+const fleets = [
+    { workers: 30, tasks: 450 },
+    { workers: 300, tasks: 4_500 },
+    { workers: 3_000, tasks: 45_000 },
+    { workers: 9_000, tasks: 133_000 },
+] as const;
+const CellWorkers = 100;
+const Decisions = 20_000;
+/** Full scans are slow; fewer of them give the same mean. */
+const ScanDecisions = 1_000;
+/** Decisions a second at the target, in all. */
+const TargetRate = 4_300;
+
+/** Memory in use after a collection, in MB; needs `node --expose-gc`. */
+const memoryMb = (): number => {
+    globalThis.gc?.();
+    return process.memoryUsage().heapUsed / 2 ** 20;
+};
+
+/** Runs a fleet divided into cells of at most `cellWorkers`, and prints its line. */
+const measure = (workers: number, tasks: number, cellWorkers: number, mode: "index" | "scan"): void => {
+    const random = SeededRandom.create(31);
+    const before = memoryMb();
+    const count = Math.ceil(workers / cellWorkers);
+    const cells = Array.from({ length: count }, () =>
+        ScaleFleet.create(workers / count, tasks / count, random),
+    );
+    const heapMb = memoryMb() - before;
+    const decisions = mode === "scan" ? ScanDecisions : Decisions;
+    const run = (repeats: number): void => {
+        for (let index = 0; index < repeats; index++) {
+            cells[index % count]?.replaceTask(mode);
+        }
+    };
+    run(decisions / 4);
+    const startedUs = process.cpuUsage();
+    run(decisions);
+    const usedUs = process.cpuUsage(startedUs);
+    const microseconds = (usedUs.user + usedUs.system) / decisions;
+    process.stdout.write(
+        `${JSON.stringify({
+            workers,
+            tasks,
+            cells: count,
+            mode,
+            seed: 31,
+            decisions,
+            microsecondsPerDecision: Number(microseconds.toPrecision(3)),
+            heapMb: Number(heapMb.toPrecision(3)),
+            heapMbPerCell: Number((heapMb / count).toPrecision(3)),
+            coreShareAtTarget: Number(((microseconds * TargetRate) / 1e6).toPrecision(3)),
+            coreSharePerCell: Number(((microseconds * TargetRate) / 1e6 / 90).toPrecision(3)),
+        })}\n`,
+    );
+};
+
+for (const { workers, tasks } of fleets) {
+    measure(workers, tasks, workers, "index");
+    measure(workers, tasks, CellWorkers, "index");
+    measure(workers, tasks, workers, "scan");
+    measure(workers, tasks, CellWorkers, "scan");
+}
