Predict before and after a placement in one pass

Cause: 60% of a decision's time was the prediction of slowdowns, each twice, with a square root for each pair. Change: SlowdownPredictor.predictChange; the cautious effect is stored with the estimate.

--- a/packages/placement/src/interference-aware-policy.ts
+++ b/packages/placement/src/interference-aware-policy.ts
@@ -1,6 +1,7 @@
 import type { InterferenceWeights } from "./interference-weights.js";
 import { LowestCostPolicy } from "./lowest-cost-policy.js";
 import type { PlacementRequest } from "./placement-request.js";
+import type { SlowdownChange } from "./slowdown-change.js";
 import type { SlowdownPredictor } from "./slowdown-predictor.js";
 import type { WorkerView } from "./worker-view.js";
 
@@ -14,6 +15,8 @@
  * beyond what is tolerated.
  */
 export class InterferenceAwarePolicy extends LowestCostPolicy {
+    private readonly change: SlowdownChange = { before: 1, after: 1 };
+
     private constructor(
         override readonly name: string,
         private readonly predictor: SlowdownPredictor,
@@ -32,25 +35,22 @@
 
     protected override cost(worker: WorkerView, request: PlacementRequest): number {
         const { interferenceClass: added, resources } = request;
+        const { classes } = worker;
         const total = worker.capacity.processors;
-        const loadAfter = worker.measuredLoad + resources.processors / total;
+        const addedProcessors = resources.processors;
         // One load for both, so that the difference holds the effect of the task and not that of two load bands.
-        const after = (affected: string): number =>
-            this.predictor.predict(affected, worker.classes, added, resources.processors, total, loadAfter);
-        const before = (affected: string): number =>
-            this.predictor.predict(affected, worker.classes, added, 0, total, loadAfter);
-
-        let cost =
-            this.weights.load * loadAfter + this.penalty(added, after(added), resources.processors / total);
-        for (const [affected, processors] of worker.classes) {
+        const load = worker.measuredLoad + addedProcessors / total;
+        const { change, predictor } = this;
+        predictor.predictChange(added, classes, added, addedProcessors, total, load, change);
+        let cost = this.weights.load * load + this.penalty(added, change.after, addedProcessors / total);
+        for (const [affected, processors] of classes) {
             const share = processors / total;
-            const slowdownAfter = after(affected);
-            const slowdownBefore = before(affected);
-            if (request.mayWait === true && this.disturbs(affected, slowdownBefore, slowdownAfter)) {
+            predictor.predictChange(affected, classes, added, addedProcessors, total, load, change);
+            const { before, after } = change;
+            if (request.mayWait === true && this.disturbs(affected, before, after)) {
                 return Infinity;
             }
-            cost +=
-                this.penalty(affected, slowdownAfter, share) - this.penalty(affected, slowdownBefore, share);
+            cost += this.penalty(affected, after, share) - this.penalty(affected, before, share);
         }
         return cost;
     }
--- a/packages/placement/src/interference-model.ts
+++ b/packages/placement/src/interference-model.ts
@@ -1,5 +1,6 @@
 import type { InterferenceSettings } from "./interference-settings.js";
 import type { PairEstimate } from "./pair-estimate.js";
+import type { SlowdownChange } from "./slowdown-change.js";
 import { SlowdownPredictor } from "./slowdown-predictor.js";
 
 const defaults: InterferenceSettings = {
@@ -27,8 +28,13 @@
     /** By affected class and band, then by neighbour. */
     private readonly estimates = new Map<string, Map<string, PairEstimate>[]>();
 
+    private readonly scratch: SlowdownChange = { before: 1, after: 1 };
+    /** Cautious effect of a pair without reports. */
+    private readonly unknown: number;
+
     private constructor(private readonly settings: InterferenceSettings) {
         super();
+        this.unknown = settings.priorEffect + settings.caution * settings.priorDeviation;
     }
 
     static create(settings: Partial<InterferenceSettings> = {}): InterferenceModel {
@@ -43,17 +49,31 @@
         processors: number,
         load: number,
     ): number {
+        this.predictChange(affected, classes, added, addedProcessors, processors, load, this.scratch);
+        return this.scratch.after;
+    }
+
+    override predictChange(
+        affected: string,
+        classes: ReadonlyMap<string, number>,
+        added: string,
+        addedProcessors: number,
+        processors: number,
+        load: number,
+        change: SlowdownChange,
+    ): void {
         const bands = this.estimates.get(affected);
         const pairs = bands?.[this.bandOf(load)];
-        const overall = bands?.at(-1);
-        const effectOf = (neighbour: string): number =>
-            this.cautiousEffect(pairs?.get(neighbour) ?? overall?.get(neighbour));
-        let slowdown = 1;
+        const overall = bands?.[this.settings.bandEnds.length + 1];
+        let effect = 0;
         for (const [neighbour, reserved] of classes) {
-            slowdown += effectOf(neighbour) * (reserved / processors);
+            const pair = pairs?.get(neighbour) ?? overall?.get(neighbour);
+            effect += (pair === undefined ? this.unknown : pair.cautious) * reserved;
         }
-        slowdown += effectOf(added) * (addedProcessors / processors);
-        return Math.max(1, slowdown);
+        const addedPair = pairs?.get(added) ?? overall?.get(added);
+        const addedEffect = (addedPair === undefined ? this.unknown : addedPair.cautious) * addedProcessors;
+        change.before = Math.max(1, 1 + effect / processors);
+        change.after = Math.max(1, 1 + (effect + addedEffect) / processors);
     }
 
     /** Takes a slowdown that was measured beside the given classes. Times must not decrease for a pair. */
@@ -88,6 +108,7 @@
             const gain = (pair.variance * share) / total;
             pair.effect = Math.max(0, pair.effect + gain * surprise);
             pair.variance *= 1 - gain * share;
+            pair.cautious = pair.effect + this.settings.caution * Math.sqrt(pair.variance);
         }
     }
 
@@ -103,13 +124,6 @@
         return pair?.effect ?? this.settings.priorEffect;
     }
 
-    private cautiousEffect(pair: PairEstimate | undefined): number {
-        const { caution, priorEffect, priorDeviation } = this.settings;
-        return pair === undefined
-            ? priorEffect + caution * priorDeviation
-            : pair.effect + caution * Math.sqrt(pair.variance);
-    }
-
     private bandOf(load: number): number {
         const { bandEnds } = this.settings;
         let band = 0;
@@ -130,6 +144,7 @@
         const pair = bands[band]?.get(neighbour) ?? {
             effect: overall?.effect ?? this.settings.priorEffect,
             variance: limit,
+            cautious: this.unknown,
             updatedMs: nowMs,
         };
         bands[band]?.set(neighbour, pair);
--- a/packages/placement/src/pair-estimate.ts
+++ b/packages/placement/src/pair-estimate.ts
@@ -3,5 +3,7 @@
     /** Additional slowdown for a neighbour that has all of the worker's processors. */
     effect: number;
     variance: number;
+    /** The effect with the caution added, as predictions use it. */
+    cautious: number;
     updatedMs: number;
 }
--- /dev/null
+++ b/packages/placement/src/slowdown-change.ts
@@ -0,0 +1,5 @@
+/** Predicted slowdown of one class before and after a task is placed; reused between predictions. */
+export interface SlowdownChange {
+    before: number;
+    after: number;
+}
--- a/packages/placement/src/slowdown-predictor.ts
+++ b/packages/placement/src/slowdown-predictor.ts
@@ -1,3 +1,5 @@
+import type { SlowdownChange } from "./slowdown-change.js";
+
 /** Predicts how much work of one class is slowed down by what runs beside it. */
 export abstract class SlowdownPredictor {
     /**
@@ -12,4 +14,18 @@
         processors: number,
         load: number,
     ): number;
+
+    /** Both predictions at once, with and without what is added, written to `change`. */
+    predictChange(
+        affected: string,
+        classes: ReadonlyMap<string, number>,
+        added: string,
+        addedProcessors: number,
+        processors: number,
+        load: number,
+        change: SlowdownChange,
+    ): void {
+        change.before = this.predict(affected, classes, added, 0, processors, load);
+        change.after = this.predict(affected, classes, added, addedProcessors, processors, load);
+    }
 }
