--- a/packages/demo/src/user-plan.ts
+++ b/packages/demo/src/user-plan.ts
@@ -10,4 +10,11 @@
     readonly memoryMb: number;
     readonly workersPerRack: number;
     readonly entryVms: number;
+    /** Weights of the measures (docs/placement.md). */
+    readonly placement: {
+        readonly tailLatency: number;
+        readonly batch: number;
+        readonly load: number;
+        readonly toleratedSlowdown: number;
+    };
 }
--- a/packages/demo/src/user-plans.ts
+++ b/packages/demo/src/user-plans.ts
@@ -14,6 +14,7 @@
         memoryMb: 60_000,
         workersPerRack: 8,
         entryVms: 6,
+        placement: { tailLatency: 0.2, batch: 0.5, load: 0.1, toleratedSlowdown: 2 },
     },
     agency: {
         user: "agency",
@@ -27,5 +28,6 @@
         memoryMb: 250_000,
         workersPerRack: 11,
         entryVms: 6,
+        placement: { tailLatency: 0.7, batch: 0.15, load: 0.1, toleratedSlowdown: 1.7 },
     },
 } as const satisfies Record<string, UserPlan>;
--- a/packages/demo/src/write-settings.ts
+++ b/packages/demo/src/write-settings.ts
@@ -72,6 +72,7 @@
         add(`scheduler-${vm.name}`, {
             ...common,
             name: `scheduler-${vm.name}`,
+            placement: plan.placement,
             peer: { listen: vm.schedulerPeer, seeds: seeds.filter(seed => seed !== vm.schedulerPeer) },
         });
     }
--- a/packages/scheduler/src/cell-host.ts
+++ b/packages/scheduler/src/cell-host.ts
@@ -5,6 +5,7 @@
 import { CellOwnership } from "@samphireward/state/cell-ownership";
 import * as Effect from "effect/Effect";
 import { CellTenure } from "./cell-tenure.js";
+import type { SchedulerSettings } from "./scheduler-settings.js";
 
 const CheckMs = 100;
 const ReopenMs = 500;
@@ -13,6 +14,7 @@
     readonly cell: CellName;
     readonly runtime: ProcessRuntime;
     readonly tables: () => Tables | undefined;
+    readonly placement: SchedulerSettings["placement"];
 }
 
 /** One cell in this process: takes it when it is free, and runs it while it is owned. */
@@ -84,9 +86,9 @@
                     yield* Effect.sleep(CheckMs);
                     return;
                 }
-                const { cell, runtime } = this.options;
+                const { cell, runtime, placement } = this.options;
                 const tenure = yield* Effect.promise(() =>
-                    CellTenure.open({ cell, epoch, runtime, ownership: this.ownership, tables }),
+                    CellTenure.open({ cell, epoch, runtime, ownership: this.ownership, tables, placement }),
                 );
                 if (tenure === undefined) {
                     yield* Effect.sleep(ReopenMs);
--- a/packages/scheduler/src/cell-tenure.ts
+++ b/packages/scheduler/src/cell-tenure.ts
@@ -25,6 +25,7 @@
 import { HandOverMachine } from "./hand-over-machine.js";
 import { HandOverRow } from "./hand-over-row.js";
 import type { LogRow } from "./log-row.js";
+import type { SchedulerSettings } from "./scheduler-settings.js";
 import { TenureLimits } from "./tenure-limits.js";
 
 /** What a tenure needs from its process. */
@@ -34,6 +35,7 @@
     readonly runtime: ProcessRuntime;
     readonly ownership: CellOwnership;
     readonly tables: Tables;
+    readonly placement: SchedulerSettings["placement"];
 }
 
 /** This process's ownership of a cell in one epoch, from the replayed log until it ends. */
@@ -198,9 +200,7 @@
         const pools = [...this.options.tables.pools.values()];
         const latencyCritical = pools.filter(pool => pool.class === WorkClass.LatencyCritical);
         return InterferenceAwarePolicy.create(model, {
-            tailLatency: 1,
-            batch: 1,
-            load: 1,
+            ...this.options.placement,
             latencyCriticalClasses: new Set(latencyCritical.map(pool => pool.interferenceClass)),
         });
     }
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -15,7 +15,7 @@
     private readonly runtime: ProcessRuntime;
     private tables: Tables | undefined;
 
-    private constructor(settings: SchedulerSettings) {
+    private constructor(private readonly settings: SchedulerSettings) {
         this.runtime = ProcessRuntime.create({
             role: "scheduler",
             settings,
@@ -48,7 +48,12 @@
         for (const cell of tables.allCells()) {
             const name = String(cell);
             if (!this.hosts.has(name)) {
-                const host = CellHost.create({ cell, runtime: this.runtime, tables: () => this.tables });
+                const host = CellHost.create({
+                    cell,
+                    runtime: this.runtime,
+                    tables: () => this.tables,
+                    placement: this.settings.placement,
+                });
                 this.hosts.set(name, host);
                 this.fibers.push(Effect.runFork(keepRunning(`cell ${name}`, host.run(), this.runtime.log)));
             }
