Do not send an unchanged VM list again

Ruled out: streams to cell owners and exchanges between peers (the rate did not depend on them). Change: the list is read with If-None-Match.

--- a/packages/core/src/json-client.ts
+++ b/packages/core/src/json-client.ts
@@ -58,7 +58,7 @@
                     if (body instanceof Error) {
                         reject(body);
                     } else {
-                        resolve({ status: res.statusCode ?? 0, body });
+                        resolve({ status: res.statusCode ?? 0, body, etag: res.headers.etag });
                     }
                 });
             });
--- a/packages/core/src/json-server.ts
+++ b/packages/core/src/json-server.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import findMyWay from "find-my-way";
@@ -42,12 +43,32 @@
     return { status: 500, body: { message: err instanceof Error ? err.message : String(err) } };
 };
 
-const send = (res: ServerResponse, { status, body }: JsonResponse): void => {
-    const text = JSON.stringify(body);
+/** Answers a reading whose content the client already has with 304 and no body (RFC 9110, section 13.1.2). */
+const sendTagged = (req: IncomingMessage, res: ServerResponse, text: string): void => {
+    const etag = `"${createHash("sha256").update(text).digest("base64url").slice(0, 22)}"`;
+    res.setHeader("etag", etag);
+    if (req.headers["if-none-match"] === etag) {
+        res.writeHead(304);
+        res.end();
+        return;
+    }
+    sendText(res, 200, text);
+};
+
+const sendText = (res: ServerResponse, status: number, text: string): void => {
     res.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
     res.end(text);
 };
 
+const send = (req: IncomingMessage, res: ServerResponse, { status, body }: JsonResponse): void => {
+    const text = JSON.stringify(body);
+    if (req.method === "GET" && status === 200) {
+        sendTagged(req, res, text);
+    } else {
+        sendText(res, status, text);
+    }
+};
+
 /**
  * A small HTTP server that answers JSON, for administration ports and stand-ins. Bodies, headers and request
  * times are bounded. A `CodedError` thrown by a handler becomes its HTTP status with `{ code, message }`.
@@ -92,9 +113,9 @@
         const abort = new AbortController();
         res.on("close", () => abort.abort());
         try {
-            send(res, await this.dispatch(req, abort.signal));
+            send(req, res, await this.dispatch(req, abort.signal));
         } catch (err) {
-            send(res, errorResponse(err));
+            send(req, res, errorResponse(err));
             // The rest of a body that was refused is not read.
             req.destroy();
         }
--- a/packages/core/src/vm-list.ts
+++ b/packages/core/src/vm-list.ts
@@ -16,6 +16,8 @@
  */
 export class VmList {
     private readonly workers = new Map<string, WorkerInfo>();
+    /** Tag of the last list; an unchanged list is not sent again, which is most of the control traffic otherwise. */
+    private etag: string | undefined;
 
     private constructor(private readonly client: JsonClient) {}
 
@@ -26,11 +28,18 @@
     /** Reads the list. Returns whether it could be read. */
     async refresh(): Promise<boolean> {
         try {
-            const { status, body } = await this.client.call("GET", "/v1/vms", { timeoutMs: TimeoutMs });
+            const { status, body, etag } = await this.client.call("GET", "/v1/vms", {
+                timeoutMs: TimeoutMs,
+                ...(this.etag === undefined ? {} : { headers: { "if-none-match": this.etag } }),
+            });
+            if (status === 304) {
+                return true;
+            }
             const decoded = decode(body);
             if (status !== 200 || decoded._tag === "Failure") {
                 return false;
             }
+            this.etag = etag;
             const listed = decoded.success.vms.filter(vm => vm.role === "worker");
             this.replace(listed.map(vm => ({ ...vm, capacity: Resources.create(vm.capacity) })));
             return true;
