--- a/packages/bench/src/request-cost-handler.ts
+++ b/packages/bench/src/request-cost-handler.ts
@@ -32,6 +32,14 @@
 `;
 
 class NoClaimer extends KeyClaimer {
+    private constructor() {
+        super();
+    }
+
+    static create(): NoClaimer {
+        return new NoClaimer();
+    }
+
     override claim(): Promise<never> {
         return Promise.reject(new Error("The benchmark sends no keys"));
     }
@@ -72,7 +80,7 @@
         dataCentre: "near",
         tables: () => tables,
         shares,
-        claimer: new NoClaimer(),
+        claimer: NoClaimer.create(),
         onOutcome: () => undefined,
     });
     const server = createCallersServer(handler);
--- a/packages/bench/src/state-cost.ts
+++ b/packages/bench/src/state-cost.ts
@@ -37,6 +37,14 @@
 class TaskRows extends LogStateMachine<Row, Row> {
     private readonly rows = new Map<string, Row>();
 
+    private constructor() {
+        super();
+    }
+
+    static create(): TaskRows {
+        return new TaskRows();
+    }
+
     override apply(row: Row): void {
         this.rows.set(row[1], row);
     }
@@ -75,7 +83,7 @@
 };
 
 const openLog = async (store: HttpKeyValueStore, cell: string, epoch: number, commitIntervalMs = 100) => {
-    const options = { commitIntervalMs, store, clock, cell, owner: "bench", epoch, state: new TaskRows() };
+    const options = { commitIntervalMs, store, clock, cell, owner: "bench", epoch, state: TaskRows.create() };
     return (await GroupCommitLog.open<Row, Row>(options)).unwrap();
 };
 
--- a/packages/state/tests/model/broken-owners.test.ts
+++ b/packages/state/tests/model/broken-owners.test.ts
@@ -2,7 +2,7 @@
 import t from "tap";
 import { brokenStores } from "./broken-stores.js";
 import { checkHistory } from "./check-history.js";
-import { arbitrarySchedule } from "./operation.js";
+import { arbitrarySchedule } from "./arbitrary-schedule.js";
 import { ScheduleRun } from "./schedule-run.js";
 
 /** Bound for a broken owner: the share of schedules that show a fault is small. */
--- a/packages/state/tests/model/check-owners.ts
+++ b/packages/state/tests/model/check-owners.ts
@@ -1,7 +1,7 @@
 import * as fc from "fast-check";
 import type { Test } from "tap";
 import { checkHistory } from "./check-history.js";
-import { arbitrarySchedule } from "./operation.js";
+import { arbitrarySchedule } from "./arbitrary-schedule.js";
 import { ScheduleRun } from "./schedule-run.js";
 
 /** Schedules for each number of processes; the variable counts those of all. */
--- a/packages/state/tests/model/model-process.ts
+++ b/packages/state/tests/model/model-process.ts
@@ -8,7 +8,7 @@
 import type { HistoryEvent } from "./history-event.js";
 
 /** Cell and ring of all model tests; the small ring wraps within one schedule. */
-export const modelCell = { cell: "a/0", ringSlots: 4 } as const;
+const modelCell = { cell: "a/0", ringSlots: 4 } as const;
 
 interface Options {
     readonly name: string;
