--- /dev/null
+++ b/packages/tasks/tests/mutants.test.ts
@@ -0,0 +1,17 @@
+import t from "tap";
+import { checkSchedules } from "./faults/check-schedules.js";
+import { Mutant } from "./faults/mutant.js";
+
+const Seed = 20261204;
+const MaxRuns = 400;
+
+t.setTimeout(0);
+
+// Guards against a checker that sees nothing: each of these owners breaks one rule.
+for (const mutant of Object.values(Mutant).filter(name => name !== Mutant.None)) {
+    t.test(`the checker catches ${mutant}`, { timeout: 0 }, async t => {
+        const result = await checkSchedules(mutant, Seed, MaxRuns);
+        t.ok(result.failed, `${MaxRuns} schedules found nothing`);
+        t.comment(result.where);
+    });
+}
