Ignore an empty directory list; move held workers to a class of their own

Cause: a directory that has just started lists no VM, and the owner takes a VM's removal from the list as proof that it is off. Renewals would stop and all tasks of the cell would end. Change: an empty list is ignored. A cell whose last VMs are removed at once keeps them as not answering; their tasks are released by the lease as before.

--- a/packages/tasks/src/load-manager.ts
+++ b/packages/tasks/src/load-manager.ts
@@ -9,6 +9,7 @@
 import type { Attempt } from "./attempt.js";
 import { AttemptPhase } from "./attempt-phase.js";
 import type { TaskRecord } from "./task-record.js";
+import type { WorkerEntry } from "./worker-entry.js";
 import type { WorkerLink } from "./worker-link.js";
 import type { WorkerUsage } from "./worker-usage.js";
 
@@ -73,7 +74,7 @@
     }
 
     /** Evicts batch tasks so that an urgent task fits on one worker; returns that worker. */
-    makeRoom(task: QueuedTask): string | undefined {
+    makeRoom(task: QueuedTask): WorkerEntry | undefined {
         const suitable = [...this.cell.links()].filter(
             ({ entry }) => entry.open && entry.heldFor === undefined && entry.couldHold(task.resources),
         );
@@ -85,7 +86,7 @@
             const actions = this.planner.makeRoom(shortage, this.candidates(link, undefined), nowMs);
             if (actions.length > 0) {
                 actions.forEach(({ key }) => this.cell.evict(key));
-                return link.entry.name;
+                return link.entry;
             }
         }
         return undefined;
--- a/packages/tasks/src/placer.ts
+++ b/packages/tasks/src/placer.ts
@@ -9,6 +9,7 @@
 import type { OwnerTables } from "./owner-tables.js";
 import type { TaskRecord } from "./task-record.js";
 import type { WorkerEntry } from "./worker-entry.js";
+import { WorkerHolds } from "./worker-holds.js";
 
 /** What the placer asks of the cell's owner. */
 interface Cell {
@@ -20,7 +21,7 @@
     /** Reserves and records the start. */
     readonly start: (task: TaskRecord, entry: WorkerEntry) => void;
     /** An urgent task has no room. Returns the worker on which room is being made, if any. */
-    readonly makeRoom: (task: QueuedTask) => string | undefined;
+    readonly makeRoom: (task: QueuedTask) => WorkerEntry | undefined;
     /** Moves a running task away; returns false when that is not possible now. */
     readonly evict: (key: string) => boolean;
 }
@@ -37,8 +38,7 @@
     /** Tasks whose start waits for the log. They must not be placed again before it is applied. */
     private readonly granted = new Set<string>();
     private readonly reasons = new Map<string, string>();
-    /** Worker that is kept free for a blocked task, by the task's key. */
-    private readonly holds = new Map<string, WorkerEntry>();
+    private readonly holds = WorkerHolds.create(this.queue);
 
     private constructor(
         private readonly policy: PlacementPolicy,
@@ -94,7 +94,7 @@
         if (task === undefined || !isWaitingState(task.state)) {
             this.queue.remove(key);
             this.reasons.delete(key);
-            this.unhold(key);
+            this.holds.release(key);
         } else if (!this.queue.has(key)) {
             this.queue.add(this.toQueued(task));
         }
@@ -159,7 +159,7 @@
         this.quotas?.adopt(task.key, task.team, task.resources, task.workClass);
         this.granted.add(task.key);
         this.queue.remove(task.key);
-        this.unhold(task.key);
+        this.holds.release(task.key);
         this.reasons.delete(task.key);
         this.cell.start(record, entry);
         return true;
@@ -217,22 +217,18 @@
 
     private block(task: QueuedTask, nowMs: number): void {
         this.queue.markBlocked(task.key, nowMs);
-        if (task.workClass === WorkClass.LatencyCritical && !this.holds.has(task.key)) {
-            const worker = this.cell.makeRoom(task);
-            if (worker !== undefined) {
-                this.hold(task.key, worker);
-                this.reasons.set(task.key, `room is being made on worker ${worker}`);
+        if (task.workClass === WorkClass.LatencyCritical && this.holds.get(task.key) === undefined) {
+            const entry = this.cell.makeRoom(task);
+            if (entry !== undefined) {
+                this.holds.hold(task.key, entry);
+                this.reasons.set(task.key, `room is being made on worker ${entry.name}`);
             }
         }
     }
 
     /** Keeps the emptiest suitable worker free for the first task that has waited too long. */
     private holdWorker(nowMs: number): void {
-        for (const [key, entry] of this.holds) {
-            if (!this.cell.entries().includes(entry)) {
-                this.unhold(key);
-            }
-        }
+        this.holds.releaseOthers(this.cell.entries());
         const task = this.queue.taskToHoldFor(nowMs);
         if (task === undefined) {
             return;
@@ -247,25 +243,7 @@
         // Without a suitable worker the others pass, because holding them back would gain nothing.
         this.queue.hold(task.key, true);
         if (best !== undefined) {
-            this.hold(task.key, best.name);
-        }
-    }
-
-    private hold(key: string, worker: string): void {
-        const entry = this.cell.entries().find(({ name }) => name === worker);
-        if (entry !== undefined) {
-            entry.heldFor = key;
-            this.holds.set(key, entry);
-            this.queue.hold(key, true);
-        }
-    }
-
-    private unhold(key: string): void {
-        const entry = this.holds.get(key);
-        if (entry !== undefined) {
-            entry.heldFor = undefined;
-            this.holds.delete(key);
-            this.queue.hold(key, false);
+            this.holds.hold(task.key, best);
         }
     }
 
--- a/packages/tasks/src/worker-set.ts
+++ b/packages/tasks/src/worker-set.ts
@@ -53,8 +53,14 @@
         return link;
     }
 
-    /** Takes the directory's list of the cell's workers. */
+    /**
+     * Takes the directory's list of the cell's workers. An empty list is ignored, because a directory that has
+     * just started lists nothing, and its removal of a VM counts as proof that the VM is off.
+     */
     update(workers: readonly WorkerInfo[]): void {
+        if (workers.length === 0) {
+            return;
+        }
         for (const worker of workers) {
             this.put(worker);
         }
--- a/packages/tasks/tests/cell-owner.test.ts
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -171,3 +171,13 @@
     t.equal(owner.status("waiting"), undefined);
     t.strictSame(sim.checker.violations, []);
 });
+
+// Guards against a directory that has just started and lists nothing, which would end all running tasks.
+t.test("an empty directory list removes no worker", async t => {
+    const { sim, owner } = await createCell();
+    void owner.accept(spec("k", 15_000));
+    await sim.run(2000);
+    sim.workers.forEach(worker => (worker.listed = false));
+    await sim.run(20_000);
+    t.strictSame([owner.status("k")?.state, owner.status("k")?.attempt], ["finished", 1]);
+});
