Bound the benchmark by the goals; list missed ones as known red

Cause: bounds.json allowed one eviction in two places where the goal (half of least loaded's) is missed, a bound made from the measured figure. Change: the bounds are the goals alone, and the two places stand in KNOWN-RED.txt, printed by the check. The two test cases of the exceptions are replaced by cases that expect a problem where the exceptions allowed one.

--- a/packages/bench/src/bounds.ts
+++ b/packages/bench/src/bounds.ts
@@ -1,8 +1,6 @@
-/** Regression bounds of the interference-aware policy (packages/bench/bounds.json). */
+/** Bounds of the interference-aware policy: the stated goals (packages/bench/bounds.json). */
 export interface Bounds {
     readonly p99ToOracle: number;
     readonly throughputToOracle: number;
     readonly evictionsToLeastLoaded: number;
-    /** Evictions allowed where the goal is not reached, by `<user>/<scenario>`. */
-    readonly evictionsAllowed: Readonly<Record<string, number>>;
 }
--- a/packages/bench/src/check-bounds.ts
+++ b/packages/bench/src/check-bounds.ts
@@ -1,25 +1,28 @@
 import type { BenchLine } from "./bench-line.js";
+import type { BoundProblem } from "./bound-problem.js";
 import type { Bounds } from "./bounds.js";
 
 /** Compares the lines of the interference-aware policy with the bounds; returns what is past them. */
-export const checkBounds = (lines: readonly BenchLine[], bounds: Bounds): string[] =>
+export const checkBounds = (lines: readonly BenchLine[], bounds: Bounds): BoundProblem[] =>
     lines
         .filter(({ policy }) => policy === "interference-aware")
         .flatMap(line => {
-            const place = `${line.user}/${line.scenario}`;
-            const evictionLimit = Math.max(
-                bounds.evictionsAllowed[place] ?? 0,
-                bounds.evictionsToLeastLoaded * line.evictionsOfLeastLoaded,
-            );
-            const problems: string[] = [];
+            const place = `bench > ${line.user}/${line.scenario}`;
+            const evictionLimit = bounds.evictionsToLeastLoaded * line.evictionsOfLeastLoaded;
+            const problems: BoundProblem[] = [];
             if (!(line.p99ToOracle <= bounds.p99ToOracle)) {
-                problems.push(`${place}: p99 is ${line.p99ToOracle} times the oracle's`);
+                const message = `${line.p99ToOracle} times the oracle's, bound ${bounds.p99ToOracle}`;
+                problems.push({ name: `${place} > p99`, message });
             }
             if (!(line.throughputToOracle >= bounds.throughputToOracle)) {
-                problems.push(`${place}: throughput is ${line.throughputToOracle} of the oracle's`);
+                const message = `${line.throughputToOracle} of the oracle's, bound ${bounds.throughputToOracle}`;
+                problems.push({ name: `${place} > throughput`, message });
             }
             if (!(line.evictions <= evictionLimit)) {
-                problems.push(`${place}: ${line.evictions} evictions exceed ${evictionLimit}`);
+                problems.push({
+                    name: `${place} > evictions`,
+                    message: `${line.evictions}, bound ${evictionLimit}`,
+                });
             }
             return problems;
         });
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,8 @@
-import { readFileSync } from "node:fs";
+import { existsSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
+import type { KnownRed } from "@samphireward/tools/known-red";
+import { parseKnownRed } from "@samphireward/tools/parse-known-red";
 import type { Bounds } from "./bounds.js";
 import { checkBounds } from "./check-bounds.js";
 import { runUnits } from "./run-units.js";
@@ -9,6 +11,11 @@
 
 const boundsFile = join(import.meta.dirname, "../../bounds.json");
 
+const knownRedFile = join(import.meta.dirname, "../../../../KNOWN-RED.txt");
+
+const readKnownRed = (): KnownRed[] =>
+    existsSync(knownRedFile) ? parseKnownRed(readFileSync(knownRedFile, "utf8")) : [];
+
 const { values } = parseArgs({
     options: {
         check: { type: "boolean", default: false },
@@ -29,6 +36,10 @@
 lines.forEach(line => process.stdout.write(`${JSON.stringify(line)}\n`));
 if (values.check) {
     const problems = checkBounds(lines, JSON.parse(readFileSync(boundsFile, "utf8")) as Bounds);
-    problems.forEach(problem => process.stderr.write(`${problem}\n`));
-    process.exitCode = problems.length > 0 || lines.length === 0 ? 1 : 0;
+    const known = new Set(readKnownRed().map(entry => entry.test));
+    for (const { name, message } of problems) {
+        process.stderr.write(`${known.has(name) ? "known red" : "past the bound"}: ${name}: ${message}\n`);
+    }
+    const isPast = problems.some(({ name }) => !known.has(name));
+    process.exitCode = isPast || lines.length === 0 ? 1 : 0;
 }
--- a/packages/bench/tests/benchmark.test.ts
+++ b/packages/bench/tests/benchmark.test.ts
@@ -41,8 +41,8 @@
         { name: "no figure", change: { p99ToOracle: NaN, throughputToOracle: NaN }, problems: 2 },
         { name: "half of the evictions", change: { evictions: 5, evictionsOfLeastLoaded: 10 }, problems: 0 },
         { name: "more than half", change: { evictions: 6, evictionsOfLeastLoaded: 10 }, problems: 1 },
-        { name: "allowed exception", change: { evictions: 1, scenario: "wrong-sizes" }, problems: 0 },
-        { name: "past the exception", change: { evictions: 1.5, scenario: "wrong-sizes" }, problems: 1 },
+        { name: "one where the baseline has none", change: { evictions: 0.33 }, problems: 1 },
+        { name: "all three", change: { p99ToOracle: 2, throughputToOracle: 0, evictions: 1 }, problems: 3 },
         { name: "another policy", change: { policy: "first-fit", p99ToOracle: 9 }, problems: 0 },
     ];
     for (const { name, change, problems } of cases) {
