Check that every slot and connection is given back

Cause: a slot that is lost on one of the failure paths would shrink the service for good, and no test would have noticed.

Change: each test on real sockets ends only when all shares are free again.

--- a/packages/routing/tests/rig.ts
+++ b/packages/routing/tests/rig.ts
@@ -181,5 +181,11 @@
         await new Promise(resolve => this.server.close(resolve));
         await this.handler.drain();
         this.handler.close();
+        // A slot or connection that is never given back keeps the test from ending.
+        const isHeld = (): boolean =>
+            this.shares.allShares().some(share => share.slotsInUse !== 0 || share.connectionsOpen !== 0);
+        while (isHeld()) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
     }
 }
