--- a/packages/tools/src/run-tests.ts
+++ b/packages/tools/src/run-tests.ts
@@ -7,15 +7,15 @@
 /** Test files in progress at the same time; process tests start up to 20 processes each. */
 const Concurrency = 4;
 
+/** Compiled test files by their sources: the compiler leaves the output of a renamed file behind. */
 const testFiles = (root: string, packages: readonly string[]): string[] =>
     packages
-        .map(dir => join(root, dir, "dist", "tests"))
-        .filter(dir => existsSync(dir))
+        .filter(dir => existsSync(join(root, dir, "tests")))
         .flatMap(dir =>
-            readdirSync(dir, { recursive: true, encoding: "utf8" })
-                .filter(file => file.endsWith(".test.js"))
+            readdirSync(join(root, dir, "tests"), { recursive: true, encoding: "utf8" })
+                .filter(file => file.endsWith(".test.ts"))
                 .sort()
-                .map(file => join(dir, file)),
+                .map(file => join(root, dir, "dist", "tests", file.replace(/\.ts$/, ".js"))),
         );
 
 const runAll = async (root: string, files: readonly string[]): Promise<TestOutcome[]> => {
