Write burn reports from a demo run; show short spans in the charts

The first page of a demo run had empty charts, because their points are one a minute and the run lasts 22 s; spans under 10 minutes now have points each 10 s.

--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,13 +1,25 @@
 #!/usr/bin/env node
+import { parseArgs } from "node:util";
 import { runUser } from "./run-user.js";
 import { userPlans } from "./user-plans.js";
+import { writeReport } from "./write-report.js";
 
 const Seed = 20_260;
 
-const reports = await Promise.all([
-    runUser({ plan: userPlans.kloverknap, seed: Seed }),
-    runUser({ plan: userPlans.agency, seed: Seed + 1 }),
-]);
+const { values } = parseArgs({
+    options: {
+        /** Folder for a service-level burn report of each user. */
+        report: { type: "string" },
+    },
+});
+const runs = Object.values(userPlans).map((plan, index) =>
+    runUser({
+        plan,
+        seed: Seed + index,
+        inspect: deployment => writeReport(deployment, values.report),
+    }),
+);
+const reports = await Promise.all(runs);
 for (const line of reports.flatMap(report => report.lines())) {
     process.stdout.write(`${line}\n`);
 }
--- a/packages/report/src/charts/time-steps.ts
+++ b/packages/report/src/charts/time-steps.ts
@@ -1,7 +1,14 @@
-const StepMs = 60_000;
+const MinuteMs = 60_000;
 
-/** Ends of the minutes from the start of the data to the newest reading. */
+/** Processes count in buckets of 10 s; finer steps would show nothing more. */
+const BucketMs = 10_000;
+
+/** Below this span the steps are as short as a bucket, so that a report soon after the start shows a line. */
+const ShortSpanMs = 10 * MinuteMs;
+
+/** Times of a chart's points, one a minute, or one each 10 s over a short span; the last is `endMs`. */
 export const timeSteps = (startMs: number, endMs: number): number[] => {
-    const count = Math.floor((endMs - startMs) / StepMs);
-    return Array.from({ length: count }, (_, index) => endMs - (count - 1 - index) * StepMs);
+    const stepMs = endMs - startMs < ShortSpanMs ? BucketMs : MinuteMs;
+    const count = Math.floor((endMs - startMs) / stepMs);
+    return Array.from({ length: count }, (_, index) => endMs - (count - 1 - index) * stepMs);
 };
