--- a/packages/report/src/charts/time-steps.ts
+++ b/packages/report/src/charts/time-steps.ts
@@ -6,9 +6,13 @@
 /** Below this span the steps are as short as a bucket, so that a report soon after the start shows a line. */
 const ShortSpanMs = 10 * MinuteMs;
 
-/** Times of a chart's points, one a minute, or one each 10 s over a short span; the last is `endMs`. */
+/** A line needs two points. */
+const MinPoints = 2;
+
+/** Times of a chart's points, one a minute, or one each 10 s or less over a short span; the last is `endMs`. */
 export const timeSteps = (startMs: number, endMs: number): number[] => {
-    const stepMs = endMs - startMs < ShortSpanMs ? BucketMs : MinuteMs;
-    const count = Math.floor((endMs - startMs) / stepMs);
+    const spanMs = endMs - startMs;
+    const stepMs = spanMs < ShortSpanMs ? Math.min(BucketMs, spanMs / MinPoints) : MinuteMs;
+    const count = Math.floor(spanMs / Math.max(1, stepMs));
     return Array.from({ length: count }, (_, index) => endMs - (count - 1 - index) * stepMs);
 };
