--- a/packages/core/src/json-server.ts
+++ b/packages/core/src/json-server.ts
@@ -115,9 +115,11 @@
         try {
             send(req, res, await this.dispatch(req, abort.signal));
         } catch (err) {
+            res.setHeader("connection", "close");
             send(req, res, errorResponse(err));
-            // The rest of a body that was refused is not read.
-            req.destroy();
+            // Closing at once would reset the connection before the client has read the answer; the rest of a
+            // refused body is dropped, within the time limit of a request.
+            req.resume();
         }
     }
 
--- /dev/null
+++ b/packages/core/tests/json-server.test.ts
@@ -0,0 +1,38 @@
+import t from "tap";
+import { JsonClient } from "../src/json-client.js";
+import { JsonServer } from "../src/json-server.js";
+
+const timeoutMs = 5_000;
+
+// Guards against a reset connection in place of the code for a body that is too large or malformed, and against a
+// server that stops working after one.
+t.test("bad requests get a code and the service goes on", async t => {
+    const server = JsonServer.create().on("POST", "/v1/echo", ({ body }) => ({ status: 200, body }));
+    const address = await server.listen("127.0.0.1:0");
+    const invalid = [
+        { path: "/v1/echo", body: "x".repeat(6_000_000), status: 413 },
+        { path: "/v1/none", body: {}, status: 404 },
+    ];
+    for (const { path, body, status } of invalid) {
+        const client = JsonClient.create(address);
+        const answer = await client.call("POST", path, { body, timeoutMs });
+        t.equal(answer.status, status, path);
+        client.close();
+    }
+    const client = JsonClient.create(address);
+    t.strictSame((await client.call("POST", "/v1/echo", { body: { a: 1 }, timeoutMs })).body, { a: 1 });
+    client.close();
+    await server.close();
+});
+
+// Guards against administration calls that are answered without the token.
+t.test("a request that is not authorized is refused", async t => {
+    const server = JsonServer.create(req => req.headers.authorization === "Bearer secret");
+    server.on("GET", "/v1/x", () => ({ status: 200, body: {} }));
+    const client = JsonClient.create(await server.listen("127.0.0.1:0"));
+    t.equal((await client.call("GET", "/v1/x", { timeoutMs })).status, 401);
+    const headers = { authorization: "Bearer secret" };
+    t.equal((await client.call("GET", "/v1/x", { timeoutMs, headers })).status, 200);
+    client.close();
+    await server.close();
+});
