Make routing follow the repository's lint rules

Cause: lint reported 7 findings in the routing package: exports that share a file, a public constructor and two tests without the failure they guard against.

Change: the limits of the allocator's tests and the text of an HTTP answer have files of their own, SocketAgent has a static create, and both tests state their failure.

--- a/packages/routing/src/target-connection.ts
+++ b/packages/routing/src/target-connection.ts
@@ -4,10 +4,14 @@
 
 /** An agent for exactly one open socket. Node's own agent would choose a socket by itself. */
 class SocketAgent extends Agent {
-    constructor(private readonly socket: Socket) {
+    private constructor(private readonly socket: Socket) {
         super({ keepAlive: true, maxSockets: 1 });
     }
 
+    static create(socket: Socket): SocketAgent {
+        return new SocketAgent(socket);
+    }
+
     /** Called by `http.request` in place of the search for a free socket. */
     addRequest(req: ClientRequest): void {
         req.onSocket(this.socket);
@@ -33,7 +37,7 @@
         private readonly nowMs: () => number,
         private readonly events: ConnectionEvents,
     ) {
-        this.agent = new SocketAgent(socket);
+        this.agent = SocketAgent.create(socket);
         // Opening the connection was answered by the target's system just now.
         this.lastByteAtMs = nowMs();
         socket.on("data", () => this.receive());
--- a/packages/routing/tests/allocator-model.ts
+++ b/packages/routing/tests/allocator-model.ts
@@ -5,10 +5,9 @@
 import type { ShareReport } from "../src/share-report.js";
 import type { ShareUpdate } from "../src/share-update.js";
 import type { SlotAllocator } from "../src/slot-allocator.js";
+import { allocatorLimits } from "./allocator-limits.js";
 
-export const ttlMs = 6_000;
-export const marginMs = 1_100;
-export const slotsPerWorker = 8;
+const { ttlMs, marginMs, slotsPerWorker } = allocatorLimits;
 
 type Options = Parameters<typeof SlotAllocator.create>[0];
 type Create = (options: Options) => SlotAllocator;
--- a/packages/routing/tests/back-end.ts
+++ b/packages/routing/tests/back-end.ts
@@ -1,5 +1,6 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
+import { answer } from "./answer.js";
 
 /** One request as it arrived at the back end. */
 interface Received {
@@ -15,9 +16,6 @@
 
 type Behaviour = (socket: Socket, request: Received, backEnd: BackEnd) => void;
 
-export const answer = (body: string, headers = "", status = "200 OK"): string =>
-    `HTTP/1.1 ${status}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n${headers}\r\n${body}`;
-
 /** A small back end on a real socket that counts what it received and then does what the test says. */
 export class BackEnd {
     /** Requests other than health requests, in the order of their arrival. */
--- a/packages/routing/tests/bad-input.test.ts
+++ b/packages/routing/tests/bad-input.test.ts
@@ -1,7 +1,8 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import t from "tap";
-import { answer, BackEnd } from "./back-end.js";
+import { answer } from "./answer.js";
+import { BackEnd } from "./back-end.js";
 import { Rig } from "./rig.js";
 
 const setUp = async (): Promise<{ rig: Rig; backEnd: BackEnd; stop: () => Promise<void> }> => {
--- a/packages/routing/tests/request-failures.test.ts
+++ b/packages/routing/tests/request-failures.test.ts
@@ -1,7 +1,8 @@
 import { connect } from "node:net";
 import t from "tap";
 import type { BackEnd as BackEndType } from "./back-end.js";
-import { answer, BackEnd } from "./back-end.js";
+import { answer } from "./answer.js";
+import { BackEnd } from "./back-end.js";
 import { Rig } from "./rig.js";
 
 type Behaviour = Parameters<typeof BackEnd.start>[0];
--- a/packages/routing/tests/request-handler.test.ts
+++ b/packages/routing/tests/request-handler.test.ts
@@ -2,7 +2,8 @@
 import { connect } from "node:net";
 import t from "tap";
 import { KeyClaimResult } from "../src/key-claim-result.js";
-import { answer, BackEnd } from "./back-end.js";
+import { answer } from "./answer.js";
+import { BackEnd } from "./back-end.js";
 import { Rig } from "./rig.js";
 
 type Behaviour = Parameters<typeof BackEnd.start>[0];
@@ -92,6 +93,7 @@
     await stop();
 });
 
+// Guards against a pool that loses most of its targets, and with them its capacity, when many of them fail.
 t.test("at most half of a pool is ejected", async t => {
     const refuse: Behaviour = socket => socket.destroy();
     const { rig, backEnds, stop } = await setUp([refuse, refuse, refuse, whole]);
--- a/packages/routing/tests/slot-allocator.test.ts
+++ b/packages/routing/tests/slot-allocator.test.ts
@@ -2,7 +2,10 @@
 import * as fc from "fast-check";
 import t from "tap";
 import { SlotAllocator } from "../src/slot-allocator.js";
-import { AllocatorModel, marginMs, slotsPerWorker, ttlMs } from "./allocator-model.js";
+import { allocatorLimits } from "./allocator-limits.js";
+import { AllocatorModel } from "./allocator-model.js";
+
+const { ttlMs, marginMs, slotsPerWorker } = allocatorLimits;
 
 type Options = Parameters<typeof SlotAllocator.create>[0];
 type Steps = Parameters<AllocatorModel["run"]>[0];
@@ -97,9 +100,9 @@
     t.end();
 });
 
-// Guards against a check that would not notice a broken allocator.
 const broken = [ForgetsOldGrants, DoesNotWait, IgnoresOthers];
 for (const allocator of broken) {
+    // Guards against a check that would not notice a broken allocator.
     t.test(`the check notices an allocator that ${allocator.name}`, t => {
         t.ok(findExcess(options => allocator.create(options), 1500) !== undefined);
         t.end();
