Use core's server and settings code in the stand-ins

Cause: the store and worker stand-ins had their own command line, signal, address and listening code, and the worker's task port its own JSON server, beside those of core.

Ruled out: JsonClient for the store client, because it cannot tell a request that was sent from one that was not; JsonServer for the store's server, because its faults drop connections and its bodies may have 8 MiB; JsonServer for the service port, because it counts connections and silences them.

--- a/packages/standins/src/store/store-server.ts
+++ b/packages/standins/src/store/store-server.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Clock } from "@samphireward/core/clock";
 import { Counters } from "@samphireward/core/counters";
+import { listen } from "@samphireward/core/listen";
 import { StoreTable } from "@samphireward/state/testing/store-table";
 import { StoreFaults } from "./store-faults.js";
 import { StoreRoutes } from "./store-routes.js";
@@ -54,15 +55,9 @@
         return new StoreServer(clock);
     }
 
-    /** Resolves with the port once the server accepts connections. */
-    listen(host: string, port: number): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, () => {
-                const address = this.server.address();
-                resolve(typeof address === "object" && address !== null ? address.port : port);
-            });
-        });
+    /** Listens on `ip:port` and returns the address, with the port that the system chose when it is 0. */
+    listen(address: string): Promise<string> {
+        return listen(this.server, address);
     }
 
     close(): void {
--- a/packages/standins/src/worker/main.ts
+++ b/packages/standins/src/worker/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
-import { parseArgs } from "node:util";
 import { createLogger } from "@samphireward/core/create-logger";
-import { loadSettings } from "@samphireward/core/load-settings";
+import { onStopSignal } from "@samphireward/core/on-stop-signal";
+import { readCliSettings } from "@samphireward/core/read-cli-settings";
 import { registerWorker } from "./register-worker.js";
 import { StandinWorker } from "./standin-worker.js";
 import { WorkerSettings } from "./worker-settings.js";
@@ -22,18 +22,7 @@
     }
 };
 
-const main = async (): Promise<void> => {
-    const { values } = parseArgs({ options: { config: { type: "string" } } });
-    const settings = loadSettings(values.config ?? "", WorkerSettings);
-    if (settings.isErr()) {
-        for (const problem of settings.error) {
-            process.stderr.write(`${problem.file}: ${problem.key}: ${problem.message}\n`);
-        }
-        process.exitCode = 5;
-        return;
-    }
-    process.on("SIGTERM", () => process.exit(0));
-    await startAll(settings.value);
-};
-
-await main();
+const settings = readCliSettings("samphireward-standin-worker", WorkerSettings);
+// A worker ends like a VM, without notice to its clients, and also while it still registers.
+void onStopSignal().then(() => process.exit(0));
+await startAll(settings);
--- a/packages/standins/src/worker/standin-worker.ts
+++ b/packages/standins/src/worker/standin-worker.ts
@@ -1,6 +1,4 @@
-import { once } from "node:events";
-import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { listen } from "@samphireward/core/listen";
 import { Resources } from "@samphireward/core/resources";
 import { SystemClock } from "@samphireward/core/system-clock";
 import { ServicePort } from "./service-port.js";
@@ -18,15 +16,6 @@
 /** How often due tasks end when no call arrives. */
 const AdvanceIntervalMs = 50;
 
-const listen = async (server: Server, address: string): Promise<string> => {
-    const colon = address.lastIndexOf(":");
-    const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
-    server.listen({ host, port: Number(address.slice(colon + 1)) });
-    await once(server, "listening");
-    const bound = server.address() as AddressInfo;
-    return `${address.slice(0, colon)}:${bound.port}`;
-};
-
 /** One stand-in worker with its task port and its service port. */
 export class StandinWorker {
     readonly model: WorkerModel;
@@ -52,7 +41,7 @@
 
     /** Opens both ports and returns their addresses. Rejects when an address is in use. */
     async start(): Promise<{ readonly taskAddress: string; readonly serviceAddress: string }> {
-        const taskAddress = await listen(this.taskPort.server, this.settings.taskListen);
+        const taskAddress = await this.taskPort.server.listen(this.settings.taskListen);
         const serviceAddress = await listen(this.servicePort.server, this.settings.serviceListen);
         this.timer = setInterval(() => this.advance(), AdvanceIntervalMs);
         return { taskAddress, serviceAddress };
@@ -60,10 +49,9 @@
 
     close(): void {
         clearInterval(this.timer);
-        for (const server of [this.taskPort.server, this.servicePort.server]) {
-            server.close();
-            server.closeAllConnections();
-        }
+        void this.taskPort.server.close();
+        this.servicePort.server.close();
+        this.servicePort.server.closeAllConnections();
     }
 
     /** The entry that the VM directory keeps for this worker. */
--- a/packages/standins/src/worker/task-port.ts
+++ b/packages/standins/src/worker/task-port.ts
@@ -1,13 +1,11 @@
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { createServer } from "node:http";
 import { describeCode } from "@samphireward/core/describe-code";
+import type { JsonResponse } from "@samphireward/core/json-response";
+import { JsonServer } from "@samphireward/core/json-server";
 import { Resources } from "@samphireward/core/resources";
 import { ResultCode } from "@samphireward/core/result-code";
 import * as Schema from "effect/Schema";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
-import { readJson } from "./read-json.js";
-import { sendJson } from "./send-json.js";
 import type { ServicePort } from "./service-port.js";
 import { TaskPayload } from "./task-payload.js";
 import { TaskRequests } from "./task-requests.js";
@@ -15,79 +13,86 @@
 import type { WorkerModel } from "./worker-model.js";
 
 type Answer = Result<object, ResultCode>;
-type Handler = (body: unknown) => Answer;
 
 const decodePayload = Schema.decodeUnknownSync(Schema.fromJsonString(TaskPayload));
 
+/** A body that does not match its schema is answered as a bad request. */
+const answerOf = (run: () => Answer): Answer => {
+    try {
+        return run();
+    } catch {
+        return Err(ResultCode.BadRequest);
+    }
+};
+
+const respond = (answer: Answer): JsonResponse =>
+    answer.isOk()
+        ? { status: 200, body: answer.value }
+        : { status: describeCode(answer.error).httpStatus, body: { code: answer.error } };
+
 /** The HTTP task port of a stand-in worker (docs/PLATFORM.md, section Worker). */
 export class TaskPort {
-    readonly server: Server;
-    private readonly handlers: ReadonlyMap<string, Handler>;
+    readonly server = JsonServer.create();
 
     private constructor(
         private readonly model: WorkerModel,
         private readonly usage: UsageHistory,
         private readonly service: ServicePort,
     ) {
-        this.handlers = this.createHandlers();
-        this.server = createServer((req, res) => void this.handle(req, res));
+        this.addCommands();
+        this.addReadings();
+        for (const method of ["GET", "PUT", "POST", "DELETE"] as const) {
+            this.server.on(method, "/*", () => respond(Err(ResultCode.UnknownRoute)));
+        }
     }
 
     static create(model: WorkerModel, usage: UsageHistory, service: ServicePort): TaskPort {
         return new TaskPort(model, usage, service);
     }
 
-    private createHandlers(): ReadonlyMap<string, Handler> {
+    private addCommands(): void {
         const { model } = this;
-        const on = <S extends Schema.ConstraintDecoder<unknown>>(
-            schema: S,
-            run: (body: S["Type"]) => Answer,
-        ): Handler => {
-            const decode = Schema.decodeUnknownSync(schema);
-            return body => run(decode(body));
-        };
-        return new Map<string, Handler>([
-            ["POST /v1/tasks/start", on(TaskRequests.start, req => this.start(req))],
-            [
-                "POST /v1/tasks/renew",
-                on(TaskRequests.renew, req =>
-                    model.renew(req.cell, req.epoch, req.leaseMs, req.tasks).map(unknown => ({ unknown })),
-                ),
-            ],
-            [
-                "POST /v1/tasks/stop",
-                on(TaskRequests.task, req =>
-                    model.stop(req.cell, req.epoch, req).map(() => ({ stopped: true })),
-                ),
-            ],
-            [
-                "POST /v1/tasks/checkpoint",
-                on(TaskRequests.task, req =>
-                    model.checkpoint(req.cell, req.epoch, req).map(checkpoint => ({ checkpoint })),
-                ),
-            ],
-            [
-                "POST /v1/tasks/throttle",
-                on(TaskRequests.throttle, req =>
-                    model.throttle(req.cell, req.epoch, req, req.share).map(() => ({})),
-                ),
-            ],
-            [
-                "POST /v1/epoch",
-                on(TaskRequests.epoch, req => model.announce(req.cell, req.epoch).map(() => ({}))),
-            ],
-            [
-                "POST /v1/outcomes/ack",
-                on(TaskRequests.acknowledge, req =>
-                    model.acknowledge(req.cell, req.epoch, req.outcomes).map(() => ({})),
-                ),
-            ],
-            ["POST /v1/fault", on(TaskRequests.fault, fault => this.setFault(fault))],
-            ["GET /v1/tasks", () => Ok(this.inventory())],
-            ["GET /v1/outcomes", () => Ok({ outcomes: model.outcomes() })],
-            ["GET /v1/usage", () => Ok(this.usage.report())],
-            ["GET /v1/stats", () => Ok(model.stats)],
-        ]);
+        this.onPost("/v1/tasks/start", TaskRequests.start, req => this.start(req));
+        this.onPost("/v1/tasks/renew", TaskRequests.renew, req =>
+            model.renew(req.cell, req.epoch, req.leaseMs, req.tasks).map(unknown => ({ unknown })),
+        );
+        this.onPost("/v1/tasks/stop", TaskRequests.task, req =>
+            model.stop(req.cell, req.epoch, req).map(() => ({ stopped: true })),
+        );
+        this.onPost("/v1/tasks/checkpoint", TaskRequests.task, req =>
+            model.checkpoint(req.cell, req.epoch, req).map(checkpoint => ({ checkpoint })),
+        );
+        this.onPost("/v1/tasks/throttle", TaskRequests.throttle, req =>
+            model.throttle(req.cell, req.epoch, req, req.share).map(() => ({})),
+        );
+        this.onPost("/v1/epoch", TaskRequests.epoch, req =>
+            model.announce(req.cell, req.epoch).map(() => ({})),
+        );
+        this.onPost("/v1/outcomes/ack", TaskRequests.acknowledge, req =>
+            model.acknowledge(req.cell, req.epoch, req.outcomes).map(() => ({})),
+        );
+        this.onPost("/v1/fault", TaskRequests.fault, fault => this.setFault(fault));
+    }
+
+    private addReadings(): void {
+        const { model } = this;
+        this.onGet("/v1/tasks", () => this.inventory());
+        this.onGet("/v1/outcomes", () => ({ outcomes: model.outcomes() }));
+        this.onGet("/v1/usage", () => this.usage.report());
+        this.onGet("/v1/stats", () => model.stats);
+    }
+
+    private onPost<S extends Schema.ConstraintDecoder<unknown>>(
+        path: string,
+        schema: S,
+        run: (body: S["Type"]) => Answer,
+    ): void {
+        const decode = Schema.decodeUnknownSync(schema);
+        this.server.on("POST", path, ({ body }) => respond(answerOf(() => run(decode(body ?? {})))));
+    }
+
+    private onGet(path: string, read: () => object): void {
+        this.server.on("GET", path, () => ({ status: 200, body: read() }));
     }
 
     private start(req: (typeof TaskRequests.start)["Type"]): Answer {
@@ -115,28 +120,4 @@
         }
         return Ok({});
     }
-
-    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const path = (req.url ?? "").split("?")[0];
-        const handler = this.handlers.get(`${req.method} ${path}`);
-        if (handler === undefined) {
-            sendJson(res, 404, { code: ResultCode.UnknownRoute });
-            return;
-        }
-        const answer = await this.answer(req, handler);
-        if (answer.isOk()) {
-            sendJson(res, 200, answer.value);
-        } else {
-            sendJson(res, describeCode(answer.error).httpStatus, { code: answer.error });
-        }
-    }
-
-    /** A body that does not match its schema is answered as a bad request. */
-    private async answer(req: IncomingMessage, handler: Handler): Promise<Answer> {
-        try {
-            return handler(await readJson(req));
-        } catch {
-            return Err(ResultCode.BadRequest);
-        }
-    }
 }
--- a/packages/standins/tests/store/http-key-value-store.test.ts
+++ b/packages/standins/tests/store/http-key-value-store.test.ts
@@ -14,7 +14,7 @@
 
 const start = async (t: Test): Promise<{ store: HttpKeyValueStore; fault: (body: object) => unknown }> => {
     const server = StoreServer.create(clock);
-    const address = `127.0.0.1:${await server.listen("127.0.0.1", 0)}`;
+    const address = await server.listen("127.0.0.1:0");
     const store = HttpKeyValueStore.create({ address, timeoutMs: 300, clock });
     t.teardown(() => {
         store.close();
--- a/packages/state/src/http-key-value-store.ts
+++ b/packages/state/src/http-key-value-store.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@samphireward/core/clock";
 import { Counters } from "@samphireward/core/counters";
 import { LatencyRecorder } from "@samphireward/core/latency-recorder";
+import { parseAddress } from "@samphireward/core/parse-address";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import type { HttpAnswer } from "./http-answer.js";
@@ -32,11 +33,14 @@
     private readonly agent = new Agent({ keepAlive: true, maxSockets: MaxSockets });
     /** A pending watch occupies its connection, so watches must not share a bounded number with other calls. */
     private readonly watchAgent = new Agent({ keepAlive: true });
+    private readonly target: ReturnType<typeof parseAddress>;
 
     private constructor(private readonly options: Options) {
         super();
+        this.target = parseAddress(options.address);
     }
 
+    /** Throws a `SyntaxError` when the address is not `ip:port`. */
     static create(options: Options): HttpKeyValueStore {
         return new HttpKeyValueStore(options);
     }
@@ -112,7 +116,7 @@
         this.counters.add(`store.${kind}`);
         const answer = await sendJson({
             agent: kind === "watch" ? this.watchAgent : this.agent,
-            address: this.options.address,
+            ...this.target,
             method,
             path,
             timeoutMs: this.options.timeoutMs + waitMs,
--- a/packages/state/src/send-json.ts
+++ b/packages/state/src/send-json.ts
@@ -4,7 +4,8 @@
 
 interface JsonRequest {
     readonly agent: Agent;
-    readonly address: string;
+    readonly host: string;
+    readonly port: number;
     readonly method: string;
     readonly path: string;
     readonly body?: object;
@@ -35,13 +36,12 @@
 export const sendJson = (options: JsonRequest): Promise<HttpAnswer> =>
     new Promise(resolve => {
         const payload = options.body === undefined ? undefined : JSON.stringify(options.body);
-        const [, host, port] = /^\[?([^\]]+)\]?:(\d+)$/.exec(options.address) ?? [];
         let wasSent = false;
         const fail = (err: Error): void => resolve({ wasSent, message: err.message });
         const req = request({
             agent: options.agent,
-            host,
-            port,
+            host: options.host,
+            port: options.port,
             method: options.method,
             path: options.path,
             headers:
