Split reports and eviction candidates off the benchmark's simulation

Ruled out: splitting the event handling, because it needs the simulation's whole state.

Change: SimReports makes, delays and delivers usage reports; evictionCandidates lists the batch tasks of a worker with their harm. The order of random numbers is the same.

--- /dev/null
+++ b/packages/bench/src/request-sigma.ts
@@ -0,0 +1,2 @@
+/** Spread of the logarithm of the simulated request times. */
+export const requestSigma = 0.35;
--- a/packages/bench/src/sim-cell.ts
+++ b/packages/bench/src/sim-cell.ts
@@ -1,7 +1,6 @@
 import { Resources } from "@samphireward/core/resources";
 import { WorkClass } from "@samphireward/core/work-class";
 import type { EvictionAction } from "@samphireward/placement/eviction-action";
-import type { EvictionCandidate } from "@samphireward/placement/eviction-candidate";
 import { EvictionPlanner } from "@samphireward/placement/eviction-planner";
 import type { EvictionSettings } from "@samphireward/placement/eviction-settings";
 import { InterferenceLearner } from "@samphireward/placement/interference-learner";
@@ -10,6 +9,7 @@
 import type { UsageSample } from "@samphireward/placement/usage-sample";
 import { WaitReason } from "@samphireward/placement/wait-reason";
 import type { BenchPolicy } from "./bench-policy.js";
+import { evictionCandidates } from "./eviction-candidates.js";
 import type { SimTask } from "./sim-task.js";
 import type { SimWorker } from "./sim-worker.js";
 
@@ -98,7 +98,7 @@
         worker.setReportedLoad(sample.load);
         this.learner?.learn(sample);
         const mayAct = pressure >= 1 || [...worker.tasks].some(({ share }) => share < 1);
-        const victims = mayAct ? this.victims(worker) : [];
+        const victims = mayAct ? evictionCandidates(worker, this.policy.predictor) : [];
         for (const action of this.planner.observe(worker.name, pressure, victims, nowMs)) {
             this.carryOut(worker, action, nowMs);
         }
@@ -156,7 +156,8 @@
         if (queued.workClass !== WorkClass.LatencyCritical) {
             return undefined;
         }
-        const batchOn = (worker: SimWorker): number => this.victims(worker).length;
+        const batchOn = (worker: SimWorker): number =>
+            evictionCandidates(worker, this.policy.predictor).length;
         const worker = this.workers.filter(({ alive }) => alive).sort((a, b) => batchOn(b) - batchOn(a))[0];
         if (worker === undefined) {
             return undefined;
@@ -167,7 +168,11 @@
             processors: Math.max(0, short.processors),
             memoryMb: Math.max(0, short.memoryMb),
         });
-        const actions = this.planner.makeRoom(shortage, this.victims(worker), nowMs);
+        const actions = this.planner.makeRoom(
+            shortage,
+            evictionCandidates(worker, this.policy.predictor),
+            nowMs,
+        );
         for (const task of [...worker.tasks].filter(({ key }) =>
             actions.some(action => action.key === key),
         )) {
@@ -178,39 +183,6 @@
         return actions.length > 0 ? worker : undefined;
     }
 
-    private victims(worker: SimWorker): EvictionCandidate[] {
-        return [...worker.tasks]
-            .filter(({ simClass }) => simClass.kind === "batch")
-            .map(task => ({
-                key: task.key,
-                resources: Resources.create(task.simClass),
-                lostWork: (task.doneSeconds - task.checkpointSeconds) * task.simClass.processors,
-                harm: this.harm(worker, task),
-                share: task.share,
-            }));
-    }
-
-    private harm(worker: SimWorker, task: SimTask): number {
-        const { predictor } = this.policy;
-        const { capacity } = worker.view;
-        const service = worker.classes.keys().next().value ?? "";
-        const active = task.simClass.processors * task.share;
-        if (predictor === undefined) {
-            return active / capacity.processors;
-        }
-        const slowdown = (change: number): number =>
-            predictor.predict(
-                service,
-                worker.classes,
-                task.simClass.name,
-                change,
-                capacity.processors,
-                worker.reportedLoad,
-            );
-        const now = slowdown(0);
-        return Math.max(0, (now - slowdown(-active)) / now);
-    }
-
     private carryOut(worker: SimWorker, action: EvictionAction, nowMs: number): void {
         const task = [...worker.tasks].find(({ key }) => key === action.key);
         if (task === undefined) {
--- /dev/null
+++ b/packages/bench/src/sim-reports.ts
@@ -0,0 +1,79 @@
+import type { RandomSource } from "@samphireward/core/random-source";
+import type { UsageSample } from "@samphireward/placement/usage-sample";
+import { draw } from "./draw.js";
+import { requestSigma } from "./request-sigma.js";
+import type { SimWorker } from "./sim-worker.js";
+import type { UserProfile } from "./user-profile.js";
+
+const ReportSeconds = 2;
+/** The 99th percentile of request times relative to the mean. */
+const RequestP99 = Math.exp(2.326 * requestSigma - requestSigma ** 2 / 2);
+/** A worker is over its limit when its service's tail is this many times that of an undisturbed one. */
+const TailLimit = 2;
+const SlowdownNoise = 0.08;
+const TailNoise = 0.15;
+
+interface Report {
+    readonly arrivesSecond: number;
+    readonly worker: SimWorker;
+    readonly sample: UsageSample;
+    /** The service's measured tail relative to its limit. */
+    readonly pressure: number;
+}
+
+/** The workers' usage reports with their noise, on the way for the scenario's lag. */
+export class SimReports {
+    private readonly reports: Report[] = [];
+
+    private constructor(
+        private readonly profile: UserProfile,
+        private readonly lagSeconds: number,
+        private readonly random: RandomSource,
+    ) {}
+
+    static create(profile: UserProfile, lagSeconds: number, random: RandomSource): SimReports {
+        return new SimReports(profile, lagSeconds, random);
+    }
+
+    /** Sends the worker's report when it is due; the workers' reports are spread over the interval. */
+    send(worker: SimWorker, second: number): void {
+        if ((second + Number(worker.name.slice(1))) % ReportSeconds !== 0) {
+            return;
+        }
+        const service = this.profile.classes[0]?.name ?? "";
+        const slowdowns = this.measureSlowdowns(worker);
+        const undisturbed = this.profile.requestMs * RequestP99;
+        const tail = undisturbed * (worker.slowdowns[0] ?? 1) + worker.waitMs * Math.log(100);
+        const p99Ms = tail * draw.logNormal(this.random, TailNoise);
+        this.reports.push({
+            arrivesSecond: second + this.lagSeconds,
+            worker,
+            pressure: p99Ms / undisturbed / TailLimit,
+            sample: {
+                worker: worker.name,
+                observedMs: second * 1000,
+                processors: this.profile.processors,
+                load: worker.load,
+                slowdowns,
+                serviceP99Ms: new Map([[service, p99Ms]]),
+            },
+        });
+    }
+
+    /** Removes and returns the reports that have arrived, in the order in which they were sent. */
+    arrived(second: number): Report[] {
+        const pending = this.reports.findIndex(({ arrivesSecond }) => arrivesSecond > second);
+        return this.reports.splice(0, pending === -1 ? this.reports.length : pending);
+    }
+
+    private measureSlowdowns(worker: SimWorker): Map<string, number> {
+        const slowdowns = new Map<string, number>();
+        for (const { simClass, classIndex } of worker.tasks) {
+            if (!slowdowns.has(simClass.name)) {
+                const noise = draw.logNormal(this.random, SlowdownNoise);
+                slowdowns.set(simClass.name, (worker.slowdowns[classIndex] ?? 1) * noise);
+            }
+        }
+        return slowdowns;
+    }
+}
--- a/packages/bench/src/simulation.ts
+++ b/packages/bench/src/simulation.ts
@@ -2,40 +2,26 @@
 import type { RandomSource } from "@samphireward/core/random-source";
 import { SeededRandom } from "@samphireward/core/seeded-random";
 import type { EvictionSettings } from "@samphireward/placement/eviction-settings";
-import type { UsageSample } from "@samphireward/placement/usage-sample";
 import { benchPolicies } from "./bench-policies.js";
 import { draw } from "./draw.js";
 import { HiddenInterference } from "./hidden-interference.js";
+import { requestSigma } from "./request-sigma.js";
 import type { RunResult } from "./run-result.js";
 import type { Scenario } from "./scenario.js";
 import { SimCell } from "./sim-cell.js";
 import { SimWorker } from "./sim-worker.js";
+import { SimReports } from "./sim-reports.js";
 import { TaskSource } from "./task-source.js";
 import type { UserProfile } from "./user-profile.js";
 
 const RunSeconds = 900;
 /** Not measured: the cells fill up and the policies learn. */
 const WarmUpSeconds = 180;
-const ReportSeconds = 2;
 const CheckpointSeconds = 30;
 const RequestsSampled = 4;
-/** Spread of the logarithm of request times, and its 99th percentile relative to the mean. */
-const RequestSigma = 0.35;
-const RequestP99 = Math.exp(2.326 * RequestSigma - RequestSigma ** 2 / 2);
-/** A worker is over its limit when its service's tail is this many times that of an undisturbed one. */
-const TailLimit = 2;
-const SlowdownNoise = 0.08;
-const TailNoise = 0.15;
 /** Keeps the generators of different seeds and streams apart. */
 const SeedStride = 7919;
 
-interface Report {
-    readonly arrivesSecond: number;
-    readonly worker: SimWorker;
-    readonly sample: UsageSample;
-    readonly pressure: number;
-}
-
 /** One seeded run of a policy in virtual time, one step for each second. */
 export class Simulation {
     private readonly hidden: HiddenInterference;
@@ -43,10 +29,9 @@
     private readonly workers: SimWorker[];
     private readonly source: TaskSource;
     private readonly latencies = LatencyRecorder.create();
-    private readonly reports: Report[] = [];
+    private readonly reports: SimReports;
     private readonly shiftRandom: RandomSource;
     private readonly requestRandom: RandomSource;
-    private readonly noiseRandom: RandomSource;
     private work = 0;
     private queued = 0;
     private evictionsBefore = 0;
@@ -64,7 +49,7 @@
         const randomFor = (stream: number): RandomSource => SeededRandom.create(seed * SeedStride + stream);
         this.shiftRandom = randomFor(2);
         this.requestRandom = randomFor(3);
-        this.noiseRandom = randomFor(4);
+        this.reports = SimReports.create(profile, scenario.lagSeconds, randomFor(4));
         this.hidden = HiddenInterference.create(profile.classes, randomFor(0));
         this.source = TaskSource.create(profile, scenario, randomFor(1));
         const perCell = profile.workers / profile.dataCentres.length;
@@ -102,7 +87,9 @@
             this.applyEvents(second);
             const isWave = this.isBetween(second);
             this.source.arrivals(second * 1000, isWave).forEach(task => this.cells[task.cell]?.submit(task));
-            this.deliverReports(second);
+            for (const { worker, sample, pressure } of this.reports.arrived(second)) {
+                this.cells[worker.cell]?.report(worker, sample, pressure, second * 1000);
+            }
             this.cells.forEach(cell => cell.place(second * 1000));
             this.stepWorkers(second);
         }
@@ -184,9 +171,7 @@
                 this.recordRequests(worker);
             }
             this.runTasks(worker, second);
-            if ((second + Number(worker.name.slice(1))) % ReportSeconds === 0) {
-                this.sendReport(worker, second);
-            }
+            this.reports.send(worker, second);
         }
         this.queued += this.sum(cell => cell.queue.size);
         this.work -= this.sum(cell => cell.takeLostWork());
@@ -196,7 +181,7 @@
         const mean = this.profile.requestMs * (worker.slowdowns[0] ?? 1);
         for (let count = 0; count < RequestsSampled; count++) {
             const wait = worker.waitMs * draw.exponential(this.requestRandom);
-            this.latencies.record(mean * draw.logNormal(this.requestRandom, RequestSigma) + wait);
+            this.latencies.record(mean * draw.logNormal(this.requestRandom, requestSigma) + wait);
         }
     }
 
@@ -216,40 +201,6 @@
         }
     }
 
-    private sendReport(worker: SimWorker, second: number): void {
-        const service = this.profile.classes[0]?.name ?? "";
-        const slowdowns = new Map<string, number>();
-        for (const { simClass, classIndex } of worker.tasks) {
-            if (!slowdowns.has(simClass.name)) {
-                const noise = draw.logNormal(this.noiseRandom, SlowdownNoise);
-                slowdowns.set(simClass.name, (worker.slowdowns[classIndex] ?? 1) * noise);
-            }
-        }
-        const undisturbed = this.profile.requestMs * RequestP99;
-        const tail = undisturbed * (worker.slowdowns[0] ?? 1) + worker.waitMs * Math.log(100);
-        const p99Ms = tail * draw.logNormal(this.noiseRandom, TailNoise);
-        this.reports.push({
-            arrivesSecond: second + this.scenario.lagSeconds,
-            worker,
-            pressure: p99Ms / undisturbed / TailLimit,
-            sample: {
-                worker: worker.name,
-                observedMs: second * 1000,
-                processors: this.profile.processors,
-                load: worker.load,
-                slowdowns,
-                serviceP99Ms: new Map([[service, p99Ms]]),
-            },
-        });
-    }
-
-    private deliverReports(second: number): void {
-        for (let next = this.reports[0]; next && next.arrivesSecond <= second; next = this.reports[0]) {
-            this.reports.shift();
-            this.cells[next.worker.cell]?.report(next.worker, next.sample, next.pressure, second * 1000);
-        }
-    }
-
     private sum(value: (cell: SimCell) => number): number {
         return this.cells.reduce((total, cell) => total + value(cell), 0);
     }
