Split the choice of a worker and the polls off the task owner's files

Ruled out: splitting holds or leases off, because the calls' order depends on them.

Change: WorkerChooser asks the placement policy for one task's worker; WorkerPolls reads outcomes and usage at intervals and acknowledges. The order of calls to a worker is the same.

Conclusion: the behaviour is unchanged.

--- a/packages/tasks/src/placer.ts
+++ b/packages/tasks/src/placer.ts
@@ -5,19 +5,17 @@
 import type { QueuedTask } from "@samphireward/placement/queued-task";
 import { QuotaLedger } from "@samphireward/placement/quota-ledger";
 import { TaskQueue } from "@samphireward/placement/task-queue";
+import type { CellWorkers } from "./cell-workers.js";
 import { isWaitingState } from "./is-waiting-state.js";
 import type { OwnerTables } from "./owner-tables.js";
 import type { TaskRecord } from "./task-record.js";
 import type { WorkerEntry } from "./worker-entry.js";
+import { WorkerChooser } from "./worker-chooser.js";
 import { WorkerHolds } from "./worker-holds.js";
 
 /** What the placer asks of the cell's owner. */
-interface Cell {
+interface Cell extends CellWorkers {
     readonly task: (key: string) => TaskRecord | undefined;
-    /** Workers that may take tasks now; `open` of each entry is up to date. */
-    readonly openEntries: () => readonly WorkerEntry[];
-    /** Every worker that is not gone, to tell a task that waits for space from one that waits for a worker. */
-    readonly entries: () => readonly WorkerEntry[];
     /** Reserves and records the start. */
     readonly start: (task: TaskRecord, entry: WorkerEntry) => void;
     /** An urgent task has no room. Returns the worker on which room is being made, if any. */
@@ -29,8 +27,6 @@
 /** Starts decided in one round; the rest waits for the next one, so that a round stays short. */
 const MaxStartsPerRound = 200;
 
-const emptySet: ReadonlySet<string> = new Set();
-
 /** Chooses workers for waiting tasks, in the order of `TaskQueue` and within the teams' quotas. */
 export class Placer {
     private readonly queue = TaskQueue.create();
@@ -39,12 +35,14 @@
     private readonly granted = new Set<string>();
     private readonly reasons = new Map<string, string>();
     private readonly holds = WorkerHolds.create(this.queue);
+    private readonly chooser: WorkerChooser;
 
     private constructor(
-        private readonly policy: PlacementPolicy,
+        policy: PlacementPolicy,
         private tables: OwnerTables,
         private readonly cell: Cell,
     ) {
+        this.chooser = WorkerChooser.create(policy, cell);
         this.setTables(tables);
     }
 
@@ -151,7 +149,11 @@
             borrowed.forEach(key => this.cell.evict(key));
             return false;
         }
-        const entry = this.choose(task, record);
+        const choice = this.chooser.choose(task, record, this.holds.get(task.key));
+        if (choice.isErr()) {
+            this.reasons.set(task.key, choice.error);
+        }
+        const entry = choice.unwrapOr(undefined);
         if (entry === undefined) {
             this.block(task, nowMs);
             return false;
@@ -165,56 +167,6 @@
         return true;
     }
 
-    private choose(task: QueuedTask, record: TaskRecord): WorkerEntry | undefined {
-        const { key, resources, interferenceClass, workClass } = task;
-        const held = this.holds.get(key);
-        const open = this.cell
-            .openEntries()
-            .filter(entry => entry.open && (entry.heldFor === undefined || entry === held));
-        const request = {
-            key,
-            resources,
-            interferenceClass,
-            workClass,
-            avoid: this.avoid(record),
-            rackCounts: this.rackCounts(task, record.spec.pool),
-        };
-        const decision = this.policy.choose(request, open);
-        if (decision.isErr()) {
-            this.reasons.set(key, this.explain(record, decision.error));
-            return undefined;
-        }
-        const entry = open.find(({ name }) => name === decision.value);
-        return entry?.fits(resources) === true ? entry : undefined;
-    }
-
-    /** Workers on which the task failed, unless no other worker could hold it. */
-    private avoid(record: TaskRecord): ReadonlySet<string> {
-        if (record.failures.length === 0) {
-            return emptySet;
-        }
-        const failed = new Set(record.failures);
-        const others = this.cell
-            .entries()
-            .some(entry => !failed.has(entry.name) && entry.couldHold(record.spec.resources));
-        return others ? failed : emptySet;
-    }
-
-    /** Tasks of the pool in each rack; only latency-critical work is spread by it. */
-    private rackCounts(task: QueuedTask, pool: string): ReadonlyMap<string, number> {
-        const counts = new Map<string, number>();
-        for (const entry of task.workClass === WorkClass.LatencyCritical ? this.cell.entries() : []) {
-            counts.set(entry.rack, (counts.get(entry.rack) ?? 0) + (entry.poolCounts.get(pool) ?? 0));
-        }
-        return counts;
-    }
-
-    private explain(record: TaskRecord, reason: string): string {
-        const failed = record.failures.length === 0 ? "" : `failed on ${record.failures.join(", ")}; `;
-        const couldHold = this.cell.entries().some(entry => entry.couldHold(record.spec.resources));
-        return couldHold ? `${failed}${reason}` : `${failed}no worker of the cell is large enough now`;
-    }
-
     private block(task: QueuedTask, nowMs: number): void {
         this.queue.markBlocked(task.key, nowMs);
         if (task.workClass === WorkClass.LatencyCritical && this.holds.get(task.key) === undefined) {
--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -7,13 +7,13 @@
 import { AttemptPhase } from "./attempt-phase.js";
 import { leaseEnd } from "./lease-end.js";
 import { LinkState } from "./link-state.js";
-import { OutcomeReader } from "./outcome-reader.js";
 import type { OwnerTiming } from "./owner-timing.js";
 import type { Recorder } from "./recorder.js";
 import type { TaskRef } from "./task-ref.js";
 import type { WorkerClient } from "./worker-client.js";
 import type { WorkerEntry } from "./worker-entry.js";
 import { WorkerInventory } from "./worker-inventory.js";
+import { WorkerPolls } from "./worker-polls.js";
 
 type Call = () => Promise<void>;
 
@@ -27,12 +27,10 @@
     readonly attempts = new Map<string, Attempt>();
     readonly state: LinkState;
 
-    private nextOutcomesMs = 0;
-    private nextUsageMs = 0;
     private busy = false;
     private readonly toStart: Attempt[] = [];
     private readonly stopping = new Set<Attempt>();
-    private readonly outcomes: OutcomeReader;
+    private readonly polls: WorkerPolls;
     private readonly inventory: WorkerInventory;
     private readonly commands: AttemptCommands;
 
@@ -44,7 +42,7 @@
         private readonly timing: OwnerTiming,
     ) {
         this.state = LinkState.create(entry.name, recorder, clock, timing);
-        this.outcomes = OutcomeReader.create(this.attempts, recorder);
+        this.polls = WorkerPolls.create(entry.name, this.attempts, this.state, recorder);
         this.inventory = WorkerInventory.create(entry, this.attempts, this.state, recorder);
         this.commands = AttemptCommands.create(this.state, recorder);
     }
@@ -204,12 +202,12 @@
             return () => this.takeInventory();
         }
         if (!this.state.reachable) {
-            return () => this.readOutcomes();
+            return () => this.polls.readOutcomes(this.client);
         }
         if (nowMs >= this.state.nextRenewMs) {
             return () => this.commands.renew(this.client, [...this.attempts.values()]);
         }
-        return this.nextCommand() ?? this.nextPoll(nowMs);
+        return this.nextCommand() ?? this.polls.next(this.client, nowMs);
     }
 
     private nextCommand(): Call | undefined {
@@ -225,19 +223,6 @@
         return stopping && (() => this.sendStop(stopping));
     }
 
-    private nextPoll(nowMs: number): Call | undefined {
-        if (this.outcomes.hasAcknowledgements) {
-            return () => this.acknowledge();
-        }
-        if (nowMs >= this.nextOutcomesMs || this.outcomes.hasStopped) {
-            return () => this.readOutcomes();
-        }
-        if (nowMs >= this.nextUsageMs) {
-            return () => this.readUsage();
-        }
-        return undefined;
-    }
-
     private nextToStart(): Attempt | undefined {
         while (this.toStart[0] !== undefined && this.toStart[0].phase !== AttemptPhase.ToStart) {
             this.toStart.shift();
@@ -265,44 +250,13 @@
             return;
         }
         this.inventory.take(asked, answer.value);
-        this.outcomes.take(answer.value.outcomes, []);
+        this.polls.outcomes.take(answer.value.outcomes, []);
         this.state.setReachable(true);
     }
 
     private async sendStop(attempt: Attempt): Promise<void> {
         if (await this.commands.stop(this.client, attempt)) {
-            this.outcomes.expect(attempt);
-        }
-    }
-
-    private async readOutcomes(): Promise<void> {
-        const stopped = this.outcomes.takeStopped();
-        const answer = await this.client.outcomes();
-        if (answer.isErr()) {
-            this.outcomes.expect(...stopped);
-            this.state.failed(answer.error);
-            return;
-        }
-        this.nextOutcomesMs = this.clock.nowMs() + this.timing.outcomeIntervalMs;
-        this.outcomes.take(answer.value, stopped);
-        this.state.setReachable(true);
-    }
-
-    private async acknowledge(): Promise<void> {
-        const answer = await this.client.acknowledge(this.outcomes.takeAcknowledgements());
-        if (answer.isErr()) {
-            // The worker repeats the outcomes, and they are acknowledged as already known.
-            this.state.failed(answer.error);
-        }
-    }
-
-    private async readUsage(): Promise<void> {
-        this.nextUsageMs = this.clock.nowMs() + this.timing.usageIntervalMs;
-        const answer = await this.client.usage();
-        if (answer.isErr()) {
-            this.state.failed(answer.error);
-        } else {
-            this.recorder.usageReported(this.entry.name, answer.value);
+            this.polls.outcomes.expect(attempt);
         }
     }
 }
