--- a/packages/routing/src/request-job.ts
+++ b/packages/routing/src/request-job.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ResultCode } from "@samphireward/core/result-code";
+import { AnswerForwarder } from "./answer-forwarder.js";
 import { AnswerState } from "./answer-state.js";
 import { backoffDelay } from "./backoff-delay.js";
 import { BodyReader } from "./body-reader.js";
@@ -11,7 +12,6 @@
 import { retryDecision } from "./retry-decision.js";
 import type { Send } from "./send.js";
 import { Sender } from "./sender.js";
-import { streamAnswer } from "./stream-answer.js";
 import type { TargetState } from "./target-state.js";
 import { WaitingRequest } from "./waiting-request.js";
 
@@ -23,6 +23,7 @@
     readonly receivedAtMs: number;
     private readonly caller: CallerAnswer;
     private readonly sender: Sender;
+    private readonly forwarder: AnswerForwarder;
     private readonly claim: KeyClaim | undefined;
     private body: Buffer | undefined;
     private reader: BodyReader | undefined;
@@ -49,11 +50,15 @@
         }
         this.caller = CallerAnswer.create(res);
         this.sender = Sender.create(options, req, this.deadlineAtMs, {
-            onWhole: (send, answer, body) => this.answerWhole(send, answer, body),
-            onHeaders: (send, answer) => this.answerStreamed(send, answer),
+            onWhole: (send, answer, body) => this.forwarder.forwardWhole(send, answer, body),
+            onHeaders: (send, answer) => this.forwarder.forwardStream(send, answer),
             onFailed: state => this.retryOrFail(state),
             onSilent: () => this.repeatSilent(),
         });
+        this.forwarder = AnswerForwarder.create(context, this.caller, this.sender, {
+            isOver: () => this.isOver,
+            onForwarded: (send, answer) => this.succeed(send, answer),
+        });
         res.on("close", () => this.close());
     }
 
@@ -157,42 +162,6 @@
         this.dispatcher.releaseSlot(target);
     }
 
-    private answerWhole(send: Send, answer: IncomingMessage, body: Buffer | undefined): void {
-        this.sender.abandonOthers(send);
-        if (this.caller.sendWhole(answer, body, this.context.isDraining())) {
-            this.succeed(send, answer);
-        } else {
-            this.sender.rejectAnswer(send);
-        }
-    }
-
-    private answerStreamed(send: Send, answer: IncomingMessage): void {
-        const link = this.context.linkTo(send.target);
-        streamAnswer(answer, this.caller.res, {
-            onStart: () => this.startStream(send, answer),
-            onChunk: bytes => link?.in.take(bytes) ?? 0,
-            onEnd: () => {
-                if (this.sender.isActive(send)) {
-                    this.caller.endStream();
-                    this.succeed(send, answer);
-                }
-            },
-        });
-    }
-
-    /** The caller gets headers only with the first bytes of the body: until then, the answer may fail. */
-    private startStream(send: Send, answer: IncomingMessage): boolean {
-        if (this.isOver || !this.sender.isActive(send)) {
-            return false;
-        }
-        this.sender.abandonOthers(send);
-        if (this.caller.startStream(answer, this.context.isDraining())) {
-            return true;
-        }
-        this.sender.rejectAnswer(send);
-        return false;
-    }
-
     private succeed(send: Send, answer: IncomingMessage): void {
         this.isOver = true;
         this.endedAtMs = this.context.clock.nowMs();
