--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -5,6 +5,7 @@
 import type { Attempt } from "./attempt.js";
 import { AttemptCommands } from "./attempt-commands.js";
 import { AttemptPhase } from "./attempt-phase.js";
+import { describeLink } from "./describe-link.js";
 import { leaseEnd } from "./lease-end.js";
 import { LinkState } from "./link-state.js";
 import type { OwnerTiming } from "./owner-timing.js";
@@ -134,20 +135,7 @@
 
     /** Why a task that is placed here does not make progress, for operators; empty when the worker answers. */
     describe(attempt: Attempt | undefined): string {
-        const { name } = this.entry;
-        if (this.state.gone) {
-            return `worker ${name} is gone from the directory; the task is released when its lease has ended`;
-        }
-        if (!this.state.fenced) {
-            return `worker ${name} has not answered this owner yet; what it runs is unknown`;
-        }
-        if (!this.state.reachable) {
-            const nowMs = this.clock.nowMs();
-            const endMs = leaseEnd(attempt?.leaseBaseMs ?? nowMs, this.timing);
-            const seconds = Math.max(0, Math.ceil((endMs - nowMs) / 1000));
-            return `worker ${name} does not answer; the task is released in ${seconds} s unless it does`;
-        }
-        return "";
+        return describeLink(this.entry.name, this.state, attempt);
     }
 
     /** From now on no earlier owner can extend the leases of inherited attempts. */
