Split the decision to send again off the request job

Ruled out: splitting the queueing, because it changes the job's own state at each step.

Change: Resends decides on a retry and on a second send during silence and pays for it from the retry budget. The order of draws and budget changes is the same.

Conclusion: the behaviour is unchanged.

--- a/packages/routing/src/request-job.ts
+++ b/packages/routing/src/request-job.ts
@@ -1,15 +1,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ResultCode } from "@samphireward/core/result-code";
 import { AnswerForwarder } from "./answer-forwarder.js";
-import { AnswerState } from "./answer-state.js";
-import { backoffDelay } from "./backoff-delay.js";
+import type { AnswerState } from "./answer-state.js";
 import { BodyReader } from "./body-reader.js";
 import { CallerAnswer } from "./caller-answer.js";
 import type { JobOptions } from "./job-options.js";
 import { KeyClaim } from "./key-claim.js";
 import type { PoolDispatcher } from "./pool-dispatcher.js";
 import type { RequestContext } from "./request-context.js";
-import { retryDecision } from "./retry-decision.js";
+import { Resends } from "./resends.js";
 import type { Send } from "./send.js";
 import { Sender } from "./sender.js";
 import type { TargetState } from "./target-state.js";
@@ -24,6 +23,7 @@
     private readonly caller: CallerAnswer;
     private readonly sender: Sender;
     private readonly forwarder: AnswerForwarder;
+    private readonly resends: Resends;
     private readonly claim: KeyClaim | undefined;
     private body: Buffer | undefined;
     private reader: BodyReader | undefined;
@@ -55,6 +55,7 @@
             onFailed: state => this.retryOrFail(state),
             onSilent: () => this.repeatSilent(),
         });
+        this.resends = Resends.create(options, this.caller, this.sender, this.deadlineAtMs);
         this.forwarder = AnswerForwarder.create(context, this.caller, this.sender, {
             isOver: () => this.isOver,
             onForwarded: (send, answer) => this.succeed(send, answer),
@@ -170,38 +171,17 @@
     }
 
     private retryOrFail(state: AnswerState): void {
-        const { clock, random, settings, counters } = this.context;
-        const delayMs = backoffDelay(Math.max(1, this.sender.count), random);
-        const decision = retryDecision({
-            idempotent: this.options.head.route.idempotent,
-            bytesSent: this.sender.mayHaveRun,
-            answer: this.caller.isStarted ? AnswerState.TruncatedAfterForward : state,
-            remainingMs: this.deadlineAtMs - clock.nowMs() - delayMs,
-            hasBudget: this.dispatcher.budget.hasToken,
-            hasAttemptsLeft: this.sender.count < settings.maxAttempts,
-        });
-        if (!decision.retry) {
-            this.fail(decision.code);
-            return;
+        const delayMs = this.resends.afterFailure(state);
+        if (delayMs.isErr()) {
+            this.fail(delayMs.error);
+        } else {
+            setTimeout(() => this.enqueue(), delayMs.value);
         }
-        this.dispatcher.budget.tryTake();
-        counters.add("requests.retries");
-        setTimeout(() => this.enqueue(), delayMs);
     }
 
-    /**
-     * Sends an idempotent request a second time while the first stays in progress: the connection may be lost,
-     * or the target may only be slow with this request, and then the first answer still counts.
-     */
     private repeatSilent(): void {
-        const mayRepeat = this.options.head.route.idempotent && !this.caller.isStarted;
-        if (!mayRepeat || this.sender.count >= this.context.settings.maxAttempts) {
-            return;
-        }
-        const target = this.dispatcher.budget.hasToken ? this.dispatcher.takeSlot() : undefined;
+        const target = this.resends.duringSilence();
         if (target !== undefined) {
-            this.dispatcher.budget.tryTake();
-            this.context.counters.add("requests.repeated-silent");
             this.sender.start(target, this.body);
         }
     }
