Test a region that loses the store and reaches it again

Only an outage of the whole store had a test. Workers make no calls to the store, so only the entry and scheduler processes are cut.

--- a/packages/demo/src/run-user.ts
+++ b/packages/demo/src/run-user.ts
@@ -16,6 +16,8 @@
     readonly seed: number;
     /** Time during which callers send requests. */
     readonly requestMs?: number;
+    /** What is needed before the processes start. */
+    readonly prepare?: (deployment: Deployment) => Promise<void>;
     /** Fault that is injected while the load runs. */
     readonly disturb?: (deployment: Deployment, balancer: Balancer) => Promise<void>;
     /** Checks after the load and before everything is stopped. */
@@ -27,6 +29,7 @@
     plan,
     seed,
     requestMs = DefaultRequestMs,
+    prepare,
     disturb,
     inspect,
 }: RunOptions): Promise<RunReport> => {
@@ -43,6 +46,7 @@
         name: plan.user,
     });
     try {
+        await prepare?.(deployment);
         await deployment.startAll();
         await applyTables(deployment);
         balancer.start();
--- a/packages/demo/src/user-plan.ts
+++ b/packages/demo/src/user-plan.ts
@@ -10,6 +10,8 @@
     readonly memoryMb: number;
     readonly workersPerRack: number;
     readonly entryVms: number;
+    /** Addresses at which the processes of a region reach the store, where a test forwards their connections. */
+    readonly storeOfRegion?: Readonly<Record<string, string>>;
     /** Weights of the measures (docs/placement.md). */
     readonly placement: {
         readonly tailLatency: number;
--- a/packages/demo/src/write-settings.ts
+++ b/packages/demo/src/write-settings.ts
@@ -58,7 +58,7 @@
             region: vm.region,
             dataCentre: vm.dataCentre,
             logLevel: "info",
-            store: { address: addresses.store, timeout: StoreTimeout },
+            store: { address: plan.storeOfRegion?.[vm.region] ?? addresses.store, timeout: StoreTimeout },
             directory: { address: addresses.directory, interval: "1s" },
         };
         add(`entry-${vm.name}`, {
