Eject targets that cannot be connected to

While all workers of herning-a were killed, the entry process there refused all its requests for 9 s with 2005 although herning-b and roskilde-a had workers. Cause: ejection compares with the best other target that has 5 results, and targets of other data centres have none while those of the own one are chosen first. So none was ejected, and retries went to the lost targets until the budget was empty. Ruled out: missing shares, as requests went to the others with this change alone.

Such an ejection lasts at most 4 s: with the doubling up to 60 s, workers that came back after 9 s had no request 3 s later.

--- a/packages/routing/src/target-state.ts
+++ b/packages/routing/src/target-state.ts
@@ -9,12 +9,16 @@
 const PenaltySlots = 8;
 const FirstEjectionMs = 2_000;
 const LongestEjectionMs = 60_000;
+/** Lost targets return as soon as they are started again, and trying one costs a connection and no request. */
+const LongestUnreachableMs = 4_000;
 
 /** What this entry process knows about one target: its share, connections, failures, and ramp. */
 export class TargetState {
     readonly connections: ConnectionPool;
     failureRatio = 0;
     results = 0;
+    /** Failed connections since the last result of another kind. */
+    unreachableInRow = 0;
     private rampSlots = 1;
     private ejectedUntilMs = 0;
     private ejections = 0;
@@ -65,13 +69,16 @@
 
     /** No connection could be opened. When the target returns, it starts with one slot. */
     countUnreachable(): void {
+        const inRow = this.unreachableInRow;
         this.countResult(1);
+        this.unreachableInRow = inRow + 1;
         this.rampSlots = 1;
     }
 
     /** Takes the target out for a time that doubles with each ejection in a row; it returns with one slot. */
     eject(): void {
-        const durationMs = Math.min(LongestEjectionMs, FirstEjectionMs * 2 ** this.ejections);
+        const longestMs = this.unreachableInRow > 0 ? LongestUnreachableMs : LongestEjectionMs;
+        const durationMs = Math.min(longestMs, FirstEjectionMs * 2 ** this.ejections);
         this.ejections += 1;
         this.ejectedUntilMs = this.clock.nowMs() + durationMs;
         this.rampSlots = 1;
@@ -81,5 +88,6 @@
     private countResult(failure: 0 | 1): void {
         this.failureRatio += NewestWeight * (failure - this.failureRatio);
         this.results += 1;
+        this.unreachableInRow = 0;
     }
 }
