--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -6,6 +6,7 @@
 import { DeploymentAddresses } from "./deployment-addresses.js";
 import { ManagedProcess } from "./managed-process.js";
 import type { UserPlan } from "./user-plan.js";
+import type { WorkerCounts } from "./worker-counts.js";
 import { writeSettings } from "./write-settings.js";
 
 const ReadyTimeoutMs = 20_000;
@@ -25,6 +26,8 @@
 
 /** One user's system on loopback: stand-ins for the platform, and an entry and a scheduler process for each VM. */
 export class Deployment {
+    /** Counts of workers as they were before their process was killed, which forgets them. */
+    readonly lostCounts: WorkerCounts[] = [];
     private readonly processes = new Map<string, ManagedProcess>();
 
     private constructor(
@@ -97,6 +100,15 @@
         }
     }
 
+    /** What the workers of one data centre, or of all, have counted since their process started. */
+    readCounts(dataCentre?: string): Promise<WorkerCounts[]> {
+        return Promise.all(
+            this.addresses.workers
+                .filter(worker => dataCentre === undefined || worker.dataCentre === dataCentre)
+                .map(worker => this.read<WorkerCounts>(worker.task, "/v1/stats")),
+        );
+    }
+
     /** Waits until every cell has an owner that knows its workers. */
     async untilServing(): Promise<void> {
         const admin = this.addresses.entryVms[0]?.admin ?? "";
--- a/packages/demo/src/run-report.ts
+++ b/packages/demo/src/run-report.ts
@@ -2,15 +2,7 @@
 import type { CallerResult } from "./caller-result.js";
 import type { Deployment } from "./deployment.js";
 import type { TaskLoad } from "./task-load.js";
-
-/** What the demo checks in the worker stand-ins' own counts. */
-interface WorkerStats {
-    readonly starts: Readonly<Record<string, number>>;
-    readonly concurrentDuplicates: number;
-    readonly overcommitRefusals: number;
-    readonly overSlotRefusals: number;
-    readonly requests: Readonly<Record<string, number>>;
-}
+import type { WorkerCounts } from "./worker-counts.js";
 
 const answeredCode = 1000;
 
@@ -32,11 +24,7 @@
         const report = new RunReport(deployment.plan.user);
         report.countResults(results);
         report.describeFailures(deployment, results);
-        const stats = await Promise.all(
-            deployment.addresses.workers.map(worker =>
-                deployment.read<WorkerStats>(worker.task, "/v1/stats"),
-            ),
-        );
+        const stats = [...deployment.lostCounts, ...(await deployment.readCounts())];
         report.checkWorkers(stats, results);
         report.checkTasks(tasks, stats);
         return report;
@@ -97,7 +85,7 @@
         );
     }
 
-    private checkWorkers(stats: readonly WorkerStats[], results: readonly CallerResult[]): void {
+    private checkWorkers(stats: readonly WorkerCounts[], results: readonly CallerResult[]): void {
         const runs = new Map<string, number>();
         for (const [id, count] of stats.flatMap(worker => Object.entries(worker.requests))) {
             runs.set(id, (runs.get(id) ?? 0) + count);
@@ -117,7 +105,7 @@
     }
 
     private checkCount(
-        stats: readonly WorkerStats[],
+        stats: readonly WorkerCounts[],
         name: "overcommitRefusals" | "concurrentDuplicates" | "overSlotRefusals",
         text: string,
     ): void {
@@ -127,7 +115,7 @@
         }
     }
 
-    private checkTasks(tasks: TaskLoad, stats: readonly WorkerStats[]): void {
+    private checkTasks(tasks: TaskLoad, stats: readonly WorkerCounts[]): void {
         const finished = tasks.accepted.filter(key => tasks.states.get(key) === "finished");
         const starts = stats.reduce((sum, worker) => sum + Object.keys(worker.starts).length, 0);
         this.taskLines = [
@@ -136,7 +124,11 @@
         for (const key of tasks.accepted.filter(key => tasks.states.get(key) !== "finished")) {
             this.violations.push(`task ${key} ended as ${tasks.states.get(key) ?? "unknown"}`);
         }
+        const attempts = new Map<string, number>();
         for (const [attempt, count] of stats.flatMap(worker => Object.entries(worker.starts))) {
+            attempts.set(attempt, (attempts.get(attempt) ?? 0) + count);
+        }
+        for (const [attempt, count] of attempts) {
             if (count > 1) {
                 this.violations.push(`attempt ${attempt} started ${count} times`);
             }
