Pass over targets whose last connection failed; do not count failed connections as sends

Cause: worker-lost.test.ts failed once in a full run: 1 of 4,800 requests was refused with 2005 while the workers of its own data centre were dead. A request has 3 sends, and all three went to dead targets of the nearest tier, because a target is ejected only after 3 failures in a row. A test with 5 dead targets in the nearest data centre fails every time before this change. Tried first: not counting failed connections (at most 6) as sends, with and without the retry budget; the test still failed with 2005, since a request meets the same dead targets again. Change: both, and a target whose last connection failed less than 1 s ago is used only when no other has room. Also: standin-worker.test.ts read a usage sample from before the start of its task (once in a full run); it now reads until a sample shows the task, and still requires exactly that task.

--- a/packages/routing/src/pool-dispatcher.ts
+++ b/packages/routing/src/pool-dispatcher.ts
@@ -77,10 +77,19 @@
         this.queues.get(request.routeName)?.remove(request.customer, request);
     }
 
-    /** Takes a slot of the best target that has one. */
+    /** Takes a slot of the best target that has one; a target whose last connection failed comes last. */
     takeSlot(): TargetState | undefined {
         const nowMs = this.options.clock.nowMs();
-        for (const tier of this.tiers) {
+        const isSuspect = (target: TargetState): boolean => target.isSuspect(nowMs);
+        if (this.tiers.some(tier => tier.some(isSuspect))) {
+            const others = this.tiers.map(tier => tier.filter(target => !isSuspect(target)));
+            return this.takeSlotOf(others, nowMs) ?? this.takeSlotOf(this.tiers, nowMs);
+        }
+        return this.takeSlotOf(this.tiers, nowMs);
+    }
+
+    private takeSlotOf(tiers: readonly (readonly TargetState[])[], nowMs: number): TargetState | undefined {
+        for (const tier of tiers) {
             const target = this.pick(tier, nowMs);
             if (target?.tryTakeSlot(nowMs) === true) {
                 return target;
--- a/packages/routing/src/request-settings.ts
+++ b/packages/routing/src/request-settings.ts
@@ -10,7 +10,7 @@
     readonly probeAfterMs: number;
     /** Longest time for the answer to a probe; a slower one means a slow back end. */
     readonly probeTimeoutMs: number;
-    /** Sends of one request, the first included. */
+    /** Sends of one request, the first included; up to 6 failed connections do not count. */
     readonly maxAttempts: number;
     /** Retries as a share of the load. */
     readonly retryShare: number;
--- a/packages/routing/src/resends.ts
+++ b/packages/routing/src/resends.ts
@@ -9,8 +9,16 @@
 import type { Sender } from "./sender.js";
 import type { TargetState } from "./target-state.js";
 
+/**
+ * Connections of one request that may fail without counting as a send or using the retry budget: a data centre whose workers are all dead
+ * must not use up the request's sends, and a failed connection costs its target nothing.
+ */
+const MaxFailedConnections = 6;
+
 /** Decides whether a request is sent again, and takes a token of the pool's retry budget when it is. */
 export class Resends {
+    private failedConnections = 0;
+
     private constructor(
         private readonly options: JobOptions,
         private readonly caller: CallerAnswer,
@@ -26,19 +34,26 @@
     afterFailure(state: AnswerState): Result<number, ResultCode> {
         const { head, context, dispatcher } = this.options;
         const { clock, random, settings, counters } = context;
+        if (state === AnswerState.NotConnected) {
+            this.failedConnections += 1;
+        }
+        const isFree = state === AnswerState.NotConnected && this.failedConnections <= MaxFailedConnections;
+        const sends = this.sender.count - Math.min(this.failedConnections, MaxFailedConnections);
         const delayMs = backoffDelay(Math.max(1, this.sender.count), random);
         const decision = retryDecision({
             idempotent: head.route.idempotent,
             bytesSent: this.sender.mayHaveRun,
             answer: this.caller.isStarted ? AnswerState.TruncatedAfterForward : state,
             remainingMs: this.deadlineAtMs - clock.nowMs() - delayMs,
-            hasBudget: dispatcher.budget.hasToken,
-            hasAttemptsLeft: this.sender.count < settings.maxAttempts,
+            hasBudget: isFree || dispatcher.budget.hasToken,
+            hasAttemptsLeft: sends < settings.maxAttempts,
         });
         if (!decision.retry) {
             return Err(decision.code);
         }
-        dispatcher.budget.tryTake();
+        if (!isFree) {
+            dispatcher.budget.tryTake();
+        }
         counters.add("requests.retries");
         return Ok(delayMs);
     }
--- a/packages/routing/src/target-state.ts
+++ b/packages/routing/src/target-state.ts
@@ -11,6 +11,8 @@
 const LongestEjectionMs = 60_000;
 /** Lost targets return as soon as they are started again, and trying one costs a connection and no request. */
 const LongestUnreachableMs = 4_000;
+/** A target whose last connection failed is passed over for this long while another one has room. */
+const SuspectMs = 1_000;
 
 /** What this entry process knows about one target: its share, connections, failures, and ramp. */
 export class TargetState {
@@ -19,6 +21,7 @@
     results = 0;
     /** Failed connections since the last result of another kind. */
     unreachableInRow = 0;
+    private lastUnreachableMs = -Infinity;
     private rampSlots = 1;
     private ejectedUntilMs = 0;
     private ejections = 0;
@@ -40,6 +43,11 @@
         return nowMs < this.ejectedUntilMs;
     }
 
+    /** Whether the last connection failed a short time ago. */
+    isSuspect(nowMs: number): boolean {
+        return this.unreachableInRow > 0 && nowMs - this.lastUnreachableMs < SuspectMs;
+    }
+
     hasFreeSlot(nowMs: number): boolean {
         const limit = Math.min(this.rampSlots, this.share.slots);
         return this.share.isUsable(nowMs) && this.share.slotsInUse < limit && !this.isEjected(nowMs);
@@ -72,6 +80,7 @@
         const inRow = this.unreachableInRow;
         this.countResult(1);
         this.unreachableInRow = inRow + 1;
+        this.lastUnreachableMs = this.clock.nowMs();
         this.rampSlots = 1;
     }
 
--- a/packages/routing/tests/request-failures.test.ts
+++ b/packages/routing/tests/request-failures.test.ts
@@ -178,6 +178,22 @@
     await rig.stop();
 });
 
+// Guards against a request that is refused because all its sends went to workers of one lost data centre.
+t.test("a data centre without a live worker is passed over", async t => {
+    const [backEnd, rig] = await startBoth(whole);
+    rig.grant([backEnd.address], 4, "next");
+    rig.grant(
+        Array.from({ length: 5 }, (_, index) => `127.0.0.${index + 2}:9`),
+        4,
+        "near",
+    );
+    const got = await rig.call("/order", { method: "POST", body: "x" });
+    t.equal(got.code, 1000);
+    t.equal(backEnd.received.length, 1);
+    await rig.stop();
+    await backEnd.stop();
+});
+
 // Guards against a target that closes new connections before reading being taken for one that cannot have run.
 t.test("closes before reading", async t => {
     const backEnd = await BackEnd.start(whole, socket => socket.destroy());
--- a/packages/standins/tests/worker/standin-worker.test.ts
+++ b/packages/standins/tests/worker/standin-worker.test.ts
@@ -61,11 +61,17 @@
     const health = await request("/health", "h");
     t.strictSame([health.status, health.headers.get("samphireward-leaving")], [503, "1"]);
     t.equal((await request("/x", "r")).status, 500);
-    const usage = (await (await fetch(`http://${taskAddress}/v1/usage`)).json()) as {
-        tasks: { key: string }[];
+    // The last sample may be from before the start; the next one shows the task.
+    const readUsage = async (): Promise<string[]> => {
+        const usage = (await (await fetch(`http://${taskAddress}/v1/usage`)).json()) as {
+            tasks: { key: string }[];
+        };
+        return usage.tasks.map(task => task.key);
     };
-    t.strictSame(
-        usage.tasks.map(task => task.key),
-        ["k"],
-    );
+    let used = await readUsage();
+    for (let tries = 0; tries < 50 && used.length === 0; tries += 1) {
+        await new Promise(resolve => setTimeout(resolve, 100));
+        used = await readUsage();
+    }
+    t.strictSame(used, ["k"]);
 });
