Divide accelerator quotas into whole devices

Cause: found by reading. A quota of 4 accelerators over 3 cells gave each 1.33; a quota of 2 gave 0.67 and admitted no accelerator task anywhere. Change: whole devices, the remainder to the first cells by name. A cell outside the team's zones now has no quota in place of an equal part.

--- a/packages/scheduler/src/cell-tables.ts
+++ b/packages/scheduler/src/cell-tables.ts
@@ -7,11 +7,21 @@
 const poolsOf = (tables: Tables, cell: CellName): Pool[] =>
     [...tables.pools.values()].filter(pool => pool.zones.includes(cell.dataCentre));
 
-/** A team's quota is divided evenly over the cells that its pools reach. */
-const quotaShare = (tables: Tables, team: string, quota: Resources): Resources => {
+/**
+ * A team's quota is divided evenly over the cells that its pools reach. Accelerators are given as whole devices,
+ * the first cells by name getting the remainder, because a fraction of one admits no task.
+ */
+const quotaShare = (tables: Tables, cell: CellName, team: string, quota: Resources): Resources => {
     const pools = [...tables.pools.values()].filter(pool => pool.team === team);
-    const cells = new Set(pools.flatMap(pool => tables.cellsOf(pool).map(String)));
-    return quota.scale(1 / Math.max(1, cells.size));
+    const cells = [...new Set(pools.flatMap(pool => tables.cellsOf(pool).map(String)))].sort();
+    const index = cells.indexOf(String(cell));
+    if (index < 0) {
+        return Resources.none;
+    }
+    const remainder = quota.accelerators % cells.length;
+    const accelerators = Math.floor(quota.accelerators / cells.length) + (index < remainder ? 1 : 0);
+    const { processors, memoryMb } = quota.scale(1 / cells.length);
+    return Resources.create({ processors, memoryMb, accelerators });
 };
 
 /** The part of the operators' tables that concerns one cell. */
@@ -29,7 +39,7 @@
         const serviceReserve = services.reduce((sum, { reserve }) => sum.plus(reserve), Resources.none);
         const quotas = [...tables.teamQuotas].map(([team, quota]): [string, Resources] => [
             team,
-            quotaShare(tables, team, quota),
+            quotaShare(tables, cell, team, quota),
         ]);
         return new CellTables(
             { pools: new Map(pools.map(pool => [pool.name, pool])), quotas: new Map(quotas), serviceReserve },
