Do not call a submission "not run" after an attempt without an answer

Cause: found by reading. An owner may record a submission, lose the cell and its stream, and refuse the repeated attempt with 2004 or 2007; the caller was told that the task was not recorded. Change: after an unanswered attempt a refusal is repeated until the deadline and ends as 3005. A refusal because the cell is changing owners (2007) is repeated in any case.

--- a/packages/entry/src/task-gateway.ts
+++ b/packages/entry/src/task-gateway.ts
@@ -1,6 +1,8 @@
 import { CodedError } from "@samphireward/core/coded-error";
 import type { Clock } from "@samphireward/core/clock";
 import type { Pool } from "@samphireward/core/pool";
+import { describeCode } from "@samphireward/core/describe-code";
+import { Outcome } from "@samphireward/core/outcome";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { TaskSpec } from "@samphireward/core/task-spec";
 import type { Tables } from "@samphireward/core/tables";
@@ -11,10 +13,21 @@
 /** One attempt is given up after this time, so that a silent owner leaves time for its successor. */
 const AttemptTimeoutMs = 2_500;
 
+type MakeBody = Parameters<CellStream["callTask"]>[0];
+
+/** One operation on a task, repeated until it is answered. */
+interface Operation {
+    readonly pool: Pool;
+    readonly key: string;
+    readonly deadlineMs: number;
+    readonly makeBody: MakeBody;
+    readonly isSubmission: boolean;
+}
+
 interface GatewayOptions {
     readonly clock: Clock;
     readonly tables: () => Tables | undefined;
-    readonly streamTo: (cell: string) => CellStream | undefined;
+    readonly streamTo: (cell: string) => Pick<CellStream, "callTask"> | undefined;
 }
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
@@ -34,46 +47,46 @@
         const { key, expectedRunMs, payload } = spec;
         const { processors, memoryMb, accelerators } = spec.resources;
         const resources = { processors, memoryMb, accelerators };
-        return this.repeat(pool, key, deadlineMs, (stream, timeoutMs) =>
-            stream.callTask(
-                requestId => ({
-                    case: "submit",
-                    value: { requestId, key, pool: pool.name, resources, expectedRunMs, payload },
-                }),
-                timeoutMs,
-            ),
-        );
+        const makeBody: MakeBody = requestId => ({
+            case: "submit",
+            value: { requestId, key, pool: pool.name, resources, expectedRunMs, payload },
+        });
+        return this.repeat({ pool, key, deadlineMs, makeBody, isSubmission: true });
     }
 
     lookup(pool: Pool, key: string, deadlineMs: number): Promise<TaskReply> {
-        return this.repeat(pool, key, deadlineMs, (stream, timeoutMs) =>
-            stream.callTask(requestId => ({ case: "lookup", value: { requestId, key } }), timeoutMs),
-        );
+        const makeBody: MakeBody = requestId => ({ case: "lookup", value: { requestId, key } });
+        return this.repeat({ pool, key, deadlineMs, makeBody, isSubmission: false });
     }
 
     cancel(pool: Pool, key: string, deadlineMs: number): Promise<TaskReply> {
-        return this.repeat(pool, key, deadlineMs, (stream, timeoutMs) =>
-            stream.callTask(requestId => ({ case: "cancel", value: { requestId, key } }), timeoutMs),
-        );
+        const makeBody: MakeBody = requestId => ({ case: "cancel", value: { requestId, key } });
+        return this.repeat({ pool, key, deadlineMs, makeBody, isSubmission: false });
     }
 
-    /** Rejects with `NoCellOwner` when nothing was sent, with `OwnerUnreachable` when something was. */
-    private async repeat(
-        pool: Pool,
-        key: string,
-        deadlineMs: number,
-        attempt: (stream: CellStream, timeoutMs: number) => Promise<TaskReply>,
-    ): Promise<TaskReply> {
+    /**
+     * Rejects with `NoCellOwner` when nothing was sent, with `OwnerUnreachable` when something was. An owner that
+     * has just lost the cell refuses; another one is asked then. After an attempt without an answer a refusal is
+     * no proof for a submission any more, because the earlier attempt may have been recorded.
+     */
+    private async repeat(operation: Operation): Promise<TaskReply> {
         const { clock, streamTo, tables } = this.options;
-        const endMs = clock.nowMs() + deadlineMs;
+        const endMs = clock.nowMs() + operation.deadlineMs;
         let failure = CodedError.create(ResultCode.NoCellOwner, "No scheduler owns the task's cell now");
+        let isUnanswered = false;
         while (clock.nowMs() < endMs) {
-            const cell = String(tables()?.homeCell(pool, key) ?? "");
+            const cell = String(tables()?.homeCell(operation.pool, operation.key) ?? "");
             const stream = streamTo(cell);
             if (stream !== undefined) {
                 try {
-                    return await attempt(stream, Math.min(AttemptTimeoutMs, endMs - clock.nowMs()));
+                    const timeoutMs = Math.min(AttemptTimeoutMs, endMs - clock.nowMs());
+                    const reply = await stream.callTask(operation.makeBody, timeoutMs);
+                    const isProof = !operation.isSubmission || !isUnanswered || !isRefusal(reply);
+                    if (isProof && reply.code !== ResultCode.NoCellOwner) {
+                        return reply;
+                    }
                 } catch (err) {
+                    isUnanswered = true;
                     failure = err as CodedError;
                 }
             }
@@ -82,3 +95,6 @@
         throw failure;
     }
 }
+
+const isRefusal = ({ code }: TaskReply): boolean =>
+    describeCode(code as ResultCode).outcome === Outcome.NotRun;
