--- a/packages/core/src/duration-schema.ts
+++ b/packages/core/src/duration-schema.ts
@@ -11,7 +11,7 @@
         ? Effect.succeed(ms(text as ms.StringValue))
         : Effect.fail(
               new SchemaIssue.InvalidValue({
-                  message: `a duration with a unit, such as "800ms", "5s" or "2m"`,
+                  message: `Expected a duration with a unit, such as "800ms", "5s" or "2m"`,
               }),
           );
 
