--- a/packages/demo/tests/settings.test.ts
+++ b/packages/demo/tests/settings.test.ts
@@ -83,8 +83,8 @@
 t.test("docs/settings.md lists every key", t => {
     const page = readFileSync(join(process.cwd(), "docs", "settings.md"), "utf8");
     for (const fields of [EntrySettings.fields, SchedulerSettings.fields]) {
-        for (const [name, schema] of Object.entries<{ readonly fields?: object }>({ ...fields })) {
-            const inner = Object.keys(schema.fields ?? { "": true });
+        for (const [name, schema] of Object.entries(fields as Readonly<Record<string, object>>)) {
+            const inner = "fields" in schema ? Object.keys(schema.fields as object) : [""];
             for (const key of inner.map(each => (each === "" ? name : `${name}.${each}`))) {
                 t.ok(page.includes(`\`${key}\``), key);
             }
