--- a/packages/entry/src/entry-keys.ts
+++ b/packages/entry/src/entry-keys.ts
@@ -25,7 +25,7 @@
 
 /**
  * Idempotency keys of this entry process. The owner of a key is chosen among the registrations in the store,
- * because peers' hearsay may differ between two entry processes for longer than a key is remembered.
+ * because the members known from exchanges may differ between two entry processes for longer than a key is remembered.
  */
 export class EntryKeys extends KeyOwner {
     private readonly claims: KeyClaims;
--- a/packages/scheduler/src/cell-host.ts
+++ b/packages/scheduler/src/cell-host.ts
@@ -4,7 +4,7 @@
 import type { ProcessRuntime } from "@samphireward/runtime/process-runtime";
 import { CellOwnership } from "@samphireward/state/cell-ownership";
 import * as Effect from "effect/Effect";
-import { CellTenure } from "./cell-tenure.js";
+import { OwnedCell } from "./owned-cell.js";
 import type { SchedulerSettings } from "./scheduler-settings.js";
 
 const CheckMs = 100;
@@ -20,7 +20,7 @@
 /** One cell in this process: takes it when it is free, and runs it while it is owned. */
 export class CellHost {
     private readonly ownership: CellOwnership;
-    private current: CellTenure | undefined;
+    private current: OwnedCell | undefined;
     private isStopping = false;
     private readonly stopped: Promise<void>;
     private markStopped: () => void = () => undefined;
@@ -46,8 +46,8 @@
         return new CellHost(options);
     }
 
-    /** The tenure while this process owns the cell and has replayed its log. */
-    get tenure(): CellTenure | undefined {
+    /** The owned cell while this process owns the cell and has replayed its log. */
+    get owned(): OwnedCell | undefined {
         return this.current;
     }
 
@@ -66,7 +66,7 @@
         }
     }
 
-    /** Ends the tenure, commits what is queued and gives the cell to the next owner. */
+    /** Ends the ownership, commits what is queued and gives the cell to the next owner. */
     async release(): Promise<void> {
         this.isStopping = true;
         await this.stopped;
@@ -87,30 +87,30 @@
                     return;
                 }
                 const { cell, runtime, placement } = this.options;
-                const tenure = yield* Effect.promise(() =>
-                    CellTenure.open({ cell, epoch, runtime, ownership: this.ownership, tables, placement }),
+                const owned = yield* Effect.promise(() =>
+                    OwnedCell.open({ cell, epoch, runtime, ownership: this.ownership, tables, placement }),
                 );
-                if (tenure === undefined) {
+                if (owned === undefined) {
                     yield* Effect.sleep(ReopenMs);
                     return;
                 }
-                yield* this.serve(tenure, epoch);
+                yield* this.serve(owned, epoch);
             }),
         );
     }
 
-    private serve(tenure: CellTenure, epoch: number): Effect.Effect<void> {
+    private serve(owned: OwnedCell, epoch: number): Effect.Effect<void> {
         const { cell, runtime } = this.options;
-        this.current = tenure;
+        this.current = owned;
         this.update();
         const { name, address } = runtime.membership.self;
         runtime.owners.learn({ cell: String(cell), owner: name, epoch, address });
         runtime.log.info("cell is served", { cell: String(cell), epoch });
         const end = Effect.promise(() => {
             this.current = undefined;
-            return tenure.close(this.isStopping);
+            return owned.close(this.isStopping);
         });
-        return Effect.raceFirst(tenure.run(), this.untilLost(epoch)).pipe(Effect.ensuring(end));
+        return Effect.raceFirst(owned.run(), this.untilLost(epoch)).pipe(Effect.ensuring(end));
     }
 
     private untilLost(epoch: number): Effect.Effect<void> {
--- a/packages/scheduler/src/cell-service-impl.ts
+++ b/packages/scheduler/src/cell-service-impl.ts
@@ -30,16 +30,16 @@
     async *attach(requests) {
         const iterator = requests[Symbol.asyncIterator]();
         const hello = await readHello(iterator);
-        const tenure = hosts.get(hello.cell)?.tenure;
-        if (tenure === undefined) {
+        const owned = hosts.get(hello.cell)?.owned;
+        if (owned === undefined) {
             throw new ConnectError(`cell ${hello.cell} is not owned here`, Code.FailedPrecondition);
         }
-        const session = tenure.attach(hello);
+        const session = owned.attach(hello);
         void feed(session, iterator);
         try {
             yield* session.messages();
         } finally {
-            tenure.detach(session);
+            owned.detach(session);
         }
     },
 });
--- a/packages/scheduler/src/tenure-limits.ts
+++ b/packages/scheduler/src/owned-cell-limits.ts
@@ -1,5 +1,5 @@
 /** Time constants and bounds of a cell's owner (docs/design.md, sections 5 to 7). */
-export const TenureLimits = {
+export const OwnedCellLimits = {
     /** Longer than a takeover takes (lease 4 s, delay 1 s, replay and reconnection 2 s), so that requests go on. */
     shareTtlMs: 8_000,
     /** For clocks of different rates: 10% of the TTL and 0.5 s. */
--- a/packages/scheduler/src/cell-tenure.ts
+++ b/packages/scheduler/src/owned-cell.ts
@@ -26,10 +26,10 @@
 import { HandOverRow } from "./hand-over-row.js";
 import type { LogRow } from "./log-row.js";
 import type { SchedulerSettings } from "./scheduler-settings.js";
-import { TenureLimits } from "./tenure-limits.js";
+import { OwnedCellLimits } from "./owned-cell-limits.js";
 
-/** What a tenure needs from its process. */
-interface TenureOptions {
+/** What an owned cell needs from its process. */
+interface OwnedCellOptions {
     readonly cell: CellName;
     readonly epoch: number;
     readonly runtime: ProcessRuntime;
@@ -39,16 +39,16 @@
 }
 
 /** This process's ownership of a cell in one epoch, from the replayed log until it ends. */
-export class CellTenure {
+export class OwnedCell {
     private readonly sessions = new Set<CellSession>();
-    private readonly agent = new Agent({ keepAlive: true, maxSockets: TenureLimits.socketsPerWorker });
+    private readonly agent = new Agent({ keepAlive: true, maxSockets: OwnedCellLimits.socketsPerWorker });
     private readonly owner: CellOwner;
     private readonly allocator: SlotAllocator;
     private readonly operations: CellOperations;
     private cellTables: CellTables;
 
     private constructor(
-        private readonly options: TenureOptions,
+        private readonly options: OwnedCellOptions,
         private readonly log: GroupCommitLog<LogRow, LogRow>,
         machine: HandOverMachine,
         handedOver: readonly HandedGrant[] | undefined,
@@ -71,8 +71,8 @@
             clock: runtime.clock,
             cell: String(cell),
             epoch,
-            ttlMs: TenureLimits.shareTtlMs,
-            marginMs: TenureLimits.shareMarginMs,
+            ttlMs: OwnedCellLimits.shareTtlMs,
+            marginMs: OwnedCellLimits.shareMarginMs,
             isTakeover: epoch > 1,
             handedOver,
             // Unlike tasks, shares need no valid lease: the worker itself refuses requests over its slots, and
@@ -89,7 +89,7 @@
     }
 
     /** Replays the log and starts the epoch in it. `undefined` when the cell was lost or the store failed. */
-    static async open(options: TenureOptions): Promise<CellTenure | undefined> {
+    static async open(options: OwnedCellOptions): Promise<OwnedCell | undefined> {
         const { cell, epoch, runtime, ownership } = options;
         const machine = HandOverMachine.create();
         const log = await GroupCommitLog.open<LogRow, LogRow>({
@@ -110,8 +110,8 @@
             return undefined;
         }
         const { handedOver } = machine;
-        const tenure = new CellTenure(options, log.value, machine, handedOver);
-        return handedOver === undefined || (await tenure.takeHandOver(machine)) ? tenure : undefined;
+        const owned = new OwnedCell(options, log.value, machine, handedOver);
+        return handedOver === undefined || (await owned.takeHandOver(machine)) ? owned : undefined;
     }
 
     /** Commits and drives the workers until interrupted. */
@@ -191,7 +191,7 @@
             ...parseAddress(worker.taskAddress),
             cell: String(cell),
             epoch,
-            timeoutMs: TenureLimits.workerTimeoutMs,
+            timeoutMs: OwnedCellLimits.workerTimeoutMs,
             agent: this.agent,
         });
     }
--- a/packages/tasks/src/attempt-book.ts
+++ b/packages/tasks/src/attempt-book.ts
@@ -90,7 +90,7 @@
         return true;
     }
 
-    /** Applies a durable transition and follows it; returns the worker whose conversation it concerns. */
+    /** Applies a durable transition and follows it; returns the link to the worker that it concerns. */
     apply(transition: Transition): WorkerLink | undefined {
         const key = "key" in transition ? transition.key : undefined;
         const before = key === undefined ? undefined : this.parts.state.get(key);
--- a/packages/tasks/src/link-state.ts
+++ b/packages/tasks/src/link-state.ts
@@ -6,7 +6,7 @@
 import type { OwnerTiming } from "./owner-timing.js";
 import type { Recorder } from "./recorder.js";
 
-/** What the owner knows about its conversation with a worker. */
+/** What the owner knows about a worker from its calls. */
 export class LinkState {
     /** The directory does not list the worker any more. */
     gone = false;
@@ -38,7 +38,7 @@
         return this.answers;
     }
 
-    /** Whether new tasks may be sent as far as the conversation goes. */
+    /** Whether new tasks may be sent as far as the calls to the worker tell. */
     get usable(): boolean {
         return this.answers && this.fenced && this.inventoried && !this.gone && !this.leaving;
     }
--- a/packages/tasks/src/recorder.ts
+++ b/packages/tasks/src/recorder.ts
@@ -4,7 +4,7 @@
 import type { Transition } from "./transition.js";
 import type { WorkerUsage } from "./worker-usage.js";
 
-/** What a worker's conversation may ask of the cell's owner. */
+/** What a worker's link may ask of the cell's owner. */
 export abstract class Recorder {
     /** Whether this owner still owns the cell as far as it knows. */
     abstract get active(): boolean;
--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -19,7 +19,7 @@
 type Call = () => Promise<void>;
 
 /**
- * The owner's conversation with one worker. One call is under way at a time, besides checkpoints, so that the
+ * The owner's calls to one worker. One call is under way at a time, besides checkpoints, so that the
  * order of starts, renewals and stops at the worker is the order in which they were decided. After a call
  * without an answer the worker is only asked, not renewed, until it answers: a renewal that may have arrived
  * extends the lease, and renewing a silent worker would keep its tasks from ever being released.
