--- a/packages/core/src/vm-list.ts
+++ b/packages/core/src/vm-list.ts
@@ -16,6 +16,7 @@
  */
 export class VmList {
     private readonly workers = new Map<string, WorkerInfo>();
+    private listed: readonly WorkerInfo[] | undefined;
     /** Tag of the last list; an unchanged list is not sent again, which is most of the control traffic otherwise. */
     private etag: string | undefined;
 
@@ -48,8 +49,10 @@
         }
     }
 
-    all(): WorkerInfo[] {
-        return [...this.workers.values()];
+    /** All listed workers. The same array until one of them changes. */
+    all(): readonly WorkerInfo[] {
+        this.listed ??= [...this.workers.values()];
+        return this.listed;
     }
 
     get(name: string): WorkerInfo | undefined {
@@ -59,8 +62,9 @@
     /** Notes that a worker is leaving, from another source than the list. */
     markLeaving(name: string): void {
         const worker = this.workers.get(name);
-        if (worker !== undefined) {
+        if (worker !== undefined && !worker.leaving) {
             this.workers.set(name, { ...worker, leaving: true });
+            this.listed = undefined;
         }
     }
 
@@ -71,6 +75,7 @@
     private replace(listed: readonly WorkerInfo[]): void {
         const previous = new Map(this.workers);
         this.workers.clear();
+        this.listed = undefined;
         for (const worker of listed) {
             const before = previous.get(worker.name);
             const same = before?.taskAddress === worker.taskAddress;
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { JsonServer } from "@samphireward/core/json-server";
 import { listen } from "@samphireward/core/listen";
@@ -25,8 +26,6 @@
 /** A process that has reached neither store nor peers for this long leaves the balancer. */
 const MaxNoContactMs = 60_000;
 
-const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
-
 /** An entry process: callers' port, administration port and the streams to the owners of all cells. */
 export class EntryProcess {
     private readonly runtime: ProcessRuntime;
--- a/packages/entry/src/task-gateway.ts
+++ b/packages/entry/src/task-gateway.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { CodedError } from "@samphireward/core/coded-error";
 import type { Clock } from "@samphireward/core/clock";
 import type { Pool } from "@samphireward/core/pool";
@@ -30,8 +31,6 @@
     readonly streamTo: (cell: string) => Pick<CellStream, "callTask"> | undefined;
 }
 
-const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
-
 /**
  * Sends task operations to the owner of the task's home cell. All of them are idempotent by task key, so they
  * are repeated after a lost stream until the deadline.
--- a/packages/scheduler/src/owned-cell.ts
+++ b/packages/scheduler/src/owned-cell.ts
@@ -46,6 +46,10 @@
     private readonly allocator: SlotAllocator;
     private readonly operations: CellOperations;
     private cellTables: CellTables;
+    private listed: readonly WorkerInfo[] | undefined;
+    private tables: Tables | undefined;
+    /** The cell's part of `listed`. */
+    private workers: readonly WorkerInfo[] = [];
 
     private constructor(
         private readonly options: OwnedCellOptions,
@@ -141,21 +145,16 @@
         }
     }
 
-    /** Takes the newest VM list and tables. */
+    /** Takes the newest VM list and tables. Called each second, mostly with the same ones. */
     update(workers: readonly WorkerInfo[], tables: Tables): void {
-        const { cell } = this.options;
-        const cells = tables.zones.get(cell.dataCentre)?.cells ?? 1;
-        this.cellTables = CellTables.create(tables, cell);
-        const own = workers.filter(
-            ({ dataCentre, rack }) =>
-                dataCentre === cell.dataCentre &&
-                CellName.ofRack(dataCentre, rack, cells).index === cell.index,
-        );
+        if (workers !== this.listed || tables !== this.tables) {
+            this.selectWorkers(workers, tables);
+        }
         this.owner.setTables(this.cellTables.owner);
-        this.owner.updateWorkers(own);
+        this.owner.updateWorkers(this.workers);
         const { slotsPerWorker: slots, connectionsPerWorker: connections } = this.cellTables;
         this.allocator.setWorkers(
-            own.map(({ name, serviceAddress, leaving }) => ({
+            this.workers.map(({ name, serviceAddress, leaving }) => ({
                 worker: name,
                 serviceAddress,
                 slots,
@@ -165,6 +164,19 @@
         );
     }
 
+    private selectWorkers(listed: readonly WorkerInfo[], tables: Tables): void {
+        const { cell } = this.options;
+        const cells = tables.zones.get(cell.dataCentre)?.cells ?? 1;
+        this.listed = listed;
+        this.tables = tables;
+        this.cellTables = CellTables.create(tables, cell);
+        this.workers = listed.filter(
+            ({ dataCentre, rack }) =>
+                dataCentre === cell.dataCentre &&
+                CellName.ofRack(dataCentre, rack, cells).index === cell.index,
+        );
+    }
+
     /** Ends the sessions. On a planned stop everything that is queued is committed first. */
     async close(isPlanned: boolean): Promise<void> {
         this.owner.close();
