--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { mkdtempSync } from "node:fs";
 import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
@@ -22,8 +23,6 @@
 } as const;
 
 const require = createRequire(import.meta.url);
-const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
-
 /** One user's system on loopback: stand-ins for the platform, and an entry and a scheduler process for each VM. */
 export class Deployment {
     /** Counts of workers as they were before their process was killed, which forgets them. */
@@ -76,6 +75,15 @@
         return process;
     }
 
+    /** Name of the scheduler process that owns a cell now. */
+    async ownerOf(cell: string): Promise<string> {
+        const { value } = await this.read<{ value: string }>(
+            this.addresses.store,
+            `/v1/kv/cell/${cell}/owner`,
+        );
+        return (JSON.parse(value) as { owner: string }).owner;
+    }
+
     /** Waits until `check` holds; rejects after a time that only a hang reaches. */
     async until(what: string, check: () => Promise<boolean>): Promise<void> {
         const endMs = performance.now() + ReadyTimeoutMs;
--- a/packages/demo/src/measure-control.ts
+++ b/packages/demo/src/measure-control.ts
@@ -1,15 +1,17 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { parseArgs } from "node:util";
 import { applyTables } from "./apply-tables.js";
 import { Balancer } from "./balancer.js";
 import { Deployment } from "./deployment.js";
 import type { ProcessUsage } from "./process-usage.js";
+import { resizePlan } from "./resize-plan.js";
 import { TaskLoad } from "./task-load.js";
-import type { UserPlan } from "./user-plan.js";
 import { userPlans } from "./user-plans.js";
 
 const SettleMs = 12_000;
 const MeasureMs = 10_000;
 const EndTimeoutMs = 20_000;
+const DataCentres = userPlans.kloverknap.zones.length;
 
 /** One point of a slope: the size of the deployment and the rate of task starts. */
 interface Point {
@@ -24,14 +26,6 @@
     starts: [5, 20, 60].map(startsPerSecond => ({ entryVms: 3, workers: 30, startsPerSecond })),
 };
 
-const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
-
-const planOf = ({ entryVms, workers }: Point): UserPlan => ({
-    ...userPlans.kloverknap,
-    entryVms,
-    zones: userPlans.kloverknap.zones.map(zone => ({ ...zone, workers: workers / 3 })),
-});
-
 const namesOf = (deployment: Deployment, role: string): string[] =>
     deployment.addresses.entryVms.map(({ name }) => `${role}-${name}`);
 
@@ -79,7 +73,9 @@
 };
 
 const measure = async (point: Point): Promise<void> => {
-    const deployment = Deployment.create(planOf(point));
+    const deployment = Deployment.create(
+        resizePlan(userPlans.kloverknap, point.entryVms, point.workers / DataCentres),
+    );
     const balancer = Balancer.create(deployment.addresses.entryVms);
     const tasks = TaskLoad.create({ balancer, path: "/cutting-plan", count: 0, seed: 1, name: "measure" });
     try {
--- a/packages/demo/src/measure-takeover.ts
+++ b/packages/demo/src/measure-takeover.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
@@ -5,21 +6,15 @@
 import { applyTables } from "./apply-tables.js";
 import { Balancer } from "./balancer.js";
 import { Deployment } from "./deployment.js";
+import { resizePlan } from "./resize-plan.js";
 import { TaskLoad } from "./task-load.js";
-import type { UserPlan } from "./user-plan.js";
 import { userPlans } from "./user-plans.js";
 
 const Cell = "herning-a/0";
 const PollMs = 20;
 const SettleMs = 3_000;
 
-const plan: UserPlan = {
-    ...userPlans.kloverknap,
-    entryVms: 3,
-    zones: userPlans.kloverknap.zones.map(zone => ({ ...zone, workers: 3 })),
-};
-
-const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+const plan = resizePlan(userPlans.kloverknap, 3, 3);
 
 /** Keys of urgent tasks whose home is the measured cell. */
 const urgentKeys = (count: number): string[] => {
@@ -36,14 +31,6 @@
     return keys;
 };
 
-const ownerOf = async (deployment: Deployment): Promise<string> => {
-    const { value } = await deployment.read<{ value: string }>(
-        deployment.addresses.store,
-        `/v1/kv/cell/${Cell}/owner`,
-    );
-    return (JSON.parse(value) as { owner: string }).owner;
-};
-
 /** Waits until a worker of the cell has started the task. */
 const untilStarted = async (deployment: Deployment, key: string): Promise<void> => {
     const workers = deployment.addresses.workers.filter(({ dataCentre }) => dataCentre === "herning-a");
@@ -70,7 +57,7 @@
     key: string,
     signal: NodeJS.Signals,
 ): Promise<number> => {
-    const name = await ownerOf(deployment);
+    const name = await deployment.ownerOf(Cell);
     const owner = deployment.process(name);
     const startMs = performance.now();
     owner.signal(signal);
--- a/packages/demo/tests/kill.test.ts
+++ b/packages/demo/tests/kill.test.ts
@@ -1,7 +1,6 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import t from "tap";
 import { runUser } from "../src/run-user.js";
-import { ownerOf } from "./fixtures/owner-of.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 
 // Guards against tasks, slots or requests of other entry processes that are lost with a killed entry process.
@@ -30,7 +29,7 @@
         requestMs: 10_000,
         disturb: async deployment => {
             await sleep(1_000);
-            const owner = deployment.process(await ownerOf(deployment, "herning-a/0"));
+            const owner = deployment.process(await deployment.ownerOf("herning-a/0"));
             owner.signal("SIGKILL");
             await owner.ended;
         },
--- a/packages/demo/tests/leaving-target.test.ts
+++ b/packages/demo/tests/leaving-target.test.ts
@@ -1,10 +1,10 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { JsonClient } from "@samphireward/core/json-client";
 import t from "tap";
 import type { Deployment } from "../src/deployment.js";
 import { loadPlan } from "../src/load-plan.js";
 import { runUser } from "../src/run-user.js";
 import { TaskLoad } from "../src/task-load.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 
 const LeavingWorker = "herning-a-w0";
--- a/packages/demo/tests/operators.test.ts
+++ b/packages/demo/tests/operators.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import t from "tap";
@@ -5,7 +6,6 @@
 import type { RunReport } from "../src/run-report.js";
 import { runUser } from "../src/run-user.js";
 import { runCtl } from "./fixtures/run-ctl.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 
 const ConflictExitCode = 6;
--- a/packages/demo/tests/pause.test.ts
+++ b/packages/demo/tests/pause.test.ts
@@ -1,7 +1,6 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import t from "tap";
 import { runUser } from "../src/run-user.js";
-import { ownerOf } from "./fixtures/owner-of.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 
 const PausedMs = 9_000;
@@ -14,7 +13,7 @@
         requestMs: 14_000,
         disturb: async deployment => {
             await sleep(1_000);
-            const owner = deployment.process(await ownerOf(deployment, "herning-a/0"));
+            const owner = deployment.process(await deployment.ownerOf("herning-a/0"));
             owner.signal("SIGSTOP");
             await sleep(PausedMs);
             owner.signal("SIGCONT");
--- a/packages/demo/tests/region-cut-off.test.ts
+++ b/packages/demo/tests/region-cut-off.test.ts
@@ -1,12 +1,11 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import t from "tap";
 import type { Deployment } from "../src/deployment.js";
 import { freeAddresses } from "../src/free-addresses.js";
 import { loadPlan } from "../src/load-plan.js";
 import { runUser } from "../src/run-user.js";
 import { TaskLoad } from "../src/task-load.js";
-import { ownerOf } from "./fixtures/owner-of.js";
 import { RunWatch } from "./fixtures/run-watch.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 import { TcpForwarder } from "./fixtures/tcp-forwarder.js";
 
@@ -54,7 +53,7 @@
         );
         const isSame = owners.every(view => view.sort().join() === owners[0]?.join());
         const cells = views[0]?.cells ?? [];
-        const recorded = await Promise.all(cells.map(({ cell }) => ownerOf(deployment, cell)));
+        const recorded = await Promise.all(cells.map(({ cell }) => deployment.ownerOf(cell)));
         return isSame && cells.length === 3 && cells.every(({ owner }, index) => owner === recorded[index]);
     });
 
--- a/packages/demo/tests/rolling-restart.test.ts
+++ b/packages/demo/tests/rolling-restart.test.ts
@@ -1,6 +1,6 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import t from "tap";
 import { runUser } from "../src/run-user.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 
 // Guards against a planned stop that cuts a request short, refuses one that was already accepted, or loses a task.
--- a/packages/demo/tests/store-outage.test.ts
+++ b/packages/demo/tests/store-outage.test.ts
@@ -1,8 +1,8 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { JsonClient } from "@samphireward/core/json-client";
 import t from "tap";
 import type { Deployment } from "../src/deployment.js";
 import { runUser } from "../src/run-user.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 
 const setFault = async (deployment: Deployment, mode: string): Promise<void> => {
--- a/packages/demo/tests/worker-lost.test.ts
+++ b/packages/demo/tests/worker-lost.test.ts
@@ -1,9 +1,9 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { ResultCode } from "@samphireward/core/result-code";
 import t from "tap";
 import type { RunReport } from "../src/run-report.js";
 import { runUser } from "../src/run-user.js";
 import { RunWatch } from "./fixtures/run-watch.js";
-import { sleep } from "./fixtures/sleep.js";
 import { smallPlan } from "./fixtures/small-plan.js";
 
 const LostDataCentre = "herning-a";
