Limit reads of the store by the time without data, not by the time of the whole response

Cause: a read was abandoned after 900 ms (a watch after its wait and 700 ms) however much of the response had arrived, and started again from the beginning. 22 processes that read 400 kB at the same time over a link of 42 Mbit/s need 1.7 s, so that no read ever ended and the link carried abandoned reads only: congestion collapse by repeated work.

Change: the time-out of a read covers the beginning of its response. Calls without this option (orders to workers, peers, transactions) keep a limit on the whole. The metric samphireward_store_received_bytes_total tells complete responses from those that were abandoned.

--- a/packages/core/src/json-client.ts
+++ b/packages/core/src/json-client.ts
@@ -1,6 +1,8 @@
 import { Agent, request } from "node:http";
+import { IncompleteResponseError } from "./incomplete-response-error.js";
 import type { JsonResponse } from "./json-response.js";
 import { parseAddress } from "./parse-address.js";
+import { ResponseTimer } from "./response-timer.js";
 
 const MaxResponseBytes = 16 * 1024 * 1024;
 
@@ -16,13 +18,16 @@
 /** Options of one call. */
 interface CallOptions {
     readonly body?: unknown;
+    /** Longest time until the response is complete or, with `maxIdleMs`, until it begins. */
     readonly timeoutMs: number;
+    /** Longest time without data once the response has begun. */
+    readonly maxIdleMs?: number;
     readonly headers?: Readonly<Record<string, string>>;
 }
 
 /**
- * HTTP client for JSON servers, with keep-alive connections. `call` rejects when no complete response arrives
- * within the timeout; whether the request took effect is then unknown.
+ * HTTP client for JSON servers, with keep-alive connections. `call` rejects with an `IncompleteResponseError` when no
+ * complete response arrives in time; whether the request took effect is then unknown.
  */
 export class JsonClient {
     private readonly agent = new Agent({ keepAlive: true, maxSockets: 16 });
@@ -41,38 +46,36 @@
             ...(text === undefined ? {} : { "content-type": "application/json" }),
         };
         return new Promise((resolve, reject) => {
+            let receivedBytes = 0;
             const req = request({ host, port, method, path, headers, agent: this.agent }, res => {
                 const chunks: Buffer[] = [];
-                let sizeBytes = 0;
+                timer.noteProgress();
                 res.on("data", (chunk: Buffer) => {
-                    sizeBytes += chunk.length;
+                    timer.noteProgress();
+                    receivedBytes += chunk.length;
                     chunks.push(chunk);
-                    if (sizeBytes > MaxResponseBytes) {
+                    if (receivedBytes > MaxResponseBytes) {
                         res.destroy(new Error(`The response exceeds ${MaxResponseBytes} bytes`));
                     }
                 });
-                res.on("error", err => {
-                    clearTimeout(timer);
-                    reject(err);
-                });
+                res.on("error", fail);
                 res.on("end", () => {
-                    clearTimeout(timer);
+                    timer.stop();
                     const body = parseResponseText(Buffer.concat(chunks).toString("utf8"));
                     if (body instanceof Error) {
                         reject(body);
                     } else {
-                        resolve({ status: res.statusCode ?? 0, body, etag: res.headers.etag });
+                        resolve({ status: res.statusCode ?? 0, body, etag: res.headers.etag, receivedBytes });
                     }
                 });
             });
+            const fail = (err: Error): void => {
+                timer.stop();
+                reject(IncompleteResponseError.create(err, receivedBytes));
+            };
             // The connection is closed too, so that a late response is not taken for that of the next request.
-            const timer = setTimeout(() => {
-                req.destroy(new Error(`No complete response within ${options.timeoutMs} ms`));
-            }, options.timeoutMs);
-            req.on("error", err => {
-                clearTimeout(timer);
-                reject(err);
-            });
+            const timer = ResponseTimer.start(options, err => req.destroy(err));
+            req.on("error", fail);
             req.end(text);
         });
     }
--- a/packages/core/src/json-response.ts
+++ b/packages/core/src/json-response.ts
@@ -4,4 +4,6 @@
     readonly body: unknown;
     /** Entity tag for a later conditional request; set only in responses that a client has received. */
     readonly etag?: string | undefined;
+    /** Length of the body as it was received; set only in responses that a client has received. */
+    readonly receivedBytes?: number;
 }
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -27,6 +27,12 @@
     ]);
     /** Duration of a call to the store, except watches. */
     readonly storeSeconds = this.histogram("store_seconds", "Time of a call to the metadata store", []);
+    /** Bytes received in responses of the store, by whether the response was complete. */
+    readonly storeReceivedBytes = this.counter(
+        "store_received_bytes_total",
+        "Bytes of responses of the metadata store, complete or not",
+        ["use"],
+    );
     /** Cells that this process claimed, lost and released. */
     readonly ownership = this.counter("cell_ownership_total", "Cells claimed, lost and released", ["event"]);
     /** Log lines that were dropped because of the rate limit. */
