Read the ends in responses to heartbeats that come late

What callers saw: tasks whose runs were done were started again and so ran twice (TWICE), while the link to their workers was full.

Cause: a heartbeat without a response after its wait and 800 ms was abandoned together with its connection. A response that was merely late was lost, and with it the ends that it listed. Afterwards the owner asked the silent worker again with the full wait of up to 1.4 s, so that only one more attempt fitted into the rest of the lease. When the lease was over, it started the tasks again.

Change: the worker counts as unreachable after the same time as before, but the request stays open until a lease could no longer be valid, and the ends of a late response are applied; the rest of the late listing is not. An unreachable worker is asked without a wait, so that three attempts fit in. An end is a fact of its incarnation whenever it arrives, so that reading it late is safe.

The test of rules that change while an owner starts relied on the number of promise ticks until a worker's listing is read. It now waits for the listing, without yielding to timers, and checks the same.

--- a/packages/dispatch/src/heartbeat-request.ts
+++ b/packages/dispatch/src/heartbeat-request.ts
@@ -10,4 +10,6 @@
     readonly deadlineMs: number | undefined;
     /** Longest time that the worker waits for a run to end before it responds, in milliseconds. */
     readonly waitMs: number;
+    /** Longest time until the response arrives, in milliseconds. */
+    readonly timeoutMs: number;
 }
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -10,6 +10,7 @@
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
 import { OrderFailure } from "./order-failure.js";
+import { resultWithin } from "./result-within.js";
 import { sleep } from "./sleep.js";
 import type { WorkerClient } from "./worker-client.js";
 
@@ -19,8 +20,12 @@
 const ServingHeartbeatWaitMs = 600;
 /** Pause between two heartbeats, so that one response reports ends in quick succession. */
 const HeartbeatPauseMs = 90;
+/** Time beyond the wait that was asked for, after which a worker without a response counts as unreachable. */
+const HeartbeatSlackMs = 800;
 const RetryDelayMs = 250;
 
+type HeartbeatResult = Awaited<ReturnType<WorkerClient["heartbeat"]>>;
+
 /** Dependencies provided by the cell's owner. */
 interface LinkContext {
     readonly scheduler: CellScheduler;
@@ -120,7 +125,7 @@
     }
 
     private async sendHeartbeat(): Promise<boolean> {
-        const { clock, scheduler, fencingToken } = this.context;
+        const { clock, scheduler, fencingToken, leaseMs } = this.context;
         const sentAtMs = clock.nowMs();
         // A heartbeat to an unreachable worker does not extend its lease, so that runs which may still be there come
         // to an end.
@@ -128,20 +133,29 @@
         if (deadlineMs !== undefined) {
             scheduler.noteLeaseExtension(this.worker);
         }
-        const response = await this.client.heartbeat({
+        const waitMs = this.heartbeatWaitMs();
+        const response = this.client.heartbeat({
             fencingToken,
             lastDurableEndSequence: this.worker.lastDurableEndSequence,
             deadlineMs,
-            waitMs: this.worker.hasListedRuns ? this.heartbeatWaitMs() : 0,
+            waitMs,
+            // A response that comes later cannot prevent that the lease expires.
+            timeoutMs: waitMs + leaseMs,
         });
+        const inTime = await resultWithin(response, waitMs + HeartbeatSlackMs);
         if (this.abort.signal.aborted) {
             return false;
         }
-        if (response.isErr()) {
-            this.handleFailure(response.error);
+        if (inTime === undefined) {
+            void response.then(late => this.handleLateResponse(late));
+            this.handleFailure(OrderFailure.Unknown);
+            return false;
+        }
+        if (inTime.isErr()) {
+            this.handleFailure(inTime.error);
             return false;
         }
-        this.handleResponse(response.value, sentAtMs);
+        this.handleResponse(inTime.value, sentAtMs);
         return true;
     }
 
@@ -152,6 +166,9 @@
     }
 
     private heartbeatWaitMs(): number {
+        if (!this.worker.hasListedRuns || !this.worker.isReachable) {
+            return 0;
+        }
         let hasServing = false;
         let hasFiller = false;
         for (const run of this.worker.runs.values()) {
@@ -184,6 +201,25 @@
         listener.onChange();
     }
 
+    /**
+     * Reads the ends in a response to a heartbeat that counts as failed: their tasks are not started again when the
+     * lease expires. The rest of the listing may be out of date, as later heartbeats may have been answered.
+     */
+    private handleLateResponse(response: HeartbeatResult): void {
+        if (this.abort.signal.aborted) {
+            return;
+        }
+        if (response.isErr()) {
+            this.reportIfFenced(response.error);
+            return;
+        }
+        const { listing } = response.value;
+        if (listing.startedAtMs === this.worker.entry.startedAtMs) {
+            this.context.scheduler.noteEnds(this.worker, listing.ended);
+            this.context.listener.onChange();
+        }
+    }
+
     private handleFailure(failure: OrderFailure): void {
         const { scheduler, log, listener, clock } = this.context;
         scheduler.noteUnreachable(this.worker);
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -70,6 +70,16 @@
     }
 }
 
+const MaxTicks = 100;
+
+/** Waits until all workers have listed their runs, without yielding to the timer of the next plan. */
+const untilListed = async (owner: CellOwner): Promise<void> => {
+    const hasListed = (): boolean => [...owner.scheduler.fleet.workers].every(worker => worker.hasListedRuns);
+    for (let tick = 0; tick < MaxTicks && !hasListed(); tick++) {
+        await Promise.resolve();
+    }
+};
+
 /** Long enough for several plans. */
 const SeveralPlansMs = 250;
 
@@ -106,6 +116,7 @@
     rules = [queueRule("old"), queueRule("new")];
     resolveWorkers([oneWorker]);
     await started;
+    await untilListed(owner);
     owner.jobAccepted(jobCodec.encodeJob({ ...oneTaskJob, queue: "new" }));
     t.equal(owner.scheduler.plan().filter(order => order.kind === OrderKind.Start).length, 1);
     owner.halt();
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -7,6 +7,7 @@
 import type { JobProgress } from "./job-progress.js";
 import type { JobSpec } from "./job-spec.js";
 import { JobState } from "./job-state.js";
+import type { ListedEnd } from "./listed-end.js";
 import { ListingReader } from "./listing-reader.js";
 import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import { NeighbourEffects } from "./neighbour-effects.js";
@@ -157,6 +158,12 @@
         worker.version++;
     }
 
+    /** Records ends from a response that came too late to show what runs on the worker. */
+    noteEnds(worker: WorkerIncarnation, ends: readonly ListedEnd[]): void {
+        this.listings.readEnds(worker, ends, this.times());
+        worker.version++;
+    }
+
     noteUnreachable(worker: WorkerIncarnation): void {
         worker.isReachable = false;
     }
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -31,12 +31,7 @@
     }
 
     read(worker: WorkerIncarnation, listing: WorkerListing, times: ListingTimes): void {
-        for (const end of listing.ended) {
-            if (end.sequence > worker.lastReadEndSequence) {
-                worker.lastReadEndSequence = end.sequence;
-                this.readEnd(worker, end, times);
-            }
-        }
+        this.readEnds(worker, listing.ended, times);
         const listed = new Set<string>();
         const orphanRuns = new Map<string, OrphanRun>();
         for (const listedRun of listing.running) {
@@ -55,7 +50,25 @@
         worker.hasListedRuns = true;
     }
 
-    private readEnd(worker: WorkerIncarnation, end: ListedEnd, times: ListingTimes): void {
+    /** Applies the ends that were not read before. */
+    readEnds(
+        worker: WorkerIncarnation,
+        ends: readonly ListedEnd[],
+        times: Pick<ListingTimes, "nowMs" | "wallMs">,
+    ): void {
+        for (const end of ends) {
+            if (end.sequence > worker.lastReadEndSequence) {
+                worker.lastReadEndSequence = end.sequence;
+                this.readEnd(worker, end, times);
+            }
+        }
+    }
+
+    private readEnd(
+        worker: WorkerIncarnation,
+        end: ListedEnd,
+        times: Pick<ListingTimes, "nowMs" | "wallMs">,
+    ): void {
         const run = worker.runs.get(end.task);
         if (run?.number === end.number) {
             this.results.finish(run, end, times);
