Log why the owner concluded the end of a run

Change: RunEnd carries an EndReason, and EndObserver is an object of callbacks. EndReporter writes the line `end` in place of the owner, with `reason` listed, lease-over (with lastContactAgoMs and leaseEndedAgoMs), restarted (with bornMs and newBornMs) or missing. runs_lapsed_total counts lapsed runs by reason. No decision changes.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -6,6 +6,7 @@
 import { CellInputWatcher } from "./cell-input-watcher.js";
 import type { CellState } from "./cell-state.js";
 import type { CommitLog } from "./commit-log.js";
+import { EndReporter } from "./end-reporter.js";
 import type { EventLog } from "./event-log.js";
 import { jobCodec } from "./job-codec.js";
 import type { MetadataStore } from "./metadata-store.js";
@@ -56,11 +57,8 @@
     private hasReadState = false;
 
     private constructor(private readonly context: OwnerContext) {
-        const { epoch, clock, limits, log } = context;
-        this.scheduler = CellScheduler.create(epoch, clock, limits, (task, worker, { number, kind: how }) => {
-            const failures = task.failedRuns.size;
-            log.write("end", { task: task.name, run: number, worker: worker.entry.id, how, failures, epoch });
-        });
+        const { epoch, clock, limits } = context;
+        this.scheduler = CellScheduler.create(epoch, clock, limits, EndReporter.create(context));
         this.links = WorkerLinks.create({
             ...context,
             scheduler: this.scheduler,
--- /dev/null
+++ b/packages/dispatch/src/end-reporter.ts
@@ -0,0 +1,61 @@
+import type { Clock } from "@samphireward/core/clock";
+import { EndKind } from "@samphireward/jobs/end-kind";
+import type { EndObserver } from "@samphireward/jobs/end-observer";
+import { EndReason } from "@samphireward/jobs/end-reason";
+import type { RunEnd } from "@samphireward/jobs/run-end";
+import type { Task } from "@samphireward/jobs/task";
+import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
+import type { EventLog } from "./event-log.js";
+import type { Metrics } from "./metrics.js";
+
+/** Dependencies provided by the cell's owner. */
+interface ReporterContext {
+    readonly epoch: number;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+}
+
+/** Logs and counts the ends of a cell's runs. */
+export class EndReporter implements EndObserver {
+    private constructor(private readonly context: ReporterContext) {}
+
+    static create(context: ReporterContext): EndReporter {
+        return new EndReporter(context);
+    }
+
+    onApplied(task: Task, worker: WorkerIncarnation, end: RunEnd): void {
+        const { epoch, log, metrics } = this.context;
+        const { number: run, kind: how, reason } = end;
+        if (how === EndKind.Lapsed) {
+            metrics.runsLapsed.inc({ reason });
+        }
+        log.write("end", {
+            task: task.name,
+            run,
+            worker: worker.entry.id,
+            how,
+            reason,
+            failures: task.failedRuns.size,
+            epoch,
+            ...this.evidence(worker, end),
+        });
+    }
+
+    /** Fields that show on what the owner based an end that the worker did not list. */
+    private evidence(worker: WorkerIncarnation, end: RunEnd): Readonly<Record<string, number | undefined>> {
+        const nowMs = this.context.clock.nowMs();
+        switch (end.reason) {
+            case EndReason.LeaseOver:
+                return {
+                    lastContactAgoMs: Math.round(nowMs - worker.lastContactAtMs),
+                    leaseEndedAgoMs: Math.round(nowMs - worker.leaseEndsAtMs),
+                };
+            case EndReason.Restarted:
+                return { bornMs: worker.entry.startedAtMs, newBornMs: end.restartedAtMs };
+            case EndReason.Listed:
+            case EndReason.Missing:
+                return {};
+        }
+    }
+}
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -16,6 +16,10 @@
     readonly startSeconds = this.histogram("start_seconds", "Time until a worker answered a start order", []);
     /** Stop orders by outcome. */
     readonly stops = this.counter("stops_total", "Stop orders", ["outcome"]);
+    /** Runs that ended as lapsed, by how the owner learned of it. */
+    readonly runsLapsed = this.counter("runs_lapsed_total", "Runs that lapsed, by the reason of their end", [
+        "reason",
+    ]);
     /** Jobs by final state. */
     readonly jobsEnded = this.counter("jobs_ended_total", "Jobs by final state", ["queue", "state"]);
     /** Time from a job's arrival to its final state. */
--- /dev/null
+++ b/packages/dispatch/tests/end-reporter.test.ts
@@ -0,0 +1,65 @@
+import t from "tap";
+import { oneTaskJob } from "./one-task-job.js";
+import { ReportedCell } from "./reported-cell.js";
+
+const task = `${oneTaskJob.id}.0.0.0`;
+
+// Guards against an incident in which the log cannot tell a lease that ended early from a worker that was silent for
+// its whole lease (inc1, first and second hypothesis).
+t.test("an end by an expired lease says when the worker was last heard and when its lease ended", async t => {
+    const cell = ReportedCell.create();
+    const worker = cell.addWorker("w1");
+    cell.scheduler.addJob(oneTaskJob);
+    cell.startAll();
+    cell.loseWorker(worker, 7_000);
+    const leaseEndedAgoMs = cell.clock.nowMs() - worker.leaseEndsAtMs;
+    t.ok(leaseEndedAgoMs > 0);
+    t.strictSame(cell.log.lines, [
+        {
+            event: "end",
+            task,
+            run: 1,
+            worker: "w1",
+            how: "lapsed",
+            reason: "lease-over",
+            failures: 0,
+            epoch: 1,
+            lastContactAgoMs: 7_000,
+            leaseEndedAgoMs: Math.round(leaseEndedAgoMs),
+        },
+    ]);
+    t.match(await cell.metrics.text(), /runs_lapsed_total\{reason="lease-over"\} 1/);
+});
+
+// Guards against an incident in which the log cannot tell a restarted worker from one whose record was replaced by an
+// older one (inc1, third hypothesis).
+t.test("an end by a restart says when both incarnations of the worker started", async t => {
+    const cell = ReportedCell.create();
+    cell.addWorker("w1", 5);
+    cell.scheduler.addJob(oneTaskJob);
+    cell.startAll();
+    cell.addWorker("w1", 3);
+    t.match(cell.log.lines, [
+        { event: "end", task, how: "lapsed", reason: "restarted", bornMs: 5, newBornMs: 3 },
+    ]);
+    t.match(await cell.metrics.text(), /runs_lapsed_total\{reason="restarted"\} 1/);
+});
+
+// Guards against a run that disappears from a worker's listing being taken for one of a silent worker.
+t.test("an end of a run that a listing lacks is told from the end that a worker listed", async t => {
+    const cell = ReportedCell.create();
+    const worker = cell.addWorker("w1");
+    cell.scheduler.addJob(oneTaskJob);
+    cell.startAll();
+    cell.clock.advance(10);
+    cell.reportListing(worker, []);
+    cell.startAll();
+    cell.reportListing(worker, [{ sequence: 1, task, number: 2, kind: "done", checkpoint: "" }]);
+    t.match(cell.log.lines, [
+        { event: "end", run: 1, how: "lapsed", reason: "missing" },
+        { event: "end", run: 2, how: "done", reason: "listed" },
+    ]);
+    const text = await cell.metrics.text();
+    t.match(text, /runs_lapsed_total\{reason="missing"\} 1/);
+    t.notMatch(text, /runs_lapsed_total\{reason="listed"\}/);
+});
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -3,6 +3,7 @@
 import type { CellLoad } from "./cell-load.js";
 import { PreviousOwners } from "./previous-owners.js";
 import type { EndObserver } from "./end-observer.js";
+import { EndReason } from "./end-reason.js";
 import { JobRegistry } from "./job-registry.js";
 import type { JobProgress } from "./job-progress.js";
 import type { JobSpec } from "./job-spec.js";
@@ -51,10 +52,10 @@
         epoch: number,
         private readonly clock: Clock,
         private readonly limits: CellLimits,
-        onEnd: EndObserver,
+        observer: EndObserver,
     ) {
         this.previousOwners = PreviousOwners.create(clock, limits);
-        this.results = RunResults.create(this.jobs, this.rules, onEnd);
+        this.results = RunResults.create(this.jobs, this.rules, observer);
         this.responses = OrderResponses.create(clock, limits, this.results);
         this.listings = ListingReader.create(this.jobs, this.results);
         const { jobs, fleet, rules, effects, results } = this;
@@ -65,9 +66,9 @@
         epoch: number,
         clock: Clock,
         limits: CellLimits,
-        onEnd: EndObserver = () => undefined,
+        observer: EndObserver = {},
     ): CellScheduler {
-        return new CellScheduler(epoch, clock, limits, onEnd);
+        return new CellScheduler(epoch, clock, limits, observer);
     }
 
     setQueues(rules: readonly QueueRule[]): void {
@@ -113,7 +114,7 @@
         const { worker, replaced } = this.fleet.register(entry);
         if (replaced !== undefined) {
             this.responses.carryOver(replaced, worker);
-            this.endIncarnation(replaced);
+            this.endIncarnation(replaced, entry.startedAtMs);
         }
         this.previousOwners.noteNewIncarnation(entry.id, worker.key);
         return worker;
@@ -217,15 +218,15 @@
                 run.phase === RunPhase.Unknown &&
                 nowMs < run.startedAtMs + this.limits.lateOrderMs + this.limits.leaseMs;
             if (!mayStillStart) {
-                this.results.lapse(run, this.times());
+                this.results.lapse(run, EndReason.LeaseOver, this.times());
             }
         }
     }
 
     /** Ends all runs of an incarnation that no longer exists. */
-    private endIncarnation(worker: WorkerIncarnation): void {
+    private endIncarnation(worker: WorkerIncarnation, restartedAtMs: number): void {
         for (const run of [...worker.runs.values()]) {
-            this.results.lapse(run, this.times());
+            this.results.lapse(run, EndReason.Restarted, this.times(), restartedAtMs);
         }
         this.previousOwners.noteRead(worker.key);
     }
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -1,4 +1,5 @@
 import { EndKind } from "./end-kind.js";
+import { EndReason } from "./end-reason.js";
 import type { JobRegistry } from "./job-registry.js";
 import type { ListedEnd } from "./listed-end.js";
 import type { ListedRun } from "./listed-run.js";
@@ -55,7 +56,8 @@
         worker.hasListedRuns = true;
     }
 
-    private readEnd(worker: WorkerIncarnation, end: ListedEnd, times: ListingTimes): void {
+    private readEnd(worker: WorkerIncarnation, listedEnd: ListedEnd, times: ListingTimes): void {
+        const end = { ...listedEnd, reason: EndReason.Listed };
         const run = worker.runs.get(end.task);
         if (run?.number === end.number) {
             this.results.finish(run, end, times);
@@ -123,7 +125,7 @@
     ): void {
         for (const run of [...worker.runs.values()]) {
             if (!listed.has(run.task.name) && this.hasEnded(run, times.sentAtMs)) {
-                this.results.lapse(run, times);
+                this.results.lapse(run, EndReason.Missing, times);
             }
         }
     }
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -1,5 +1,6 @@
 import { EndKind } from "./end-kind.js";
 import type { EndObserver } from "./end-observer.js";
+import type { EndReason } from "./end-reason.js";
 import type { JobRegistry } from "./job-registry.js";
 import { JobState } from "./job-state.js";
 import type { QueueRules } from "./queue-rules.js";
@@ -25,11 +26,11 @@
     private constructor(
         private readonly jobs: JobRegistry,
         private readonly rules: QueueRules,
-        private readonly onEnd: EndObserver,
+        private readonly observer: EndObserver,
     ) {}
 
-    static create(jobs: JobRegistry, rules: QueueRules, onEnd: EndObserver): RunResults {
-        return new RunResults(jobs, rules, onEnd);
+    static create(jobs: JobRegistry, rules: QueueRules, observer: EndObserver): RunResults {
+        return new RunResults(jobs, rules, observer);
     }
 
     /** Removes a run from its worker, so that the task can start again. */
@@ -53,8 +54,9 @@
     }
 
     /** Removes a run that has ended although the worker did not list its end. */
-    lapse(run: Run, times: EndTimes): void {
-        this.finish(run, { number: run.number, kind: EndKind.Lapsed, checkpoint: "" }, times);
+    lapse(run: Run, reason: EndReason, times: EndTimes, restartedAtMs?: number): void {
+        const { number } = run;
+        this.finish(run, { number, kind: EndKind.Lapsed, checkpoint: "", reason, restartedAtMs }, times);
     }
 
     /** Applies the end of the task's current run, or of a run that this owner did not know. */
@@ -70,7 +72,7 @@
             return;
         }
         this.jobs.markChanged(job);
-        this.onEnd(task, worker, end);
+        this.observer.onApplied?.(task, worker, end);
         if (end.kind === EndKind.Failed) {
             this.applyFailure(task, worker, end.number, times.nowMs, times.wallMs);
         } else if (end.kind === EndKind.Done && !task.step.spec.lasting) {
--- a/packages/jobs/tests/scheduler-harness.ts
+++ b/packages/jobs/tests/scheduler-harness.ts
@@ -9,6 +9,7 @@
 import type { Order } from "../src/order.js";
 import { OrderKind } from "../src/order-kind.js";
 import type { Run } from "../src/run.js";
+import type { RunEnd } from "../src/run-end.js";
 import { StartOutcome } from "../src/start-outcome.js";
 import type { StepSpec } from "../src/step-spec.js";
 import type { WorkerEntry } from "../src/worker-entry.js";
@@ -28,11 +29,16 @@
 export class SchedulerHarness {
     readonly clock = ManualClock.create(StartMs);
     readonly scheduler: CellScheduler;
+    /** The ends that were applied to their tasks, with the name of the task and the id of the worker. */
+    readonly appliedEnds: (RunEnd & { readonly task: string; readonly worker: string })[] = [];
     private jobCount = 0;
     private readonly ends = new Map<string, number>();
 
     private constructor(epoch: number) {
-        this.scheduler = CellScheduler.create(epoch, this.clock, cellLimits);
+        this.scheduler = CellScheduler.create(epoch, this.clock, cellLimits, {
+            onApplied: (task, { entry }, end) =>
+                this.appliedEnds.push({ ...end, task: task.name, worker: entry.id }),
+        });
         this.scheduler.setQueues([rule]);
     }
 
