Log and count listed ends that are not applied

Cause: an end of `done` from a worker that was silent until its lease was over is dropped once its task has started again or is done. It is the evidence that work ran twice, and nothing was logged.

Change: the reader of listings reports each such end to the EndObserver once, before it takes effect. EndReporter writes `end-ignored` with the run, the current run and a reason (not-current, task-done, job-unknown), and counts ends_ignored_total by kind. Ends of the current runs of cancelled or failed jobs are not reported. No decision changes.

--- a/packages/dispatch/src/end-reporter.ts
+++ b/packages/dispatch/src/end-reporter.ts
@@ -2,6 +2,7 @@
 import { EndKind } from "@samphireward/jobs/end-kind";
 import type { EndObserver } from "@samphireward/jobs/end-observer";
 import { EndReason } from "@samphireward/jobs/end-reason";
+import type { IgnoredEnd } from "@samphireward/jobs/ignored-end";
 import type { RunEnd } from "@samphireward/jobs/run-end";
 import type { Task } from "@samphireward/jobs/task";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
@@ -42,6 +43,13 @@
         });
     }
 
+    onIgnored(worker: WorkerIncarnation, end: IgnoredEnd): void {
+        const { epoch, log, metrics } = this.context;
+        const { task, number: run, kind: how, reason, currentRun: current } = end;
+        metrics.endsIgnored.inc({ kind: how });
+        log.write("end-ignored", { task, run, worker: worker.entry.id, how, reason, current, epoch });
+    }
+
     /** Fields that show on what the owner based an end that the worker did not list. */
     private evidence(worker: WorkerIncarnation, end: RunEnd): Readonly<Record<string, number | undefined>> {
         const nowMs = this.context.clock.nowMs();
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -20,6 +20,10 @@
     readonly runsLapsed = this.counter("runs_lapsed_total", "Runs that lapsed, by the reason of their end", [
         "reason",
     ]);
+    /** Ends that a worker listed and that were not applied to their tasks, by how the run ended. */
+    readonly endsIgnored = this.counter("ends_ignored_total", "Listed ends that were not applied, by kind", [
+        "kind",
+    ]);
     /** Jobs by final state. */
     readonly jobsEnded = this.counter("jobs_ended_total", "Jobs by final state", ["queue", "state"]);
     /** Time from a job's arrival to its final state. */
--- a/packages/dispatch/tests/end-reporter.test.ts
+++ b/packages/dispatch/tests/end-reporter.test.ts
@@ -63,3 +63,28 @@
     t.match(text, /runs_lapsed_total\{reason="missing"\} 1/);
     t.notMatch(text, /runs_lapsed_total\{reason="listed"\}/);
 });
+
+// Guards against work that ran twice and cannot be found by its task's name (inc1): the second end is not applied.
+t.test("an end that is not applied is logged with the current run and counted", async t => {
+    const cell = ReportedCell.create();
+    const silent = cell.addWorker("w1");
+    cell.scheduler.addJob(oneTaskJob);
+    cell.startAll();
+    cell.loseWorker(silent, 7_000);
+    cell.addWorker("w2");
+    cell.startAll();
+    cell.reportListing(silent, [{ sequence: 1, task, number: 1, kind: "done", checkpoint: "" }]);
+    t.strictSame(cell.log.lines.slice(1), [
+        {
+            event: "end-ignored",
+            task,
+            run: 1,
+            worker: "w1",
+            how: "done",
+            reason: "not-current",
+            current: 2,
+            epoch: 1,
+        },
+    ]);
+    t.match(await cell.metrics.text(), /ends_ignored_total\{kind="done"\} 1/);
+});
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -57,7 +57,7 @@
         this.previousOwners = PreviousOwners.create(clock, limits);
         this.results = RunResults.create(this.jobs, this.rules, observer);
         this.responses = OrderResponses.create(clock, limits, this.results);
-        this.listings = ListingReader.create(this.jobs, this.results);
+        this.listings = ListingReader.create(this.jobs, this.results, observer);
         const { jobs, fleet, rules, effects, results } = this;
         this.planner = StartPlanner.create({ epoch, clock, jobs, fleet, rules, effects, results });
     }
--- a/packages/jobs/src/end-observer.ts
+++ b/packages/jobs/src/end-observer.ts
@@ -1,3 +1,4 @@
+import type { IgnoredEnd } from "./ignored-end.js";
 import type { RunEnd } from "./run-end.js";
 import type { Task } from "./task.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
@@ -6,4 +7,6 @@
 export interface EndObserver {
     /** Called for each end of a run that is applied to its task. */
     readonly onApplied?: (task: Task, worker: WorkerIncarnation, end: RunEnd) => void;
+    /** Called for each listed end that is not applied to its task. */
+    readonly onIgnored?: (worker: WorkerIncarnation, end: IgnoredEnd) => void;
 }
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -1,5 +1,7 @@
 import { EndKind } from "./end-kind.js";
+import type { EndObserver } from "./end-observer.js";
 import { EndReason } from "./end-reason.js";
+import { findIgnoreReason } from "./find-ignore-reason.js";
 import type { JobRegistry } from "./job-registry.js";
 import type { ListedEnd } from "./listed-end.js";
 import type { ListedRun } from "./listed-run.js";
@@ -25,10 +27,11 @@
     private constructor(
         private readonly jobs: JobRegistry,
         private readonly results: RunResults,
+        private readonly observer: EndObserver,
     ) {}
 
-    static create(jobs: JobRegistry, results: RunResults): ListingReader {
-        return new ListingReader(jobs, results);
+    static create(jobs: JobRegistry, results: RunResults, observer: EndObserver): ListingReader {
+        return new ListingReader(jobs, results, observer);
     }
 
     read(worker: WorkerIncarnation, listing: WorkerListing, times: ListingTimes): void {
@@ -58,12 +61,14 @@
 
     private readEnd(worker: WorkerIncarnation, listedEnd: ListedEnd, times: ListingTimes): void {
         const end = { ...listedEnd, reason: EndReason.Listed };
-        const run = worker.runs.get(end.task);
-        if (run?.number === end.number) {
+        const newestRun = worker.runs.get(end.task);
+        const run = newestRun?.number === end.number ? newestRun : undefined;
+        const task = run?.task ?? this.jobs.findTask(end.task);
+        this.reportIfIgnored(worker, listedEnd, task, run);
+        if (run !== undefined) {
             this.results.finish(run, end, times);
             return;
         }
-        const task = this.jobs.findTask(end.task);
         if (task === undefined) {
             return;
         }
@@ -77,6 +82,20 @@
         }
     }
 
+    /** To be called before the end takes effect. */
+    private reportIfIgnored(
+        worker: WorkerIncarnation,
+        end: ListedEnd,
+        task: Task | undefined,
+        run: Run | undefined,
+    ): void {
+        const reason = findIgnoreReason(this.jobs, end, task, run);
+        if (reason !== undefined) {
+            const lastRun = task?.lastRun === 0 ? undefined : task?.lastRun;
+            this.observer.onIgnored?.(worker, { ...end, reason, currentRun: task?.run?.number ?? lastRun });
+        }
+    }
+
     /** Returns false for a run that belongs to no known task. */
     private readRunning(worker: WorkerIncarnation, listedRun: ListedRun, times: ListingTimes): boolean {
         const existing = worker.runs.get(listedRun.task);
