Measure heartbeats and count the reachable workers

Cause: nothing counted failed heartbeats or showed how late their answers were, and only the line cell-load said how many workers were reachable.

Change: heartbeats_total by outcome (answered, unknown, fenced, refused, other-life), heartbeat_seconds for answered heartbeats beyond the wait that was asked for, and a gauge workers by cell and state, which LoadReporter sets with cell-load and removes when the cell is no longer owned. An owner that has stopped writes no further cell-load. No decision changes.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -9,6 +9,7 @@
 import { EndReporter } from "./end-reporter.js";
 import type { EventLog } from "./event-log.js";
 import { jobCodec } from "./job-codec.js";
+import { LoadReporter } from "./load-reporter.js";
 import type { MetadataStore } from "./metadata-store.js";
 import type { Metrics } from "./metrics.js";
 import { PermitRequester } from "./permit-requester.js";
@@ -50,6 +51,7 @@
     readonly scheduler: CellScheduler;
     private readonly abort = new AbortController();
     private readonly links: WorkerLinks;
+    private readonly loadReporter: LoadReporter;
     private readonly permits: PermitRequester;
     private readonly roster: RosterWriter;
     private readonly writer: ProgressWriter;
@@ -67,6 +69,7 @@
                 onFenced: fenced => context.onLost(`fenced by worker ${fenced.entry.id}`),
             },
         });
+        this.loadReporter = LoadReporter.create(context);
         this.permits = PermitRequester.create({ ...context, scheduler: this.scheduler });
         this.writer = ProgressWriter.create({ ...context, scheduler: this.scheduler });
         this.roster = RosterWriter.create({ ...context, scheduler: this.scheduler });
@@ -138,6 +141,7 @@
         this.abort.abort();
         clearTimeout(this.planTimer);
         this.links.close();
+        this.loadReporter.close();
     }
 
     setQueues(rules: readonly QueueRule[]): void {
@@ -234,7 +238,7 @@
     private async runMaintenanceLoop(): Promise<void> {
         while (!this.abort.signal.aborted) {
             await sleep(MaintenanceIntervalMs, this.abort.signal);
-            this.context.log.write("cell-load", { cell: this.context.cell, ...this.scheduler.load });
+            this.loadReporter.report(this.scheduler.load);
             if (this.roster.hasEndedWorkers) {
                 await this.writeRoster();
             }
--- /dev/null
+++ b/packages/dispatch/src/heartbeat-outcome.ts
@@ -0,0 +1,10 @@
+import { OrderFailure } from "./order-failure.js";
+
+/** Outcome of a heartbeat, as the metrics count it. */
+export const HeartbeatOutcome = {
+    ...OrderFailure,
+    /** The worker listed its runs. */
+    Answered: "answered",
+} as const;
+
+export type HeartbeatOutcome = (typeof HeartbeatOutcome)[keyof typeof HeartbeatOutcome];
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -1,9 +1,9 @@
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Upper bounds of the latency buckets, in seconds. */
 const LatencyBucketsS = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
 
-/** Counters and latency histograms of a process, in the Prometheus text format. */
+/** Counters, gauges and latency histograms of a process, in the Prometheus text format. */
 export class Metrics {
     private readonly registry = new Registry();
     /** Requests of callers by method and status. */
@@ -16,6 +16,20 @@
     readonly startSeconds = this.histogram("start_seconds", "Time until a worker answered a start order", []);
     /** Stop orders by outcome. */
     readonly stops = this.counter("stops_total", "Stop orders", ["outcome"]);
+    /** Heartbeats to workers by outcome. */
+    readonly heartbeats = this.counter("heartbeats_total", "Heartbeats to workers", ["outcome"]);
+    /** Time of an answered heartbeat beyond the wait that the worker was asked for. */
+    readonly heartbeatSeconds = this.histogram(
+        "heartbeat_seconds",
+        "Time of an answered heartbeat beyond the wait that was asked for; 0 if it was answered earlier",
+        [],
+    );
+    /** Workers of the owned cells by whether their last call was answered. */
+    readonly workers = this.gauge(
+        "workers",
+        "Workers of the owned cells; reachable: answered the last heartbeat",
+        ["cell", "state"],
+    );
     /** Runs that ended as lapsed, by how the owner learned of it. */
     readonly runsLapsed = this.counter("runs_lapsed_total", "Runs that lapsed, by the reason of their end", [
         "reason",
@@ -59,6 +73,10 @@
         return new Counter({ name: `samphireward_${name}`, help, labelNames, registers: [this.registry] });
     }
 
+    private gauge(name: string, help: string, labelNames: string[]): Gauge {
+        return new Gauge({ name: `samphireward_${name}`, help, labelNames, registers: [this.registry] });
+    }
+
     private histogram(name: string, help: string, labelNames: string[]): Histogram {
         const buckets = LatencyBucketsS;
         return new Histogram({
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -5,7 +5,9 @@
 import { StartOutcome } from "@samphireward/jobs/start-outcome";
 import type { StopReason } from "@samphireward/jobs/stop-reason";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
+import type { Result } from "ts-results-es";
 import type { EventLog } from "./event-log.js";
+import { HeartbeatOutcome } from "./heartbeat-outcome.js";
 import type { HeartbeatResponse } from "./heartbeat-response.js";
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
@@ -128,15 +130,17 @@
         if (deadlineMs !== undefined) {
             scheduler.noteLeaseExtension(this.worker);
         }
+        const waitMs = this.worker.hasListedRuns ? this.heartbeatWaitMs() : 0;
         const response = await this.client.heartbeat({
             fencingToken,
             lastDurableEndSequence: this.worker.lastDurableEndSequence,
             deadlineMs,
-            waitMs: this.worker.hasListedRuns ? this.heartbeatWaitMs() : 0,
+            waitMs,
         });
         if (this.abort.signal.aborted) {
             return false;
         }
+        this.countHeartbeat(response, clock.nowMs() - sentAtMs - waitMs);
         if (response.isErr()) {
             this.handleFailure(response.error);
             return false;
@@ -145,6 +149,25 @@
         return true;
     }
 
+    /** `beyondWaitMs` is negative if the worker answered before the end of the wait. */
+    private countHeartbeat(response: Result<HeartbeatResponse, OrderFailure>, beyondWaitMs: number): void {
+        const { metrics } = this.context;
+        const outcome = this.heartbeatOutcome(response);
+        metrics.heartbeats.inc({ outcome });
+        if (outcome === HeartbeatOutcome.Answered) {
+            metrics.heartbeatSeconds.observe(Math.max(0, beyondWaitMs) / 1_000);
+        }
+    }
+
+    private heartbeatOutcome(response: Result<HeartbeatResponse, OrderFailure>): HeartbeatOutcome {
+        if (response.isErr()) {
+            return response.error;
+        }
+        return response.value.listing.startedAtMs === this.worker.entry.startedAtMs
+            ? HeartbeatOutcome.Answered
+            : HeartbeatOutcome.OtherIncarnation;
+    }
+
     /** Whether a run that has just started has to be slowed down. */
     private startsBelowFullPace(run: Run): boolean {
         const { filler, image } = run.task.step.spec;
