Log repeated stops of a run once, with their count

Cause: a stop that is not confirmed is repeated every 150 ms (late starts) or 500 ms, and each attempt wrote a line. These lines dominated the owner's log, which lost others to its limit.

Change: StopLog writes the line `stop` only if the reason or the outcome differs from the last one of the run. The field `attempts` counts the orders since the line before; a series that stays without another outcome gets one more line with its count 3 s after its last order. stops_total counts each order as before, and orders are sent as before.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "./metrics.js";
 import { OrderFailure } from "./order-failure.js";
 import { sleep } from "./sleep.js";
+import type { StopLog } from "./stop-log.js";
 import type { WorkerClient } from "./worker-client.js";
 
 /** Longest time that a worker waits for a run to end before it responds to a heartbeat. */
@@ -28,6 +29,7 @@
     readonly scheduler: CellScheduler;
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly stopLog: StopLog;
     readonly metrics: Metrics;
     readonly fencingToken: number;
     readonly leaseMs: number;
@@ -93,21 +95,15 @@
     }
 
     async stop(task: string, number: number, reason: StopReason): Promise<void> {
-        const { scheduler, fencingToken, log, metrics } = this.context;
-        const outcome = await this.client.stop(task, number, fencingToken);
-        metrics.stops.inc({ outcome: outcome.isOk() ? "stopped" : outcome.error });
-        log.write("stop", {
-            task,
-            run: number,
-            worker: this.worker.entry.id,
-            reason,
-            outcome: outcome.isOk() ? "stopped" : outcome.error,
-            epoch: fencingToken,
-        });
-        if (outcome.isOk()) {
+        const { scheduler, fencingToken, stopLog, metrics } = this.context;
+        const result = await this.client.stop(task, number, fencingToken);
+        const outcome = result.isOk() ? "stopped" : result.error;
+        metrics.stops.inc({ outcome });
+        stopLog.record({ worker: this.worker, task, number, reason, outcome });
+        if (result.isOk()) {
             scheduler.responses.recordStop(this.worker, task, number);
         }
-        this.reportIfFenced(outcome.isErr() ? outcome.error : undefined);
+        this.reportIfFenced(result.isErr() ? result.error : undefined);
     }
 
     async pace(run: Run, percent: number): Promise<void> {
--- a/packages/dispatch/src/worker-links.ts
+++ b/packages/dispatch/src/worker-links.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from "./event-log.js";
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
+import { StopLog } from "./stop-log.js";
 import { WorkerLink } from "./worker-link.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
@@ -26,14 +27,19 @@
 export class WorkerLinks {
     private readonly links = new Map<WorkerIncarnation, WorkerLink>();
 
-    private constructor(private readonly context: LinksContext) {}
+    private readonly stopLog: StopLog;
+
+    private constructor(private readonly context: LinksContext) {
+        this.stopLog = StopLog.create(context);
+    }
 
     static create(context: LinksContext): WorkerLinks {
         return new WorkerLinks(context);
     }
 
-    /** Opens links to current incarnations and closes those of replaced ones. */
+    /** Opens links to current incarnations and closes those of replaced ones; to be called before each plan. */
     sync(): void {
+        this.stopLog.endOldSeries();
         const { fleet } = this.context.scheduler;
         for (const [worker, link] of this.links) {
             if (fleet.get(worker.entry.id) !== worker) {
@@ -77,6 +83,7 @@
         const { createWorkerClient, epoch, limits } = this.context;
         const link = WorkerLink.create(worker, createWorkerClient(worker.entry), {
             ...this.context,
+            stopLog: this.stopLog,
             fencingToken: epoch,
             leaseMs: limits.leaseMs,
         });
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -7,6 +7,7 @@
 import type { HeartbeatResponse } from "../src/heartbeat-response.js";
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
+import { StopLog } from "../src/stop-log.js";
 import { WorkerLink } from "../src/worker-link.js";
 import { NullLog } from "./null-log.js";
 import { oneWorker } from "./one-worker.js";
@@ -29,6 +30,7 @@
         scheduler,
         clock,
         log: NullLog.create(),
+        stopLog: StopLog.create({ epoch: 1, clock, log: NullLog.create() }),
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
