--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -12,13 +12,13 @@
 import { jobCodec } from "../src/job-codec.js";
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
-import { PermitSource } from "../src/permit-source.js";
 import { rosterCodec } from "../src/roster-codec.js";
 import { WorkerClient } from "../src/worker-client.js";
 import type { WorkerClientFactory } from "../src/worker-client-factory.js";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { ManualStore } from "./manual-store.js";
 import { NullLog } from "./null-log.js";
+import { NoPermits } from "./no-permits.js";
 import { oneTaskJob } from "./one-task-job.js";
 import { oneWorker } from "./one-worker.js";
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
@@ -59,17 +59,6 @@
     }
 }
 
-/** A permit service that never responds. */
-class NoPermits extends PermitSource {
-    static create(): NoPermits {
-        return new NoPermits();
-    }
-
-    override request(): Promise<undefined> {
-        return Promise.resolve(undefined);
-    }
-}
-
 /** Long enough for several plans. */
 const SeveralPlansMs = 250;
 
