--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -6,8 +6,10 @@
 import { CellInputWatcher } from "./cell-input-watcher.js";
 import type { CellState } from "./cell-state.js";
 import type { CommitLog } from "./commit-log.js";
+import { EndReporter } from "./end-reporter.js";
 import type { EventLog } from "./event-log.js";
 import { jobCodec } from "./job-codec.js";
+import { LoadReporter } from "./load-reporter.js";
 import type { MetadataStore } from "./metadata-store.js";
 import type { Metrics } from "./metrics.js";
 import { PermitRequester } from "./permit-requester.js";
@@ -49,6 +51,7 @@
     readonly scheduler: CellScheduler;
     private readonly abort = new AbortController();
     private readonly links: WorkerLinks;
+    private readonly loadReporter: LoadReporter;
     private readonly permits: PermitRequester;
     private readonly roster: RosterWriter;
     private readonly writer: ProgressWriter;
@@ -56,11 +59,8 @@
     private hasReadState = false;
 
     private constructor(private readonly context: OwnerContext) {
-        const { epoch, clock, limits, log } = context;
-        this.scheduler = CellScheduler.create(epoch, clock, limits, (task, worker, { number, kind: how }) => {
-            const failures = task.failedRuns.size;
-            log.write("end", { task: task.name, run: number, worker: worker.entry.id, how, failures, epoch });
-        });
+        const { epoch, clock, limits } = context;
+        this.scheduler = CellScheduler.create(epoch, clock, limits, EndReporter.create(context));
         this.links = WorkerLinks.create({
             ...context,
             scheduler: this.scheduler,
@@ -69,6 +69,7 @@
                 onFenced: fenced => context.onLost(`fenced by worker ${fenced.entry.id}`),
             },
         });
+        this.loadReporter = LoadReporter.create(context);
         this.permits = PermitRequester.create({ ...context, scheduler: this.scheduler });
         this.writer = ProgressWriter.create({ ...context, scheduler: this.scheduler });
         this.roster = RosterWriter.create({ ...context, scheduler: this.scheduler });
@@ -140,6 +141,7 @@
         this.abort.abort();
         clearTimeout(this.planTimer);
         this.links.close();
+        this.loadReporter.close();
     }
 
     setQueues(rules: readonly QueueRule[]): void {
@@ -236,7 +238,7 @@
     private async runMaintenanceLoop(): Promise<void> {
         while (!this.abort.signal.aborted) {
             await sleep(MaintenanceIntervalMs, this.abort.signal);
-            this.context.log.write("cell-load", { cell: this.context.cell, ...this.scheduler.load });
+            this.loadReporter.report(this.scheduler.load);
             if (this.roster.hasEndedWorkers) {
                 await this.writeRoster();
             }
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -5,13 +5,17 @@
 import { StartOutcome } from "@samphireward/jobs/start-outcome";
 import type { StopReason } from "@samphireward/jobs/stop-reason";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
+import { Err } from "ts-results-es";
 import type { EventLog } from "./event-log.js";
+import { HeartbeatOutcome } from "./heartbeat-outcome.js";
 import type { HeartbeatResponse } from "./heartbeat-response.js";
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
 import { OrderFailure } from "./order-failure.js";
+import { recordHeartbeat } from "./record-heartbeat.js";
 import { resultWithin } from "./result-within.js";
 import { sleep } from "./sleep.js";
+import type { StopLog } from "./stop-log.js";
 import type { WorkerClient } from "./worker-client.js";
 
 /** Longest time that a worker waits for a run to end before it responds to a heartbeat. */
@@ -31,6 +35,7 @@
     readonly scheduler: CellScheduler;
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly stopLog: StopLog;
     readonly metrics: Metrics;
     readonly fencingToken: number;
     readonly leaseMs: number;
@@ -96,21 +101,15 @@
     }
 
     async stop(task: string, number: number, reason: StopReason): Promise<void> {
-        const { scheduler, fencingToken, log, metrics } = this.context;
-        const outcome = await this.client.stop(task, number, fencingToken);
-        metrics.stops.inc({ outcome: outcome.isOk() ? "stopped" : outcome.error });
-        log.write("stop", {
-            task,
-            run: number,
-            worker: this.worker.entry.id,
-            reason,
-            outcome: outcome.isOk() ? "stopped" : outcome.error,
-            epoch: fencingToken,
-        });
-        if (outcome.isOk()) {
+        const { scheduler, fencingToken, stopLog, metrics } = this.context;
+        const result = await this.client.stop(task, number, fencingToken);
+        const outcome = result.isOk() ? "stopped" : result.error;
+        metrics.stops.inc({ outcome });
+        stopLog.record({ worker: this.worker, task, number, reason, outcome });
+        if (result.isOk()) {
             scheduler.responses.recordStop(this.worker, task, number);
         }
-        this.reportIfFenced(outcome.isErr() ? outcome.error : undefined);
+        this.reportIfFenced(result.isErr() ? result.error : undefined);
     }
 
     async pace(run: Run, percent: number): Promise<void> {
@@ -125,7 +124,7 @@
     }
 
     private async sendHeartbeat(): Promise<boolean> {
-        const { clock, scheduler, fencingToken, leaseMs } = this.context;
+        const { clock, scheduler, fencingToken, leaseMs, metrics } = this.context;
         const sentAtMs = clock.nowMs();
         // A heartbeat to an unreachable worker does not extend its lease, so that runs which may still be there come
         // to an end.
@@ -148,14 +147,14 @@
         }
         if (inTime === undefined) {
             void response.then(late => this.handleLateResponse(late));
-            this.handleFailure(OrderFailure.Unknown);
-            return false;
         }
-        if (inTime.isErr()) {
-            this.handleFailure(inTime.error);
+        const result = inTime ?? Err(OrderFailure.Unknown);
+        recordHeartbeat(metrics, this.worker.entry, result, clock.nowMs() - sentAtMs - waitMs);
+        if (result.isErr()) {
+            this.handleFailure(result.error);
             return false;
         }
-        this.handleResponse(inTime.value, sentAtMs);
+        this.handleResponse(result.value, sentAtMs);
         return true;
     }
 
@@ -215,6 +214,7 @@
         }
         const { listing } = response.value;
         if (listing.startedAtMs === this.worker.entry.startedAtMs) {
+            this.context.metrics.heartbeats.inc({ outcome: HeartbeatOutcome.Late });
             this.context.scheduler.noteEnds(this.worker, listing.ended);
             this.context.listener.onChange();
         }
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -1,4 +1,7 @@
 import { EndKind } from "./end-kind.js";
+import type { EndObserver } from "./end-observer.js";
+import { EndReason } from "./end-reason.js";
+import { findIgnoreReason } from "./find-ignore-reason.js";
 import type { JobRegistry } from "./job-registry.js";
 import type { ListedEnd } from "./listed-end.js";
 import type { ListedRun } from "./listed-run.js";
@@ -24,10 +27,11 @@
     private constructor(
         private readonly jobs: JobRegistry,
         private readonly results: RunResults,
+        private readonly observer: EndObserver,
     ) {}
 
-    static create(jobs: JobRegistry, results: RunResults): ListingReader {
-        return new ListingReader(jobs, results);
+    static create(jobs: JobRegistry, results: RunResults, observer: EndObserver): ListingReader {
+        return new ListingReader(jobs, results, observer);
     }
 
     read(worker: WorkerIncarnation, listing: WorkerListing, times: ListingTimes): void {
@@ -66,15 +70,18 @@
 
     private readEnd(
         worker: WorkerIncarnation,
-        end: ListedEnd,
+        listedEnd: ListedEnd,
         times: Pick<ListingTimes, "nowMs" | "wallMs">,
     ): void {
-        const run = worker.runs.get(end.task);
-        if (run?.number === end.number) {
+        const end = { ...listedEnd, reason: EndReason.Listed };
+        const newestRun = worker.runs.get(end.task);
+        const run = newestRun?.number === end.number ? newestRun : undefined;
+        const task = run?.task ?? this.jobs.findTask(end.task);
+        this.reportIfIgnored(worker, listedEnd, task, run);
+        if (run !== undefined) {
             this.results.finish(run, end, times);
             return;
         }
-        const task = this.jobs.findTask(end.task);
         if (task === undefined) {
             return;
         }
@@ -88,6 +95,20 @@
         }
     }
 
+    /** To be called before the end takes effect. */
+    private reportIfIgnored(
+        worker: WorkerIncarnation,
+        end: ListedEnd,
+        task: Task | undefined,
+        run: Run | undefined,
+    ): void {
+        const reason = findIgnoreReason(this.jobs, end, task, run);
+        if (reason !== undefined) {
+            const lastRun = task?.lastRun === 0 ? undefined : task?.lastRun;
+            this.observer.onIgnored?.(worker, { ...end, reason, currentRun: task?.run?.number ?? lastRun });
+        }
+    }
+
     /** Returns false for a run that belongs to no known task. */
     private readRunning(worker: WorkerIncarnation, listedRun: ListedRun, times: ListingTimes): boolean {
         const existing = worker.runs.get(listedRun.task);
@@ -136,7 +157,7 @@
     ): void {
         for (const run of [...worker.runs.values()]) {
             if (!listed.has(run.task.name) && this.hasEnded(run, times.sentAtMs)) {
-                this.results.lapse(run, times);
+                this.results.lapse(run, EndReason.Missing, times);
             }
         }
     }
--- a/packages/jobs/tests/scheduler-harness.ts
+++ b/packages/jobs/tests/scheduler-harness.ts
@@ -2,6 +2,7 @@
 import { Resources } from "@samphireward/core/resources";
 import { CellScheduler } from "../src/cell-scheduler.js";
 import type { EndKind } from "../src/end-kind.js";
+import type { IgnoredEnd } from "../src/ignored-end.js";
 import type { JobProgress } from "../src/job-progress.js";
 import type { JobSpec } from "../src/job-spec.js";
 import type { ListedEnd } from "../src/listed-end.js";
@@ -9,6 +10,7 @@
 import type { Order } from "../src/order.js";
 import { OrderKind } from "../src/order-kind.js";
 import type { Run } from "../src/run.js";
+import type { RunEnd } from "../src/run-end.js";
 import { StartOutcome } from "../src/start-outcome.js";
 import type { StepSpec } from "../src/step-spec.js";
 import type { WorkerEntry } from "../src/worker-entry.js";
@@ -28,11 +30,19 @@
 export class SchedulerHarness {
     readonly clock = ManualClock.create(StartMs);
     readonly scheduler: CellScheduler;
+    /** The ends that were applied to their tasks, with the name of the task and the id of the worker. */
+    readonly appliedEnds: (RunEnd & { readonly task: string; readonly worker: string })[] = [];
+    /** The ends that were not applied to their tasks, with the id of the worker. */
+    readonly ignoredEnds: (IgnoredEnd & { readonly worker: string })[] = [];
     private jobCount = 0;
     private readonly ends = new Map<string, number>();
 
     private constructor(epoch: number) {
-        this.scheduler = CellScheduler.create(epoch, this.clock, cellLimits);
+        this.scheduler = CellScheduler.create(epoch, this.clock, cellLimits, {
+            onApplied: (task, { entry }, end) =>
+                this.appliedEnds.push({ ...end, task: task.name, worker: entry.id }),
+            onIgnored: ({ entry }, end) => this.ignoredEnds.push({ ...end, worker: entry.id }),
+        });
         this.scheduler.setQueues([rule]);
     }
 
