Skip versions of the configuration that a newer one has replaced

Cause: a watch returns every version that a key had since the last response. Each of 22 processes in Sjaelland received each of the versions, 400 kB long, although only the newest one is of use, and they follow each other faster than the link can send them. A watch that failed was repeated from the same revision, with more versions each time.

Change: the configuration is watched by a ValueWatcher. After a value that took long to receive it pauses for half of that time, so that part of the link stays free; then, and after a call that failed, it reads the newest value if there is another one (a transaction without changes returns the item whose revision is not the expected one) and skips those in between. Small values are watched as before. The mean round trip to the store, from which the delay of a claim is derived, no longer includes the transfer of long responses.

--- a/packages/core/src/json-client.ts
+++ b/packages/core/src/json-client.ts
@@ -49,6 +49,7 @@
             let receivedBytes = 0;
             const req = request({ host, port, method, path, headers, agent: this.agent }, res => {
                 const chunks: Buffer[] = [];
+                const beganAtMs = performance.now();
                 timer.noteProgress();
                 res.on("data", (chunk: Buffer) => {
                     timer.noteProgress();
@@ -65,7 +66,13 @@
                     if (body instanceof Error) {
                         reject(body);
                     } else {
-                        resolve({ status: res.statusCode ?? 0, body, etag: res.headers.etag, receivedBytes });
+                        resolve({
+                            status: res.statusCode ?? 0,
+                            body,
+                            etag: res.headers.etag,
+                            receivedBytes,
+                            transferMs: performance.now() - beganAtMs,
+                        });
                     }
                 });
             });
--- a/packages/core/src/json-response.ts
+++ b/packages/core/src/json-response.ts
@@ -6,4 +6,6 @@
     readonly etag?: string | undefined;
     /** Length of the body as it was received; set only in responses that a client has received. */
     readonly receivedBytes?: number;
+    /** Time from the beginning of the response to its end; set only in responses that a client has received. */
+    readonly transferMs?: number;
 }
--- a/packages/dispatch/src/metadata-store.ts
+++ b/packages/dispatch/src/metadata-store.ts
@@ -4,6 +4,7 @@
 import type { StoredItem } from "./stored-item.js";
 import type { StoreFailure } from "./store-failure.js";
 import type { StorePage } from "./store-page.js";
+import type { StoreReadIfChanged } from "./store-read-if-changed.js";
 import type { StoreTransaction } from "./store-transaction.js";
 
 /** The platform's key-value store: linearizable reads, transactions, watches and leases. */
@@ -13,6 +14,9 @@
 
     abstract get(key: string): Promise<Result<StoredItem | undefined, StoreFailure>>;
 
+    /** Reads a key unless its last change has this revision; an unchanged value is not transmitted. */
+    abstract getIfChanged(key: string, revision: number): Promise<Result<StoreReadIfChanged, StoreFailure>>;
+
     /** Items whose key begins with `prefix`, in the order of keys, after the key `after`. */
     abstract range(prefix: string, after: string): Promise<Result<StorePage, StoreFailure>>;
 
--- a/packages/dispatch/src/prefix-watcher.ts
+++ b/packages/dispatch/src/prefix-watcher.ts
@@ -3,6 +3,7 @@
 import type { MetadataStore } from "./metadata-store.js";
 import { readPrefix } from "./read-prefix.js";
 import { sleep } from "./sleep.js";
+import { StoreContact } from "./store-contact.js";
 import type { StoreChange } from "./store-change.js";
 import type { StoredItem } from "./stored-item.js";
 import { StoreFailure } from "./store-failure.js";
@@ -23,17 +24,17 @@
  * has compacted the history.
  */
 export class PrefixWatcher {
-    /** Monotonic time of the store's last response. */
-    lastResponseAtMs = -Infinity;
-    private isUnreachable = false;
+    private readonly contact: StoreContact;
 
     private constructor(
         private readonly store: MetadataStore,
         private readonly prefix: string,
         private readonly listener: PrefixListener,
-        private readonly clock: Clock,
-        private readonly log: EventLog,
-    ) {}
+        clock: Clock,
+        log: EventLog,
+    ) {
+        this.contact = StoreContact.create(prefix, clock, log);
+    }
 
     static create(
         store: MetadataStore,
@@ -59,10 +60,10 @@
     private async read(): Promise<number | undefined> {
         const all = await readPrefix(this.store, this.prefix);
         if (all.isErr()) {
-            this.handleFailure(all.error);
+            this.contact.noteFailure(all.error);
             return undefined;
         }
-        this.handleResponse();
+        this.contact.noteResponse();
         this.listener.onItems(all.value.items);
         return all.value.revision;
     }
@@ -74,30 +75,15 @@
             return revision;
         }
         if (response.isErr()) {
-            this.handleFailure(response.error);
+            this.contact.noteFailure(response.error);
             if (response.error === StoreFailure.Compacted) {
                 return undefined;
             }
             await sleep(RetryDelayMs, signal);
             return revision;
         }
-        this.handleResponse();
+        this.contact.noteResponse();
         response.value.changes.forEach(change => this.listener.onChange(change));
         return Math.max(revision, response.value.revision);
     }
-
-    private handleResponse(): void {
-        this.lastResponseAtMs = this.clock.nowMs();
-        if (this.isUnreachable) {
-            this.isUnreachable = false;
-            this.log.write("store-regained", { prefix: this.prefix });
-        }
-    }
-
-    private handleFailure(failure: StoreFailure): void {
-        if (!this.isUnreachable) {
-            this.isUnreachable = true;
-            this.log.write("store-lost", { prefix: this.prefix, failure });
-        }
-    }
 }
--- a/packages/dispatch/src/read-prefix.ts
+++ b/packages/dispatch/src/read-prefix.ts
@@ -4,12 +4,22 @@
 import type { StoredItem } from "./stored-item.js";
 import type { StoreFailure } from "./store-failure.js";
 
-/** Reads all items under a prefix. `revision` is that of the first page, from which a watch misses no change. */
+/** All items under a prefix. */
+interface PrefixContent {
+    readonly items: readonly StoredItem[];
+    /** Revision of the first page, from which a watch misses no change. */
+    readonly revision: number;
+    /** Time for which the responses were received. */
+    readonly transferMs: number;
+}
+
+/** Reads all items under a prefix. */
 export const readPrefix = async (
     store: MetadataStore,
     prefix: string,
-): Promise<Result<{ readonly items: readonly StoredItem[]; readonly revision: number }, StoreFailure>> => {
+): Promise<Result<PrefixContent, StoreFailure>> => {
     const items: StoredItem[] = [];
+    let transferMs = 0;
     let revision: number | undefined;
     let after = "";
     for (;;) {
@@ -18,10 +28,11 @@
             return page;
         }
         items.push(...page.value.items);
+        transferMs += page.value.transferMs;
         revision ??= page.value.revision;
         const last = page.value.items.at(-1);
         if (!page.value.hasMore || last === undefined) {
-            return Ok({ items, revision });
+            return Ok({ items, revision, transferMs });
         }
         after = last.key;
     }
--- a/packages/dispatch/src/store-changes.ts
+++ b/packages/dispatch/src/store-changes.ts
@@ -4,4 +4,6 @@
 export interface StoreChanges {
     readonly changes: readonly StoreChange[];
     readonly revision: number;
+    /** Time from the beginning of the response to its end. */
+    readonly transferMs: number;
 }
--- a/packages/dispatch/src/store-page.ts
+++ b/packages/dispatch/src/store-page.ts
@@ -5,4 +5,6 @@
     readonly items: readonly StoredItem[];
     readonly hasMore: boolean;
     readonly revision: number;
+    /** Time from the beginning of the response to its end. */
+    readonly transferMs: number;
 }
--- a/packages/dispatch/tests/manual-store.ts
+++ b/packages/dispatch/tests/manual-store.ts
@@ -3,6 +3,7 @@
 import type { StoreChanges } from "../src/store-changes.js";
 import { StoreFailure } from "../src/store-failure.js";
 import type { StorePage } from "../src/store-page.js";
+import type { StoreReadIfChanged } from "../src/store-read-if-changed.js";
 import type { StoreTransaction } from "../src/store-transaction.js";
 import type { StoredItem } from "../src/stored-item.js";
 import type { Result } from "ts-results-es";
@@ -48,8 +49,14 @@
         return Promise.resolve(Ok(this.items.find(item => item.key === key)));
     }
 
+    override getIfChanged(key: string, revision: number): Promise<Result<StoreReadIfChanged, StoreFailure>> {
+        const item = this.items.find(each => each.key === key && each.revision !== revision);
+        return Promise.resolve(Ok({ item, transferMs: 0 }));
+    }
+
     override range(): Promise<Result<StorePage, StoreFailure>> {
-        return Promise.resolve(Ok({ items: this.items, hasMore: false, revision: this.revision }));
+        const { items, revision } = this;
+        return Promise.resolve(Ok({ items, hasMore: false, revision, transferMs: 0 }));
     }
 
     override watch(): Promise<Result<StoreChanges, StoreFailure>> {
