--- a/packages/runtime/src/process-runtime.ts
+++ b/packages/runtime/src/process-runtime.ts
@@ -45,7 +45,9 @@
     readonly config: ConfigFeed;
     readonly membership: Membership;
     readonly owners: OwnerDirectory;
-    readonly transports = TransportCache.create();
+    readonly transports = TransportCache.create((address, reason) =>
+        this.recordClosedConnection(address, reason),
+    );
     readonly vms: VmList;
     private readonly registration: MemberRegistration;
     private readonly peerServer: PeerServer;
@@ -163,6 +165,11 @@
         );
     }
 
+    private recordClosedConnection(address: string, reason: string): void {
+        this.counters.add("peers.connections-closed");
+        this.log.info("peer connection is closed", { address, reason });
+    }
+
     /** Drops the connections to addresses that no member or seed uses any more. */
     private pruneConnections(): Effect.Effect<never> {
         return Effect.forever(
--- a/packages/runtime/src/transport-cache.ts
+++ b/packages/runtime/src/transport-cache.ts
@@ -5,16 +5,17 @@
 export class TransportCache {
     private readonly transports = new Map<string, Transport>();
 
-    private constructor() {}
+    private constructor(private readonly onClosed: (address: string, reason: string) => void) {}
 
-    static create(): TransportCache {
-        return new TransportCache();
+    /** `onClosed` is called for each connection to a peer that is closed, by either side. */
+    static create(onClosed: (address: string, reason: string) => void): TransportCache {
+        return new TransportCache(onClosed);
     }
 
     get(address: string): Transport {
         let transport = this.transports.get(address);
         if (transport === undefined) {
-            transport = createPeerTransport(address);
+            transport = createPeerTransport(address, reason => this.onClosed(address, reason));
             this.transports.set(address, transport);
         }
         return transport;
--- a/packages/runtime/tests/transport-cache.test.ts
+++ b/packages/runtime/tests/transport-cache.test.ts
@@ -11,7 +11,7 @@
             router.service(PeerService, { claimKey: () => ({ result: "granted" }) });
         });
         const address = await server.listen("127.0.0.1:0");
-        const transports = TransportCache.create();
+        const transports = TransportCache.create(() => undefined);
         const { result } = await createClient(PeerService, transports.get(address)).claimKey({ key: "k" });
         t.equal(result, "granted");
         const closed = server.close();
