Detect unresponsive peers without the verification of connect-node

A call to a peer that has not answered for 2 s could end the process with an unhandled ECONNREFUSED of a ClientHttp2Session, or wait until its deadline although the peer was reachable again.

Cause: with a ping interval, Http2SessionManager of @connectrpc/connect-node 2.1.1 verifies a session by a ping before a call when nothing was received for that interval. When the verification fails, it connects anew even if another call is connecting already: the first connecting session loses its listeners, its error is unhandled, and the call that waits for it is never answered. When the connection is closed without an error (FIN, as of a killed process), the verification never ends.

A verification could not help calls in any case: it lasts up to 2 s, and calls between peers end after 300 or 1,500 ms.

--- a/packages/protocol/src/peer-session-manager.ts
+++ b/packages/protocol/src/peer-session-manager.ts
@@ -1,9 +1,7 @@
 import type { ClientHttp2Stream, Http2Session } from "node:http2";
 import { Http2SessionManager } from "@connectrpc/connect-node";
+import { observeSession } from "./observe-session.js";
 
-/** Pings detect unresponsive connections: without a response within the timeout, the connection is replaced. */
-const PingIntervalMs = 2_000;
-const PingTimeoutMs = 2_000;
 const IdleTimeoutMs = 30_000;
 
 /**
@@ -11,6 +9,10 @@
  * class of @connectrpc/connect-node 2.1.1 removes its listener when it replaces a session. A session that is destroyed
  * with an error emits it only when its socket is closed, so that an unhandled error would end the process if a call
  * replaced the session in between.
+ *
+ * The base class sends no pings: with a ping interval, it also verifies a session before a call. A verification that
+ * fails replaces a session that is just connecting without an error listener, and one whose connection is closed
+ * without an error never ends.
  */
 export class PeerSessionManager extends Http2SessionManager {
     private readonly observed = new WeakSet<Http2Session>();
@@ -19,12 +21,7 @@
         address: string,
         private readonly onClosed: (reason: string) => void,
     ) {
-        super(`http://${address}`, {
-            pingIntervalMs: PingIntervalMs,
-            pingTimeoutMs: PingTimeoutMs,
-            pingIdleConnection: true,
-            idleConnectionTimeoutMs: IdleTimeoutMs,
-        });
+        super(`http://${address}`, { idleConnectionTimeoutMs: IdleTimeoutMs });
     }
 
     /** Creates a manager for the peer at `ip:port`. `onClosed` is called once for each connection that was in use. */
@@ -36,14 +33,8 @@
         const stream = await super.request(...args);
         if (stream.session !== undefined && !this.observed.has(stream.session)) {
             this.observed.add(stream.session);
-            this.observe(stream.session);
+            observeSession(stream.session, this.onClosed);
         }
         return stream;
     }
-
-    private observe(session: Http2Session): void {
-        let reason = "closed without an error";
-        session.on("error", (err: Error) => (reason = err.message));
-        session.once("close", () => this.onClosed(reason));
-    }
 }
