Answer a request that fails unexpectedly instead of ending the process

Seen: GET /cutting-plan/%zz on the callers' port closed the connection without an answer and ended the entry process with "URIError: URI malformed".

Cause: TaskApi decodes the task key with decodeURIComponent, which throws for malformed percent-encoding; handle passes on what is not a CodedError, and EntryProcess.dispatch left the promise without a handler. Any other unexpected error of a task request would have done the same, and a synchronous one of the other routes too.

Change: a malformed key is answered with 400 and code 2001. CallersListener, taken out of EntryProcess, passes requests to the handlers; any error they did not expect is answered with 500 and the new code 3006 InternalError (no other code fits: the only one with status 500 is about settings files, and the request may have run), counted as requests.unexpected-errors and logged as "unexpected error in a request" with method, URL and stack. If the response has begun, its connection is closed.

Evidence: the process test bad-path failed on the code before ("other side closed"; entry-vm-0.log ends with "URI malformed"). On the old TaskApi, callers-listener fails for the 8 requests with malformed keys (3006 in place of 2001).

--- a/packages/core/src/result-code-table.ts
+++ b/packages/core/src/result-code-table.ts
@@ -55,6 +55,7 @@
     AnswerMalformed: [502, "The answer is not valid HTTP."],
     AnswerTooLarge: [502, "The answer's headers exceed the limit."],
     OwnerUnreachable: [504, "The submission was sent, but its owner did not answer."],
+    InternalError: [500, "An unexpected error occurred while the request was handled."],
 };
 
 const cancelled: Partial<Record<keyof typeof ResultCode, Row>> = {
--- a/packages/core/src/result-code.ts
+++ b/packages/core/src/result-code.ts
@@ -37,6 +37,7 @@
     AnswerMalformed: 3003,
     AnswerTooLarge: 3004,
     OwnerUnreachable: 3005,
+    InternalError: 3006,
 
     CallerGone: 4000,
     TaskCancelled: 4001,
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -1,13 +1,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import { CellName } from "@samphireward/core/cell-name";
 import { JsonServer } from "@samphireward/core/json-server";
 import { listen } from "@samphireward/core/listen";
 import { Outcome } from "@samphireward/core/outcome";
 import { describeCode } from "@samphireward/core/describe-code";
+import { describeError } from "@samphireward/core/describe-error";
+import type { ResultCode } from "@samphireward/core/result-code";
+import type { Route } from "@samphireward/core/route";
 import type { Tables } from "@samphireward/core/tables";
 import { createCallersServer } from "@samphireward/routing/create-callers-server";
-import { findRoute } from "@samphireward/routing/find-route";
 import { RequestHandler } from "@samphireward/routing/request-handler";
 import type { RequestRecord } from "@samphireward/routing/request-record";
 import { ShareRegistry } from "@samphireward/routing/share-registry";
@@ -17,6 +19,7 @@
 import * as Fiber from "effect/Fiber";
 import { AdminApi } from "./admin-api.js";
 import { createBearerCheck } from "./create-bearer-check.js";
+import { CallersListener } from "./callers-listener.js";
 import { CellConnectors } from "./cell-connectors.js";
 import { ConnectKeyClaimer } from "./connect-key-claimer.js";
 import { IdempotencyKeys } from "./idempotency-keys.js";
@@ -44,9 +47,9 @@
     private readonly admin: JsonServer;
     private readonly fibers: Fiber.Fiber<unknown, unknown>[] = [];
     private handler: RequestHandler | undefined;
+    private listener: CallersListener | undefined;
     private callersServer: Server | undefined;
     private isDraining = false;
-    private taskRequestsInProgress = 0;
 
     private constructor(private readonly settings: EntrySettings) {
         this.runtime = ProcessRuntime.create({
@@ -128,7 +131,7 @@
             this.callersServer?.close(() => resolve());
         });
         await this.handler?.drain();
-        while (this.taskRequestsInProgress > 0) {
+        while ((this.listener?.taskRequestsInProgress ?? 0) > 0) {
             await sleep(DrainPollIntervalMs);
         }
         this.callersServer?.closeIdleConnections();
@@ -158,35 +161,29 @@
             entryCountInRegion: () => this.countEntriesInRegion(),
         });
         this.handler = handler;
-        this.callersServer = createCallersServer(handler, (req, res) =>
-            this.dispatch(req, res, handler, tables()),
-        );
+        const listener = CallersListener.create({
+            clock,
+            tables,
+            requests: handler,
+            tasks: this.taskApi,
+            onTaskAnswered: (route, code, latencyMs) => this.recordTaskRequest(route, code, latencyMs),
+            onUnexpectedError: (err, req) => this.recordUnexpectedError(err, req),
+        });
+        this.listener = listener;
+        this.callersServer = createCallersServer(handler, (req, res) => listener.handle(req, res));
         const callers = await listen(this.callersServer, this.settings.callers.listen);
         log.info("callers' port is open", { callers });
     }
 
-    private dispatch(
-        req: IncomingMessage,
-        res: ServerResponse,
-        handler: RequestHandler,
-        tables: Tables,
-    ): void {
-        const found = findRoute(req, tables);
-        if (found.isErr() || found.value.kind !== "task") {
-            handler.handleRoute(req, res, found);
-            return;
-        }
-        const route = found.value;
-        const startMs = this.runtime.clock.nowMs();
-        this.taskRequestsInProgress += 1;
-        void this.taskApi
-            .handle(req, res, route, tables)
-            .then(code => {
-                this.runtime.counters.add(`tasks.code.${code}`);
-                const isAnswered = describeCode(code).outcome === Outcome.Answered;
-                this.metrics.record(route, this.runtime.clock.nowMs() - startMs, isAnswered);
-            })
-            .finally(() => (this.taskRequestsInProgress -= 1));
+    private recordTaskRequest(route: Route, code: ResultCode, latencyMs: number): void {
+        this.runtime.counters.add(`tasks.code.${code}`);
+        this.metrics.record(route, latencyMs, describeCode(code).outcome === Outcome.Answered);
+    }
+
+    private recordUnexpectedError(err: unknown, req: IncomingMessage): void {
+        this.runtime.counters.add("requests.unexpected-errors");
+        const { method, url } = req;
+        this.runtime.log.error("unexpected error in a request", { method, url, error: describeError(err) });
     }
 
     private recordOutcome({ route: name, code, latencyMs }: RequestRecord): void {
--- a/packages/entry/src/task-api.ts
+++ b/packages/entry/src/task-api.ts
@@ -54,6 +54,16 @@
     };
 };
 
+/** Reads the task key that follows the route's path; empty without one. */
+const parseKey = (req: IncomingMessage, route: Route): string => {
+    try {
+        const path = new URL(req.url ?? "/", "http://localhost").pathname;
+        return decodeURIComponent(path.slice(route.path.length).replace(/^\//, ""));
+    } catch {
+        throw CodedError.create(ResultCode.BadRequest, "Expected a path with valid percent-encoding");
+    }
+};
+
 /** HTTP API for the callers' task operations: submit (POST), look up (GET) and cancel (DELETE). */
 export class TaskApi {
     private constructor(private readonly gateway: TaskGateway) {}
@@ -62,7 +72,7 @@
         return new TaskApi(gateway);
     }
 
-    /** Handles one request of a route of kind `task`. Returns the code that was sent. */
+    /** Handles one request of a route of kind `task`. Returns the code that was sent. Rejects on an unexpected error. */
     async handle(
         req: IncomingMessage,
         res: ServerResponse,
@@ -85,8 +95,7 @@
     }
 
     private async dispatch(req: IncomingMessage, route: Route, pool: Pool): Promise<TaskReply> {
-        const path = new URL(req.url ?? "/", "http://localhost").pathname;
-        const key = decodeURIComponent(path.slice(route.path.length).replace(/^\//, ""));
+        const key = parseKey(req, route);
         if (req.method === "POST" && key === "") {
             const text = await readLimitedBody(req, route.maxBodyBytes);
             return this.gateway.submit(pool, parseSubmission(pool, text), route.deadline);
