Report unexpected errors of the administration port with a code

Seen: read in the code. An administration call that failed unexpectedly was answered with 500 but without the code that docs/admin-api.md promises, and neither counted nor logged; so was a malformed path such as "//".

Change: the answer carries code 3006. JsonServer.create takes a callback for unexpected errors, with which the entry process counts and logs them as on the callers' port. A path that is not valid is answered with 400 and code 2001.

Evidence: on the code before, the body of both answers had no code ("//": 500 {"message":"Invalid URL"}), which the new test of json-server rejects.

--- a/packages/core/src/json-server.ts
+++ b/packages/core/src/json-server.ts
@@ -36,11 +36,21 @@
     }
 };
 
+const parseUrl = (req: IncomingMessage): URL => {
+    try {
+        return new URL(req.url ?? "/", "http://localhost");
+    } catch {
+        throw CodedError.create(ResultCode.BadRequest, "The path is not valid");
+    }
+};
+
 const errorResponse = (err: unknown): JsonResponse => {
     if (err instanceof CodedError) {
         return { status: describeCode(err.code).httpStatus, body: { code: err.code, message: err.message } };
     }
-    return { status: 500, body: { message: err instanceof Error ? err.message : String(err) } };
+    const message = err instanceof Error ? err.message : String(err);
+    const code = ResultCode.InternalError;
+    return { status: describeCode(code).httpStatus, body: { code, message } };
 };
 
 /** Sends the text with its ETag, or 304 without a body if the client already has it (RFC 9110, section 13.1.2). */
@@ -78,7 +88,10 @@
     private readonly router = findMyWay();
     private readonly server: Server;
 
-    private constructor(private readonly authorize: (req: IncomingMessage) => boolean) {
+    private constructor(
+        private readonly authorize: (req: IncomingMessage) => boolean,
+        private readonly onUnexpectedError: (err: unknown, req: IncomingMessage) => void,
+    ) {
         this.server = createServer(
             { maxHeaderSize: MaxHeaderBytes, requestTimeout: RequestTimeoutMs },
             (req, res) => {
@@ -87,9 +100,15 @@
         );
     }
 
-    /** `authorize` is called for each request; a request that it rejects gets status 401. */
-    static create(authorize: (req: IncomingMessage) => boolean = () => true): JsonServer {
-        return new JsonServer(authorize);
+    /**
+     * `authorize` is called for each request; a request that it rejects gets status 401. `onUnexpectedError` is called
+     * with each error that is not a `CodedError`; its request gets status 500.
+     */
+    static create(
+        authorize: (req: IncomingMessage) => boolean = () => true,
+        onUnexpectedError: (err: unknown, req: IncomingMessage) => void = () => undefined,
+    ): JsonServer {
+        return new JsonServer(authorize, onUnexpectedError);
     }
 
     on(method: Method, path: string, handler: Handler): this {
@@ -116,6 +135,9 @@
         try {
             send(req, res, await this.dispatch(req, abort.signal));
         } catch (err) {
+            if (!(err instanceof CodedError)) {
+                this.onUnexpectedError(err, req);
+            }
             res.setHeader("connection", "close");
             send(req, res, errorResponse(err));
             // Closing immediately would reset the connection before the client has read the response. The rest of
@@ -128,7 +150,7 @@
         if (!this.authorize(req)) {
             throw CodedError.create(ResultCode.Unauthorized, "A valid bearer token is required");
         }
-        const url = new URL(req.url ?? "/", "http://localhost");
+        const url = parseUrl(req);
         const match = this.router.find(req.method as Method, url.pathname);
         if (match === null) {
             return { status: 404, body: { message: `No such call: ${req.method} ${url.pathname}` } };
--- a/packages/core/tests/json-server.test.ts
+++ b/packages/core/tests/json-server.test.ts
@@ -25,6 +25,27 @@
     await server.close();
 });
 
+// Guards against an unexpected error of one call that is not reported or gets no code, or that ends the process.
+t.test("a call that fails unexpectedly gets status 500 and a code", async t => {
+    const errors: unknown[] = [];
+    const server = JsonServer.create(
+        () => true,
+        err => errors.push(err),
+    )
+        .on("GET", "/v1/throws", () => {
+            throw new TypeError("expected");
+        })
+        .on("GET", "/v1/good", () => ({ status: 200, body: {} }));
+    const client = JsonClient.create(await server.listen("127.0.0.1:0"));
+    t.match(await client.call("GET", "/v1/throws", { timeoutMs }), { status: 500, body: { code: 3006 } });
+    t.strictSame(errors, [new TypeError("expected")]);
+    t.match(await client.call("GET", "//", { timeoutMs }), { status: 400, body: { code: 2001 } });
+    t.equal((await client.call("GET", "/v1/good", { timeoutMs })).status, 200);
+    t.equal(errors.length, 1);
+    client.close();
+    await server.close();
+});
+
 // Guards against administration calls that are answered without the token.
 t.test("a request without the token is rejected", async t => {
     const server = JsonServer.create(req => req.headers.authorization === "Bearer secret");
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -86,7 +86,9 @@
             streamTo: cell => this.connectors.streamTo(cell),
         });
         this.taskApi = TaskApi.create(this.gateway);
-        this.admin = JsonServer.create(createBearerCheck(settings.admin.tokenFile));
+        this.admin = JsonServer.create(createBearerCheck(settings.admin.tokenFile), (err, req) =>
+            this.recordUnexpectedError(err, req),
+        );
         AdminApi.mount(this.admin, {
             runtime: this.runtime,
             connectors: this.connectors,
