Give a cell up when a commit fails unexpectedly

Seen: read in the code. An unexpected error while a batch is appended or applied was a rejection without a handler and ended the scheduler process with all its cells.

Cause: CommitQueue.flush left the promise of append to nobody (void).

Change: the new runInBackground of core logs the rejection of a promise that nobody awaits, with the operation's name. CommitQueue uses it and, before, closes and reports the ownership as lost, because the owner's state may lack transitions that are durable. The cell's next owner replays the log.

Evidence: commit-queue.test on the code before: "not ok: append", tapCaught: unhandledRejection.

--- a/packages/tasks/src/commit-queue.ts
+++ b/packages/tasks/src/commit-queue.ts
@@ -1,5 +1,6 @@
 import { CodedError } from "@samphireward/core/coded-error";
 import { ResultCode } from "@samphireward/core/result-code";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import type { TransitionLog } from "@samphireward/state/transition-log";
 import type { Result } from "ts-results-es";
 import { Err } from "ts-results-es";
@@ -21,7 +22,7 @@
 interface CommitHandlers {
     /** Called for each transition of a durable batch, in log order. The state is changed here and nowhere else. */
     readonly apply: (transition: Transition) => void;
-    /** Called when another owner has taken the cell. */
+    /** Called when another owner has taken the cell, and when a commit failed unexpectedly. */
     readonly onOwnershipLost: (err: CodedError) => void;
     /** Called when a batch is durable and no append is in progress any more. */
     readonly onIdle: () => void;
@@ -95,7 +96,11 @@
         }
         const batch = this.takeBatch();
         this.isAppending = true;
-        void this.append(batch);
+        const appended = this.append(batch).catch((err: unknown) => {
+            this.handleUnexpectedError(err);
+            throw err;
+        });
+        runInBackground("commit", appended);
     }
 
     /** Drops the queued transitions and accepts no more. An append in progress still settles. */
@@ -119,6 +124,13 @@
         return this.waiting.splice(0, count);
     }
 
+    /** The state may now lack durable transitions, so the cell is left to an owner that replays the log. */
+    private handleUnexpectedError(err: unknown): void {
+        this.close();
+        const message = `a commit failed unexpectedly: ${String(err)}`;
+        this.handlers.onOwnershipLost(CodedError.create(ResultCode.InternalError, message));
+    }
+
     private async append(batch: readonly QueuedTransition[]): Promise<void> {
         const transitions = batch.map(item => item.transition);
         const result = await this.log.append(transitions);
