Go on calling a worker after a call fails unexpectedly

Seen: read in the code. A worker call that rejects, which its interface rules out, ended the scheduler process; had the rejection only been logged, the link would have made no further call to that worker.

Cause: WorkerLink left the promises of its calls to nobody and reset isCallInProgress only after success.

Change: the flag is reset however the call ends, and the rejection is logged. The next tick starts the next call, so that a call that always fails is not repeated without a pause. The checkpoint and throttle calls are logged as well.

Evidence: the new test of cell-owner on the code before: "not ok: unexpected", tapCaught: unhandledRejection.

--- a/packages/tasks/src/load-manager.ts
+++ b/packages/tasks/src/load-manager.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import { WorkClass } from "@samphireward/core/work-class";
 import type { EvictionAction } from "@samphireward/placement/eviction-action";
 import type { EvictionCandidate } from "@samphireward/placement/eviction-candidate";
@@ -136,7 +137,7 @@
         if (action.kind === "evict") {
             this.cell.evict(action.key);
         } else if (attempt !== undefined) {
-            void this.throttle(link, attempt, action);
+            runInBackground("throttle", this.throttle(link, attempt, action));
         }
     }
 
--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CodedError } from "@samphireward/core/coded-error";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import { TaskState } from "@samphireward/core/task-state";
 import type { Result } from "ts-results-es";
 import type { Attempt } from "./attempt.js";
@@ -115,13 +116,20 @@
         const call = this.nextCall(this.clock.nowMs());
         if (call !== undefined) {
             this.isCallInProgress = true;
-            void call().then(() => {
-                this.isCallInProgress = false;
-                this.startNextCall();
-            });
+            runInBackground("worker call", this.runCall(call));
         }
     }
 
+    /** Runs a call, then the next one that is due. After a call that fails unexpectedly, the next tick starts one. */
+    private async runCall(call: Call): Promise<void> {
+        try {
+            await call();
+        } finally {
+            this.isCallInProgress = false;
+        }
+        this.startNextCall();
+    }
+
     /** Stops an attempt; an attempt that was never sent to the worker ends at once. */
     stop(attempt: Attempt): void {
         if (attempt.phase === AttemptPhase.ToStart) {
@@ -163,7 +171,7 @@
         if (base !== undefined && nowMs >= leaseEndMs(base, this.timing)) {
             attempt.recordEnd(this.owner);
         } else if (this.isCheckpointDue(attempt)) {
-            void this.checkpoint(attempt);
+            runInBackground("checkpoint", this.checkpoint(attempt));
         }
     }
 
--- a/packages/tasks/tests/cell-owner.test.ts
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -2,6 +2,7 @@
 import { ResultCode } from "@samphireward/core/result-code";
 import t from "tap";
 import type { CellOwner } from "../src/cell-owner.js";
+import { SimWorkerClient } from "./faults/sim-worker-client.js";
 import { Simulation } from "./faults/simulation.js";
 
 /** A cell with an owner and four idle workers of 4 processors, 8,000 MB and 1 accelerator. */
@@ -96,6 +97,32 @@
     t.strictSame(sim.checker.violations, []);
 });
 
+// Guards against a call to a worker that fails unexpectedly and ends the process, or is the last one to that worker.
+t.test("calls to workers go on after one fails unexpectedly", async t => {
+    const { sim, owner } = await createCell();
+    const failed: string[] = [];
+    const intercepted = t.intercept(SimWorkerClient.prototype, "outcomes", {
+        configurable: true,
+        value: () => {
+            intercepted.restore();
+            failed.push("outcomes");
+            return Promise.reject(new TypeError("unexpected"));
+        },
+    });
+    await sim.run(5000);
+    t.strictSame(failed, ["outcomes"]);
+    const keys = Array.from({ length: 16 }, (_, index) => `k-${index}`);
+    const answers = Promise.all(keys.map(key => owner.accept(spec(key, 500))));
+    await sim.run(8000);
+    await answers;
+    t.strictSame(
+        keys.filter(key => owner.status(key)?.state !== "finished"),
+        [],
+        "tasks finish on every worker",
+    );
+    t.strictSame(sim.checker.violations, []);
+});
+
 // Guards against a drained or leaving worker that keeps its tasks or gets new ones.
 for (const removal of ["drain", "leave"] as const) {
     t.test(`a worker that is to ${removal} hands its tasks over`, async t => {
