Answer a request whose key claim fails unexpectedly

Seen: read in the code. An unexpected error while a request's key is claimed, or in what follows, ended the entry process.

Cause: RequestJob.dispatch left the promise of claimAndSend to nobody.

Change: the request is answered with 500 and code 3006, the error is passed to onUnexpectedError, and the slot is released, as nothing was sent.

Evidence: the new test of request-handler on the code before: "not ok: unexpected", tapCaught: unhandledRejection. It uses a single slot, so that a slot which is not released fails it too.

--- a/packages/routing/src/request-context.ts
+++ b/packages/routing/src/request-context.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import type { Clock } from "@samphireward/core/clock";
 import type { Counters } from "@samphireward/core/counters";
 import type { RandomSource } from "@samphireward/core/random-source";
@@ -24,4 +25,5 @@
         target: TargetState,
     ) => { readonly out: LinkRateLimiter; readonly in: LinkRateLimiter } | undefined;
     readonly onOutcome: (record: RequestRecord) => void;
+    readonly onUnexpectedError: (err: unknown, req: IncomingMessage) => void;
 }
--- a/packages/routing/src/request-handler.ts
+++ b/packages/routing/src/request-handler.ts
@@ -40,6 +40,8 @@
     readonly shares: ShareRegistry;
     readonly claimer: KeyClaimer;
     readonly onOutcome: (record: RequestRecord) => void;
+    /** Called with an error that ended a request after `handle` had returned. */
+    readonly onUnexpectedError?: (err: unknown, req: IncomingMessage) => void;
     readonly random?: RandomSource;
     readonly counters?: Counters;
     readonly settings?: Partial<RequestSettings>;
@@ -76,6 +78,7 @@
             shares,
             claimer,
             onOutcome,
+            onUnexpectedError: options.onUnexpectedError ?? (() => undefined),
             random: options.random ?? SystemRandom.create(),
             counters: options.counters ?? Counters.create(),
             settings: this.settings,
--- a/packages/routing/src/request-job.ts
+++ b/packages/routing/src/request-job.ts
@@ -104,7 +104,9 @@
         } else if (this.claim === undefined || this.claim.isGranted) {
             this.sender.start(target, this.body);
         } else {
-            void this.claimAndSend(this.claim, target);
+            this.claimAndSend(this.claim, target).catch((err: unknown) =>
+                this.fail(this.reportUnexpectedError(err)),
+            );
         }
     }
 
@@ -156,7 +158,7 @@
     }
 
     private async claimAndSend(claim: KeyClaim, target: TargetState): Promise<void> {
-        const refusalCode = await claim.request();
+        const refusalCode = await claim.request().catch((err: unknown) => this.reportUnexpectedError(err));
         if (this.isFinished) {
             claim.release();
         } else if (refusalCode === undefined) {
@@ -168,6 +170,11 @@
         this.dispatcher.releaseSlot(target);
     }
 
+    private reportUnexpectedError(err: unknown): ResultCode {
+        this.context.onUnexpectedError(err, this.req);
+        return ResultCode.InternalError;
+    }
+
     private succeed(attempt: RequestAttempt, response: IncomingMessage): void {
         this.isFinished = true;
         this.finishedAtMs = this.context.clock.nowMs();
--- a/packages/routing/tests/request-handler.test.ts
+++ b/packages/routing/tests/request-handler.test.ts
@@ -1,6 +1,7 @@
 import { request } from "node:http";
 import { connect } from "node:net";
 import t from "tap";
+import { KeyClaimer } from "../src/key-claimer.js";
 import { KeyClaimResult } from "../src/key-claim-result.js";
 import { httpResponse } from "./http-response.js";
 import { TestBackend } from "./test-backend.js";
@@ -294,6 +295,27 @@
     await stop();
 });
 
+class FaultyKeyClaimer extends KeyClaimer {
+    override claim(): never {
+        throw new TypeError("unexpected");
+    }
+
+    override release(): void {}
+}
+
+// Guards against an error after a request was queued that ends the process or leaves the request unanswered.
+t.test("a request whose claim fails unexpectedly is answered with 500", async t => {
+    const { harness, first, stop } = await setUp([respond], { claimer: new FaultyKeyClaimer() }, 1);
+    const headers = { "idempotency-key": "k1" };
+    for (let count = 1; count <= 3; count += 1) {
+        t.match(await harness.call("/order", { method: "POST", headers }), { status: 500, code: 3006 });
+        t.equal(harness.unexpectedErrors.length, count);
+    }
+    t.equal((await harness.call("/read")).code, 1000, "the only slot is free again");
+    t.equal(first.received.length, 1);
+    await stop();
+});
+
 // Guards against continuing a request whose caller has disconnected, and against reuse of its connection.
 t.test("a request is abandoned when its caller disconnects", async t => {
     const { harness, first, stop } = await setUp([respondAfter(100)]);
--- a/packages/routing/tests/request-test-harness.ts
+++ b/packages/routing/tests/request-test-harness.ts
@@ -82,6 +82,7 @@
 /** Request handling of one entry process in data centre `near`, with shares granted by the test. */
 export class RequestTestHarness {
     readonly records: RequestRecord[] = [];
+    readonly unexpectedErrors: unknown[] = [];
     readonly counters = Counters.create();
     readonly clock = SystemClock.create();
     readonly shares = ShareRegistry.create(this.clock);
@@ -104,6 +105,7 @@
             counters: this.counters,
             settings: { ...options.settings },
             onOutcome: record => this.records.push(record),
+            onUnexpectedError: err => this.unexpectedErrors.push(err),
         });
         this.server = createCallersServer(this.handler);
     }
