Forbid void before a promise

Seen: read in the code. 21 promises of packages/*/src, packages/dispatch aside, were silenced with void, so that a rejection ended the process.

Change: the rule no-void-promise of the repository's plugin reports void before anything that is or may be a promise, in statements and in arrow functions; no-floating-promises, which void silences, remains. A rule was chosen over process-level handlers alone, because it makes each operation name who handles its failure; ignoreVoid of no-floating-promises does not see arrow functions. The remaining places use runInBackground, or pass the rejection on: - the entry process ends with an error, as before, when it cannot open the callers' port: EntryProcess.failed rejects, which main awaits; - JsonServer reports the error and closes the connection; - send-http-request of ctl rejects; a role of the request-cost benchmark prints the error and exits with code 1.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,6 +59,11 @@
             "samphireward/private-constructor": "error",
         },
     },
+    {
+        files: ["packages/*/src/**/*.ts"],
+        ignores: ["packages/dispatch/**"],
+        rules: { "samphireward/no-void-promise": "error" },
+    },
     {
         files: ["packages/*/tests/**/*.ts", "platform/tests/**/*.ts"],
         plugins: { samphireward: plugin },
--- a/packages/bench/src/request-cost-role.ts
+++ b/packages/bench/src/request-cost-role.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@samphireward/core/describe-error";
 import { startBackEnd } from "./request-cost-back-end.js";
 import { startHandler } from "./request-cost-handler.js";
 import { runLoad } from "./request-cost-load.js";
@@ -28,12 +29,17 @@
     }
 };
 
+const exitWithError = (err: unknown): void => {
+    process.stderr.write(`${describeError(err)}\n`);
+    process.exit(1);
+};
+
 process.on("disconnect", () => process.exit());
 process.on("message", (message: { start?: StartOptions; load?: Parameters<typeof runLoad>[0] }) => {
     if (message.start !== undefined) {
-        void start(message.start);
+        start(message.start).catch(exitWithError);
     } else if (message.load !== undefined) {
-        void runLoad(message.load).then(reply);
+        runLoad(message.load).then(reply).catch(exitWithError);
     } else {
         const { user, system } = process.cpuUsage();
         reply({ processorUs: user + system, rssMb: process.memoryUsage.rss() / 1e6 });
--- a/packages/core/src/json-server.ts
+++ b/packages/core/src/json-server.ts
@@ -95,7 +95,10 @@
         this.server = createServer(
             { maxHeaderSize: MaxHeaderBytes, requestTimeout: RequestTimeoutMs },
             (req, res) => {
-                void this.handleRequest(req, res);
+                this.handleRequest(req, res).catch((err: unknown) => {
+                    this.onUnexpectedError(err, req);
+                    res.destroy();
+                });
             },
         );
     }
--- a/packages/ctl/src/send-http-request.ts
+++ b/packages/ctl/src/send-http-request.ts
@@ -46,7 +46,7 @@
     httpRequest: HttpRequest,
     options: { readonly token: string | undefined; readonly timeoutMs: number },
 ): Promise<ExchangeResult> =>
-    new Promise(resolve => {
+    new Promise((resolve, reject) => {
         const headers = options.token === undefined ? {} : { authorization: `Bearer ${options.token}` };
         const req = request(`http://${address}${httpRequest.path}`, {
             method: httpRequest.method,
@@ -78,10 +78,10 @@
             );
         });
         req.on("response", res => {
-            void readResponse(address, res).then(response => {
+            readResponse(address, res).then(response => {
                 clearTimeout(timer);
                 resolve(response);
-            });
+            }, reject);
         });
         writeBody(req, httpRequest);
     });
--- a/packages/demo/src/balancer.ts
+++ b/packages/demo/src/balancer.ts
@@ -1,4 +1,5 @@
 import { JsonClient } from "@samphireward/core/json-client";
+import { runInBackground } from "@samphireward/core/run-in-background";
 
 const PollIntervalMs = 200;
 const HealthTimeoutMs = 500;
@@ -31,7 +32,7 @@
     }
 
     start(): void {
-        this.pollTimer = setInterval(() => void this.poll(), PollIntervalMs);
+        this.pollTimer = setInterval(() => runInBackground("health poll", this.poll()), PollIntervalMs);
     }
 
     stop(): void {
--- a/packages/entry/src/cell-connectors.ts
+++ b/packages/entry/src/cell-connectors.ts
@@ -1,6 +1,7 @@
 import { keepRunning } from "@samphireward/runtime/keep-running";
 import type { CellOwnerRecord } from "@samphireward/runtime/cell-owner-record";
 import type { ProcessRuntime } from "@samphireward/runtime/process-runtime";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import type { Tables } from "@samphireward/core/tables";
 import type { ShareRegistry } from "@samphireward/routing/share-registry";
 import type { OwnerRecord } from "@samphireward/state/owner-record";
@@ -47,7 +48,7 @@
             }
         }
         for (const cell of this.cells.filter(name => !wanted.has(name))) {
-            void this.remove(cell);
+            runInBackground("remove cell", this.remove(cell), this.options.runtime.log);
         }
     }
 
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -50,6 +50,9 @@
     private listener: CallersListener | undefined;
     private callersServer: Server | undefined;
     private isDraining = false;
+    private fail: (err: unknown) => void = () => undefined;
+    /** Rejects when the process cannot open the callers' port; it must then end, so that it is started again. */
+    readonly failed = new Promise<never>((...[, reject]) => (this.fail = reject));
 
     private constructor(private readonly settings: EntrySettings) {
         this.runtime = ProcessRuntime.create({
@@ -144,7 +147,7 @@
     private setTables(tables: Tables): void {
         this.connectors.setTables(tables);
         if (this.handler === undefined) {
-            void this.openCallersPort(tables);
+            this.openCallersPort(tables).catch(this.fail);
         }
     }
 
@@ -159,6 +162,7 @@
             shares: this.shares,
             claimer: ConnectKeyClaimer.create(this.keys, transports),
             onOutcome: record => this.recordOutcome(record),
+            onUnexpectedError: (err, req) => this.recordUnexpectedError(err, req),
             counters: this.runtime.counters,
             entryCountInRegion: () => this.countEntriesInRegion(),
         });
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -6,5 +6,5 @@
 
 const entry = EntryProcess.create(readCliSettings("samphireward-entry", EntrySettings));
 await entry.start();
-await waitForStopSignal();
+await Promise.race([waitForStopSignal(), entry.failed]);
 await entry.stop();
--- a/packages/eslint-plugin/src/plugin.ts
+++ b/packages/eslint-plugin/src/plugin.ts
@@ -1,5 +1,6 @@
 import { docComment } from "./rules/doc-comment.js";
 import { noFileBanner } from "./rules/no-file-banner.js";
+import { noVoidPromise } from "./rules/no-void-promise.js";
 import { oneExport } from "./rules/one-export.js";
 import { privateConstructor } from "./rules/private-constructor.js";
 import { testStatesFailure } from "./rules/test-states-failure.js";
@@ -10,6 +11,7 @@
     rules: {
         "doc-comment": docComment,
         "no-file-banner": noFileBanner,
+        "no-void-promise": noVoidPromise,
         "one-export": oneExport,
         "private-constructor": privateConstructor,
         "test-states-failure": testStatesFailure,
--- a/packages/scheduler/src/cell-service-impl.ts
+++ b/packages/scheduler/src/cell-service-impl.ts
@@ -1,5 +1,7 @@
 import type { ServiceImpl } from "@connectrpc/connect";
 import { Code, ConnectError } from "@connectrpc/connect";
+import type { ProcessLogger } from "@samphireward/core/process-logger";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import type { AttachRequest, CellService, Hello } from "@samphireward/protocol/gen/samphireward_pb";
 import type { CellHost } from "./cell-host.js";
 import type { CellSession } from "./cell-session.js";
@@ -29,7 +31,10 @@
 };
 
 /** Creates the handler of `CellService`: one stream for each entry process and cell. */
-export const cellServiceImpl = (hosts: ReadonlyMap<string, CellHost>): ServiceImpl<typeof CellService> => ({
+export const cellServiceImpl = (
+    hosts: ReadonlyMap<string, CellHost>,
+    log: () => ProcessLogger,
+): ServiceImpl<typeof CellService> => ({
     async *attach(requests) {
         const iterator = requests[Symbol.asyncIterator]();
         const hello = await readHello(iterator);
@@ -38,7 +43,7 @@
             throw new ConnectError(`cell ${hello.cell} is not owned here`, Code.FailedPrecondition);
         }
         const session = owned.attach(hello);
-        void handleRequests(session, iterator);
+        runInBackground("cell requests", handleRequests(session, iterator), log());
         try {
             yield* session.messages();
         } finally {
--- a/packages/scheduler/src/cell-session.ts
+++ b/packages/scheduler/src/cell-session.ts
@@ -1,8 +1,10 @@
 import { create } from "@bufbuild/protobuf";
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import type { CodedError } from "@samphireward/core/coded-error";
+import type { ProcessLogger } from "@samphireward/core/process-logger";
 import { Resources } from "@samphireward/core/resources";
 import { ResultCode } from "@samphireward/core/result-code";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import type {
     AttachRequest,
     AttachResponse,
@@ -25,6 +27,7 @@
     readonly owner: CellOwner;
     readonly allocator: SlotAllocator;
     readonly operations: CellOperations;
+    readonly log: ProcessLogger;
 }
 
 /** Session of one entry process that is attached to a cell: handles its messages in order and answers them. */
@@ -62,6 +65,7 @@
     }
 
     handle({ body }: AttachRequest): void {
+        const { log } = this.options;
         switch (body.case) {
             case "demand":
                 this.options.allocator.report(this.entry, body.value);
@@ -79,18 +83,22 @@
                     expectedRunMs,
                     payload,
                 };
-                void this.reply(requestId, this.options.owner.accept(spec));
+                runInBackground("submit", this.reply(requestId, this.options.owner.accept(spec)), log);
                 return;
             }
             case "cancel":
-                void this.reply(body.value.requestId, this.options.owner.cancel(body.value.key));
+                runInBackground(
+                    "cancel",
+                    this.reply(body.value.requestId, this.options.owner.cancel(body.value.key)),
+                    log,
+                );
                 return;
             case "lookup":
                 this.lookup(body.value.requestId, body.value.key);
                 return;
             case "workerCommand": {
                 const { requestId, worker, command } = body.value;
-                void this.command(requestId, worker, command);
+                runInBackground("worker command", this.command(requestId, worker, command), log);
                 return;
             }
             case "cellLookup": {
--- a/packages/scheduler/src/owned-cell.ts
+++ b/packages/scheduler/src/owned-cell.ts
@@ -1,6 +1,7 @@
 import { Agent } from "node:http";
 import { CellName } from "@samphireward/core/cell-name";
 import { parseAddress } from "@samphireward/core/parse-address";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import type { Tables } from "@samphireward/core/tables";
 import type { WorkerInfo } from "@samphireward/core/worker-info";
 import { WorkClass } from "@samphireward/core/work-class";
@@ -138,7 +139,8 @@
      */
     attach(hello: Hello): CellSession {
         const { owner, allocator, operations } = this;
-        const session = CellSession.create({ owner, allocator, operations }, hello);
+        const { log } = this.options.runtime;
+        const session = CellSession.create({ owner, allocator, operations, log }, hello);
         this.sessions.add(session);
         return session;
     }
@@ -193,7 +195,8 @@
             session.end();
         }
         if (isPlanned) {
-            void this.log.append([HandOverRow.of(this.allocator.handOver())]);
+            const row = HandOverRow.of(this.allocator.handOver());
+            runInBackground("hand over", this.log.append([row]), this.options.runtime.log);
             await this.log.flush();
         }
         this.agent.destroy();
@@ -201,7 +204,7 @@
 
     /** Records that the last owner's shares are taken, so that no later owner relies on them. */
     private async recordHandOverTaken(machine: CellStateMachine): Promise<boolean> {
-        void this.log.append([HandOverRow.taken]);
+        runInBackground("hand over", this.log.append([HandOverRow.taken]), this.options.runtime.log);
         await this.log.flush();
         return machine.handedOver === undefined;
     }
--- a/packages/scheduler/src/scheduler-process.ts
+++ b/packages/scheduler/src/scheduler-process.ts
@@ -19,7 +19,11 @@
         this.runtime = ProcessRuntime.create({
             role: "scheduler",
             settings,
-            routes: router => router.service(CellService, cellServiceImpl(this.hosts)),
+            routes: router =>
+                router.service(
+                    CellService,
+                    cellServiceImpl(this.hosts, () => this.runtime.log),
+                ),
             onTablesApplied: tables => this.setTables(tables),
             onVmList: () => this.updateHosts(),
         });
--- a/packages/standins/src/store/store-server.ts
+++ b/packages/standins/src/store/store-server.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "@samphireward/core/clock";
 import { Counters } from "@samphireward/core/counters";
 import { listen } from "@samphireward/core/listen";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import { StoreTable } from "@samphireward/state/testing/store-table";
 import { StoreFaults } from "./store-faults.js";
 import { StoreRoutes } from "./store-routes.js";
@@ -45,7 +46,7 @@
     private constructor(clock: Clock) {
         const table = StoreTable.create(clock);
         this.routes = StoreRoutes.create(table);
-        this.server = createServer((req, res) => void this.handle(req, res));
+        this.server = createServer((req, res) => runInBackground("call", this.handle(req, res)));
         // If the server closed an idle connection, the client could not tell whether its next write was applied.
         this.server.keepAliveTimeout = 600_000;
         this.leaseSweepTimer = setInterval(() => table.expireLeases(), LeaseSweepIntervalMs);
--- a/packages/standins/src/worker/main.ts
+++ b/packages/standins/src/worker/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import { createLogger } from "@samphireward/core/create-logger";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import { waitForStopSignal } from "@samphireward/core/wait-for-stop-signal";
 import { readCliSettings } from "@samphireward/core/read-cli-settings";
 import { registerWorker } from "./register-worker.js";
@@ -26,5 +27,9 @@
 
 const settings = readCliSettings("samphireward-standin-worker", WorkerSettings);
 // Exits at once, like a VM that disappears: clients get no notice, and a registration may still be pending.
-void waitForStopSignal().then(() => process.exit(0));
+runInBackground(
+    "stop",
+    waitForStopSignal().then(() => process.exit(0)),
+    log,
+);
 await startAll(settings);
--- a/packages/standins/src/worker/standin-worker.ts
+++ b/packages/standins/src/worker/standin-worker.ts
@@ -1,5 +1,6 @@
 import { listen } from "@samphireward/core/listen";
 import { Resources } from "@samphireward/core/resources";
+import { runInBackground } from "@samphireward/core/run-in-background";
 import { SystemClock } from "@samphireward/core/system-clock";
 import { ServicePort } from "./service-port.js";
 import { TaskPort } from "./task-port.js";
@@ -49,7 +50,7 @@
 
     close(): void {
         clearInterval(this.advanceTimer);
-        void this.taskPort.server.close();
+        runInBackground("close", this.taskPort.server.close());
         this.servicePort.server.close();
         this.servicePort.server.closeAllConnections();
     }
