Log rejections that nobody handles instead of ending the process

Seen: read in the code. A rejection inside a library, for which this repository's lint rule can provide no handler, ended an entry or scheduler process.

Change: ProcessRuntime.open listens for unhandledRejection, logs each one with its stack and counts it as process.unhandled-rejections. It is the last line of defence behind the handlers that no-void-promise requires. Uncaught exceptions still end the process, and so does a program whose start fails.

--- a/packages/runtime/src/process-runtime.ts
+++ b/packages/runtime/src/process-runtime.ts
@@ -1,6 +1,7 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import { Counters } from "@samphireward/core/counters";
 import { createLogger } from "@samphireward/core/create-logger";
+import { describeError } from "@samphireward/core/describe-error";
 import type { ProcessLogger } from "@samphireward/core/process-logger";
 import { SystemClock } from "@samphireward/core/system-clock";
 import { SystemRandom } from "@samphireward/core/system-random";
@@ -105,8 +106,12 @@
         return new ProcessRuntime(options);
     }
 
-    /** Opens the peer port. Rejects when it cannot listen on the address. */
+    /**
+     * Opens the peer port. Rejects when it cannot listen on the address. From then on, rejections that nobody handles
+     * are logged and counted; without a listener, Node.js ends the process.
+     */
     async open(): Promise<void> {
+        process.on("unhandledRejection", err => this.recordUnhandledRejection(err));
         const address = await this.peerServer.listen(this.options.settings.peer.listen);
         this.log.info("peer port is open", { address });
     }
@@ -165,6 +170,11 @@
         );
     }
 
+    private recordUnhandledRejection(err: unknown): void {
+        this.counters.add("process.unhandled-rejections");
+        this.log.error("unhandled rejection", { error: describeError(err) });
+    }
+
     private recordClosedConnection(address: string, reason: string): void {
         this.counters.add("peers.connections-closed");
         this.log.info("peer connection is closed", { address, reason });
