Report each process of a deployment that ended by itself

Seen: a run of the demo's deployment reported "violations 0" although a process had died with an error.

Cause: Deployment.stopAll looked only at processes that were still running, and a process that had been restarted was forgotten, with its exit code.

Change: a process knows whether its exit was requested, by stop or by SIGKILL. Each other exit, and each stop that does not end with exit code 0, is a violation with the last 20 lines of the process's log. The error of a run that fails before it has a report carries them as well. stopAll stops every process that was started, also one whose name was started again.

--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -28,7 +28,9 @@
 export class Deployment {
     /** Counts read before a worker process was killed, since the process loses them. */
     readonly countsBeforeKill: WorkerCounts[] = [];
+    /** The last started process of each name. */
     private readonly processes = new Map<string, ManagedProcess>();
+    private readonly started: ManagedProcess[] = [];
 
     private constructor(
         readonly plan: UserPlan,
@@ -65,6 +67,7 @@
         const program = require.resolve(programs[kind]);
         const process = ManagedProcess.create(name, program, this.settings.get(name) ?? "", this.dir);
         this.processes.set(name, process);
+        this.started.push(process);
         return process;
     }
 
@@ -128,24 +131,19 @@
         });
     }
 
-    /**
-     * Stops the entry processes, then the schedulers, then the stand-ins, each with SIGTERM. Returns the names of those
-     * that did not exit with code 0.
-     */
-    async stopAll(): Promise<string[]> {
-        const failed: string[] = [];
+    /** Describes each process so far that ended by itself or did not stop with exit code 0. */
+    unexpectedExits(): string[] {
+        return this.started.flatMap(process => process.unexpectedExit ?? []);
+    }
+
+    /** Stops the entry processes, then the schedulers, then the stand-ins, each with SIGTERM. */
+    async stopAll(): Promise<void> {
         for (const kinds of [["entry"], ["scheduler"], ["workers", "store", "directory"]]) {
-            const group = [...this.processes.values()].filter(
+            const group = this.started.filter(
                 process => process.isRunning && kinds.includes(process.name.split("-")[0] ?? ""),
             );
-            const exits = await Promise.all(group.map(process => process.stop()));
-            group.forEach((process, index) => {
-                if (exits[index]?.exitCode !== 0) {
-                    failed.push(process.name);
-                }
-            });
+            await Promise.all(group.map(process => process.stop()));
         }
-        return failed;
     }
 
     private waitForResponse(address: string, path: string): Promise<void> {
--- a/packages/demo/src/managed-process.ts
+++ b/packages/demo/src/managed-process.ts
@@ -1,6 +1,6 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
-import { closeSync, openSync } from "node:fs";
+import { closeSync, openSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import type { ProcessUsage } from "./process-usage.js";
 import { readProcessUsage } from "./read-process-usage.js";
@@ -10,6 +10,17 @@
 /** As in the programs' first line. The small young generation keeps a process below 128 MB. */
 const NodeOptions = ["--max-semi-space-size=2", "--enable-source-maps"];
 
+/** Enough for the message and the stack of an uncaught error. */
+const LastLineCount = 20;
+const MaxLineLength = 300;
+
+const readLastLines = (file: string): string[] =>
+    readFileSync(file, "utf8")
+        .trimEnd()
+        .split("\n")
+        .slice(-LastLineCount)
+        .map(line => `    ${line.slice(0, MaxLineLength)}`);
+
 /** How a process exited. */
 interface ProcessExit {
     readonly exitCode: number | null;
@@ -20,15 +31,20 @@
 export class ManagedProcess {
     readonly exited: Promise<ProcessExit>;
     private exit: ProcessExit | undefined;
+    private isStopRequested = false;
+    private isKillRequested = false;
+    private exitReport: string | undefined;
 
     private constructor(
         readonly name: string,
         private readonly child: ChildProcess,
+        private readonly logFile: string,
         private readonly bytesFile: string,
     ) {
         this.exited = new Promise(resolve => {
             child.once("close", (exitCode, signal) => {
                 this.exit = { exitCode, signal };
+                this.exitReport = this.describeUnexpectedExit(this.exit);
                 resolve(this.exit);
             });
         });
@@ -36,7 +52,8 @@
 
     /** Starts a compiled program with a settings file. Its log and its socket byte counts are written to `dir`. */
     static create(name: string, program: string, settingsFile: string, dir: string): ManagedProcess {
-        const log = openSync(join(dir, `${name}.log`), "a");
+        const logFile = join(dir, `${name}.log`);
+        const log = openSync(logFile, "a");
         const counter = new URL("./count-bytes.js", import.meta.url).href;
         const args = [...NodeOptions, "--import", counter, program, "--config", settingsFile];
         const bytesFile = join(dir, `${name}.bytes.json`);
@@ -45,7 +62,7 @@
             env: { ...process.env, BYTES_FILE: bytesFile },
         });
         closeSync(log);
-        return new ManagedProcess(name, child, bytesFile);
+        return new ManagedProcess(name, child, logFile, bytesFile);
     }
 
     /** Reads the resources that the process has used since it started. */
@@ -57,19 +74,41 @@
         return this.exit === undefined;
     }
 
-    /** Sends a signal to this process if it is still running. */
+    /**
+     * Describes the exit, with the last lines of the log, if the process ended without a signal of `signal` or `stop`, or
+     * did not stop with exit code 0; otherwise undefined.
+     */
+    get unexpectedExit(): string | undefined {
+        return this.exitReport;
+    }
+
+    /** Sends a signal to this process if it is still running. After SIGKILL, its exit is expected. */
     signal(name: NodeJS.Signals): void {
         if (this.isRunning) {
+            this.isKillRequested ||= name === "SIGKILL";
             this.child.kill(name);
         }
     }
 
     /** Sends SIGTERM, then SIGKILL if the process has not exited after `StopTimeoutMs`. Returns how it exited. */
     async stop(): Promise<ProcessExit> {
+        this.isStopRequested = true;
         this.signal("SIGTERM");
-        const timer = setTimeout(() => this.signal("SIGKILL"), StopTimeoutMs);
+        // Not by `signal`, so that the exit of a process that does not stop is reported.
+        const timer = setTimeout(() => this.child.kill("SIGKILL"), StopTimeoutMs);
         const exit = await this.exited;
         clearTimeout(timer);
         return exit;
     }
+
+    private describeUnexpectedExit({ exitCode, signal }: ProcessExit): string | undefined {
+        if (this.isKillRequested || (this.isStopRequested && exitCode === 0)) {
+            return undefined;
+        }
+        const event = this.isStopRequested ? "did not stop with exit code 0" : "ended by itself";
+        const cause = signal === null ? `exit code ${exitCode}` : `signal ${signal}`;
+        return [`${this.name} ${event} (${cause}); its last log lines:`, ...readLastLines(this.logFile)].join(
+            "\n",
+        );
+    }
 }
--- a/packages/demo/src/run-user.ts
+++ b/packages/demo/src/run-user.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@samphireward/core/describe-error";
 import { applyTables } from "./apply-tables.js";
 import { Balancer } from "./balancer.js";
 import { Caller } from "./caller.js";
@@ -24,7 +25,10 @@
     readonly beforeStop?: (deployment: Deployment) => Promise<void>;
 }
 
-/** Runs one user's deployment under load and returns its report. Stops all processes at the end. */
+/**
+ * Runs one user's deployment under load and returns its report. Stops all processes at the end. A process that ended by
+ * itself is a violation, and is named in the error when the run fails.
+ */
 export const runUser = async ({
     plan,
     seed,
@@ -62,9 +66,12 @@
         await tasks.waitUntilEnded(TasksTimeoutMs);
         await beforeStop?.(deployment);
         const report = await RunReport.create(deployment, requests.results, tasks);
-        const failed = await deployment.stopAll();
-        report.violations.push(...failed.map(name => `${name} did not stop with exit code 0`));
+        await deployment.stopAll();
+        report.violations.push(...deployment.unexpectedExits());
         return report;
+    } catch (err) {
+        const exits = deployment.unexpectedExits();
+        throw exits.length === 0 ? err : new Error([describeError(err), ...exits].join("\n"), { cause: err });
     } finally {
         balancer.stop();
         caller.close();
