Report unexpected errors in the logs of a deployment as violations

Seen: with the handlers for unexpected errors, an error that used to end a process, and would now be reported as such, leaves only a log line.

Change: each log line with the message "background operation failed", "loop failed", "unexpected error in a request" or "unhandled rejection" is a violation of the run.

--- a/packages/demo/src/run-user.ts
+++ b/packages/demo/src/run-user.ts
@@ -3,6 +3,7 @@
 import { Balancer } from "./balancer.js";
 import { Caller } from "./caller.js";
 import { Deployment } from "./deployment.js";
+import { findUnexpectedErrors } from "./find-unexpected-errors.js";
 import { loadPlan } from "./load-plan.js";
 import { RequestLoad } from "./request-load.js";
 import { RunReport } from "./run-report.js";
@@ -67,7 +68,7 @@
         await beforeStop?.(deployment);
         const report = await RunReport.create(deployment, requests.results, tasks);
         await deployment.stopAll();
-        report.violations.push(...deployment.unexpectedExits());
+        report.violations.push(...deployment.unexpectedExits(), ...findUnexpectedErrors(deployment.dir));
         return report;
     } catch (err) {
         const exits = deployment.unexpectedExits();
