Give each background operation of the dispatcher a handler

The handler of unhandledRejection in platform/src/main.ts stays as the last line of defence.

Evidence: the new test of cell-owner, in which a watch of the store rejects, on the code before: tapCaught: unhandledRejection.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -57,13 +57,9 @@
             "samphireward/no-file-banner": "error",
             "samphireward/doc-comment": "error",
             "samphireward/private-constructor": "error",
+            "samphireward/no-void-promise": "error",
         },
     },
-    {
-        files: ["packages/*/src/**/*.ts"],
-        ignores: ["packages/dispatch/**"],
-        rules: { "samphireward/no-void-promise": "error" },
-    },
     {
         files: ["packages/*/tests/**/*.ts", "platform/tests/**/*.ts"],
         plugins: { samphireward: plugin },
--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from "./metrics.js";
 import type { OwnerRecord } from "./owner-record.js";
 import type { PermitSource } from "./permit-source.js";
+import { runInBackground } from "./run-in-background.js";
 import type { StoredOwner } from "./stored-owner.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
@@ -127,7 +128,10 @@
             ownedCellCount() * OtherCellDelayMs;
         const delayMs = Math.min(MaxClaimDelayMs, Math.max(MinClaimDelayMs, unclampedDelayMs));
         this.claimTimer = setTimeout(
-            () => void this.claim(),
+            () =>
+                runInBackground("claim", this.claim(), this.context.log, reason =>
+                    this.loseOwnership(reason),
+                ),
             isOwnRecord ? 0 : delayMs + Math.random() * MaxClaimJitterMs,
         );
     }
@@ -170,7 +174,7 @@
             onLost,
         });
         this.owned = { lease, owner };
-        void lease.keepAlive(onLost);
+        runInBackground("lease", lease.keepAlive(onLost), log, onLost);
         await owner.start(readRules, readWorkers);
     }
 
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -15,6 +15,7 @@
 import { ProgressWriter } from "./progress-writer.js";
 import { readCellState } from "./read-cell-state.js";
 import { RosterWriter } from "./roster-writer.js";
+import { runInBackground } from "./run-in-background.js";
 import { sleep } from "./sleep.js";
 import { WorkerLinks } from "./worker-links.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
@@ -37,7 +38,7 @@
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly limits: CellLimits;
-    /** Called when another owner has taken over. */
+    /** Called when another owner has taken over, and when a loop of this one failed unexpectedly. */
     readonly onLost: (reason: string) => void;
 }
 
@@ -119,10 +120,13 @@
             onJob: text => this.jobAccepted(text),
             onCancellation: id => this.jobCancelled(id),
         });
-        void inputWatcher.run(this.abort.signal, state.revision);
-        void this.writer.run(this.abort.signal);
-        void this.runPlanLoop();
-        void this.runMaintenanceLoop();
+        const { signal } = this.abort;
+        const { onLost } = this.context;
+        // Without one of its loops the owner would keep the cell and not serve it, so the cell is left to another.
+        runInBackground("inputs", inputWatcher.run(signal, state.revision), log, onLost);
+        runInBackground("progress", this.writer.run(signal), log, onLost);
+        runInBackground("plans", this.runPlanLoop(), log, onLost);
+        runInBackground("maintenance", this.runMaintenanceLoop(), log, onLost);
         this.schedulePlan();
     }
 
@@ -206,12 +210,13 @@
     private plan(): void {
         this.links.sync();
         if (this.roster.blockUnlistedWorkers()) {
-            void this.writeRoster();
+            runInBackground("roster", this.writeRoster(), this.context.log, this.context.onLost);
         }
         for (const order of this.scheduler.plan()) {
             this.links.send(order);
         }
-        void this.permits.requestNext().then(hasSent => hasSent && this.schedulePlan());
+        const requested = this.permits.requestNext().then(hasSent => hasSent && this.schedulePlan());
+        runInBackground("permits", requested, this.context.log);
     }
 
     private async writeRoster(): Promise<void> {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -18,6 +18,7 @@
 import { PeerClient } from "./peer-client.js";
 import type { PermitSource } from "./permit-source.js";
 import { RouteTable } from "./route-table.js";
+import { runInBackground } from "./run-in-background.js";
 import type { StoredOwner } from "./stored-owner.js";
 import { sleep } from "./sleep.js";
 import type { StoreChange } from "./store-change.js";
@@ -100,7 +101,11 @@
         const { configs, settings, store, clock, log } = this.context;
         const { signal } = this.abort;
         const peerAddress = await this.peerServer.listen(settings.peerAddress);
-        void configs.run(signal, config => this.applyConfig(config));
+        runInBackground(
+            "configuration",
+            configs.run(signal, config => this.applyConfig(config)),
+            log,
+        );
         const count = await this.resolveCellCount();
         this.cells.set(Array.from({ length: count }, (_, cell) => this.createCandidate(cell, peerAddress)));
         const owners = PrefixWatcher.create(
@@ -110,8 +115,8 @@
             clock,
             log,
         );
-        void owners.run(signal);
-        void this.workers.run(signal);
+        runInBackground("owners", owners.run(signal), log);
+        runInBackground("workers", this.workers.run(signal), log);
     }
 
     /** Releases the owned cells; requests are served until `close`. */
--- a/packages/dispatch/src/worker-links.ts
+++ b/packages/dispatch/src/worker-links.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from "./event-log.js";
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
+import { runInBackground } from "./run-in-background.js";
 import { WorkerLink } from "./worker-link.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
@@ -57,13 +58,13 @@
         }
         switch (order.kind) {
             case OrderKind.Start:
-                void link.start(order.run);
+                runInBackground("start", link.start(order.run), this.context.log);
                 break;
             case OrderKind.Stop:
-                void link.stop(order.task, order.number, order.reason);
+                runInBackground("stop", link.stop(order.task, order.number, order.reason), this.context.log);
                 break;
             case OrderKind.Pace:
-                void link.pace(order.run, order.percent);
+                runInBackground("pace", link.pace(order.run, order.percent), this.context.log);
                 break;
         }
     }
@@ -81,6 +82,6 @@
             leaseMs: limits.leaseMs,
         });
         this.links.set(worker, link);
-        void link.run();
+        runInBackground("heartbeats", link.run(), this.context.log);
     }
 }
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -77,6 +77,7 @@
     store: ManualStore,
     clock: ManualClock,
     createWorkerClient: WorkerClientFactory,
+    onLost: (reason: string) => void = () => undefined,
 ): CellOwner =>
     CellOwner.create({
         cell: 0,
@@ -89,7 +90,7 @@
         log: NullLog.create(),
         metrics: Metrics.create(),
         limits: cellLimits,
-        onLost: () => undefined,
+        onLost,
     });
 
 // Guards against a queue whose jobs never start because its rule arrived while the owner read the cell's state.
@@ -160,3 +161,30 @@
     );
     owner.halt();
 });
+
+/** A store whose watches end with an error that no caller expects. */
+class FaultyStore extends ManualStore {
+    static override create(): FaultyStore {
+        return new FaultyStore();
+    }
+
+    override watch(): Promise<never> {
+        return Promise.reject(new TypeError("unexpected"));
+    }
+}
+
+// Guards against an owner that keeps a cell but has stopped to read its jobs, because a loop ended with an error.
+t.test("an owner whose loop fails unexpectedly gives the cell up", async t => {
+    const reasons: string[] = [];
+    const clock = ManualClock.create(1_000);
+    const owner = createOwner(FaultyStore.create(), clock, SilentWorkerClient.create, reason =>
+        reasons.push(reason),
+    );
+    await owner.start(
+        () => [queueRule("queue")],
+        () => Promise.resolve([oneWorker]),
+    );
+    await setTimeout(SeveralPlansMs);
+    t.strictSame(reasons, ["inputs failed unexpectedly"]);
+    owner.halt();
+});
--- a/packages/dispatch/tests/manual-store.ts
+++ b/packages/dispatch/tests/manual-store.ts
@@ -19,7 +19,7 @@
     private readonly pendingResponses: ((result: Result<CommitResult, StoreFailure>) => void)[] = [];
     private revision = 1;
 
-    private constructor() {
+    protected constructor() {
         super();
     }
 
