--- a/eslint.config.js
+++ b/eslint.config.js
@@ -57,6 +57,7 @@
             "samphireward/no-file-banner": "error",
             "samphireward/doc-comment": "error",
             "samphireward/private-constructor": "error",
+            "samphireward/no-void-promise": "error",
         },
     },
     {
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -14,6 +14,7 @@
 import { OrderFailure } from "./order-failure.js";
 import { recordHeartbeat } from "./record-heartbeat.js";
 import { resultWithin } from "./result-within.js";
+import { runInBackground } from "./run-in-background.js";
 import { sleep } from "./sleep.js";
 import type { StopLog } from "./stop-log.js";
 import type { WorkerClient } from "./worker-client.js";
@@ -124,7 +125,7 @@
     }
 
     private async sendHeartbeat(): Promise<boolean> {
-        const { clock, scheduler, fencingToken, leaseMs, metrics } = this.context;
+        const { clock, scheduler, fencingToken, leaseMs, log, metrics } = this.context;
         const sentAtMs = clock.nowMs();
         // A heartbeat to an unreachable worker does not extend its lease, so that runs which may still be there come
         // to an end.
@@ -146,7 +147,8 @@
             return false;
         }
         if (inTime === undefined) {
-            void response.then(late => this.handleLateResponse(late));
+            const late = response.then(result => this.handleLateResponse(result));
+            runInBackground("late heartbeat", late, log);
         }
         const result = inTime ?? Err(OrderFailure.Unknown);
         recordHeartbeat(metrics, this.worker.entry, result, clock.nowMs() - sentAtMs - waitMs);
--- a/packages/dispatch/tests/manual-store.ts
+++ b/packages/dispatch/tests/manual-store.ts
@@ -20,7 +20,7 @@
     private readonly pendingResponses: ((result: Result<CommitResult, StoreFailure>) => void)[] = [];
     private revision = 1;
 
-    private constructor() {
+    protected constructor() {
         super();
     }
 
