Keep the newer incarnation of a worker when an older one is read

A caller sees tasks that run twice: all runs of a worker end at the owner in one moment and start elsewhere, although the worker goes on with them.

Cause: WorkerFleet.register replaced the record whenever the start time of a registration differed from the known one, also when it was older. A registration that was read before a restart and applied after a heartbeat had shown the new incarnation ended the runs of the new one.

Evidence: worker-incarnations > a registration of an older incarnation does not replace the newer one. Before, register returned a new record w1/100 in place of w1/200, and the running task was planned on w2.

An older registration now changes nothing. A worker starts one incarnation after the other, so an older one has ended whenever a newer one is known.

Tests of packages/jobs, packages/dispatch and platform: 78 passed, 0 failed.

--- a/packages/jobs/src/worker-fleet.ts
+++ b/packages/jobs/src/worker-fleet.ts
@@ -25,7 +25,7 @@
 
     /**
      * Records a registration. Returns the worker and, if it was restarted, the previous incarnation, whose runs have
-     * all ended.
+     * all ended. A registration of an older incarnation changes nothing: it may have been read before the restart.
      */
     register(entry: WorkerEntry): {
         readonly worker: WorkerIncarnation;
@@ -37,6 +37,9 @@
             existing.isRegistered = true;
             return { worker: existing, replaced: undefined };
         }
+        if (existing !== undefined && existing.entry.startedAtMs > entry.startedAtMs) {
+            return { worker: existing, replaced: undefined };
+        }
         const worker = WorkerIncarnation.create(entry);
         this.workersById.set(entry.id, worker);
         return { worker, replaced: existing };
