Wait for a worker's newest incarnation after a change of owner

A caller sees an inherited task start a second time right after a change of owner, while its first run goes on.

Cause: PreviousOwners counted every other incarnation of a registered worker as ended, also a newer one. When the roster named w1/200 and the registration that the new owner read still said w1/100, the wait for w1/200 ended before anyone had read its runs.

Evidence: takeover > a registration of an older incarnation does not end the wait for a newer one. Before, the inherited task was planned at once.

Only earlier incarnations than the registered one count as ended now; a newer one is waited for until it lists its runs or its lease is over.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -115,7 +115,7 @@
             this.responses.carryOver(replaced, worker);
             this.endIncarnation(replaced);
         }
-        this.previousOwners.noteNewIncarnation(entry.id, worker.key);
+        this.previousOwners.noteIncarnation(worker.entry);
         return worker;
     }
 
--- a/packages/jobs/src/previous-owners.ts
+++ b/packages/jobs/src/previous-owners.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellLimits } from "./cell-limits.js";
 import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
+import type { WorkerEntry } from "./worker-entry.js";
 
 /** What previous owners of a cell may have left running: on which workers, for which jobs, and until when. */
 export class PreviousOwners {
@@ -53,10 +54,10 @@
         this.unreadKeys.delete(workerKey);
     }
 
-    /** Records that a worker was restarted: the runs of its other incarnations have ended. */
-    noteNewIncarnation(id: string, workerKey: string): void {
+    /** Records an incarnation of a worker: the runs of its earlier incarnations have ended. */
+    noteIncarnation({ id, startedAtMs }: WorkerEntry): void {
         for (const key of this.unreadKeys) {
-            if (key.startsWith(`${id}/`) && key !== workerKey) {
+            if (key.startsWith(`${id}/`) && Number(key.slice(id.length + 1)) < startedAtMs) {
                 this.unreadKeys.delete(key);
             }
         }
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -175,3 +175,17 @@
     t.equal(harness.planStarts().length, 1);
     t.end();
 });
+
+// Guards against a second run of a task that still runs in a worker's newest incarnation: a registration that was read
+// before the restart ended the wait for that incarnation.
+t.test("a registration of an older incarnation does not end the wait for a newer one", t => {
+    const harness = SchedulerHarness.create(2);
+    harness.inherit(harness.makeJob({}));
+    harness.scheduler.expectInheritedWorkers(["w1/200"]);
+    harness.addWorker("w2");
+    harness.addUnreadWorker("w1", { startedAtMs: 100 });
+    t.same(harness.planStarts(), []);
+    harness.addUnreadWorker("w1", { startedAtMs: 300 });
+    t.equal(harness.planStarts().length, 1, "a newer one ends it");
+    t.end();
+});
