Count a worker as unreachable while an older incarnation answers

The owner went on extending the lease of runs that nobody had confirmed, so that their tasks were never started again.

Evidence: worker-link > a worker that lists an older incarnation counts as unreachable.

The link now reports such a listing as an answer of another incarnation, takes no clock reading from it, and lets the lease run out.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -141,6 +141,10 @@
             this.handleFailure(response.error);
             return false;
         }
+        if (response.value.listing.startedAtMs < this.worker.entry.startedAtMs) {
+            this.handleFailure(OrderFailure.OtherIncarnation);
+            return false;
+        }
         this.handleResponse(response.value, sentAtMs);
         return true;
     }
--- /dev/null
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -0,0 +1,72 @@
+import { ManualClock } from "@samphireward/core/manual-clock";
+import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
+import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
+import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
+import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
+import type { WorkerListing } from "@samphireward/jobs/worker-listing";
+import { Ok } from "ts-results-es";
+import t from "tap";
+import { Metrics } from "../src/metrics.js";
+import { WorkerLink } from "../src/worker-link.js";
+import { ManualWorkerClient } from "./manual-worker-client.js";
+import { NullLog } from "./null-log.js";
+import { oneTaskJob } from "./one-task-job.js";
+import { oneWorker } from "./one-worker.js";
+
+const StartedAtMs = 200;
+
+/** A cell with one worker and the link to it, whose first heartbeat is not answered yet. */
+const createLink = (): {
+    readonly clock: ManualClock;
+    readonly scheduler: CellScheduler;
+    readonly worker: WorkerIncarnation;
+    readonly client: ManualWorkerClient;
+    readonly link: WorkerLink;
+} => {
+    const clock = ManualClock.create(1_000);
+    const scheduler = CellScheduler.create(1, clock, cellLimits);
+    scheduler.setQueues([queueRule("queue")]);
+    const worker = scheduler.registerWorker({ ...oneWorker, startedAtMs: StartedAtMs });
+    const client = ManualWorkerClient.create();
+    const link = WorkerLink.create(worker, client, {
+        scheduler,
+        clock,
+        log: NullLog.create(),
+        metrics: Metrics.create(),
+        fencingToken: 1,
+        leaseMs: cellLimits.leaseMs,
+        listener: { onChange: () => undefined, onFenced: () => undefined },
+    });
+    void link.run();
+    return { clock, scheduler, worker, client, link };
+};
+
+const emptyListing: WorkerListing = { startedAtMs: StartedAtMs, running: [], ended: [], isPartial: false };
+
+const nextHeartbeat = async (client: ManualWorkerClient): Promise<void> => {
+    const count = client.heartbeats.length;
+    while (client.heartbeats.length === count) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+};
+
+// Guards against tasks that run twice, or that nobody starts again: a listing of an older incarnation neither ends the
+// runs of the newer one nor shows that they go on.
+t.test("a worker that lists an older incarnation counts as unreachable", async t => {
+    const { clock, scheduler, worker, client, link } = createLink();
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 0 }));
+    scheduler.addJob(oneTaskJob);
+    t.equal(scheduler.plan().length, 1);
+    await nextHeartbeat(client);
+    await client.answerHeartbeat(
+        Ok({ listing: { ...emptyListing, startedAtMs: StartedAtMs - 1 }, clockMs: 0 }),
+    );
+    t.equal(scheduler.fleet.get(oneWorker.id), worker);
+    t.equal(worker.runs.size, 1);
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, undefined, "its lease is not extended");
+    clock.advance(cellLimits.maxLeaseMs + cellLimits.lateOrderMs + cellLimits.leaseMs);
+    scheduler.plan();
+    t.equal(worker.runs.size, 0, "its lease is over");
+    link.close();
+});
