Forget a worker's newer incarnation once only an older one is registered

Follows: a worker whose wall clock was set back before it restarted registers with an older start time for good. Its record then stayed that of the incarnation that had ended, and the worker got no task again.

Evidence: worker-incarnations > a worker whose clock was set back is used again once the last lease is over. Before, nothing was planned on it. Also > nothing starts on a worker while the registration read last is that of an older incarnation: before, a task was planned by the capacity and labels of the registration of an earlier incarnation.

The newer record counts as not registered while the registration read last is older. It gets no starts until a read shows it again, and is removed once it is unreachable, its lease is over and it holds nothing; then the registration makes a new record.

--- a/packages/jobs/src/worker-fleet.ts
+++ b/packages/jobs/src/worker-fleet.ts
@@ -25,7 +25,9 @@
 
     /**
      * Records a registration. Returns the worker and, if it was restarted, the previous incarnation, whose runs have
-     * all ended. A registration of an older incarnation changes nothing: it may have been read before the restart.
+     * all ended. A registration of an older incarnation, which may have been read before the restart, does not replace
+     * the newer one. Until a later read shows the newer one, that one counts as not registered, so that it is forgotten
+     * after its last lease if the worker's clock was set back.
      */
     register(entry: WorkerEntry): {
         readonly worker: WorkerIncarnation;
@@ -38,6 +40,7 @@
             return { worker: existing, replaced: undefined };
         }
         if (existing !== undefined && existing.entry.startedAtMs > entry.startedAtMs) {
+            existing.isRegistered = false;
             return { worker: existing, replaced: undefined };
         }
         const worker = WorkerIncarnation.create(entry);
--- a/packages/jobs/tests/worker-incarnations.test.ts
+++ b/packages/jobs/tests/worker-incarnations.test.ts
@@ -19,3 +19,33 @@
     t.equal(worker.runs.size, 1);
     t.end();
 });
+
+// Guards against a worker that is never used again: its wall clock was set back before it restarted, so that its
+// registration looks older than the incarnation that has ended.
+t.test("a worker whose clock was set back is used again once the last lease is over", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1", { startedAtMs: NewStartMs });
+    harness.submit({});
+    t.equal(harness.planAndStartAll().length, 1);
+    harness.scheduler.noteUnreachable(worker);
+    harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    harness.clock.advance(SchedulerHarness.inheritedLeaseDurationMs);
+    t.same(harness.planStarts(), []);
+    t.equal(worker.runs.size, 0, "the lease is over");
+    harness.addWorker("w1", { startedAtMs: OldStartMs });
+    t.equal(harness.planStarts()[0]?.worker.entry.startedAtMs, OldStartMs);
+    t.end();
+});
+
+// Guards against starts by the capacity and labels of an earlier incarnation: the registration read last is older than
+// the incarnation that answers.
+t.test("nothing starts on a worker while the registration read last is that of an older incarnation", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("w1", { startedAtMs: NewStartMs });
+    harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    harness.submit({});
+    t.same(harness.planStarts(), []);
+    harness.addUnreadWorker("w1", { startedAtMs: NewStartMs });
+    t.equal(harness.planStarts().length, 1);
+    t.end();
+});
