Apply the ends of a listing by their sequence numbers

A caller would see a task that has ended as done start again, after its worker was told to forget that end.

Cause: ListingReader skipped an end whose number is below the highest one read, and counted it as read. In a listing that is not sorted, an end behind one with a higher number was acknowledged without its task being marked done. The platform's pages do not promise an order.

Evidence: listed-ends > ends that are listed out of order are all applied. Before, one of three ends was applied and the job stayed open.

The rows are read by rising number now. The same file shows that the end of one member completes a gang whose other workers are lost, and that the end of a closed occurrence starts nothing when it is listed again; both held before.

--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -31,7 +31,7 @@
     }
 
     read(worker: WorkerIncarnation, listing: WorkerListing, times: ListingTimes): void {
-        for (const end of listing.ended) {
+        for (const end of [...listing.ended].sort((a, b) => a.sequence - b.sequence)) {
             if (end.sequence > worker.lastReadEndSequence) {
                 worker.lastReadEndSequence = end.sequence;
                 this.readEnd(worker, end, times);
