Mark a task without a run done by the end of any of its runs

A caller would see a task that has ended as done start again, after its worker was told to forget that end.

Cause: an end was applied only if its run is the task's current one, or if its number is not below the highest one used. A start that was planned and refused raises that number, and an adopted run need not be the current one; the end of the run that did work was then acknowledged without its task being marked done.

Evidence: listed-ends > a task without a run is done when the end of an earlier run is listed, and > a task without a run is done when an adopted run that was not current ends. Before, the job stayed open in both, and the next plan started the task.

Without a current run nothing else of the task is under way, so an end as done completes it whatever its number. With a later run the end is ignored as before.

--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -65,9 +65,10 @@
         if (task === undefined) {
             return;
         }
-        // The end of a run that a previous owner started is applied unless the task has a later run.
-        if (task.run === undefined && end.number >= task.lastRun) {
-            task.lastRun = end.number;
+        // The end of a run that a previous owner started is applied unless the task has a later run. A later number may
+        // be that of a start that was refused, so a task without a run is done whatever the number.
+        if (task.run === undefined && (end.number >= task.lastRun || end.kind === EndKind.Done)) {
+            task.lastRun = Math.max(task.lastRun, end.number);
             this.results.apply(task, worker, end, times);
         } else if (end.kind === EndKind.Failed) {
             // Workers are read in any order, so a failure may be listed after a later run; it still counts.
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -40,14 +40,18 @@
         }
     }
 
-    /** Removes a run from its worker and, if it is the task's current run, applies its end. */
+    /**
+     * Removes a run from its worker and, if it is the task's current run, applies its end. A task that has no current
+     * run is done by the end of any of its runs.
+     */
     finish(run: Run, end: RunEnd, times: EndTimes): void {
         const isCurrent = run.task.run === run;
+        const completesTask = end.kind === EndKind.Done && run.task.run === undefined;
         this.release(run);
         if (run.task.step.spec.tailTargetMs > 0) {
             run.worker.noteServingTaskEnded(times.nowMs);
         }
-        if (isCurrent) {
+        if (isCurrent || completesTask) {
             this.apply(run.task, run.worker, end, times);
         }
     }
--- a/packages/jobs/tests/listed-ends.test.ts
+++ b/packages/jobs/tests/listed-ends.test.ts
@@ -2,6 +2,8 @@
 import { EndKind } from "../src/end-kind.js";
 import { JobState } from "../src/job-state.js";
 import type { ListedEnd } from "../src/listed-end.js";
+import type { ListedRun } from "../src/listed-run.js";
+import { StartOutcome } from "../src/start-outcome.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
 const doneEnd = (task: string, number = 1, sequence = 1): ListedEnd => ({
@@ -12,6 +14,14 @@
     checkpoint: "",
 });
 
+const row = (task: string, number = 1): ListedRun => ({
+    task,
+    number,
+    checkpoint: "",
+    progressPercent: 50,
+    gauge: 0,
+});
+
 // Guards against a start after an acknowledged end: an end that is listed after one with a higher number was skipped,
 // but counted as read.
 t.test("ends that are listed out of order are all applied", t => {
@@ -25,6 +35,43 @@
     t.end();
 });
 
+// Guards against a start after an acknowledged end: a later run of the task was planned but refused, so that the end of
+// the earlier run counted as outdated.
+t.test("a task without a run is done when the end of an earlier run is listed", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1");
+    const spec = harness.submit({});
+    t.equal(harness.planAndStartAll().length, 1);
+    harness.addWorker("w2");
+    harness.scheduler.noteUnreachable(worker);
+    harness.clock.advance(SchedulerHarness.inheritedLeaseDurationMs);
+    const [second] = harness.planStarts();
+    t.equal(second?.number, 2);
+    if (second !== undefined) {
+        harness.scheduler.responses.recordStart(second, StartOutcome.Refused);
+    }
+    harness.reportListing(worker, [], [doneEnd(`${spec.id}.0.0.0`)]);
+    t.equal(harness.scheduler.jobs.get(spec.id)?.endState, JobState.Completed);
+    t.end();
+});
+
+// Guards against a start after an acknowledged end: the run was not the task's current one when it was adopted, and the
+// current one ended otherwise.
+t.test("a task without a run is done when an adopted run that was not current ends", t => {
+    const harness = SchedulerHarness.create(2);
+    const spec = harness.makeJob({});
+    const name = `${spec.id}.0.0.0`;
+    harness.inherit(spec);
+    harness.scheduler.expectInheritedWorkers(["w1/1", "w2/1"]);
+    const [first, second] = [harness.addUnreadWorker("w1"), harness.addUnreadWorker("w2")];
+    harness.reportListing(second, [row(name, 2)], []);
+    harness.reportListing(first, [row(name, 1)], []);
+    harness.reportListing(second, [], [{ ...doneEnd(name, 2), kind: EndKind.Lapsed }]);
+    harness.reportListing(first, [], [doneEnd(name, 1)]);
+    t.equal(harness.scheduler.jobs.get(spec.id)?.endState, JobState.Completed);
+    t.end();
+});
+
 // Guards against a gang that starts again after the end of one of its members, which stands for all of them, was
 // acknowledged.
 t.test("the end of one member completes a gang, whichever members have lost their worker", t => {
