Apply ends and runs of occurrences that are not due yet

A caller would see a task of a scheduled job that has ended as done start again when the occurrence becomes due, after its worker was told to forget that end.

Cause: a previous owner whose wall clock is ahead opens an occurrence earlier than the next one does, and stores that only with an end that it applies. The next owner found no task for what workers list of that occurrence: it acknowledged ends without applying them, and stopped runs as unknown.

Evidence: listed-ends > the end of an occurrence that is not due yet is applied: before, both tasks started when it was due. > a run of an occurrence that is not due yet is adopted: before, it was stopped as an orphan run.

A listed task of an open job opens its occurrence now. Tasks of an occurrence that has not been due at this owner still do not start, so that its clock decides about new starts.

--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -51,12 +51,20 @@
         return this.undecidedJobs.size;
     }
 
-    findTask(name: string): Task | undefined {
+    /**
+     * Finds a task that a worker lists. A previous owner whose wall clock was ahead may have opened its occurrence before
+     * this owner does.
+     */
+    findListedTask(name: string): Task | undefined {
         const position = parseTaskName(name);
-        if (position === undefined) {
+        const job = position && this.jobs.get(position.job);
+        if (position === undefined || job === undefined) {
             return undefined;
         }
-        return this.jobs.get(position.job)?.findTask(position.occurrence, position.step, position.index);
+        if (job.endState === undefined) {
+            job.openUpTo(position.occurrence);
+        }
+        return job.findTask(position.occurrence, position.step, position.index);
     }
 
     /** Resources that a task reserves on its worker, even if its job has ended; undefined if the job is unknown. */
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -15,10 +15,12 @@
     hasStarted = false;
     /** Number of times that a lasting task of the job was preempted. */
     preemptionCount = 0;
-    /** Occurrences that are due and not done, by number. */
+    /** Occurrences that have been opened and are not done, by number. */
     readonly openOccurrences = new Map<number, Occurrence>();
     /** Occurrences below this number have been opened. */
     nextOccurrence = 0;
+    /** Occurrences below this number have been due. */
+    nextDueOccurrence = 0;
 
     private constructor(readonly spec: JobSpec) {}
 
@@ -37,7 +39,14 @@
 
     /** Opens the occurrences that are due by `wallMs`. */
     openDueOccurrences(wallMs: number): void {
-        while (this.nextOccurrence < this.occurrenceCount && this.isDue(this.nextOccurrence, wallMs)) {
+        while (this.nextDueOccurrence < this.occurrenceCount && this.isDue(this.nextDueOccurrence, wallMs)) {
+            this.openUpTo(this.nextDueOccurrence++);
+        }
+    }
+
+    /** Opens an occurrence and those before it. Their tasks do not start before they are due. */
+    openUpTo(occurrence: number): void {
+        while (this.nextOccurrence <= occurrence && this.nextOccurrence < this.occurrenceCount) {
             const number = this.nextOccurrence++;
             this.openOccurrences.set(number, Occurrence.create(this, number, this.dueAtMs(number)));
         }
@@ -59,10 +68,12 @@
         }
     }
 
-    /** Steps whose prerequisites are done and that have tasks left. */
+    /** Steps of occurrences that are due whose prerequisites are done and that have tasks left. */
     *openSteps(): Generator<Step> {
         for (const occurrence of this.openOccurrences.values()) {
-            yield* occurrence.steps.filter(step => step.remainingTasks > 0 && step.isOpen);
+            if (occurrence.number < this.nextDueOccurrence) {
+                yield* occurrence.steps.filter(step => step.remainingTasks > 0 && step.isOpen);
+            }
         }
     }
 
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -61,7 +61,7 @@
             this.results.finish(run, end, times);
             return;
         }
-        const task = this.jobs.findTask(end.task);
+        const task = this.jobs.findListedTask(end.task);
         if (task === undefined) {
             return;
         }
@@ -85,7 +85,7 @@
             }
             return existing.number === listedRun.number;
         }
-        const task = this.jobs.findTask(listedRun.task);
+        const task = this.jobs.findListedTask(listedRun.task);
         if (task !== undefined) {
             this.adopt(worker, task, listedRun, times);
         }
--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -11,6 +11,7 @@
     job.endedAtMs = progress.endedAtMs;
     job.hasStarted = progress.hasStarted;
     job.nextOccurrence = progress.nextOccurrence;
+    job.nextDueOccurrence = progress.nextOccurrence;
     for (const { number, steps } of progress.open) {
         const occurrence = Occurrence.create(job, number, job.dueAtMs(number));
         occurrence.steps.forEach((step, index) => restoreStep(step, steps[index]));
--- a/packages/jobs/tests/listed-ends.test.ts
+++ b/packages/jobs/tests/listed-ends.test.ts
@@ -115,3 +115,40 @@
     );
     t.end();
 });
+
+const scheduledLater = (harness: SchedulerHarness): ReturnType<SchedulerHarness["makeJob"]> => ({
+    ...harness.makeJob({ count: 2 }),
+    schedule: { occurrences: 3, firstAtMs: harness.clock.wallMs() + 5_000, intervalMs: 10_000 },
+});
+
+// Guards against a start after an acknowledged end: the previous owner's wall clock was ahead, so that the occurrence
+// was not open at the new owner when the end was listed.
+t.test("the end of an occurrence that is not due yet is applied", t => {
+    const harness = SchedulerHarness.create(2);
+    const spec = scheduledLater(harness);
+    harness.inherit(spec);
+    harness.scheduler.expectInheritedWorkers(["w1/1"]);
+    const worker = harness.addUnreadWorker("w1");
+    harness.reportListing(worker, [], [doneEnd(`${spec.id}.0.0.0`)]);
+    t.same(harness.planStarts(), [], "the other task is not due");
+    harness.clock.advance(5_000);
+    t.same(
+        harness.planStarts().map(({ task }) => task.name),
+        [`${spec.id}.0.0.1`],
+    );
+    t.end();
+});
+
+// Guards against the stop of a run whose occurrence a previous owner with a clock that was ahead had opened.
+t.test("a run of an occurrence that is not due yet is adopted", t => {
+    const harness = SchedulerHarness.create(2);
+    const spec = scheduledLater(harness);
+    harness.inherit(spec);
+    harness.scheduler.expectInheritedWorkers(["w1/1"]);
+    const worker = harness.addUnreadWorker("w1");
+    harness.reportListing(worker, [row(`${spec.id}.0.0.0`)], []);
+    t.same(harness.planOrders(), []);
+    t.equal(worker.runs.size, 1);
+    t.equal(worker.orphanRuns.size, 0);
+    t.end();
+});
