Acknowledge no end after a commit of progress has failed

A caller would see a task that has ended as done start again under the next owner, after its worker was told to forget that end.

Cause: ProgressWriter takes the changed jobs out of the registry before it commits them. When that commit failed, because another owner had taken over, a write queued behind it found no changes and counted all ends that had been read as durable. An owner that drains sends heartbeats until its last write is done, so that such an acknowledgement could reach a worker.

Evidence: progress-writer > after a failed commit a later write acknowledges nothing.

A commit fails only once the cell is lost, so the writer writes no progress after that.

--- a/packages/dispatch/src/progress-writer.ts
+++ b/packages/dispatch/src/progress-writer.ts
@@ -33,6 +33,8 @@
 /** Stores the progress of a cell's jobs. Ends are acknowledged and final states reported only once they are durable. */
 export class ProgressWriter {
     private isStopped = false;
+    /** Whether changes were lost with a failed commit, so that no later write covers all ends that were read. */
+    private hasLostChanges = false;
     private lastWrite: Promise<void> = Promise.resolve();
 
     private constructor(private readonly context: WriterContext) {}
@@ -75,6 +77,9 @@
 
     private async writeChangedJobs(): Promise<void> {
         const { scheduler } = this.context;
+        if (this.hasLostChanges) {
+            return;
+        }
         const lastReadEnds = [...scheduler.fleet.workers].map(worker => ({
             worker,
             end: worker.lastReadEndSequence,
@@ -84,6 +89,7 @@
             const jobs = changed.slice(first, first + MaxJobsPerCommit);
             const ends = jobs.map(job => job.endState);
             if (!(await this.commit(jobs.map(job => this.encodeProgress(job))))) {
+                this.hasLostChanges = true;
                 return;
             }
             jobs.forEach((job, index) => this.publishEnd(job, ends[index]));
--- a/packages/dispatch/tests/progress-writer.test.ts
+++ b/packages/dispatch/tests/progress-writer.test.ts
@@ -1,6 +1,8 @@
 import { ManualClock } from "@samphireward/core/manual-clock";
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
+import { EndKind } from "@samphireward/jobs/end-kind";
 import { JobState } from "@samphireward/jobs/job-state";
+import type { ListedEnd } from "@samphireward/jobs/listed-end";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
 import { Err, Ok } from "ts-results-es";
 import t from "tap";
@@ -17,6 +19,7 @@
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
 
 const { id } = oneTaskJob;
+const otherId = "00000000000000bb";
 
 /** A cell whose only job has just ended on its only worker. */
 const endedJob = (): { scheduler: CellScheduler; clock: ManualClock; worker: WorkerIncarnation } => {
@@ -55,6 +58,14 @@
     });
 };
 
+/** Answers other writes until one of progress is next. */
+const answerUntilProgress = async (store: ManualStore): Promise<void> => {
+    await new Promise(resolve => setImmediate(resolve));
+    while (!store.isNextWriteUnder("cells/0/progress/")) {
+        await store.answerNext();
+    }
+};
+
 // Guards against an end that its worker discards before it is durable: the task would run a second time.
 t.test("ends are acknowledged and final states reported only after their commit", async t => {
     const store = ManualStore.create();
@@ -97,6 +108,59 @@
     t.equal(cell.worker.lastDurableEndSequence, 0);
 });
 
+// Guards against a start after an acknowledged end: the write after a failed one found no changes left, and counted the
+// ends of the failed one as durable.
+t.test("after a failed commit a later write acknowledges nothing", async t => {
+    const store = ManualStore.create();
+    const cell = endedJob();
+    const writer = createWriter(store, cell, []);
+    void writer.flush();
+    const second = writer.flush();
+    await new Promise(resolve => setImmediate(resolve));
+    const current = [{ key: "cells/0/log", value: JSON.stringify({ epoch: 2, sequence: 0 }), revision: 9 }];
+    for (let commits = 0; commits < 3; commits++) {
+        await store.answerNext(Ok({ isCommitted: false, current }));
+    }
+    await second;
+    t.equal(cell.worker.lastDurableEndSequence, 0);
+    t.equal(cell.scheduler.jobs.get(id)?.state, JobState.Running);
+});
+
+// Guards against an end that is acknowledged too early: it is listed while the commit of an earlier one is under way, and
+// that commit is retried.
+t.test("an end that is listed during a commit waits for the next one", async t => {
+    const store = ManualStore.create();
+    const cell = endedJob();
+    const writer = createWriter(store, cell, []);
+    const first = writer.flush();
+    await answerUntilProgress(store);
+    cell.scheduler.addJob({ ...oneTaskJob, id: otherId });
+    cell.scheduler.plan();
+    const end: ListedEnd = {
+        sequence: 2,
+        task: `${otherId}.0.0.0`,
+        number: 1,
+        kind: EndKind.Done,
+        checkpoint: "",
+    };
+    const listing = { startedAtMs: 1, running: [], ended: [end], isPartial: false };
+    cell.scheduler.noteListing(cell.worker, listing, cell.clock.nowMs());
+    const sent = store.transactions.length;
+    await store.answerNext(Err(StoreFailure.Unknown));
+    while (store.transactions.length === sent) {
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    await store.answerNext();
+    await first;
+    t.equal(cell.worker.lastDurableEndSequence, 1);
+    const second = writer.flush();
+    await answerUntilProgress(store);
+    t.equal(cell.worker.lastDurableEndSequence, 1);
+    await store.answerNext();
+    await second;
+    t.equal(cell.worker.lastDurableEndSequence, 2);
+});
+
 // Guards against a commit that is made twice, or counted as failed, because its first response was lost.
 t.test("an unanswered commit is recognized by its sequence number when it is retried", async t => {
     const store = ManualStore.create();
