Carry confirmed starts of unlisted runs over to a worker's next incarnation

A caller sees a task run on two workers at the same time after a worker has started again quickly.

Cause: the next incarnation of a worker has the same id and address. A start that was sent before the owner knew of it is carried out and confirmed there, and the owner took the confirmation for one of the earlier incarnation. When the new one was registered, that run ended at the owner, and its task was started elsewhere while it ran.

Only a listing tells which incarnation a run belongs to. Runs that were confirmed but never listed are now carried over like unanswered starts: their stop is ordered in the new incarnation, and their tasks wait until it is confirmed or a listing shows the run.

Three tests in lost-worker replaced a worker right after its starts were confirmed and expected the tasks at once, which is the fault. They now list the runs before the restart and expect the same.

--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -109,6 +109,7 @@
 
     private confirm(run: Run, listedRun: ListedRun, times: ListingTimes): void {
         run.confirm(times.nowMs);
+        run.isListed = true;
         trackSpeed(run, listedRun, times.nowMs);
         run.gauge = listedRun.gauge;
         if (listedRun.checkpoint !== "" && run.task.run === run) {
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -61,12 +61,13 @@
     }
 
     /**
-     * Carries unanswered starts over to the new incarnation of a restarted worker, which may still carry them out.
-     * Until it has confirmed their stop, they reserve capacity there and their tasks are not started anywhere.
+     * Carries starts over to the new incarnation of a restarted worker: unanswered ones, which it may still carry out,
+     * and confirmed ones of runs that were never listed, which it may have carried out already. Until it has confirmed
+     * their stop, they reserve capacity there and their tasks are not started anywhere.
      */
     carryOver(previous: WorkerIncarnation, worker: WorkerIncarnation): void {
         for (const run of previous.runs.values()) {
-            if (run.phase === RunPhase.Starting) {
+            if (run.phase !== RunPhase.Unknown && !run.isListed) {
                 this.trackLateStart(run);
             }
         }
--- a/packages/jobs/src/run.ts
+++ b/packages/jobs/src/run.ts
@@ -11,6 +11,8 @@
     ticket: string | undefined;
     /** Monotonic time at which the worker confirmed the run. */
     confirmedAtMs = 0;
+    /** Whether the worker has listed the run, so that it belongs to this incarnation of the worker. */
+    isListed = false;
     /** Reason to stop this run; undefined if none was set. */
     stopReason: StopReason | undefined;
     /** Monotonic time of the last stop order; 0 if none was sent. */
--- a/packages/jobs/tests/lost-worker.test.ts
+++ b/packages/jobs/tests/lost-worker.test.ts
@@ -47,9 +47,11 @@
 // Guards against waiting for the lease of a worker that is known to have restarted.
 t.test("a new incarnation of a worker releases the tasks of the previous one at once", t => {
     const harness = SchedulerHarness.create();
-    harness.addWorker("w1");
+    const worker = harness.addWorker("w1");
     harness.submit({});
-    t.equal(harness.planAndStartAll().length, 1);
+    const runs = harness.planAndStartAll();
+    t.equal(runs.length, 1);
+    harness.reportListing(worker, runs.map(SchedulerHarness.listedRun), []);
     harness.addWorker("w1", { startedAtMs: 2 });
     t.equal(harness.planStarts().length, 1);
     t.end();
@@ -77,14 +79,14 @@
 // previous incarnation and whose stop was lost (model seed 8232).
 t.test("an unanswered start reserves capacity in the next incarnation until its stop is confirmed", t => {
     const harness = SchedulerHarness.create();
-    harness.addWorker("w1");
+    const previous = harness.addWorker("w1");
     harness.submit({ count: 16 });
-    const unanswered = harness.planStarts();
-    t.equal(unanswered.length, 16);
-    unanswered
-        .slice(0, 15)
-        .forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
-    unanswered.slice(15).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Unknown));
+    const sent = harness.planStarts();
+    t.equal(sent.length, 16);
+    const listed = sent.slice(0, 15);
+    listed.forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
+    sent.slice(15).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Unknown));
+    harness.reportListing(previous, listed.map(SchedulerHarness.listedRun), []);
     const worker = harness.addWorker("w1", { startedAtMs: 2 });
     const orders = harness.planOrders();
     t.equal(
@@ -111,11 +113,13 @@
 // that the new incarnation may carry it out.
 t.test("a start in flight reserves capacity in the next incarnation as well", t => {
     const harness = SchedulerHarness.create();
-    harness.addWorker("w1");
+    const previous = harness.addWorker("w1");
     harness.submit({ count: 16 });
     const sent = harness.planStarts();
     t.equal(sent.length, 16);
-    sent.slice(1).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
+    const listed = sent.slice(1);
+    listed.forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
+    harness.reportListing(previous, listed.map(SchedulerHarness.listedRun), []);
     harness.addWorker("w1", { startedAtMs: 2 });
     sent.slice(0, 1).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Unknown));
     const kinds = harness.planOrders().map(({ kind }) => kind);
--- a/packages/jobs/tests/worker-incarnations.test.ts
+++ b/packages/jobs/tests/worker-incarnations.test.ts
@@ -49,3 +49,22 @@
     t.equal(harness.planStarts().length, 1);
     t.end();
 });
+
+// Guards against a task that runs twice: its start reached the next incarnation of the worker, which has the same id and
+// address, and the owner took the confirmation for one of the incarnation that it knew.
+t.test("a run that only its start confirmed may belong to the next incarnation", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("w1", { startedAtMs: OldStartMs });
+    harness.submit({});
+    const [run] = harness.planAndStartAll();
+    t.ok(run);
+    harness.addWorker("w2");
+    const next = harness.addUnreadWorker("w1", { startedAtMs: NewStartMs });
+    t.same(harness.planStarts(), [], "it may be running");
+    if (run !== undefined) {
+        harness.reportListing(next, [SchedulerHarness.listedRun(run)], []);
+    }
+    t.same(harness.planOrders(), []);
+    t.equal(next.runs.size, 1, "it is adopted");
+    t.end();
+});
