Acknowledge no ends to an unreachable worker

A caller sees a task start again although its run has ended as done, on a worker that started again.

Cause: the numbers of ends begin anew with each incarnation. The first heartbeat that reached the new one still carried the highest number of the previous incarnation, so that the worker forgot ends that nobody had read, of runs that had been started on it before its restart was known.

A restart ends the heartbeat that is under way, so the worker counts as unreachable before the next one reaches its new incarnation. Ends that are acknowledged one heartbeat later are only listed once more.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -123,14 +123,15 @@
         const { clock, scheduler, fencingToken } = this.context;
         const sentAtMs = clock.nowMs();
         // A heartbeat to an unreachable worker does not extend its lease, so that runs which may still be there come
-        // to an end.
-        const deadlineMs = this.worker.isReachable ? this.leaseDeadlineMs() : undefined;
+        // to an end. Nor does it acknowledge ends: after a restart their numbers begin anew.
+        const { isReachable, lastDurableEndSequence } = this.worker;
+        const deadlineMs = isReachable ? this.leaseDeadlineMs() : undefined;
         if (deadlineMs !== undefined) {
             scheduler.noteLeaseExtension(this.worker);
         }
         const response = await this.client.heartbeat({
             fencingToken,
-            lastDurableEndSequence: this.worker.lastDurableEndSequence,
+            lastDurableEndSequence: isReachable ? lastDurableEndSequence : 0,
             deadlineMs,
             waitMs: this.worker.hasListedRuns ? this.heartbeatWaitMs() : 0,
         });
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -4,9 +4,10 @@
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
 import type { WorkerListing } from "@samphireward/jobs/worker-listing";
-import { Ok } from "ts-results-es";
+import { Err, Ok } from "ts-results-es";
 import t from "tap";
 import { Metrics } from "../src/metrics.js";
+import { OrderFailure } from "../src/order-failure.js";
 import { WorkerLink } from "../src/worker-link.js";
 import { ManualWorkerClient } from "./manual-worker-client.js";
 import { NullLog } from "./null-log.js";
@@ -70,3 +71,20 @@
     t.equal(worker.runs.size, 0, "its lease is over");
     link.close();
 });
+
+// Guards against a start after an end that was forgotten unread: after a restart the numbers of ends begin anew, and the
+// first heartbeat still carried the highest number of the previous incarnation.
+t.test("a heartbeat to an unreachable worker acknowledges no ends", async t => {
+    const { worker, client, link } = createLink();
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 0 }));
+    worker.lastDurableEndSequence = 5;
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.lastDurableEndSequence, 5);
+    await client.answerHeartbeat(Err(OrderFailure.Unknown));
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.lastDurableEndSequence, 0);
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 0 }));
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.lastDurableEndSequence, 5);
+    link.close();
+});
