Read the ends of a worker before a stopped late start is released

A caller sees a task start again although its run has ended as done, on a worker that started again.

Cause: a start that is carried over to the next incarnation of a worker may have been carried out there, and may have ended as done, before the stop for it arrives. The confirmation of the stop released the task at once, and the listing with the end came later.

The task now waits, and the start keeps its capacity, until a listing that was requested after the confirmation has been read. lost-worker > an unanswered start reserves capacity in the next incarnation expected the task right after the confirmation; it now expects nothing there, and the task after such a listing.

--- a/packages/jobs/src/late-start.ts
+++ b/packages/jobs/src/late-start.ts
@@ -7,6 +7,11 @@
     readonly expiresAtMs: number;
     /** Monotonic time of the last stop order for it; 0 if none was sent. */
     readonly stopSentAtMs: number;
-    /** Whether the current incarnation of the worker has confirmed a stop, and so refuses the start. */
-    readonly isStopConfirmed: boolean;
+    /**
+     * Monotonic time at which the current incarnation of the worker confirmed a stop, and so refuses the start from then
+     * on; undefined before.
+     */
+    readonly stopConfirmedAtMs: number | undefined;
+    /** Whether a listing that was requested after the confirmed stop has been read: its run is not there any more. */
+    readonly isOver: boolean;
 }
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -51,6 +51,7 @@
         worker.orphanRuns = orphanRuns;
         if (!listing.isPartial) {
             this.releaseMissing(worker, listed, times);
+            this.releaseStoppedStarts(worker, times);
         }
         worker.hasListedRuns = true;
     }
@@ -130,6 +131,20 @@
         }
     }
 
+    /**
+     * Releases the tasks of late starts whose stop was confirmed before the listing was requested. The run may have ended
+     * as done before the stop, which only this listing shows.
+     */
+    private releaseStoppedStarts(worker: WorkerIncarnation, times: ListingTimes): void {
+        for (const [name, start] of worker.lateStarts) {
+            const { stopConfirmedAtMs, isOver, run } = start;
+            if (!isOver && stopConfirmedAtMs !== undefined && stopConfirmedAtMs < times.sentAtMs) {
+                worker.lateStarts.set(name, { ...start, isOver: true });
+                run.task.notBeforeMs = times.nowMs;
+            }
+        }
+    }
+
     private hasEnded(run: Run, sentAtMs: number): boolean {
         if (run.stopConfirmedAtMs > 0 && run.stopConfirmedAtMs < sentAtMs) {
             return true;
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -11,6 +11,9 @@
 /** Delay before a refused task is started on another worker. */
 const TaskRetryDelayMs = 50;
 
+/** State of a late start whose stop has not been sent to the current incarnation of the worker. */
+const unconfirmed = { stopSentAtMs: 0, stopConfirmedAtMs: undefined, isOver: false } as const;
+
 /** Applies the responses of workers to orders. */
 export class OrderResponses {
     private constructor(
@@ -42,16 +45,18 @@
         }
     }
 
-    /** Records a confirmed stop: the run has ended, and the worker refuses its start from now on. */
+    /**
+     * Records a confirmed stop: the run has ended, and the worker refuses its start from now on. How it has ended is
+     * known once a listing that is requested after this has been read.
+     */
     recordStop(worker: WorkerIncarnation, task: string, number: number): void {
         const run = worker.runs.get(task);
         if (run?.number === number) {
             run.stopConfirmedAtMs = this.clock.nowMs();
         }
         const start = worker.lateStarts.get(task);
-        if (start?.run.number === number && !start.isStopConfirmed) {
-            worker.lateStarts.set(task, { ...start, isStopConfirmed: true });
-            start.run.task.notBeforeMs = this.clock.nowMs();
+        if (start?.run.number === number && start.stopConfirmedAtMs === undefined) {
+            worker.lateStarts.set(task, { ...start, stopConfirmedAtMs: this.clock.nowMs() });
         }
     }
 
@@ -63,7 +68,7 @@
     /**
      * Carries starts over to the new incarnation of a restarted worker: unanswered ones, which it may still carry out,
      * and confirmed ones of runs that were never listed, which it may have carried out already. Until it has confirmed
-     * their stop, they reserve capacity there and their tasks are not started anywhere.
+     * their stop and listed its runs after that, they reserve capacity there and their tasks are not started anywhere.
      */
     carryOver(previous: WorkerIncarnation, worker: WorkerIncarnation): void {
         for (const run of previous.runs.values()) {
@@ -72,7 +77,7 @@
             }
         }
         previous.lateStarts.forEach((start, name) => {
-            worker.lateStarts.set(name, { ...start, stopSentAtMs: 0, isStopConfirmed: false });
+            worker.lateStarts.set(name, { ...start, ...unconfirmed });
             const { task } = start.run;
             task.notBeforeMs = Math.max(task.notBeforeMs, start.expiresAtMs);
         });
@@ -83,8 +88,7 @@
         run.worker.lateStarts.set(run.task.name, {
             run,
             expiresAtMs: untilMs,
-            stopSentAtMs: 0,
-            isStopConfirmed: false,
+            ...unconfirmed,
         });
     }
 
--- a/packages/jobs/src/stop-orders.ts
+++ b/packages/jobs/src/stop-orders.ts
@@ -43,7 +43,7 @@
         if (nowMs > start.expiresAtMs) {
             worker.lateStarts.delete(task);
         } else if (
-            !start.isStopConfirmed &&
+            start.stopConfirmedAtMs === undefined &&
             worker.runs.get(task)?.number !== start.run.number &&
             nowMs - start.stopSentAtMs >= LateStartStopRetryDelayMs
         ) {
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -105,8 +105,8 @@
             // A run of unknown size reserves the whole worker.
             total = total.plus(reservation ?? this.entry.capacity);
         }
-        for (const [task, { isStopConfirmed: isStopped, run }] of this.lateStarts) {
-            if (!isStopped && !this.runs.has(task)) {
+        for (const [task, { isOver, run }] of this.lateStarts) {
+            if (!isOver && !this.runs.has(task)) {
                 total = total.plus(run.reservation);
             }
         }
--- a/packages/jobs/tests/lost-worker.test.ts
+++ b/packages/jobs/tests/lost-worker.test.ts
@@ -103,6 +103,9 @@
     if (stop?.kind === OrderKind.Stop) {
         harness.scheduler.responses.recordStop(worker, stop.task, stop.number);
     }
+    t.same(harness.planStarts(), [], "it may have ended as done");
+    harness.clock.advance(10);
+    harness.reportListing(worker, [...worker.runs.values()].map(SchedulerHarness.listedRun), []);
     t.equal(harness.planStarts().length, 1, "it can no longer start");
     harness.clock.advance(1_000);
     t.notOk(harness.planOrders().some(isStop), "a confirmed stop is not repeated");
--- a/packages/jobs/tests/worker-incarnations.test.ts
+++ b/packages/jobs/tests/worker-incarnations.test.ts
@@ -1,4 +1,6 @@
 import t from "tap";
+import { EndKind } from "../src/end-kind.js";
+import { JobState } from "../src/job-state.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
 const OldStartMs = 100;
@@ -68,3 +70,26 @@
     t.equal(next.runs.size, 1, "it is adopted");
     t.end();
 });
+
+// Guards against a start after an end that is acknowledged later: the late start had been carried out in the next
+// incarnation and had ended as done before its stop was confirmed.
+t.test("a late start whose stop is confirmed may have ended as done", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("w1", { startedAtMs: OldStartMs });
+    const spec = harness.submit({});
+    const [run] = harness.planAndStartAll();
+    t.ok(run);
+    harness.addWorker("w2");
+    const next = harness.addWorker("w1", { startedAtMs: NewStartMs });
+    if (run === undefined) {
+        t.end();
+        return;
+    }
+    harness.scheduler.responses.recordStop(next, run.task.name, run.number);
+    t.same(harness.planStarts(), [], "its end may not be listed yet");
+    harness.clock.advance(10);
+    const end = { sequence: 1, task: run.task.name, number: run.number, kind: EndKind.Done, checkpoint: "" };
+    harness.reportListing(next, [], [end]);
+    t.equal(harness.scheduler.jobs.get(spec.id)?.endState, JobState.Completed);
+    t.end();
+});
