Count the longest lease after a worker has started again

A caller sees a task run on two workers at the same time when a worker starts again and then falls silent.

Cause: a call that was sent to an earlier incarnation carries a deadline by that one's clock. The next incarnation's clock starts anew, so it takes such a deadline for one far ahead and shortens it to its maximum of 6 s, also when it refuses the start for its number. The owner counted the 4.5 s that it grants itself, and counted nothing for a late start.

Evidence: leases > a restarted worker may hold the longest lease while a late start can reach it: before, the task was started elsewhere when the late start could just arrive, 6.1 s too early. > a worker may hold the longest lease when it is first listed: before, the task was started elsewhere 6.12 s after the listing, while a lease taken just before it had not run out.

The lease now counts as the worker's maximum from its first listing, and from the time until which a late start that was carried over can arrive. Both end in time: later extensions of a worker that answers are longer. A worker that falls silent within 12 s of a restart with a late start gives its tasks back up to 18.7 s after that start.

leases > a listing that arrives after the lease was counted as over changes no task that has started elsewhere held before.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -147,8 +147,10 @@
         worker.isReachable = true;
         worker.lastContactAtMs = nowMs;
         if (!worker.hasListedRuns) {
-            // A previous owner may have extended the lease just before this listing.
-            worker.leaseEndsAtMs = nowMs + maxLeaseDurationMs(this.previousOwners.leaseMs);
+            // A previous owner may have extended the lease just before this listing, or a call that was sent to an earlier
+            // incarnation, whose deadline the worker shortens to its maximum.
+            const leaseMs = Math.max(this.limits.maxLeaseMs, this.previousOwners.leaseMs);
+            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + maxLeaseDurationMs(leaseMs));
         }
         this.listings.read(worker, listing, { sentAtMs, nowMs, wallMs: this.clock.wallMs() });
         this.previousOwners.noteRead(worker.key);
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellLimits } from "./cell-limits.js";
+import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import type { Run } from "./run.js";
 import { RunPhase } from "./run-phase.js";
 import type { RunResults } from "./run-results.js";
@@ -78,6 +79,9 @@
         }
         previous.lateStarts.forEach((start, name) => {
             worker.lateStarts.set(name, { ...start, ...unconfirmed });
+            // Its deadline is a time of the earlier incarnation's clock, which the worker shortens to its maximum.
+            const leaseEndsAtMs = start.expiresAtMs + maxLeaseDurationMs(this.limits.maxLeaseMs);
+            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, leaseEndsAtMs);
             const { task } = start.run;
             task.notBeforeMs = Math.max(task.notBeforeMs, start.expiresAtMs);
         });
