Treat a start in flight as unanswered when its worker's lease is over

A caller would see a task run twice after the owner's process was suspended for seconds right after it had sent a start.

Cause: after a suspension the next plan is made before the missing response is noted. The run was then still in the phase Starting, and only runs in the phase Unknown wait for the time in which a start without a response may still be carried out. The start was not remembered as a late one either.

Every run that was not confirmed waits that long now.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -216,7 +216,7 @@
     private releaseRunsOf(worker: WorkerIncarnation, nowMs: number): void {
         for (const run of [...worker.runs.values()]) {
             const mayStillStart =
-                run.phase === RunPhase.Unknown &&
+                run.phase !== RunPhase.Running &&
                 nowMs < run.startedAtMs + this.limits.lateOrderMs + this.limits.leaseMs;
             if (!mayStillStart) {
                 this.results.lapse(run, this.times());
--- a/packages/jobs/tests/leases.test.ts
+++ b/packages/jobs/tests/leases.test.ts
@@ -55,6 +55,23 @@
     t.end();
 });
 
+// Guards against a start that may still be carried out: the owner was suspended after it had sent the order, so that the
+// lease was over before the missing response was noted.
+t.test("a start without a response yet is treated like an unanswered one when the lease is over", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1");
+    harness.submit({});
+    const [run] = harness.planStarts();
+    t.ok(run);
+    harness.addWorker("w2");
+    harness.scheduler.noteUnreachable(worker);
+    harness.clock.advance(cellLimits.lateOrderMs);
+    t.same(harness.planStarts(), [], "it may still be carried out");
+    harness.clock.advance(cellLimits.leaseMs);
+    t.equal(harness.planStarts()[0]?.worker.entry.id, "w2");
+    t.end();
+});
+
 // Guards against a lease that is extended for ever: what a listing says after the lease was counted as over neither
 // brings the run back nor starts the task again.
 t.test(
