Extend no lease by an old reading of a worker's clock

A caller would see a task run on two workers at the same time after the owner's process was suspended for about half a minute or longer.

Cause: a deadline is set by the offset between the clocks at the worker's last response. A worker's clock may be 2% slow, so that after 60 s of suspension the deadline lies 1.2 s further ahead of it; the owner counts leases with 0.6 s to spare.

Evidence: worker-link > no lease is extended by a reading of the worker's clock that is older than a lease: before, a start was sent with a deadline by a reading of a minute before.

With a reading older than a lease a start counts as refused and a heartbeat carries no deadline, until a response brings a new reading. A worker that answers is read at least every 2.3 s, so only a suspended process is affected. It also keeps an owner that lost its cell meanwhile from extending a lease before a worker has answered it.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -37,6 +37,8 @@
     private readonly abort = new AbortController();
     /** Lower bound of the worker's clock minus this process's clock, in milliseconds. */
     private clockOffsetMs: number | undefined;
+    /** Monotonic time at which `clockOffsetMs` was determined. */
+    private clockReadAtMs = 0;
     private wasReachable = false;
 
     private constructor(
@@ -170,7 +172,8 @@
     private handleResponse(response: HeartbeatResponse, sentAtMs: number): void {
         const { clock, scheduler, listener, log } = this.context;
         const { entry } = this.worker;
-        this.clockOffsetMs = response.clockMs - clock.nowMs();
+        this.clockReadAtMs = clock.nowMs();
+        this.clockOffsetMs = response.clockMs - this.clockReadAtMs;
         if (response.listing.startedAtMs !== entry.startedAtMs) {
             // The worker restarted under its id; its registration will show the same.
             scheduler.registerWorker({ ...entry, startedAtMs: response.listing.startedAtMs });
@@ -210,11 +213,15 @@
         }
     }
 
-    /** End of a lease that begins now, on the worker's clock; undefined while that clock is not known. */
+    /**
+     * End of a lease that begins now, on the worker's clock; undefined while that clock is not known. A reading older
+     * than a lease, which only a suspended process has, may be further ahead of a slow clock than leases are counted.
+     */
     private leaseDeadlineMs(): number | undefined {
         const { clock, leaseMs } = this.context;
-        return this.clockOffsetMs === undefined
+        const nowMs = clock.nowMs();
+        return this.clockOffsetMs === undefined || nowMs - this.clockReadAtMs > leaseMs
             ? undefined
-            : Math.floor(clock.nowMs() + this.clockOffsetMs + leaseMs);
+            : Math.floor(nowMs + this.clockOffsetMs + leaseMs);
     }
 }
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -2,6 +2,7 @@
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
+import { OrderKind } from "@samphireward/jobs/order-kind";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
 import type { WorkerListing } from "@samphireward/jobs/worker-listing";
 import { Err, Ok } from "ts-results-es";
@@ -88,3 +89,24 @@
     t.equal(client.heartbeats.at(-1)?.lastDurableEndSequence, 5);
     link.close();
 });
+
+// Guards against a lease that outlasts what the owner counts: the owner was suspended for a minute, in which the worker's
+// slow clock fell 1.2 s behind the reading by which deadlines are set.
+t.test("no lease is extended by a reading of the worker's clock that is older than a lease", async t => {
+    const { clock, scheduler, worker, client, link } = createLink();
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 0 }));
+    scheduler.addJob(oneTaskJob);
+    const [order] = scheduler.plan();
+    clock.advance(60_000);
+    if (order?.kind === OrderKind.Start) {
+        await link.start(order.run);
+    }
+    t.same(client.startDeadlinesMs, []);
+    t.equal(worker.runs.size, 0, "the start counts as refused");
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, undefined);
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 58_800 }));
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, 58_800 + cellLimits.leaseMs);
+    link.close();
+});
