Forget an expired job after its removal from the store

A caller would see a job run again ten minutes after its end, while the store is slow.

Cause: an expired job was forgotten before its removal from the store was committed. A watch that lost its place and read all input again meanwhile found the job there, and added it as a new one without its progress.

Evidence: progress-writer > an expired job is forgotten only after its removal from the store is durable: before, it was unknown while the removal was under way.

The store is cleaned first, and the job is forgotten at the next cleanup 30 s later, after which no read from before the removal can arrive.

--- a/packages/dispatch/src/progress-writer.ts
+++ b/packages/dispatch/src/progress-writer.ts
@@ -36,6 +36,8 @@
     /** Whether changes were lost with a failed commit, so that no later write covers all ends that were read. */
     private hasLostChanges = false;
     private lastWrite: Promise<void> = Promise.resolve();
+    /** Jobs that the last cleanup removed from the store. */
+    private removedIds: readonly string[] = [];
 
     private constructor(private readonly context: WriterContext) {}
 
@@ -104,14 +106,27 @@
         await this.commit([{ key: cellKeys.effects(this.context.cell), value }]);
     }
 
+    /**
+     * Removes expired jobs from the store, and from memory one interval later. A read of all input that began before the
+     * removal would otherwise add them again, without their progress.
+     */
     private async removeExpiredJobs(): Promise<void> {
-        const { scheduler, clock, cell } = this.context;
-        for (const id of scheduler.jobs.removeEndedBefore(clock.wallMs() - EndedRetentionMs)) {
-            await this.commit(
-                [],
-                [cellKeys.job(cell, id), cellKeys.cancellation(cell, id), cellKeys.progress(cell, id)],
-            );
+        const { clock, cell } = this.context;
+        const { jobs } = this.context.scheduler;
+        this.removedIds.forEach(id => jobs.remove(id));
+        this.removedIds = [];
+        const expiredIds = jobs.idsEndedBefore(clock.wallMs() - EndedRetentionMs);
+        for (const id of expiredIds) {
+            const keys = [
+                cellKeys.job(cell, id),
+                cellKeys.cancellation(cell, id),
+                cellKeys.progress(cell, id),
+            ];
+            if (!(await this.commit([], keys))) {
+                return;
+            }
         }
+        this.removedIds = expiredIds;
     }
 
     private async commit(writes: readonly StoreWrite[], removes: readonly string[] = []): Promise<boolean> {
--- a/packages/dispatch/tests/progress-writer.test.ts
+++ b/packages/dispatch/tests/progress-writer.test.ts
@@ -1,3 +1,4 @@
+import { mock } from "node:test";
 import { ManualClock } from "@samphireward/core/manual-clock";
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { EndKind } from "@samphireward/jobs/end-kind";
@@ -20,6 +21,9 @@
 
 const { id } = oneTaskJob;
 const otherId = "00000000000000bb";
+const TickMs = 500;
+const RetentionMs = 10 * 60_000;
+const CleanupIntervalMs = 30_000;
 
 /** A cell whose only job has just ended on its only worker. */
 const endedJob = (): { scheduler: CellScheduler; clock: ManualClock; worker: WorkerIncarnation } => {
@@ -181,3 +185,41 @@
     await store.answerNext(Ok({ isCommitted: false, current: [] }));
     t.equal((await next).isErr() ? (await next).unwrapErr() : undefined, LostOwnership);
 });
+
+// Guards against a job that runs again ten minutes after its end: it was forgotten before its removal from the store was
+// durable, so that a watch which read all input again found it, without its progress.
+t.test("an expired job is forgotten only after its removal from the store is durable", async t => {
+    const store = ManualStore.create();
+    const cell = endedJob();
+    const writer = createWriter(store, cell, []);
+    const flushed = writer.flush();
+    await answerUntilProgress(store);
+    await store.answerNext();
+    await flushed;
+    const abort = new AbortController();
+    mock.timers.enable({ apis: ["setTimeout"] });
+    const done = writer.run(abort.signal);
+    const isRemoving = (): boolean =>
+        store.transactions.at(-1)?.removes?.includes(`cells/0/in/job/${id}`) === true;
+    const advance = async (ms: number, answers: boolean): Promise<void> => {
+        for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += TickMs) {
+            cell.clock.advance(TickMs);
+            mock.timers.tick(TickMs);
+            await new Promise(resolve => setImmediate(resolve));
+            if (answers && !isRemoving()) {
+                await store.answerNext();
+            }
+        }
+    };
+    cell.clock.advance(RetentionMs);
+    await advance(CleanupIntervalMs, true);
+    t.ok(isRemoving());
+    t.ok(cell.scheduler.jobs.get(id), "it is known while the removal is under way");
+    await store.answerNext();
+    t.ok(cell.scheduler.jobs.get(id), "and while reads from before it may arrive");
+    await advance(CleanupIntervalMs, true);
+    t.notOk(cell.scheduler.jobs.get(id));
+    abort.abort();
+    mock.timers.reset();
+    await done;
+});
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -108,13 +108,17 @@
         return taken;
     }
 
-    /** Removes the jobs that ended before `wallMs` and returns their ids. Unwritten changes keep a job. */
-    removeEndedBefore(wallMs: number): readonly string[] {
-        const old = [...this.jobs.values()].filter(
-            job => job.storedEndState !== undefined && job.endedAtMs < wallMs && !this.changed.has(job),
-        );
-        old.forEach(job => this.jobs.delete(job.spec.id));
-        return old.map(job => job.spec.id);
+    /** Ids of the jobs that ended before `wallMs` and have no unwritten changes. */
+    idsEndedBefore(wallMs: number): readonly string[] {
+        return [...this.jobs.values()]
+            .filter(
+                job => job.storedEndState !== undefined && job.endedAtMs < wallMs && !this.changed.has(job),
+            )
+            .map(job => job.spec.id);
+    }
+
+    remove(id: string): void {
+        this.jobs.delete(id);
     }
 
     /** Number of jobs of a queue that have neither a final state nor a started task. */
