Show that tasks wait for their leases when the directory drops their worker

cell-owner > the tasks of a worker that is listed with another address wait for their leases to end, and > the tasks of a worker that is missing from the list wait for their leases to end. Both hold: the attempt stays the first one while the worker runs the task, and the checker at the workers reports nothing when it is started again 12 s after the change.

--- a/packages/tasks/tests/cell-owner.test.ts
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -188,3 +188,27 @@
     await sim.run(20_000);
     t.strictSame([owner.status("k")?.state, owner.status("k")?.attempt], ["finished", 1]);
 });
+
+// Guards against tasks that run twice: the directory names another VM under a worker's name, or none for a moment, while
+// the worker still runs its tasks.
+for (const change of ["listed with another address", "missing from the list"] as const) {
+    t.test(`the tasks of a worker that is ${change} wait for their leases to end`, async t => {
+        const { sim, owner } = await createCell();
+        void owner.accept(spec("k", 60_000));
+        await sim.run(2000);
+        const worker = sim.workers.find(({ name }) => name === owner.status("k")?.worker);
+        t.ok(worker);
+        if (worker === undefined) {
+            return;
+        }
+        worker.address = change === "missing from the list" ? worker.address : "127.0.0.1:2";
+        worker.listed = change !== "missing from the list";
+        await sim.run(4000);
+        t.equal(owner.status("k")?.attempt, 1);
+        t.equal(worker.model.tasks().length, 1, "it still runs");
+        await sim.run(8000);
+        t.equal(owner.status("k")?.attempt, 2);
+        t.equal(worker.model.tasks().length, 0);
+        t.strictSame(sim.checker.violations, []);
+    });
+}
--- a/packages/tasks/tests/faults/sim-worker.ts
+++ b/packages/tasks/tests/faults/sim-worker.ts
@@ -36,6 +36,7 @@
     alive = true;
     listed = true;
     leaving = false;
+    address = "127.0.0.1:1";
     /** Incremented when the VM dies; what was sent to an earlier incarnation never arrives. */
     incarnation = 0;
     readonly model: WorkerModel;
@@ -58,8 +59,7 @@
     }
 
     get info(): WorkerInfo {
-        const { name, leaving } = this;
-        const address = "127.0.0.1:1";
+        const { name, leaving, address } = this;
         return {
             name,
             taskAddress: address,
