Show that a missing registration ends no runs

Test only: worker-incarnations > the runs of a worker whose registration is missing go on. It holds: nothing is stopped or started while the registration is missing or after it is back.

--- a/packages/jobs/tests/worker-incarnations.test.ts
+++ b/packages/jobs/tests/worker-incarnations.test.ts
@@ -93,3 +93,22 @@
     t.equal(harness.scheduler.jobs.get(spec.id)?.endState, JobState.Completed);
     t.end();
 });
+
+// Guards against tasks that run twice: a registration that is missing, or that cannot be read for a while, says nothing
+// about the worker's runs.
+t.test("the runs of a worker whose registration is missing go on", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1", { startedAtMs: OldStartMs });
+    harness.submit({});
+    const [run] = harness.planAndStartAll();
+    t.ok(run);
+    harness.addWorker("w2");
+    harness.scheduler.deregisterWorker("w1");
+    harness.clock.advance(SchedulerHarness.inheritedLeaseDurationMs);
+    t.same(harness.planOrders(), []);
+    harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    t.same(harness.planOrders(), []);
+    t.equal(run?.task.run, run);
+    t.equal(worker.runs.size, 1);
+    t.end();
+});
