--- a/packages/dispatch/src/progress-writer.ts
+++ b/packages/dispatch/src/progress-writer.ts
@@ -33,7 +33,11 @@
 /** Stores the progress of a cell's jobs. Ends are acknowledged and final states reported only once they are durable. */
 export class ProgressWriter {
     private isStopped = false;
+    /** Whether changes were lost with a failed commit, so that no later write covers all ends that were read. */
+    private hasLostChanges = false;
     private lastWrite: Promise<void> = Promise.resolve();
+    /** Jobs that the last cleanup removed from the store. */
+    private removedIds: readonly string[] = [];
 
     private constructor(private readonly context: WriterContext) {}
 
@@ -75,6 +79,9 @@
 
     private async writeChangedJobs(): Promise<void> {
         const { scheduler } = this.context;
+        if (this.hasLostChanges) {
+            return;
+        }
         const lastReadEnds = [...scheduler.fleet.workers].map(worker => ({
             worker,
             end: worker.lastReadEndSequence,
@@ -84,6 +91,7 @@
             const jobs = changed.slice(first, first + MaxJobsPerCommit);
             const ends = jobs.map(job => job.endState);
             if (!(await this.commit(jobs.map(job => this.encodeProgress(job))))) {
+                this.hasLostChanges = true;
                 return;
             }
             jobs.forEach((job, index) => this.publishEnd(job, ends[index]));
@@ -98,14 +106,27 @@
         await this.commit([{ key: cellKeys.effects(this.context.cell), value }]);
     }
 
+    /**
+     * Removes expired jobs from the store, and from memory one interval later. A read of all input that began before the
+     * removal would otherwise add them again, without their progress.
+     */
     private async removeExpiredJobs(): Promise<void> {
-        const { scheduler, clock, cell } = this.context;
-        for (const id of scheduler.jobs.removeEndedBefore(clock.wallMs() - EndedRetentionMs)) {
-            await this.commit(
-                [],
-                [cellKeys.job(cell, id), cellKeys.cancellation(cell, id), cellKeys.progress(cell, id)],
-            );
+        const { clock, cell } = this.context;
+        const { jobs } = this.context.scheduler;
+        this.removedIds.forEach(id => jobs.remove(id));
+        this.removedIds = [];
+        const expiredIds = jobs.idsEndedBefore(clock.wallMs() - EndedRetentionMs);
+        for (const id of expiredIds) {
+            const keys = [
+                cellKeys.job(cell, id),
+                cellKeys.cancellation(cell, id),
+                cellKeys.progress(cell, id),
+            ];
+            if (!(await this.commit([], keys))) {
+                return;
+            }
         }
+        this.removedIds = expiredIds;
     }
 
     private async commit(writes: readonly StoreWrite[], removes: readonly string[] = []): Promise<boolean> {
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -48,6 +48,8 @@
     private readonly abort = new AbortController();
     /** Lower bound of the worker's clock minus this process's clock, in milliseconds. */
     private clockOffsetMs: number | undefined;
+    /** Monotonic time at which `clockOffsetMs` was determined. */
+    private clockReadAtMs = 0;
     private wasReachable = false;
 
     private constructor(
@@ -128,15 +130,16 @@
         const { clock, scheduler, fencingToken, leaseMs, log, metrics } = this.context;
         const sentAtMs = clock.nowMs();
         // A heartbeat to an unreachable worker does not extend its lease, so that runs which may still be there come
-        // to an end.
-        const deadlineMs = this.worker.isReachable ? this.leaseDeadlineMs() : undefined;
+        // to an end. Nor does it acknowledge ends: after a restart their numbers begin anew.
+        const { isReachable, lastDurableEndSequence } = this.worker;
+        const deadlineMs = isReachable ? this.leaseDeadlineMs() : undefined;
         if (deadlineMs !== undefined) {
             scheduler.noteLeaseExtension(this.worker);
         }
         const waitMs = this.heartbeatWaitMs();
         const response = this.client.heartbeat({
             fencingToken,
-            lastDurableEndSequence: this.worker.lastDurableEndSequence,
+            lastDurableEndSequence: isReachable ? lastDurableEndSequence : 0,
             deadlineMs,
             waitMs,
             // A response that comes later cannot prevent that the lease expires.
@@ -156,6 +159,10 @@
             this.handleFailure(result.error);
             return false;
         }
+        if (result.value.listing.startedAtMs < this.worker.entry.startedAtMs) {
+            this.handleFailure(OrderFailure.OtherIncarnation);
+            return false;
+        }
         this.handleResponse(result.value, sentAtMs);
         return true;
     }
@@ -183,7 +190,8 @@
     private handleResponse(response: HeartbeatResponse, sentAtMs: number): void {
         const { clock, scheduler, listener, log } = this.context;
         const { entry } = this.worker;
-        this.clockOffsetMs = response.clockMs - clock.nowMs();
+        this.clockReadAtMs = clock.nowMs();
+        this.clockOffsetMs = response.clockMs - this.clockReadAtMs;
         if (response.listing.startedAtMs !== entry.startedAtMs) {
             // The worker restarted under its id; its registration will show the same.
             scheduler.registerWorker({ ...entry, startedAtMs: response.listing.startedAtMs });
@@ -243,11 +251,15 @@
         }
     }
 
-    /** End of a lease that begins now, on the worker's clock; undefined while that clock is not known. */
+    /**
+     * End of a lease that begins now, on the worker's clock; undefined while that clock is not known. A reading older
+     * than a lease, which only a suspended process has, may be further ahead of a slow clock than leases are counted.
+     */
     private leaseDeadlineMs(): number | undefined {
         const { clock, leaseMs } = this.context;
-        return this.clockOffsetMs === undefined
+        const nowMs = clock.nowMs();
+        return this.clockOffsetMs === undefined || nowMs - this.clockReadAtMs > leaseMs
             ? undefined
-            : Math.floor(clock.nowMs() + this.clockOffsetMs + leaseMs);
+            : Math.floor(nowMs + this.clockOffsetMs + leaseMs);
     }
 }
--- a/packages/dispatch/tests/stop-log.test.ts
+++ b/packages/dispatch/tests/stop-log.test.ts
@@ -43,7 +43,7 @@
     };
 };
 
-// Guards against a log that consists of the repeated stops of late starts, so that other lines are dropped (inc1).
+// Guards against a log that consists of the repeated stops of late starts, so that other lines are dropped.
 t.test("a stop that is repeated until it is confirmed has two lines and its count", t => {
     const { log, record } = createStopLog();
     for (let attempt = 0; attempt < 80; attempt++) {
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -117,7 +117,7 @@
             this.responses.carryOver(replaced, worker);
             this.endIncarnation(replaced, entry.startedAtMs);
         }
-        this.previousOwners.noteNewIncarnation(entry.id, worker.key);
+        this.previousOwners.noteIncarnation(worker.entry);
         return worker;
     }
 
@@ -149,8 +149,10 @@
         worker.isReachable = true;
         worker.lastContactAtMs = nowMs;
         if (!worker.hasListedRuns) {
-            // A previous owner may have extended the lease just before this listing.
-            worker.leaseEndsAtMs = nowMs + maxLeaseDurationMs(this.previousOwners.leaseMs);
+            // A previous owner may have extended the lease just before this listing, or a call that was sent to an earlier
+            // incarnation, whose deadline the worker shortens to its maximum.
+            const leaseMs = Math.max(this.limits.maxLeaseMs, this.previousOwners.leaseMs);
+            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + maxLeaseDurationMs(leaseMs));
         }
         this.listings.read(worker, listing, { sentAtMs, nowMs, wallMs: this.clock.wallMs() });
         this.previousOwners.noteRead(worker.key);
@@ -222,7 +224,7 @@
     private releaseRunsOf(worker: WorkerIncarnation, nowMs: number): void {
         for (const run of [...worker.runs.values()]) {
             const mayStillStart =
-                run.phase === RunPhase.Unknown &&
+                run.phase !== RunPhase.Running &&
                 nowMs < run.startedAtMs + this.limits.lateOrderMs + this.limits.leaseMs;
             if (!mayStillStart) {
                 this.results.lapse(run, EndReason.LeaseOver, this.times());
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -51,12 +51,20 @@
         return this.undecidedJobs.size;
     }
 
-    findTask(name: string): Task | undefined {
+    /**
+     * Finds a task that a worker lists. A previous owner whose wall clock was ahead may have opened its occurrence before
+     * this owner does.
+     */
+    findListedTask(name: string): Task | undefined {
         const position = parseTaskName(name);
-        if (position === undefined) {
+        const job = position && this.jobs.get(position.job);
+        if (position === undefined || job === undefined) {
             return undefined;
         }
-        return this.jobs.get(position.job)?.findTask(position.occurrence, position.step, position.index);
+        if (job.endState === undefined) {
+            job.openUpTo(position.occurrence);
+        }
+        return job.findTask(position.occurrence, position.step, position.index);
     }
 
     /** Resources that a task reserves on its worker, even if its job has ended; undefined if the job is unknown. */
@@ -100,13 +108,17 @@
         return taken;
     }
 
-    /** Removes the jobs that ended before `wallMs` and returns their ids. Unwritten changes keep a job. */
-    removeEndedBefore(wallMs: number): readonly string[] {
-        const old = [...this.jobs.values()].filter(
-            job => job.storedEndState !== undefined && job.endedAtMs < wallMs && !this.changed.has(job),
-        );
-        old.forEach(job => this.jobs.delete(job.spec.id));
-        return old.map(job => job.spec.id);
+    /** Ids of the jobs that ended before `wallMs` and have no unwritten changes. */
+    idsEndedBefore(wallMs: number): readonly string[] {
+        return [...this.jobs.values()]
+            .filter(
+                job => job.storedEndState !== undefined && job.endedAtMs < wallMs && !this.changed.has(job),
+            )
+            .map(job => job.spec.id);
+    }
+
+    remove(id: string): void {
+        this.jobs.delete(id);
     }
 
     /** Number of jobs of a queue that have neither a final state nor a started task. */
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -50,6 +50,7 @@
         worker.orphanRuns = orphanRuns;
         if (!listing.isPartial) {
             this.releaseMissing(worker, listed, times);
+            this.releaseStoppedStarts(worker, times);
         }
         worker.hasListedRuns = true;
     }
@@ -60,7 +61,7 @@
         ends: readonly ListedEnd[],
         times: Pick<ListingTimes, "nowMs" | "wallMs">,
     ): void {
-        for (const end of ends) {
+        for (const end of [...ends].sort((a, b) => a.sequence - b.sequence)) {
             if (end.sequence > worker.lastReadEndSequence) {
                 worker.lastReadEndSequence = end.sequence;
                 this.readEnd(worker, end, times);
@@ -76,7 +77,7 @@
         const end = { ...listedEnd, reason: EndReason.Listed };
         const newestRun = worker.runs.get(end.task);
         const run = newestRun?.number === end.number ? newestRun : undefined;
-        const task = run?.task ?? this.jobs.findTask(end.task);
+        const task = run?.task ?? this.jobs.findListedTask(end.task);
         this.reportIfIgnored(worker, listedEnd, task, run);
         if (run !== undefined) {
             this.results.finish(run, end, times);
@@ -85,9 +86,10 @@
         if (task === undefined) {
             return;
         }
-        // The end of a run that a previous owner started is applied unless the task has a later run.
-        if (task.run === undefined && end.number >= task.lastRun) {
-            task.lastRun = end.number;
+        // The end of a run that a previous owner started is applied unless the task has a later run. A later number may
+        // be that of a start that was refused, so a task without a run is done whatever the number.
+        if (task.run === undefined && (end.number >= task.lastRun || end.kind === EndKind.Done)) {
+            task.lastRun = Math.max(task.lastRun, end.number);
             this.results.apply(task, worker, end, times);
         } else if (end.kind === EndKind.Failed) {
             // Workers are read in any order, so a failure may be listed after a later run; it still counts.
@@ -118,7 +120,7 @@
             }
             return existing.number === listedRun.number;
         }
-        const task = this.jobs.findTask(listedRun.task);
+        const task = this.jobs.findListedTask(listedRun.task);
         if (task !== undefined) {
             this.adopt(worker, task, listedRun, times);
         }
@@ -142,6 +144,7 @@
 
     private confirm(run: Run, listedRun: ListedRun, times: ListingTimes): void {
         run.confirm(times.nowMs);
+        run.isListed = true;
         trackSpeed(run, listedRun, times.nowMs);
         run.gauge = listedRun.gauge;
         if (listedRun.checkpoint !== "" && run.task.run === run) {
@@ -162,6 +165,20 @@
         }
     }
 
+    /**
+     * Releases the tasks of late starts whose stop was confirmed before the listing was requested. The run may have ended
+     * as done before the stop, which only this listing shows.
+     */
+    private releaseStoppedStarts(worker: WorkerIncarnation, times: ListingTimes): void {
+        for (const [name, start] of worker.lateStarts) {
+            const { stopConfirmedAtMs, isOver, run } = start;
+            if (!isOver && stopConfirmedAtMs !== undefined && stopConfirmedAtMs < times.sentAtMs) {
+                worker.lateStarts.set(name, { ...start, isOver: true });
+                run.task.notBeforeMs = times.nowMs;
+            }
+        }
+    }
+
     private hasEnded(run: Run, sentAtMs: number): boolean {
         if (run.stopConfirmedAtMs > 0 && run.stopConfirmedAtMs < sentAtMs) {
             return true;
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellLimits } from "./cell-limits.js";
+import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import type { Run } from "./run.js";
 import { RunPhase } from "./run-phase.js";
 import type { RunResults } from "./run-results.js";
@@ -11,6 +12,9 @@
 /** Delay before a refused task is started on another worker. */
 const TaskRetryDelayMs = 50;
 
+/** State of a late start whose stop has not been sent to the current incarnation of the worker. */
+const unconfirmed = { stopSentAtMs: 0, stopConfirmedAtMs: undefined, isOver: false } as const;
+
 /** Applies the responses of workers to orders. */
 export class OrderResponses {
     private constructor(
@@ -42,16 +46,18 @@
         }
     }
 
-    /** Records a confirmed stop: the run has ended, and the worker refuses its start from now on. */
+    /**
+     * Records a confirmed stop: the run has ended, and the worker refuses its start from now on. How it has ended is
+     * known once a listing that is requested after this has been read.
+     */
     recordStop(worker: WorkerIncarnation, task: string, number: number): void {
         const run = worker.runs.get(task);
         if (run?.number === number) {
             run.stopConfirmedAtMs = this.clock.nowMs();
         }
         const start = worker.lateStarts.get(task);
-        if (start?.run.number === number && !start.isStopConfirmed) {
-            worker.lateStarts.set(task, { ...start, isStopConfirmed: true });
-            start.run.task.notBeforeMs = this.clock.nowMs();
+        if (start?.run.number === number && start.stopConfirmedAtMs === undefined) {
+            worker.lateStarts.set(task, { ...start, stopConfirmedAtMs: this.clock.nowMs() });
         }
     }
 
@@ -61,17 +67,21 @@
     }
 
     /**
-     * Carries unanswered starts over to the new incarnation of a restarted worker, which may still carry them out.
-     * Until it has confirmed their stop, they reserve capacity there and their tasks are not started anywhere.
+     * Carries starts over to the new incarnation of a restarted worker: unanswered ones, which it may still carry out,
+     * and confirmed ones of runs that were never listed, which it may have carried out already. Until it has confirmed
+     * their stop and listed its runs after that, they reserve capacity there and their tasks are not started anywhere.
      */
     carryOver(previous: WorkerIncarnation, worker: WorkerIncarnation): void {
         for (const run of previous.runs.values()) {
-            if (run.phase === RunPhase.Starting) {
+            if (run.phase !== RunPhase.Unknown && !run.isListed) {
                 this.trackLateStart(run);
             }
         }
         previous.lateStarts.forEach((start, name) => {
-            worker.lateStarts.set(name, { ...start, stopSentAtMs: 0, isStopConfirmed: false });
+            worker.lateStarts.set(name, { ...start, ...unconfirmed });
+            // Its deadline is a time of the earlier incarnation's clock, which the worker shortens to its maximum.
+            const leaseEndsAtMs = start.expiresAtMs + maxLeaseDurationMs(this.limits.maxLeaseMs);
+            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, leaseEndsAtMs);
             const { task } = start.run;
             task.notBeforeMs = Math.max(task.notBeforeMs, start.expiresAtMs);
         });
@@ -82,8 +92,7 @@
         run.worker.lateStarts.set(run.task.name, {
             run,
             expiresAtMs: untilMs,
-            stopSentAtMs: 0,
-            isStopConfirmed: false,
+            ...unconfirmed,
         });
     }
 
--- a/packages/jobs/tests/end-reason.test.ts
+++ b/packages/jobs/tests/end-reason.test.ts
@@ -3,7 +3,7 @@
 import { EndReason } from "../src/end-reason.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
-// Guards against a task that is started again without a trace of why its run was given up (inc1): each way in which
+// Guards against a task that is started again without a trace of why its run was given up: each way in which
 // the owner concludes an end has its own reason.
 t.test("each applied end has the reason from which the owner concluded it", t => {
     const harness = SchedulerHarness.create();
--- a/packages/jobs/tests/ignored-ends.test.ts
+++ b/packages/jobs/tests/ignored-ends.test.ts
@@ -30,7 +30,7 @@
     return { harness, silent, task: `${spec.id}.0.0.0` };
 };
 
-// Guards against work that ran twice without a trace (inc1): the worker did the work, but the task has a later run.
+// Guards against work that ran twice without a trace: the worker did the work, but the task has a later run.
 t.test("an end that is listed after its task has started again is reported with the current run", t => {
     const { harness, silent, task } = startedAgain();
     const end = endOf(task, 1, EndKind.Done);
--- /dev/null
+++ b/packages/jobs/tests/worker-incarnations.test.ts
@@ -0,0 +1,114 @@
+import t from "tap";
+import { EndKind } from "../src/end-kind.js";
+import { JobState } from "../src/job-state.js";
+import { SchedulerHarness } from "./scheduler-harness.js";
+
+const OldStartMs = 100;
+const NewStartMs = 200;
+
+// Guards against tasks that run twice: a registration that was read before the worker restarted replaced the record of
+// the new incarnation, and all of its tasks were started elsewhere although they ran on.
+t.test("a registration of an older incarnation does not replace the newer one", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1", { startedAtMs: NewStartMs });
+    harness.submit({});
+    const [run] = harness.planAndStartAll();
+    t.equal(run?.worker, worker);
+    harness.addWorker("w2");
+    t.equal(harness.addUnreadWorker("w1", { startedAtMs: OldStartMs }), worker);
+    t.equal(harness.scheduler.fleet.get("w1"), worker);
+    t.same(harness.planStarts(), [], "the task still runs");
+    t.equal(worker.runs.size, 1);
+    t.end();
+});
+
+// Guards against a worker that is never used again: its wall clock was set back before it restarted, so that its
+// registration looks older than the incarnation that has ended.
+t.test("a worker whose clock was set back is used again once the last lease is over", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1", { startedAtMs: NewStartMs });
+    harness.submit({});
+    t.equal(harness.planAndStartAll().length, 1);
+    harness.scheduler.noteUnreachable(worker);
+    harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    harness.clock.advance(SchedulerHarness.inheritedLeaseDurationMs);
+    t.same(harness.planStarts(), []);
+    t.equal(worker.runs.size, 0, "the lease is over");
+    harness.addWorker("w1", { startedAtMs: OldStartMs });
+    t.equal(harness.planStarts()[0]?.worker.entry.startedAtMs, OldStartMs);
+    t.end();
+});
+
+// Guards against starts by the capacity and labels of an earlier incarnation: the registration read last is older than
+// the incarnation that answers.
+t.test("nothing starts on a worker while the registration read last is that of an older incarnation", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("w1", { startedAtMs: NewStartMs });
+    harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    harness.submit({});
+    t.same(harness.planStarts(), []);
+    harness.addUnreadWorker("w1", { startedAtMs: NewStartMs });
+    t.equal(harness.planStarts().length, 1);
+    t.end();
+});
+
+// Guards against a task that runs twice: its start reached the next incarnation of the worker, which has the same id and
+// address, and the owner took the confirmation for one of the incarnation that it knew.
+t.test("a run that only its start confirmed may belong to the next incarnation", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("w1", { startedAtMs: OldStartMs });
+    harness.submit({});
+    const [run] = harness.planAndStartAll();
+    t.ok(run);
+    harness.addWorker("w2");
+    const next = harness.addUnreadWorker("w1", { startedAtMs: NewStartMs });
+    t.same(harness.planStarts(), [], "it may be running");
+    if (run !== undefined) {
+        harness.reportListing(next, [SchedulerHarness.listedRun(run)], []);
+    }
+    t.same(harness.planOrders(), []);
+    t.equal(next.runs.size, 1, "it is adopted");
+    t.end();
+});
+
+// Guards against a start after an end that is acknowledged later: the late start had been carried out in the next
+// incarnation and had ended as done before its stop was confirmed.
+t.test("a late start whose stop is confirmed may have ended as done", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("w1", { startedAtMs: OldStartMs });
+    const spec = harness.submit({});
+    const [run] = harness.planAndStartAll();
+    t.ok(run);
+    harness.addWorker("w2");
+    const next = harness.addWorker("w1", { startedAtMs: NewStartMs });
+    if (run === undefined) {
+        t.end();
+        return;
+    }
+    harness.scheduler.responses.recordStop(next, run.task.name, run.number);
+    t.same(harness.planStarts(), [], "its end may not be listed yet");
+    harness.clock.advance(10);
+    const end = { sequence: 1, task: run.task.name, number: run.number, kind: EndKind.Done, checkpoint: "" };
+    harness.reportListing(next, [], [end]);
+    t.equal(harness.scheduler.jobs.get(spec.id)?.endState, JobState.Completed);
+    t.end();
+});
+
+// Guards against tasks that run twice: a registration that is missing, or that cannot be read for a while, says nothing
+// about the worker's runs.
+t.test("the runs of a worker whose registration is missing go on", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1", { startedAtMs: OldStartMs });
+    harness.submit({});
+    const [run] = harness.planAndStartAll();
+    t.ok(run);
+    harness.addWorker("w2");
+    harness.scheduler.deregisterWorker("w1");
+    harness.clock.advance(SchedulerHarness.inheritedLeaseDurationMs);
+    t.same(harness.planOrders(), []);
+    harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    t.same(harness.planOrders(), []);
+    t.equal(run?.task.run, run);
+    t.equal(worker.runs.size, 1);
+    t.end();
+});
