Hold a worker for a lasting task that has waited long

Cause: (a) a serving task accepted a worker with incompatible images only after all other steps had been tried, so that short tasks of any rank took the capacity first; (b) capacity becomes free in pieces of the size of short tasks, and each piece was given to the next task that fits into it, so that a larger task never found enough on one worker, whatever its rank; (c) the time that the tasks behind the first one of a step had waited was not counted.

Change: a lasting task that has waited 2 s is overdue: it is tried before short tasks on every worker except those kept for their images, and if none has the capacity, the worker that lacks least and that short runs will free is held for it. After 3.5 s without such a worker it takes the place of another lasting task that has run for at least 5 s.

--- a/packages/jobs/src/choose-worker.ts
+++ b/packages/jobs/src/choose-worker.ts
@@ -1,4 +1,6 @@
+import { isOverdue } from "./is-overdue.js";
 import { isSlowWorker } from "./is-slow-worker.js";
+import { isStarved } from "./is-starved.js";
 import { isSuitable } from "./is-suitable.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { Run } from "./run.js";
@@ -136,9 +138,21 @@
     worker.entry.capacity.processors - expectedProcessorUse(worker) >=
     spec.resources.processors * MinUnusedRequestRatio;
 
+/** Whether a task may only start on a worker whose serving images are compatible with its own. */
+const requiresCompatibleImages = (
+    worker: WorkerIncarnation,
+    task: Task,
+    nowMs: number,
+    requiresGoodFit: boolean,
+): boolean =>
+    task.step.spec.tailTargetMs > 0 &&
+    !isStarved(task, nowMs) &&
+    ((requiresGoodFit && !isOverdue(task, nowMs)) || nowMs < worker.sameImagesOnlyUntilMs);
+
 /**
  * Chooses the worker on which a task starts; undefined if none has capacity. With `requiresGoodFit`, serving tasks are
- * placed only with compatible images, and fillers only where they can work at nearly full speed.
+ * placed only with compatible images, unless they are overdue, and fillers only where they can work at nearly full
+ * speed.
  */
 export const chooseWorker = (
     workers: Iterable<WorkerIncarnation>,
@@ -154,11 +168,10 @@
     let bestScore = -Infinity;
     for (const worker of workers) {
         if (
-            !worker.hasCapacityFor(task.step.reservation) ||
+            !worker.hasCapacityFor(task.step) ||
             !isSuitable(worker, task, service, nowMs) ||
             (requiresGoodFit && spec.filler && !hasUnusedProcessorsFor(worker, spec)) ||
-            ((requiresGoodFit || nowMs < worker.sameImagesOnlyUntilMs) &&
-                spec.tailTargetMs > 0 &&
+            (requiresCompatibleImages(worker, task, nowMs, requiresGoodFit) &&
                 effects.compatibilityLoss(worker, spec.image) > MaxCompatibilityLoss)
         ) {
             continue;
--- /dev/null
+++ b/packages/jobs/src/held-workers.ts
@@ -0,0 +1,109 @@
+import { isSuitable } from "./is-suitable.js";
+import type { Run } from "./run.js";
+import type { Step } from "./step.js";
+import type { Task } from "./task.js";
+import type { WorkerFleet } from "./worker-fleet.js";
+import type { WorkerIncarnation } from "./worker-incarnation.js";
+
+/** A worker that has not freed enough capacity after this time is no longer held. */
+const MaxHoldMs = 2_500;
+/** Share of the workers that may be held at the same time. */
+const MaxHeldShare = 0.25;
+
+/** A worker on which no other task may take the capacity that a task of the step needs. */
+interface Hold {
+    readonly step: Step;
+    readonly untilMs: number;
+}
+
+const endsSoon = (run: Run): boolean => run.isStopRequested || !run.task.step.spec.lasting;
+
+/**
+ * Holds workers for overdue lasting tasks. Capacity becomes free in pieces; if each piece went to the next task that
+ * fits into it, a task that is larger than the pieces would never start.
+ */
+export class HeldWorkers {
+    private readonly holds = new Map<WorkerIncarnation, Hold>();
+
+    private constructor(private readonly fleet: WorkerFleet) {}
+
+    static create(fleet: WorkerFleet): HeldWorkers {
+        return new HeldWorkers(fleet);
+    }
+
+    /** Releases all workers whose time is over or whose step has no overdue task left. */
+    update(overdue: ReadonlySet<Step>, nowMs: number): void {
+        for (const [worker, { step, untilMs }] of this.holds) {
+            if (nowMs >= untilMs || !overdue.has(step) || this.fleet.get(worker.entry.id) !== worker) {
+                this.release(worker);
+            }
+        }
+    }
+
+    /** Releases a worker on which a task of the step has started. */
+    release(worker: WorkerIncarnation): void {
+        this.holds.delete(worker);
+        worker.heldFor = undefined;
+    }
+
+    hold(worker: WorkerIncarnation, step: Step, nowMs: number): void {
+        worker.heldFor = step;
+        this.holds.set(worker, { step, untilMs: nowMs + MaxHoldMs });
+    }
+
+    /**
+     * Holds workers for the waiting tasks of one step until there is one for each of them. Returns the tasks for which
+     * there is none.
+     */
+    holdFor(waiting: readonly Task[], service: string, nowMs: number): readonly Task[] {
+        const [task] = waiting;
+        if (task === undefined) {
+            return [];
+        }
+        const { step } = task;
+        let heldCount = this.countFor(step);
+        while (heldCount < waiting.length && this.holds.size < this.fleet.size * MaxHeldShare) {
+            const worker = this.findWorker(task, service, nowMs);
+            if (worker === undefined) {
+                break;
+            }
+            this.hold(worker, step, nowMs);
+            heldCount++;
+        }
+        return waiting.slice(heldCount);
+    }
+
+    private countFor(step: Step): number {
+        let count = 0;
+        for (const hold of this.holds.values()) {
+            count += hold.step === step ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Finds the worker that lacks the fewest processors, if the ends of its short runs free enough of everything. */
+    private findWorker(task: Task, service: string, nowMs: number): WorkerIncarnation | undefined {
+        let best: WorkerIncarnation | undefined;
+        let mostFree = -Infinity;
+        for (const worker of this.fleet.workers) {
+            if (worker.heldFor !== undefined || !isSuitable(worker, task, service, nowMs)) {
+                continue;
+            }
+            const { reservedOrPending } = worker;
+            const free = worker.entry.capacity.processors - reservedOrPending.processors;
+            if (free > mostFree && this.willFit(worker, task)) {
+                best = worker;
+                mostFree = free;
+            }
+        }
+        return best;
+    }
+
+    private willFit(worker: WorkerIncarnation, task: Task): boolean {
+        let remaining = worker.reservedOrPending;
+        for (const run of worker.runs.values()) {
+            remaining = endsSoon(run) ? remaining.minus(run.reservation) : remaining;
+        }
+        return remaining.plus(task.step.reservation).fitsIn(worker.entry.capacity);
+    }
+}
--- a/packages/jobs/src/permit-planner.ts
+++ b/packages/jobs/src/permit-planner.ts
@@ -56,7 +56,7 @@
 
     /** Workers with capacity that may be permitted: previously permitted ones first, then by free processors. */
     private workersToRequest({ task, service }: WaitingTask, nowMs: number): WorkerIncarnation[] {
-        const { permits, reservation } = task.step;
+        const { permits } = task.step;
         if (permits === undefined) {
             return [];
         }
@@ -64,7 +64,7 @@
             worker =>
                 !permits.isDenied(worker) &&
                 permits.ticketFor(worker, nowMs) === undefined &&
-                worker.hasCapacityFor(reservation) &&
+                worker.hasCapacityFor(task.step) &&
                 isSuitableIgnoringPermits(worker, task, service, nowMs),
         );
         return workers
--- a/packages/jobs/src/preempt-lasting-tasks.ts
+++ b/packages/jobs/src/preempt-lasting-tasks.ts
@@ -1,16 +1,14 @@
 import { isSuitable } from "./is-suitable.js";
+import { preemptRun } from "./preempt-run.js";
 import { PreemptionCandidates } from "./preemption-candidates.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import { ProjectedCapacity } from "./projected-capacity.js";
-import { StopReason } from "./stop-reason.js";
 import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
 /** A short task waits this long for capacity before a lasting task is preempted. */
 const PreemptionDelayMs = 150;
-/** A preempted task is not restarted for this long, so that it does not take back the capacity it gave up. */
-const RestartDelayMs = 800;
 /** Most lasting tasks that one plan preempts. */
 const MaxPreemptionsPerPlan = 6;
 
@@ -52,8 +50,7 @@
         if (worker === undefined && preemptions < MaxPreemptionsPerPlan) {
             const run = candidates.takeFor(task, service);
             if (run !== undefined) {
-                run.stopReason = StopReason.Preempted;
-                run.task.notBeforeMs = nowMs + RestartDelayMs;
+                preemptRun(run, nowMs);
                 capacity.release(run.worker, run.reservation);
                 worker = run.worker;
                 preemptions++;
--- a/packages/jobs/src/preemption-candidates.ts
+++ b/packages/jobs/src/preemption-candidates.ts
@@ -5,8 +5,8 @@
 import type { Task } from "./task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
-/** A lasting task is not preempted before it has run for this long. */
-const MinRunTimeMs = 3_000;
+/** A lasting task is not preempted for short ones before it has run for this long. */
+const DefaultMinRunTimeMs = 3_000;
 /** A task that rules out at least this share of filler images on its worker is preempted first. */
 const MinMisplacedGain = 0.1;
 
@@ -29,12 +29,12 @@
     return unavailable.length < maxUnavailable;
 };
 
-const isPreemptible = (run: Run, nowMs: number): boolean =>
+const isPreemptible = (run: Run, nowMs: number, minRunTimeMs: number): boolean =>
     run.task.step.spec.lasting &&
     run.task.run === run &&
     !run.isStopRequested &&
     run.phase === RunPhase.Running &&
-    nowMs - run.startedAtMs >= MinRunTimeMs &&
+    nowMs - run.startedAtMs >= minRunTimeMs &&
     allowsUnavailableTask(run);
 
 /** Preemptions of the run's job, per task of the step. */
@@ -56,11 +56,16 @@
         private readonly nowMs: number,
     ) {}
 
-    static create(fleet: WorkerFleet, effects: NeighbourEffects, nowMs: number): PreemptionCandidates {
+    static create(
+        fleet: WorkerFleet,
+        effects: NeighbourEffects,
+        nowMs: number,
+        minRunTimeMs = DefaultMinRunTimeMs,
+    ): PreemptionCandidates {
         const candidates: Candidate[] = [];
         for (const worker of fleet.workers) {
             for (const run of worker.runs.values()) {
-                if (isPreemptible(run, nowMs)) {
+                if (isPreemptible(run, nowMs, minRunTimeMs)) {
                     candidates.push({
                         run,
                         isMisplaced: effects.compatibilityGainWithout(run) >= MinMisplacedGain,
@@ -76,7 +81,8 @@
         const found = this.candidates.find(
             ({ run }) =>
                 allowsUnavailableTask(run) &&
-                run.worker.reservedOrPending
+                run.worker
+                    .reservedFromOthers(task.step)
                     .minus(run.reservation)
                     .plus(task.step.reservation)
                     .fitsIn(run.worker.entry.capacity) &&
--- a/packages/jobs/src/projected-capacity.ts
+++ b/packages/jobs/src/projected-capacity.ts
@@ -14,6 +14,7 @@
             for (const run of worker.runs.values()) {
                 free = run.isStopRequested ? free.plus(run.reservation) : free;
             }
+            free = worker.heldFor === undefined ? free : free.minus(worker.heldFor.reservation);
             capacity.remaining.set(worker, free);
         }
         return capacity;
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -1,6 +1,8 @@
 import type { Clock } from "@samphireward/core/clock";
 import { chooseWorker } from "./choose-worker.js";
 import type { JobRegistry } from "./job-registry.js";
+import { HeldWorkers } from "./held-workers.js";
+import { isOverdue } from "./is-overdue.js";
 import { preemptLastingTasks } from "./preempt-lasting-tasks.js";
 import { UnplaceableSteps } from "./unplaceable-steps.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
@@ -11,6 +13,7 @@
 import type { RunResults } from "./run-results.js";
 import type { Step } from "./step.js";
 import { StepRank } from "./step-rank.js";
+import { swapLastingTasks } from "./swap-lasting-tasks.js";
 import type { Task } from "./task.js";
 import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
@@ -39,6 +42,12 @@
     readonly results: RunResults;
 }
 
+/** An open step with a ready task, and the service whose workers may run it. */
+interface RankedStep {
+    readonly step: Step;
+    readonly service: string;
+}
+
 const isReady = (task: Task, nowMs: number): boolean =>
     !task.isDone && task.run === undefined && nowMs >= task.notBeforeMs;
 
@@ -64,12 +73,30 @@
     return step.spec.tailTargetMs > 0 && waitedMs >= SameImagesWaitMs;
 };
 
+/** Ready tasks of a step that are overdue, those that have waited longest first. */
+const overdueTasks = (step: Step, nowMs: number): Task[] =>
+    step.spec.lasting
+        ? step.tasks
+              .filter(task => isReady(task, nowMs) && isOverdue(task, nowMs))
+              .sort((a, b) => (a.readySinceMs ?? nowMs) - (b.readySinceMs ?? nowMs))
+        : [];
+
+/** Longest time that an overdue task of the step has waited; undefined if none is overdue. */
+const longestOverdueMs = (step: Step, nowMs: number): number | undefined => {
+    const [first] = overdueTasks(step, nowMs);
+    return first === undefined ? undefined : nowMs - (first.readySinceMs ?? nowMs);
+};
+
 /** Decides which tasks start now, and on which workers. */
 export class StartPlanner {
     /** Tasks of the last plan that found no permitted worker, one for each step, in rank order. */
     readonly tasksWithoutPermit: WaitingTask[] = [];
 
-    private constructor(private readonly context: PlannerContext) {}
+    private readonly held: HeldWorkers;
+
+    private constructor(private readonly context: PlannerContext) {
+        this.held = HeldWorkers.create(context.fleet);
+    }
 
     static create(context: PlannerContext): StartPlanner {
         return new StartPlanner(context);
@@ -79,9 +106,11 @@
     plan(nowMs: number, isBlocked: (job: string) => boolean): Order[] {
         const orders: Order[] = [];
         const waiting: WaitingTask[] = [];
+        const overdue: WaitingTask[] = [];
         const unplaceable = UnplaceableSteps.create();
         this.tasksWithoutPermit.length = 0;
         const ranked = this.rankedSteps(nowMs, isBlocked);
+        this.held.update(this.overdueSteps(ranked, nowMs), nowMs);
         for (const { step, service } of ranked) {
             if (unplaceable.covers(step, service)) {
                 this.collectWaiting(step, service, waiting, nowMs);
@@ -94,6 +123,8 @@
                 if (step.tasks.some(task => isReady(task, nowMs))) {
                     unplaceable.add(step, service);
                 }
+                const without = this.held.holdFor(overdueTasks(step, nowMs), service, nowMs);
+                overdue.push(...without.map(task => ({ task, service })));
             }
             this.collectWaiting(step, service, waiting, nowMs);
             const task = step.permits && step.tasks.find(each => isReady(each, nowMs));
@@ -107,16 +138,21 @@
                 orders.push(...this.startTasks(step, service, nowMs, { requiresGoodFit: false, maxStarts }));
             }
         }
-        preemptLastingTasks(this.context.fleet, waiting, this.context.effects, nowMs);
+        const { fleet, effects } = this.context;
+        swapLastingTasks(fleet, overdue, this.held, effects, nowMs);
+        preemptLastingTasks(fleet, waiting, effects, nowMs);
         return orders;
     }
 
-    private rankedSteps(
-        nowMs: number,
-        isBlocked: (job: string) => boolean,
-    ): { step: Step; service: string }[] {
+    private overdueSteps(ranked: readonly RankedStep[], nowMs: number): Set<Step> {
+        return new Set(
+            ranked.map(({ step }) => step).filter(step => longestOverdueMs(step, nowMs) !== undefined),
+        );
+    }
+
+    private rankedSteps(nowMs: number, isBlocked: (job: string) => boolean): readonly RankedStep[] {
         const wallMs = this.context.clock.wallMs();
-        const ranked: { step: Step; service: string; rank: StepRank }[] = [];
+        const ranked: (RankedStep & { readonly rank: StepRank })[] = [];
         for (const job of this.context.jobs.undecided) {
             const rule = this.context.rules.get(job.spec.queue);
             if (rule === undefined || isBlocked(job.spec.id)) {
@@ -127,8 +163,7 @@
                 if (first !== undefined) {
                     first.readySinceMs ??= nowMs;
                     step.setNeedsPermits(rule.needsPermits);
-                    const waitedMs = step.spec.lasting ? longestWaitMs(step, nowMs) : 0;
-                    const rank = StepRank.create(step, rule, wallMs, waitedMs);
+                    const rank = StepRank.create(step, rule, wallMs, longestOverdueMs(step, nowMs));
                     ranked.push({ step, service: rule.service, rank });
                 }
             }
@@ -143,14 +178,15 @@
         { requiresGoodFit, maxStarts } = { requiresGoodFit: true, maxStarts: Infinity },
     ): Order[] {
         const orders: Order[] = [];
-        for (const task of step.tasks) {
+        const ready = step.tasks.filter(task => isReady(task, nowMs));
+        ready.forEach(task => (task.readySinceMs ??= nowMs));
+        if (step.spec.lasting) {
+            ready.sort((a, b) => (a.readySinceMs ?? nowMs) - (b.readySinceMs ?? nowMs));
+        }
+        for (const task of ready) {
             if (orders.length >= maxStarts) {
                 break;
             }
-            if (!isReady(task, nowMs)) {
-                continue;
-            }
-            task.readySinceMs ??= nowMs;
             const { fleet, effects } = this.context;
             const worker = chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
             if (worker === undefined) {
@@ -210,6 +246,9 @@
         }
         const run = Run.create(task, worker, number, nowMs);
         run.ticket = task.step.permits?.ticketFor(worker, nowMs);
+        if (worker.heldFor === task.step) {
+            this.held.release(worker);
+        }
         task.run = run;
         task.lastRun = number;
         task.readySinceMs = undefined;
--- a/packages/jobs/src/step-rank.ts
+++ b/packages/jobs/src/step-rank.ts
@@ -4,9 +4,6 @@
 /** The value of a result decreases after the target time and is zero after this many target times. */
 const MaxUsefulTargets = 3;
 
-/** A lasting task that has waited this long goes before short ones, which would otherwise take all freed capacity. */
-const LastingPriorityAfterMs = 2_000;
-
 /** Rank of an open step in the start order; lower ranks go first. */
 export class StepRank {
     private constructor(
@@ -19,11 +16,11 @@
         private readonly startByMs: number,
     ) {}
 
-    /** `waitedMs` is the longest time that a lasting step's tasks have waited for a worker; unused for other steps. */
-    static create(step: Step, rule: QueueRule, wallMs: number, waitedMs: number): StepRank {
+    /** `overdueMs` is the longest time that the step's overdue tasks have waited; undefined if none is overdue. */
+    static create(step: Step, rule: QueueRule, wallMs: number, overdueMs: number | undefined): StepRank {
         const { occurrence } = step;
-        if (step.spec.lasting && waitedMs >= LastingPriorityAfterMs) {
-            return new StepRank(rule.priority, false, wallMs - waitedMs);
+        if (overdueMs !== undefined) {
+            return new StepRank(rule.priority, false, wallMs - overdueMs);
         }
         const criticalPathMs = Math.max(0, ...occurrence.steps.map(other => other.criticalPathMs));
         const targetMs = rule.stretch * criticalPathMs + rule.targetMs;
--- /dev/null
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -0,0 +1,37 @@
+import type { HeldWorkers } from "./held-workers.js";
+import { isStarved } from "./is-starved.js";
+import type { NeighbourEffects } from "./neighbour-effects.js";
+import { PreemptionCandidates } from "./preemption-candidates.js";
+import { preemptRun } from "./preempt-run.js";
+import type { WaitingTask } from "./waiting-task.js";
+import type { WorkerFleet } from "./worker-fleet.js";
+
+/** A lasting task keeps its worker for at least this long before another lasting one takes its place. */
+const MinRunTimeMs = 5_000;
+/** Most lasting tasks that one plan preempts for others. */
+const MaxSwapsPerPlan = 2;
+
+/**
+ * Preempts lasting tasks for others that have waited long and fit nowhere. Where lasting tasks request more than there
+ * is, each of them is unavailable for some time instead of a few for good.
+ */
+export const swapLastingTasks = (
+    fleet: WorkerFleet,
+    overdue: readonly WaitingTask[],
+    held: HeldWorkers,
+    effects: NeighbourEffects,
+    nowMs: number,
+): void => {
+    const starved = overdue.filter(({ task }) => isStarved(task, nowMs));
+    if (starved.length === 0) {
+        return;
+    }
+    const candidates = PreemptionCandidates.create(fleet, effects, nowMs, MinRunTimeMs);
+    for (const { task, service } of starved.slice(0, MaxSwapsPerPlan)) {
+        const run = candidates.takeFor(task, service);
+        if (run !== undefined) {
+            preemptRun(run, nowMs);
+            held.hold(run.worker, task.step, nowMs);
+        }
+    }
+};
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -1,6 +1,7 @@
 import { Resources } from "@samphireward/core/resources";
 import type { LateStart } from "./late-start.js";
 import type { Run } from "./run.js";
+import type { Step } from "./step.js";
 import type { OrphanRun } from "./orphan-run.js";
 import type { WorkerEntry } from "./worker-entry.js";
 
@@ -24,6 +25,8 @@
     hasListedRuns = false;
     /** Whether starts are blocked because the stored roster, by which a next owner finds workers, lacks this one. */
     isStartBlocked = false;
+    /** Step whose next task gets the capacity that it needs here before tasks of other steps; undefined if none. */
+    heldFor: Step | undefined;
     lastContactAtMs = 0;
     /** Monotonic time after which nothing that was ordered so far can be running here. */
     leaseEndsAtMs = 0;
@@ -94,8 +97,17 @@
         return this.pacePercentByImage.get(image) ?? 100;
     }
 
-    hasCapacityFor(reservation: Resources): boolean {
-        return this.reservedOrPending.plus(reservation).fitsIn(this.entry.capacity);
+    /** Whether a task of the step fits beside the runs and beside what is held for another step. */
+    hasCapacityFor(step: Step): boolean {
+        return this.reservedFromOthers(step).plus(step.reservation).fitsIn(this.entry.capacity);
+    }
+
+    /** Resources that are not available to the step: reserved by runs, or held for another step. */
+    reservedFromOthers(step: Step): Resources {
+        const reserved = this.reservedOrPending;
+        return this.heldFor === undefined || this.heldFor === step
+            ? reserved
+            : reserved.plus(this.heldFor.reservation);
     }
 
     /** Resources reserved by runs, by orphan runs and by unanswered starts that may still be carried out. */
