Show the layout, the owned cells and the load of the owner's thread

Each process logs `layout-in-force` once and serves the gauges `layout_cells` and `owned_cells`. The owner times its plans (histogram `plan_seconds`) and measures how late its plan timers fire (gauge `owner_lag_seconds`). No decision depends on these figures.

--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -35,6 +35,8 @@
 /** Dependencies and identity of a candidate. */
 interface CandidateContext {
     readonly cell: number;
+    /** Cells of the layout in force. */
+    readonly cellCount: () => number;
     readonly node: string;
     readonly instanceId: string;
     readonly address: string;
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -31,6 +31,8 @@
 /** Dependencies and identity of an owner. */
 interface OwnerContext {
     readonly cell: number;
+    /** Cells of the layout in force. */
+    readonly cellCount: () => number;
     readonly epoch: number;
     readonly store: MetadataStore;
     readonly commits: CommitLog;
@@ -202,8 +204,10 @@
 
     private schedulePlan(): void {
         if (this.planTimer === undefined && this.hasReadState && !this.abort.signal.aborted) {
+            const dueAtMs = this.context.clock.nowMs() + PlanDelayMs;
             this.planTimer = setTimeout(() => {
                 this.planTimer = undefined;
+                this.loadReporter.recordTimer(dueAtMs);
                 this.plan();
             }, PlanDelayMs);
         }
@@ -214,7 +218,10 @@
         if (this.roster.blockUnlistedWorkers()) {
             runInBackground("roster", this.writeRoster(), this.context.log, this.context.onLost);
         }
-        for (const order of this.scheduler.plan()) {
+        const startedAtMs = this.context.clock.nowMs();
+        const orders = this.scheduler.plan();
+        this.loadReporter.recordPlan(startedAtMs);
+        for (const order of orders) {
             this.links.send(order);
         }
         const requested = this.permits.requestNext().then(hasSent => hasSent && this.schedulePlan());
@@ -231,7 +238,9 @@
 
     private async runPlanLoop(): Promise<void> {
         while (!this.abort.signal.aborted) {
+            const dueAtMs = this.context.clock.nowMs() + PlanIntervalMs;
             await sleep(PlanIntervalMs, this.abort.signal);
+            this.loadReporter.recordTimer(dueAtMs);
             this.schedulePlan();
         }
     }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -98,7 +98,7 @@
     }
 
     async start(): Promise<void> {
-        const { configs, settings, store, clock, log } = this.context;
+        const { configs, settings, store, clock, log, metrics } = this.context;
         const { signal } = this.abort;
         const peerAddress = await this.peerServer.listen(settings.peerAddress);
         runInBackground(
@@ -107,6 +107,8 @@
             log,
         );
         const count = await this.resolveCellCount();
+        metrics.layoutCells.set(count);
+        log.write("layout-in-force", { cells: count });
         this.cells.set(Array.from({ length: count }, (_, cell) => this.createCandidate(cell, peerAddress)));
         const owners = PrefixWatcher.create(
             store,
@@ -136,6 +138,7 @@
         return CellCandidate.create({
             ...this.context,
             cell,
+            cellCount: () => this.cells.count,
             node: settings.node,
             instanceId: this.instanceId,
             address,
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -2,6 +2,8 @@
 
 /** Upper bounds of the latency buckets, in seconds. */
 const LatencyBucketsS = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
+/** Upper bounds of the buckets for the processor time of one step of work, in seconds. */
+const PlanBucketsS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1];
 
 /** Counters, gauges and latency histograms of a process, in the Prometheus text format. */
 export class Metrics {
@@ -57,6 +59,18 @@
     );
     /** Cells that this process claimed, lost and released. */
     readonly ownership = this.counter("cell_ownership_total", "Cells claimed, lost and released", ["event"]);
+    /** Cells of the layout in force; 0 until it has been read. */
+    readonly layoutCells = this.gauge("layout_cells", "Cells of the layout in force", []);
+    /** Cells that this process owns. */
+    readonly ownedCells = this.gauge("owned_cells", "Cells that this process owns", []);
+    /** Time in which the owner of a cell planned its orders. */
+    readonly planSeconds = this.histogram("plan_seconds", "Time of a plan of a cell", [], PlanBucketsS);
+    /** Longest time by which a timer of a cell's owner was late in the last second. */
+    readonly ownerLagSeconds = this.gauge(
+        "owner_lag_seconds",
+        "Longest lateness of a timer of a cell's owner in the last second",
+        ["cell"],
+    );
     /** Log lines that were dropped because of the rate limit. */
     readonly droppedLines = this.counter("log_lines_dropped_total", "Log lines over the limit", []);
 
@@ -83,8 +97,12 @@
         return new Gauge({ name: `samphireward_${name}`, help, labelNames, registers: [this.registry] });
     }
 
-    private histogram(name: string, help: string, labelNames: string[]): Histogram {
-        const buckets = LatencyBucketsS;
+    private histogram(
+        name: string,
+        help: string,
+        labelNames: string[],
+        buckets: number[] = LatencyBucketsS,
+    ): Histogram {
         return new Histogram({
             name: `samphireward_${name}`,
             help,
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -80,6 +80,7 @@
 ): CellOwner =>
     CellOwner.create({
         cell: 0,
+        cellCount: () => 1,
         epoch: 1,
         store,
         commits: CommitLog.create(store, 0, { epoch: 1, sequence: 0 }, 1, new AbortController().signal),
--- a/packages/dispatch/tests/run-twice.test.ts
+++ b/packages/dispatch/tests/run-twice.test.ts
@@ -89,6 +89,7 @@
     ]);
     const owner = CellOwner.create({
         cell: 0,
+        cellCount: () => 1,
         epoch: 1,
         store,
         commits: CommitLog.create(store, 0, { epoch: 1, sequence: 0 }, 1, new AbortController().signal),
