Move the planner's conditions for a start into files of their own

The diagnosis of a waiting task has to use the same conditions as the decision. `isReady`, `longestWaitMs`, `mayRelaxFit` and the part of `isSuitableIgnoringPermits` that concerns the worker alone (`acceptsStarts`) are moved unchanged.

--- a/packages/jobs/src/is-suitable-ignoring-permits.ts
+++ b/packages/jobs/src/is-suitable-ignoring-permits.ts
@@ -1,3 +1,4 @@
+import { acceptsStarts } from "./accepts-starts.js";
 import { isSlowWorker } from "./is-slow-worker.js";
 import type { Task } from "./task.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
@@ -15,12 +16,7 @@
     const { entry } = worker;
     const { spec, name } = task.step;
     return (
-        entry.service === service &&
-        !entry.isDraining &&
-        worker.isRegistered &&
-        worker.isReachable &&
-        worker.hasListedRuns &&
-        !worker.isStartBlocked &&
+        acceptsStarts(worker, service) &&
         // A lasting task must not wait while any worker has capacity, even one that other tasks avoid.
         (spec.lasting || (nowMs >= worker.avoidUntilMs && !isSlowWorker(worker, nowMs, StalledSpeed))) &&
         (spec.requiredLabel === undefined || entry.labels.includes(spec.requiredLabel)) &&
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -1,6 +1,9 @@
 import type { Clock } from "@samphireward/core/clock";
 import { chooseWorker } from "./choose-worker.js";
+import { isReady } from "./is-ready.js";
 import type { JobRegistry } from "./job-registry.js";
+import { longestWaitMs } from "./longest-wait-ms.js";
+import { mayRelaxFit } from "./may-relax-fit.js";
 import { preemptLastingTasks } from "./preempt-lasting-tasks.js";
 import { UnplaceableSteps } from "./unplaceable-steps.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
@@ -21,10 +24,6 @@
 /** Most short tasks for which one plan tries to preempt lasting ones. */
 const MaxWaitingShortTasks = 64;
 
-/** A serving task waits this long for a worker with compatible images before a poorer fit is accepted. */
-const SameImagesWaitMs = 600;
-/** A job without any run waits this long before one of its fillers may start where it is slow. */
-const FillerWaitMs = 2_000;
 /** The members of a gang wait this long for well fitting workers before a poorer fit is accepted. */
 const GangWaitMs = 1_000;
 
@@ -39,31 +38,6 @@
     readonly results: RunResults;
 }
 
-const isReady = (task: Task, nowMs: number): boolean =>
-    !task.isDone && task.run === undefined && nowMs >= task.notBeforeMs;
-
-/** Longest time that a task of the step has been ready without a worker. */
-const longestWaitMs = (step: Step, nowMs: number): number =>
-    Math.max(0, ...step.tasks.map(task => nowMs - (task.readySinceMs ?? nowMs)));
-
-const hasActiveRun = (step: Step): boolean => {
-    for (const task of step.occurrence.job.tasks()) {
-        if (task.run !== undefined) {
-            return true;
-        }
-    }
-    return false;
-};
-
-/** Whether a step has waited long enough for a well fitting worker that it may start on any other one. */
-const mayRelaxFit = (step: Step, nowMs: number): boolean => {
-    const waitedMs = longestWaitMs(step, nowMs);
-    if (step.spec.filler) {
-        return waitedMs >= FillerWaitMs && !hasActiveRun(step);
-    }
-    return step.spec.tailTargetMs > 0 && waitedMs >= SameImagesWaitMs;
-};
-
 /** Decides which tasks start now, and on which workers. */
 export class StartPlanner {
     /** Tasks of the last plan that found no permitted worker, one for each step, in rank order. */
