Find out why a lasting task has been without a run for long

A task's wait begins with the end of its last confirmed run, so that refused and unanswered starts do not hide it. Nothing decides by this time.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -9,6 +9,7 @@
 import type { JobSpec } from "./job-spec.js";
 import { JobState } from "./job-state.js";
 import type { ListedEnd } from "./listed-end.js";
+import { LastingWaits } from "./lasting-waits.js";
 import { ListingReader } from "./listing-reader.js";
 import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import { NeighbourEffects } from "./neighbour-effects.js";
@@ -44,6 +45,8 @@
     /** Learned interference between fillers and serving tasks; stored for the next owner. */
     readonly effects = NeighbourEffects.create();
     readonly responses: OrderResponses;
+    /** Lasting tasks that have been without a run for long. */
+    readonly lastingWaits: LastingWaits;
     private readonly listings: ListingReader;
     private readonly planner: StartPlanner;
     private readonly permits = PermitPlanner.create(this.fleet);
@@ -61,6 +64,8 @@
         this.listings = ListingReader.create(this.jobs, this.results, observer);
         const { jobs, fleet, rules, effects, results } = this;
         this.planner = StartPlanner.create({ epoch, clock, jobs, fleet, rules, effects, results });
+        const isBlocked = (job: string): boolean => this.previousOwners.mayHaveRuns(job);
+        this.lastingWaits = LastingWaits.create({ clock, jobs, fleet, rules, effects, isBlocked });
     }
 
     static create(
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -52,6 +52,9 @@
         if (run.task.step.spec.tailTargetMs > 0) {
             run.worker.noteServingTaskEnded(times.nowMs);
         }
+        if (isCurrent) {
+            run.task.notRunningSinceMs ??= times.nowMs;
+        }
         if (isCurrent || completesTask) {
             this.apply(run.task, run.worker, end, times);
         }
--- a/packages/jobs/src/run.ts
+++ b/packages/jobs/src/run.ts
@@ -52,6 +52,9 @@
         if (this.phase !== RunPhase.Running) {
             this.phase = RunPhase.Running;
             this.confirmedAtMs = nowMs;
+            if (this.task.run === this) {
+                this.task.notRunningSinceMs = undefined;
+            }
         }
     }
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -16,6 +16,8 @@
     readonly failedWorkerIds = new Set<string>();
     /** Monotonic time since which the task has been ready without a worker; undefined if it is not. */
     readySinceMs: number | undefined;
+    /** Monotonic time since which a lasting task has had no confirmed run; undefined while it has one. */
+    notRunningSinceMs: number | undefined;
     /** Number of times that the task was migrated to another worker. */
     migrationCount = 0;
     /** Monotonic time before which the task is not started again. */
