Log why a lasting task has been without a run for long

Once a second the maintenance loop of the owner writes the waits that `LastingWaits` returns as `lasting-wait` and counts them by reason in `lasting_waits_total`, which outlives the log of a busy owner.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -246,13 +246,13 @@
     }
 
     /**
-     * Logs the cell's load, and removes ended incarnations from the roster, so that the next owner does not wait for
+     * Logs the cell's load and its long waits, and removes ended incarnations from the roster, so that the next owner does not wait for
      * them.
      */
     private async runMaintenanceLoop(): Promise<void> {
         while (!this.abort.signal.aborted) {
             await sleep(MaintenanceIntervalMs, this.abort.signal);
-            this.loadReporter.report(this.scheduler.load);
+            this.loadReporter.report(this.scheduler.load, this.scheduler.lastingWaits.take());
             if (this.roster.hasEndedWorkers) {
                 await this.writeRoster();
             }
--- a/packages/dispatch/src/load-reporter.ts
+++ b/packages/dispatch/src/load-reporter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellLoad } from "@samphireward/jobs/cell-load";
+import type { LastingWait } from "@samphireward/jobs/lasting-wait";
 import type { EventLog } from "./event-log.js";
 import type { Metrics } from "./metrics.js";
 
@@ -48,7 +49,8 @@
         this.work = { ...this.work, lagMs };
     }
 
-    report(load: CellLoad): void {
+    /** Reports the load, and the lasting tasks that have waited for long. */
+    report(load: CellLoad, waits: readonly LastingWait[] = []): void {
         if (this.isClosed) {
             return;
         }
@@ -67,6 +69,10 @@
         metrics.workers.set({ cell, state: "reachable" }, load.reachable);
         metrics.workers.set({ cell, state: "unreachable" }, load.workers - load.reachable);
         metrics.ownerLagSeconds.set({ cell }, lagMs / 1_000);
+        for (const wait of waits) {
+            log.write("lasting-wait", { cell, ...wait });
+            metrics.lastingWaits.inc({ reason: wait.reason });
+        }
     }
 
     /** Removes the cell's gauges: a process that has lost a cell must not report it as it last saw it. */
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -71,6 +71,12 @@
         "Longest lateness of a timer of a cell's owner in the last second",
         ["cell"],
     );
+    /** Reported waits of lasting tasks. */
+    readonly lastingWaits = this.counter(
+        "lasting_waits_total",
+        "Reported waits of lasting tasks for a run, by reason",
+        ["reason"],
+    );
     /** Log lines that were dropped because of the rate limit. */
     readonly droppedLines = this.counter("log_lines_dropped_total", "Log lines over the limit", []);
 
--- a/packages/dispatch/tests/load-reporter.test.ts
+++ b/packages/dispatch/tests/load-reporter.test.ts
@@ -1,4 +1,5 @@
 import { ManualClock } from "@samphireward/core/manual-clock";
+import { LastingWaitReason } from "@samphireward/jobs/lasting-wait-reason";
 import t from "tap";
 import { LoadReporter } from "../src/load-reporter.js";
 import { Metrics } from "../src/metrics.js";
@@ -93,3 +94,28 @@
     t.match(log.lines[1], noWork, "the next second has its own figures");
     t.match(await metrics.text(), /owner_lag_seconds\{cell="0"\} 0\n/);
 });
+
+// Guards against waits that leave no trace once the log of that second is gone, or that a former owner reports.
+t.test("a long wait has a line, and the metrics count it by its reason", async t => {
+    const { log, metrics, createReporter } = setUp();
+    const reporter = createReporter(1);
+    const wait = {
+        task: "00000000000000aa.0.0.0",
+        waitedMs: 2_500,
+        reason: LastingWaitReason.NoCapacity,
+        delayMs: undefined,
+        processors: 8,
+        reachable: 3,
+        suitable: 2,
+        withCapacity: 0,
+        maxFree: 6.5,
+        free: 13,
+    };
+    reporter.report(load, [wait]);
+    t.strictSame(log.lines[1], { event: "lasting-wait", cell: 1, ...wait });
+    reporter.report(load);
+    reporter.close();
+    reporter.report(load, [wait]);
+    t.equal(log.lines.length, 3);
+    t.match(await metrics.text(), /lasting_waits_total\{reason="no-capacity"\} 1\n/);
+});
