Count the stopped runs by the reason of the order

`stops_total` counts orders by outcome, repetitions included, so the metrics did not show how many lasting tasks were preempted; the lines `stop` with `makes-way` are dropped with others on a busy owner. `runs_stopped_total{reason}` counts each run once for a reason, in the log of stops, which knows the repetitions. With a count for each order the new test in stop-log.test.ts fails.

--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -18,6 +18,12 @@
     readonly startSeconds = this.histogram("start_seconds", "Time until a worker answered a start order", []);
     /** Stop orders by outcome. */
     readonly stops = this.counter("stops_total", "Stop orders", ["outcome"]);
+    /** Runs for which a stop was ordered, each counted once for a reason. */
+    readonly runsStopped = this.counter(
+        "runs_stopped_total",
+        "Runs that were stopped by order, by the reason of the order",
+        ["reason"],
+    );
     /** Heartbeats to workers by outcome. */
     readonly heartbeats = this.counter("heartbeats_total", "Heartbeats to workers", ["outcome"]);
     /** Time of an answered heartbeat beyond the wait that the worker was asked for. */
--- a/packages/dispatch/src/stop-log.ts
+++ b/packages/dispatch/src/stop-log.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { EventLog } from "./event-log.js";
+import type { Metrics } from "./metrics.js";
 import type { StopResult } from "./stop-result.js";
 
 /**
@@ -13,6 +14,7 @@
     readonly epoch: number;
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly metrics: Metrics;
 }
 
 /** The stops of one run. */
@@ -24,7 +26,7 @@
 }
 
 /**
- * Logs stop orders. An unconfirmed stop is repeated several times a second, so a stop is logged only if its reason or
+ * Logs stop orders and counts the stopped runs by reason. An unconfirmed stop is repeated several times a second, so a stop is logged only if its reason or
  * outcome differs from the last one of the same run. Each line has the number of stops since the line before, and a
  * series that ends with stops that were not logged gets one more line. The series that are open when the owner stops
  * get none, so that they do not displace the line about the loss of the cell.
@@ -43,6 +45,9 @@
         const key = `${result.worker.key} ${result.task} ${result.number}`;
         const series = this.seriesByRun.get(key);
         const attempts = (series?.unlogged ?? 0) + 1;
+        if (series?.last.reason !== result.reason) {
+            this.context.metrics.runsStopped.inc({ reason: result.reason });
+        }
         const isRepeated = series?.last.outcome === result.outcome && series.last.reason === result.reason;
         if (!isRepeated) {
             this.write(result, attempts);
--- a/packages/dispatch/tests/record-heartbeat.test.ts
+++ b/packages/dispatch/tests/record-heartbeat.test.ts
@@ -31,7 +31,7 @@
         scheduler,
         clock,
         log: NullLog.create(),
-        stopLog: StopLog.create({ epoch: 1, clock, log: NullLog.create() }),
+        stopLog: StopLog.create({ epoch: 1, clock, log: NullLog.create(), metrics }),
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
--- a/packages/dispatch/tests/stop-log.test.ts
+++ b/packages/dispatch/tests/stop-log.test.ts
@@ -23,17 +23,20 @@
 const createStopLog = (): {
     clock: ManualClock;
     log: RecordingLog;
+    metrics: Metrics;
     record: (outcome: StopResult["outcome"], other?: Partial<StopResult>) => void;
     endOldSeries: () => void;
 } => {
     const clock = ManualClock.create(1_000);
     const log = RecordingLog.create();
-    const stopLog = StopLog.create({ epoch: 3, clock, log });
+    const metrics = Metrics.create();
+    const stopLog = StopLog.create({ epoch: 3, clock, log, metrics });
     const worker = CellScheduler.create(3, clock, cellLimits).registerWorker(oneWorker);
     const base = { worker, task, number: 1, reason: StopReason.LateStart };
     return {
         clock,
         log,
+        metrics,
         record: (outcome, other = {}) => {
             stopLog.record({ ...base, outcome, ...other });
             clock.advance(RepeatMs);
@@ -95,6 +98,22 @@
     t.end();
 });
 
+// Guards against a count of stops by reason that grows with each repetition, so that it does not show how many lasting
+// tasks were preempted.
+t.test("the metrics count each stopped run once by its reason", async t => {
+    const { metrics, record } = createStopLog();
+    const reason = StopReason.Preempted;
+    for (const number of [1, 2]) {
+        record(OrderFailure.Unknown, { number, reason });
+        record(OrderFailure.Refused, { number, reason });
+        record("stopped", { number, reason });
+    }
+    record("stopped", { number: 2, reason: StopReason.Unwanted });
+    const text = await metrics.text();
+    t.match(text, /runs_stopped_total\{reason="makes-way"\} 2\n/);
+    t.match(text, /runs_stopped_total\{reason="unwanted"\} 1\n/);
+});
+
 // Guards against a link that logs its stops by itself, or that no longer counts each of them in the metrics.
 t.test("a link logs its stops in series and counts each of them", async t => {
     const clock = ManualClock.create(1_000);
@@ -107,7 +126,7 @@
         scheduler,
         clock,
         log,
-        stopLog: StopLog.create({ epoch: 1, clock, log }),
+        stopLog: StopLog.create({ epoch: 1, clock, log, metrics }),
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -31,12 +31,13 @@
     scheduler.setQueues([queueRule("queue")]);
     const worker = scheduler.registerWorker({ ...oneWorker, startedAtMs: StartedAtMs });
     const client = ManualWorkerClient.create();
+    const metrics = Metrics.create();
     const link = WorkerLink.create(worker, client, {
         scheduler,
         clock,
         log: NullLog.create(),
-        stopLog: StopLog.create({ epoch: 1, clock, log: NullLog.create() }),
-        metrics: Metrics.create(),
+        stopLog: StopLog.create({ epoch: 1, clock, log: NullLog.create(), metrics }),
+        metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
         listener: { onChange: () => undefined, onFenced: () => undefined },
