--- a/packages/dispatch/src/json-lines-log.ts
+++ b/packages/dispatch/src/json-lines-log.ts
@@ -5,6 +5,10 @@
 const FlushIntervalMs = 100;
 /** Rate limit of a process; lines above it are counted and dropped. */
 const MaxLinesPerSecond = 400;
+/** Events with a line for each task or request. At a high load they alone exceed the rate limit. */
+const FrequentEvents: ReadonlySet<string> = new Set(["start", "stop", "end", "end-ignored", "request"]);
+/** Part of the rate limit that frequent events leave to the others, which explain what they have in common. */
+const ReservedLines = 80;
 
 /** The part of a writable stream that the log uses. */
 interface LineSink {
@@ -43,7 +47,7 @@
         fields: Readonly<Record<string, string | number | boolean | undefined>>,
     ): void {
         this.refill();
-        if (this.lineBudget < 1) {
+        if (this.lineBudget < (FrequentEvents.has(event) ? ReservedLines : 0) + 1) {
             this.dropped++;
             this.metrics.droppedLines.inc();
             return;
