Score the workers once for all tasks of a step

The owner's thread was saturated: a plan scored every worker for each task that it started, and this took 35% of the thread at 850 starts a second on 342 workers.

The tasks of a step are alike, so WorkerRanking (formerly chooseWorker) scores the workers when the step's turn comes, and again only a worker whose version has changed (the one that got the last task) or all of them when the rack of a sameRack step changes. What differs from task to task, earlier runs and failures on a worker, is looked up for each task. isSuitableIgnoringPermits is split for this into isOpenToStep and WorkerIncarnation.holds.

A property test compares with scoring all workers for each task.

--- a/packages/jobs/src/is-suitable.ts
+++ b/packages/jobs/src/is-suitable.ts
@@ -3,13 +3,5 @@
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
 /** Whether a worker may run a task, regardless of capacity. */
-export const isSuitable = (
-    worker: WorkerIncarnation,
-    task: Task,
-    service: string,
-    nowMs: number,
-): boolean => {
-    const { permits } = task.step;
-    const isPermitted = permits === undefined || permits.ticketFor(worker, nowMs) !== undefined;
-    return isPermitted && isSuitableIgnoringPermits(worker, task, service, nowMs);
-};
+export const isSuitable = (worker: WorkerIncarnation, task: Task, service: string, nowMs: number): boolean =>
+    task.step.isPermittedOn(worker, nowMs) && isSuitableIgnoringPermits(worker, task, service, nowMs);
--- a/packages/jobs/src/mark-migrations.ts
+++ b/packages/jobs/src/mark-migrations.ts
@@ -1,4 +1,3 @@
-import { chooseWorker } from "./choose-worker.js";
 import { isSlowWorker } from "./is-slow-worker.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { QueueRules } from "./queue-rules.js";
@@ -6,6 +5,8 @@
 import { RunPhase } from "./run-phase.js";
 import { StopReason } from "./stop-reason.js";
 import type { WorkerFleet } from "./worker-fleet.js";
+import type { WorkerIncarnation } from "./worker-incarnation.js";
+import { WorkerRanking } from "./worker-ranking.js";
 
 /** A filler whose pace is below this counts as throttled. */
 const LowPacePercent = 50;
@@ -58,6 +59,24 @@
     return hereMs > elsewhereMs * MinMigrationGainRatio;
 };
 
+const findTarget = (
+    { task }: Run,
+    { workers }: WorkerFleet,
+    rules: QueueRules,
+    effects: NeighbourEffects,
+    nowMs: number,
+): WorkerIncarnation | undefined => {
+    const { step } = task;
+    const rule = rules.get(step.occurrence.job.spec.queue);
+    if (rule === undefined) {
+        return undefined;
+    }
+    const { service } = rule;
+    return WorkerRanking.create({ workers, step, service, effects, nowMs, requiresGoodFit: true }).choose(
+        task,
+    );
+};
+
 /**
  * Marks runs that would finish sooner elsewhere: fillers throttled for the sake of serving tasks, and tasks on slow
  * workers. They are stopped, with a checkpoint where the task supports it, and started again.
@@ -75,11 +94,7 @@
             const mayMigrate =
                 migrations.length < MaxMigrationsPerPlan && run.task.migrationCount < MaxMigrationsPerTask;
             if (mayMigrate && (isThrottled || isStraggler(run, nowMs))) {
-                const rule = rules.get(run.task.step.occurrence.job.spec.queue);
-                const target =
-                    rule === undefined
-                        ? undefined
-                        : chooseWorker(fleet.workers, run.task, rule.service, effects, nowMs);
+                const target = findTarget(run, fleet, rules, effects, nowMs);
                 if (target !== undefined && !isSlowWorker(target, nowMs)) {
                     run.stopReason = StopReason.Migrated;
                     run.task.migrationCount++;
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -1,5 +1,4 @@
 import type { Clock } from "@samphireward/core/clock";
-import { chooseWorker } from "./choose-worker.js";
 import type { JobRegistry } from "./job-registry.js";
 import { preemptLastingTasks } from "./preempt-lasting-tasks.js";
 import { UnplaceableSteps } from "./unplaceable-steps.js";
@@ -15,6 +14,7 @@
 import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
+import { WorkerRanking } from "./worker-ranking.js";
 
 /** Run numbers reserved per epoch and task, so that numbers increase across owners even if a start was not stored. */
 const RunNumbersPerEpoch = 1_000;
@@ -143,6 +143,7 @@
         { requiresGoodFit, maxStarts } = { requiresGoodFit: true, maxStarts: Infinity },
     ): Order[] {
         const orders: Order[] = [];
+        const ranking = this.rankWorkers(step, service, nowMs, requiresGoodFit);
         for (const task of step.tasks) {
             if (orders.length >= maxStarts) {
                 break;
@@ -151,8 +152,7 @@
                 continue;
             }
             task.readySinceMs ??= nowMs;
-            const { fleet, effects } = this.context;
-            const worker = chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
+            const worker = ranking.choose(task);
             if (worker === undefined) {
                 break;
             }
@@ -181,11 +181,10 @@
         }
         const number = Math.max(...step.tasks.map(task => this.nextRunNumber(task)));
         const orders: Order[] = [];
-        const requiresGoodFit = longestWaitMs(step, nowMs) < GangWaitMs;
+        const ranking = this.rankWorkers(step, service, nowMs, longestWaitMs(step, nowMs) < GangWaitMs);
         for (const task of step.tasks) {
             task.readySinceMs ??= nowMs;
-            const { fleet, effects } = this.context;
-            const worker = chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
+            const worker = ranking.choose(task);
             if (worker === undefined) {
                 for (const order of orders) {
                     if (order.kind === OrderKind.Start) {
@@ -199,6 +198,18 @@
         return orders;
     }
 
+    private rankWorkers(step: Step, service: string, nowMs: number, requiresGoodFit: boolean): WorkerRanking {
+        const { fleet, effects } = this.context;
+        return WorkerRanking.create({
+            workers: fleet.workers,
+            step,
+            service,
+            effects,
+            nowMs,
+            requiresGoodFit,
+        });
+    }
+
     private nextRunNumber(task: Task): number {
         return Math.max(task.lastRun + 1, (this.context.epoch - 1) * RunNumbersPerEpoch + 1);
     }
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -4,6 +4,7 @@
 import { StepPermits } from "./step-permits.js";
 import type { StepSpec } from "./step-spec.js";
 import { Task } from "./task.js";
+import type { WorkerIncarnation } from "./worker-incarnation.js";
 
 /** The tasks of one step in one occurrence of a job. */
 export class Step {
@@ -41,6 +42,11 @@
         this.permits = needsPermits ? (this.permits ?? StepPermits.create()) : undefined;
     }
 
+    /** Whether the step needs no permit for the worker or has a valid one. */
+    isPermittedOn(worker: WorkerIncarnation, nowMs: number): boolean {
+        return this.permits === undefined || this.permits.ticketFor(worker, nowMs) !== undefined;
+    }
+
     get isDone(): boolean {
         return this.remainingTasks === 0;
     }
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -113,6 +113,11 @@
         return total;
     }
 
+    /** Whether a run of the task may be here, including one that is being stopped. */
+    holds(taskName: string): boolean {
+        return this.runs.has(taskName) || this.orphanRuns.has(taskName);
+    }
+
     /** Number of tasks of one step that may be running here. */
     countTasksOfStep(stepName: string): number {
         let count = 0;
--- a/packages/jobs/src/choose-worker.ts
+++ b/packages/jobs/src/worker-ranking.ts
@@ -1,7 +1,8 @@
 import { isSlowWorker } from "./is-slow-worker.js";
-import { isSuitable } from "./is-suitable.js";
+import { isOpenToStep } from "./is-open-to-step.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { Run } from "./run.js";
+import type { Step } from "./step.js";
 import type { StepSpec } from "./step-spec.js";
 import type { Task } from "./task.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
@@ -49,8 +50,8 @@
     return use;
 };
 
-const rackOfStep = (task: Task): string | undefined =>
-    task.step.tasks.find(other => other.run !== undefined)?.run?.worker.entry.rack;
+const rackOfStep = (step: Step): string | undefined =>
+    step.tasks.find(task => task.run !== undefined)?.run?.worker.entry.rack;
 
 /** Fitness for a serving task, by the images of the serving tasks on the worker. */
 const imageFitness = (worker: WorkerIncarnation, image: string): number => {
@@ -103,16 +104,16 @@
     return free;
 };
 
+/** Fitness for any task of a step, regardless of the workers on which the task failed. */
 const fitness = (
     worker: WorkerIncarnation,
-    task: Task,
+    spec: StepSpec,
     rack: string | undefined,
     effects: NeighbourEffects,
     nowMs: number,
     requiresGoodFit: boolean,
 ): number => {
     const { entry } = worker;
-    const { spec } = task.step;
     let score = loadFitness(worker, spec, effects, nowMs, requiresGoodFit);
     if (spec.preferredRack !== undefined && entry.rack === spec.preferredRack) {
         score += RackWeight;
@@ -126,9 +127,6 @@
     if (isSlowWorker(worker, nowMs)) {
         score -= SlowWorkerWeight;
     }
-    if (task.failedWorkerIds.has(entry.id)) {
-        score -= FailedOnWorkerWeight;
-    }
     return score;
 };
 
@@ -136,38 +134,102 @@
     worker.entry.capacity.processors - expectedProcessorUse(worker) >=
     spec.resources.processors * MinUnusedRequestRatio;
 
+/** What a ranking is made for. */
+interface RankingContext {
+    readonly workers: Iterable<WorkerIncarnation>;
+    readonly step: Step;
+    readonly service: string;
+    readonly effects: NeighbourEffects;
+    readonly nowMs: number;
+    /** Serving tasks are placed only with compatible images, and fillers only where they work at nearly full speed. */
+    readonly requiresGoodFit: boolean;
+}
+
+/** A worker with its score at one of its versions; -Infinity if it can take no more tasks of the step. */
+interface RankedWorker {
+    readonly worker: WorkerIncarnation;
+    version: number;
+    score: number;
+}
+
 /**
- * Chooses the worker on which a task starts; undefined if none has capacity. With `requiresGoodFit`, serving tasks are
- * placed only with compatible images, and fillers only where they can work at nearly full speed.
+ * Chooses the workers for the tasks of one step at one time. The tasks of a step are alike, so that each worker is
+ * scored once, and again only after a change of its runs.
  */
-export const chooseWorker = (
-    workers: Iterable<WorkerIncarnation>,
-    task: Task,
-    service: string,
-    effects: NeighbourEffects,
-    nowMs: number,
-    requiresGoodFit = true,
-): WorkerIncarnation | undefined => {
-    const { spec } = task.step;
-    const rack = spec.sameRack ? rackOfStep(task) : undefined;
-    let best: WorkerIncarnation | undefined;
-    let bestScore = -Infinity;
-    for (const worker of workers) {
+export class WorkerRanking {
+    /** The workers that can take a task, in fleet order; tasks of the step cannot make others able to take one. */
+    private readonly ranked: RankedWorker[] = [];
+    private rack: string | undefined;
+
+    private constructor(private readonly context: RankingContext) {
+        this.rack = this.rackToPrefer();
+        for (const worker of context.workers) {
+            const score = this.score(worker);
+            if (score > -Infinity) {
+                this.ranked.push({ worker, version: worker.version, score });
+            }
+        }
+    }
+
+    static create(context: RankingContext): WorkerRanking {
+        return new WorkerRanking(context);
+    }
+
+    /** Chooses the worker on which a task of the step starts; undefined if none can take it. */
+    choose(task: Task): WorkerIncarnation | undefined {
+        const rack = this.rackToPrefer();
+        const hasOtherRack = rack !== this.rack;
+        this.rack = rack;
+        let best: WorkerIncarnation | undefined;
+        let bestScore = -Infinity;
+        for (const each of this.ranked) {
+            const { worker } = each;
+            if (hasOtherRack || each.version !== worker.version) {
+                each.version = worker.version;
+                each.score = this.score(worker);
+            }
+            if (each.score > bestScore && !worker.holds(task.name)) {
+                const hasFailed = task.failedWorkerIds.has(worker.entry.id);
+                const score = hasFailed ? each.score - FailedOnWorkerWeight : each.score;
+                if (score > bestScore) {
+                    best = worker;
+                    bestScore = score;
+                }
+            }
+        }
+        return best;
+    }
+
+    private rackToPrefer(): string | undefined {
+        const { step } = this.context;
+        return step.spec.sameRack ? rackOfStep(step) : undefined;
+    }
+
+    private score(worker: WorkerIncarnation): number {
+        const { step, effects, nowMs, requiresGoodFit } = this.context;
+        return this.canTake(worker)
+            ? fitness(worker, step.spec, this.rack, effects, nowMs, requiresGoodFit)
+            : -Infinity;
+    }
+
+    private canTake(worker: WorkerIncarnation): boolean {
+        const { step, service, effects, nowMs, requiresGoodFit } = this.context;
+        const { spec } = step;
         if (
-            !worker.hasCapacityFor(task.step.reservation) ||
-            !isSuitable(worker, task, service, nowMs) ||
-            (requiresGoodFit && spec.filler && !hasUnusedProcessorsFor(worker, spec)) ||
-            ((requiresGoodFit || nowMs < worker.sameImagesOnlyUntilMs) &&
-                spec.tailTargetMs > 0 &&
-                effects.compatibilityLoss(worker, spec.image) > MaxCompatibilityLoss)
+            !worker.hasCapacityFor(step.reservation) ||
+            !step.isPermittedOn(worker, nowMs) ||
+            !isOpenToStep(worker, step, service, nowMs)
         ) {
-            continue;
+            return false;
         }
-        const score = fitness(worker, task, rack, effects, nowMs, requiresGoodFit);
-        if (score > bestScore) {
-            best = worker;
-            bestScore = score;
+        if (spec.filler) {
+            return !requiresGoodFit || hasUnusedProcessorsFor(worker, spec);
         }
+        const requiresSameImages = requiresGoodFit || nowMs < worker.sameImagesOnlyUntilMs;
+        return (
+            !requiresSameImages ||
+            spec.tailTargetMs === 0 ||
+            effects.compatibilityLoss(worker, spec.image) <= MaxCompatibilityLoss
+        );
     }
-    return best;
-};
+}
--- /dev/null
+++ b/packages/jobs/tests/worker-ranking.test.ts
@@ -0,0 +1,205 @@
+import { Resources } from "@samphireward/core/resources";
+import fc from "fast-check";
+import t from "tap";
+import { Job } from "../src/job.js";
+import { NeighbourEffects } from "../src/neighbour-effects.js";
+import { Occurrence } from "../src/occurrence.js";
+import { Run } from "../src/run.js";
+import type { StepSpec } from "../src/step-spec.js";
+import type { Step } from "../src/step.js";
+import { WorkerIncarnation } from "../src/worker-incarnation.js";
+import { WorkerRanking } from "../src/worker-ranking.js";
+import { plainStep } from "./fixtures/plain-step.js";
+
+const NowMs = 10_000;
+const service = "desk";
+const images = ["a", "b", "c"];
+const racks = ["r1", "r2", "r3"];
+
+const rack = fc.constantFrom(...racks);
+const image = fc.constantFrom(...images);
+
+/** Mostly the usual value, so that most steps find several workers. */
+const mostly = <T>(usual: T, ...others: readonly T[]): fc.Arbitrary<T> =>
+    fc.oneof(
+        { weight: 6, arbitrary: fc.constant(usual) },
+        { weight: 1, arbitrary: fc.constantFrom(...others) },
+    );
+
+const stepSpec = fc
+    .record({
+        count: fc.integer({ min: 2, max: 12 }),
+        processors: fc.constantFrom(0.3, 1, 1.5, 4),
+        memoryMb: mostly(100, 0, 400),
+        kind: fc.constantFrom("short", "serving", "filler"),
+        image,
+        sameRack: fc.boolean(),
+        preferredRack: fc.option(rack, { nil: undefined }),
+        maxPerWorker: mostly<number | undefined>(undefined, 1, 2),
+    })
+    .map(({ processors, memoryMb, kind, ...spec }): StepSpec => {
+        const resources = Resources.create({ processors, memoryMb });
+        const isServing = kind === "serving";
+        const filler = kind === "filler";
+        return {
+            ...plainStep,
+            ...spec,
+            resources,
+            filler,
+            lasting: isServing,
+            tailTargetMs: isServing ? 20 : 0,
+        };
+    });
+
+const workerState = fc.record({
+    rack,
+    processors: fc.constantFrom<number>(2, 4, 8, 8.5),
+    memoryMb: mostly(1_000, 200),
+    isDraining: mostly(false, true),
+    speed: mostly(1, 0.05, 0.3),
+    avoidUntilMs: mostly(0, NowMs + 1),
+    sameImagesOnlyUntilMs: mostly(0, NowMs + 1),
+    /** Images of the runs of other steps, some of them serving. */
+    others: fc.array(fc.record({ image, isServing: fc.boolean() }), { maxLength: 3 }),
+    /** Indexes of the step's tasks that have failed here, and of those that an earlier run still occupies. */
+    failed: fc.array(fc.nat(11), { maxLength: 4 }),
+    occupied: fc.array(fc.nat(11), { maxLength: 2 }),
+});
+
+const makeStep = (id: string, spec: StepSpec): Step => {
+    const job = Job.create({
+        id,
+        queue: "q",
+        payload: "",
+        steps: [spec],
+        schedule: undefined,
+        arrivedAtMs: 0,
+    });
+    const [step] = Occurrence.create(job, 0, 0).steps;
+    if (step === undefined) {
+        throw new Error("expected a step");
+    }
+    return step;
+};
+
+const startOn = (worker: WorkerIncarnation, step: Step, index: number, isCurrent: boolean): void => {
+    const task = step.tasks[index];
+    if (task !== undefined) {
+        const run = Run.create(task, worker, 1, NowMs);
+        task.run = isCurrent ? run : task.run;
+        worker.add(run);
+    }
+};
+
+type WorkerState = typeof workerState extends fc.Arbitrary<infer State> ? State : never;
+
+const makeWorker = (state: WorkerState, number: number, step: Step): WorkerIncarnation => {
+    const { processors, memoryMb, speed, avoidUntilMs, sameImagesOnlyUntilMs } = state;
+    const worker = WorkerIncarnation.create({
+        id: `w${number}`,
+        startedAtMs: 1,
+        address: "",
+        service,
+        zone: "zone",
+        rack: state.rack,
+        labels: [],
+        capacity: Resources.create({ processors, memoryMb }),
+        isDraining: state.isDraining,
+    });
+    worker.isReachable = true;
+    worker.hasListedRuns = true;
+    Object.assign(worker, { speed, avoidUntilMs, sameImagesOnlyUntilMs, speedUpdatedAtMs: NowMs });
+    state.others.forEach((other, index) => {
+        const tailTargetMs = other.isServing ? 20 : 0;
+        const spec = { ...plainStep, image: other.image, tailTargetMs, filler: !other.isServing };
+        startOn(worker, makeStep(`${number}-${index}`, spec), 0, true);
+    });
+    state.occupied.forEach(index => startOn(worker, step, index, false));
+    state.failed.forEach(index => step.tasks[index]?.failedWorkerIds.add(worker.entry.id));
+    return worker;
+};
+
+interface Cell {
+    readonly spec: StepSpec;
+    readonly states: readonly WorkerState[];
+    readonly requiresGoodFit: boolean;
+}
+
+/** Starts the tasks of a step one after another; returns the ids of the chosen workers. */
+const place = ({ spec, states, requiresGoodFit }: Cell, scoresAllForEachTask: boolean): string[] => {
+    const step = makeStep("job", spec);
+    const workers = states.map((state, index) => makeWorker(state, index, step));
+    const effects = NeighbourEffects.create();
+    effects.restore({
+        headrooms: { a: 3, b: 1.6, c: 1 },
+        pairs: { a: [["b", 9, 1]], b: [["a", 2, 1]], c: [["c", 0, 1]] },
+    });
+    const context = { workers, step, service, effects, nowMs: NowMs, requiresGoodFit };
+    const shared = WorkerRanking.create(context);
+    return step.tasks.map(task => {
+        const ranking = scoresAllForEachTask ? WorkerRanking.create(context) : shared;
+        const worker = ranking.choose(task);
+        if (worker !== undefined) {
+            startOn(worker, step, task.index, true);
+        }
+        return worker?.entry.id ?? "none";
+    });
+};
+
+// Guards against choices by outdated scores: a start changes the score of its worker, and of others by the step's rack.
+t.test("property: the choices equal those of scoring all workers for each task", t => {
+    const cell = fc.record({
+        spec: stepSpec,
+        states: fc.array(workerState, { minLength: 1, maxLength: 8 }),
+        requiresGoodFit: fc.boolean(),
+    });
+    fc.assert(
+        fc.property(cell, each => {
+            t.same(place(each, false), place(each, true));
+        }),
+        { seed: 23, numRuns: 1_000 },
+    );
+    t.end();
+});
+
+// Guards against a task that starts where it has failed or still runs, and against another order among equal workers.
+t.test("the tasks of a step differ in the workers that they avoid", t => {
+    const spec = { ...plainStep, count: 4 };
+    const step = makeStep("job", spec);
+    const usual = {
+        rack: "r1",
+        processors: 8,
+        memoryMb: 1_000,
+        isDraining: false,
+        speed: 1,
+        avoidUntilMs: 0,
+        sameImagesOnlyUntilMs: 0,
+        others: [],
+        failed: [],
+        occupied: [],
+    };
+    const states = [
+        { ...usual, failed: [1] },
+        usual,
+        { ...usual, others: [{ image: "a", isServing: false }] },
+    ];
+    const workers = states.map((state, index) => makeWorker(state, index, step));
+    const effects = NeighbourEffects.create();
+    const ranking = WorkerRanking.create({
+        workers,
+        step,
+        service,
+        effects,
+        nowMs: NowMs,
+        requiresGoodFit: true,
+    });
+    const choices = (): unknown[] => step.tasks.map(task => ranking.choose(task)?.entry.id);
+    t.same(
+        choices(),
+        ["w0", "w1", "w0", "w0"],
+        "the first of equal workers, except for the task that failed there",
+    );
+    workers.slice(0, 2).forEach(worker => startOn(worker, step, 2, false));
+    t.same(choices(), ["w0", "w1", "w2", "w0"], "an earlier run of a task keeps it off the worker");
+    t.end();
+});
