Recognize steps that fit on no worker by the free processors

A plan now reads each worker's free and unused processors once (CapacityIndex). A step is rejected at once if it needs more than the largest value; otherwise only the workers with enough of them are checked as before. Starts only take capacity, so the values stay upper bounds during the plan, and nothing is kept from one plan to the next: no task can wait because of an outdated value. Sums of fractional reservations are not exact, hence a small tolerance.

Property tests compare the choices with those among all workers.

--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
+import { CapacityIndex } from "./capacity-index.js";
 import type { JobRegistry } from "./job-registry.js";
 import { preemptLastingTasks } from "./preempt-lasting-tasks.js";
 import { UnplaceableSteps } from "./unplaceable-steps.js";
@@ -69,6 +70,9 @@
     /** Tasks of the last plan that found no permitted worker, one for each step, in rank order. */
     readonly tasksWithoutPermit: WaitingTask[] = [];
 
+    /** The processors left on the workers at the start of the last plan. */
+    private capacity = CapacityIndex.create([]);
+
     private constructor(private readonly context: PlannerContext) {}
 
     static create(context: PlannerContext): StartPlanner {
@@ -81,6 +85,7 @@
         const waiting: WaitingTask[] = [];
         const unplaceable = UnplaceableSteps.create();
         this.tasksWithoutPermit.length = 0;
+        this.capacity = CapacityIndex.create(this.context.fleet.workers);
         const ranked = this.rankedSteps(nowMs, isBlocked);
         for (const { step, service } of ranked) {
             if (unplaceable.covers(step, service)) {
@@ -199,15 +204,9 @@
     }
 
     private rankWorkers(step: Step, service: string, nowMs: number, requiresGoodFit: boolean): WorkerRanking {
-        const { fleet, effects } = this.context;
-        return WorkerRanking.create({
-            workers: fleet.workers,
-            step,
-            service,
-            effects,
-            nowMs,
-            requiresGoodFit,
-        });
+        const workers = this.capacity.candidates(step, requiresGoodFit);
+        const { effects } = this.context;
+        return WorkerRanking.create({ workers, step, service, effects, nowMs, requiresGoodFit });
     }
 
     private nextRunNumber(task: Task): number {
--- a/packages/jobs/src/worker-ranking.ts
+++ b/packages/jobs/src/worker-ranking.ts
@@ -1,16 +1,13 @@
 import { isSlowWorker } from "./is-slow-worker.js";
 import { isOpenToStep } from "./is-open-to-step.js";
+import { minUnusedProcessors } from "./min-unused-processors.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
-import type { Run } from "./run.js";
 import type { Step } from "./step.js";
 import type { StepSpec } from "./step-spec.js";
 import type { Task } from "./task.js";
+import { unusedProcessors } from "./unused-processors.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
-/** Share of its request that a serving task uses on average; the rest is available to fillers. */
-const ServingUseRatio = 0.5;
-/** Share of a filler's request that must be unused on a worker for the filler to start there. */
-const MinUnusedRequestRatio = 0.5;
 /** A filler is not started where it could work at less than this share of its full speed. */
 const MinAllowedSpeed = 0.9;
 const AllowedSpeedWeight = 1.5;
@@ -30,26 +27,6 @@
 /** Expected ratio of a serving task's tail latency to its target above which the worker's score is reduced. */
 const UndisturbedTailRatio = 0.6;
 
-/** Share of its processor request that a run is expected to use. */
-const expectedUseRatio = (run: Run): number => (run.task.step.spec.tailTargetMs > 0 ? ServingUseRatio : 1);
-
-/** Expected use by worker, valid while the worker's version is unchanged. */
-const expectedUseCache = new WeakMap<WorkerIncarnation, { readonly version: number; readonly use: number }>();
-
-/** Number of processors that the runs of a worker are expected to use. */
-const expectedProcessorUse = (worker: WorkerIncarnation): number => {
-    const cached = expectedUseCache.get(worker);
-    if (cached?.version === worker.version) {
-        return cached.use;
-    }
-    let use = 0;
-    for (const run of worker.runs.values()) {
-        use += run.task.step.spec.resources.processors * expectedUseRatio(run);
-    }
-    expectedUseCache.set(worker, { version: worker.version, use });
-    return use;
-};
-
 const rackOfStep = (step: Step): string | undefined =>
     step.tasks.find(task => task.run !== undefined)?.run?.worker.entry.rack;
 
@@ -83,8 +60,7 @@
     nowMs: number,
     requiresGoodFit: boolean,
 ): number => {
-    const free =
-        (worker.entry.capacity.processors - expectedProcessorUse(worker)) / worker.entry.capacity.processors;
+    const free = unusedProcessors(worker) / worker.entry.capacity.processors;
     if (spec.filler) {
         const allowed = effects.allowedSpeed(worker, spec, nowMs);
         return requiresGoodFit && allowed < MinAllowedSpeed
@@ -130,10 +106,6 @@
     return score;
 };
 
-const hasUnusedProcessorsFor = (worker: WorkerIncarnation, spec: StepSpec): boolean =>
-    worker.entry.capacity.processors - expectedProcessorUse(worker) >=
-    spec.resources.processors * MinUnusedRequestRatio;
-
 /** What a ranking is made for. */
 interface RankingContext {
     readonly workers: Iterable<WorkerIncarnation>;
@@ -223,7 +195,7 @@
             return false;
         }
         if (spec.filler) {
-            return !requiresGoodFit || hasUnusedProcessorsFor(worker, spec);
+            return !requiresGoodFit || unusedProcessors(worker) >= minUnusedProcessors(spec);
         }
         const requiresSameImages = requiresGoodFit || nowMs < worker.sameImagesOnlyUntilMs;
         return (
--- a/packages/jobs/tests/plan-cost.test.ts
+++ b/packages/jobs/tests/plan-cost.test.ts
@@ -1,4 +1,6 @@
+import { Resources } from "@samphireward/core/resources";
 import t from "tap";
+import { EndKind } from "../src/end-kind.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -42,3 +44,30 @@
     t.ok(gangChecks <= limit, `also for a gang: ${gangChecks} checks`);
     t.end();
 });
+
+// Guards against plans that check all workers again and again for every waiting step, and against a task that waits
+// although a worker has become free.
+t.test("load pattern: steps of different sizes wait for full workers", t => {
+    const harness = SchedulerHarness.create();
+    const { takeChecks } = addWorkers(harness);
+    const resources = (processors: number): Resources => Resources.create({ processors, memoryMb: 10 });
+    harness.submit({ count: WorkerCount, resources: resources(15) });
+    const [first] = harness.planAndStartAll();
+    const sizes = Array.from({ length: 20 }, (_, index) => 3 + (index % 10));
+    sizes.forEach((processors, index) =>
+        harness.submit({ resources: resources(processors), lasting: index % 2 === 0 }),
+    );
+    harness.submit({ resources: resources(20), filler: true, image: "filler" });
+    harness.submit({ resources: resources(30), filler: true, image: "other" });
+    takeChecks();
+    t.same(harness.planStarts(), []);
+    const checks = takeChecks();
+    t.equal(checks, 0, "no worker is checked for steps that are larger than the largest free capacity");
+    if (first !== undefined) {
+        harness.reportEnd(first, EndKind.Done);
+    }
+    t.not(harness.planStarts().length, 0, "tasks start in the first plan after a run has ended");
+    const later = takeChecks();
+    t.ok(later < WorkerCount, `only workers with free capacity are checked: ${later} checks`);
+    t.end();
+});
--- a/packages/jobs/tests/worker-ranking.test.ts
+++ b/packages/jobs/tests/worker-ranking.test.ts
@@ -1,6 +1,7 @@
 import { Resources } from "@samphireward/core/resources";
 import fc from "fast-check";
 import t from "tap";
+import { CapacityIndex } from "../src/capacity-index.js";
 import { Job } from "../src/job.js";
 import { NeighbourEffects } from "../src/neighbour-effects.js";
 import { Occurrence } from "../src/occurrence.js";
@@ -119,6 +120,20 @@
     return worker;
 };
 
+/** An empty worker. */
+const usual: WorkerState = {
+    rack: "r1",
+    processors: 8,
+    memoryMb: 1_000,
+    isDraining: false,
+    speed: 1,
+    avoidUntilMs: 0,
+    sameImagesOnlyUntilMs: 0,
+    others: [],
+    failed: [],
+    occupied: [],
+};
+
 interface Cell {
     readonly spec: StepSpec;
     readonly states: readonly WorkerState[];
@@ -126,9 +141,13 @@
 }
 
 /** Starts the tasks of a step one after another; returns the ids of the chosen workers. */
-const place = ({ spec, states, requiresGoodFit }: Cell, scoresAllForEachTask: boolean): string[] => {
+const place = (
+    { spec, states, requiresGoodFit }: Cell,
+    { scoresAllForEachTask, usesIndex }: { scoresAllForEachTask: boolean; usesIndex: boolean },
+): string[] => {
     const step = makeStep("job", spec);
-    const workers = states.map((state, index) => makeWorker(state, index, step));
+    const all = states.map((state, index) => makeWorker(state, index, step));
+    const workers = usesIndex ? CapacityIndex.create(all).candidates(step, requiresGoodFit) : all;
     const effects = NeighbourEffects.create();
     effects.restore({
         headrooms: { a: 3, b: 1.6, c: 1 },
@@ -146,38 +165,54 @@
     });
 };
 
+const cell = fc.record({
+    spec: stepSpec,
+    states: fc.array(workerState, { minLength: 1, maxLength: 8 }),
+    requiresGoodFit: fc.boolean(),
+});
+
 // Guards against choices by outdated scores: a start changes the score of its worker, and of others by the step's rack.
 t.test("property: the choices equal those of scoring all workers for each task", t => {
-    const cell = fc.record({
-        spec: stepSpec,
-        states: fc.array(workerState, { minLength: 1, maxLength: 8 }),
-        requiresGoodFit: fc.boolean(),
-    });
     fc.assert(
         fc.property(cell, each => {
-            t.same(place(each, false), place(each, true));
+            const expected = place(each, { scoresAllForEachTask: true, usesIndex: false });
+            t.same(place(each, { scoresAllForEachTask: false, usesIndex: false }), expected);
         }),
         { seed: 23, numRuns: 1_000 },
     );
     t.end();
 });
 
+// Guards against a task that waits although a worker has capacity, and against another choice among the candidates.
+t.test(
+    "property: the choices among the candidates of the capacity index equal those among all workers",
+    t => {
+        fc.assert(
+            fc.property(cell, each => {
+                const expected = place(each, { scoresAllForEachTask: true, usesIndex: false });
+                t.same(place(each, { scoresAllForEachTask: false, usesIndex: true }), expected);
+            }),
+            { seed: 24, numRuns: 1_000 },
+        );
+        t.end();
+    },
+);
+
+// Guards against a task that waits because sums of fractional reservations are not exact.
+t.test("a worker whose free processors differ from the request by a rounding error is a candidate", t => {
+    const step = makeStep("job", { ...plainStep, resources: Resources.create({ processors: 0.1 }) });
+    const worker = makeWorker({ ...usual, processors: 0.9 }, 0, step);
+    worker.reserved = Resources.create({ processors: 0.8 });
+    t.ok(worker.hasCapacityFor(step.reservation));
+    t.ok(0.9 - 0.8 < 0.1, "the difference is too small");
+    t.same(CapacityIndex.create([worker]).candidates(step, true), [worker]);
+    t.end();
+});
+
 // Guards against a task that starts where it has failed or still runs, and against another order among equal workers.
 t.test("the tasks of a step differ in the workers that they avoid", t => {
     const spec = { ...plainStep, count: 4 };
     const step = makeStep("job", spec);
-    const usual = {
-        rack: "r1",
-        processors: 8,
-        memoryMb: 1_000,
-        isDraining: false,
-        speed: 1,
-        avoidUntilMs: 0,
-        sameImagesOnlyUntilMs: 0,
-        others: [],
-        failed: [],
-        occupied: [],
-    };
     const states = [
         { ...usual, failed: [1] },
         usual,
