--- a/packages/jobs/src/diagnose-lasting-wait.ts
+++ b/packages/jobs/src/diagnose-lasting-wait.ts
@@ -1,5 +1,4 @@
 import { acceptsStarts } from "./accepts-starts.js";
-import { chooseWorker } from "./choose-worker.js";
 import { isReady } from "./is-ready.js";
 import { isSuitable } from "./is-suitable.js";
 import { isSuitableIgnoringPermits } from "./is-suitable-ignoring-permits.js";
@@ -11,6 +10,7 @@
 import type { Task } from "./task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
+import { WorkerRanking } from "./worker-ranking.js";
 
 /** What the planner decides on. */
 interface DiagnosisContext {
@@ -68,7 +68,9 @@
         return LastingWaitReason.NoPermit;
     }
     const mayStartOn = (requiresGoodFit: boolean): boolean =>
-        chooseWorker(permitted, task, service, effects, nowMs, requiresGoodFit) !== undefined;
+        WorkerRanking.create({ workers: permitted, step, service, effects, nowMs, requiresGoodFit }).choose(
+            task,
+        ) !== undefined;
     if (!mayStartOn(true)) {
         if (!mayStartOn(false)) {
             return LastingWaitReason.KeptForSameImages;
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
-import { chooseWorker } from "./choose-worker.js";
+import { CapacityIndex } from "./capacity-index.js";
 import { isReady } from "./is-ready.js";
 import type { JobRegistry } from "./job-registry.js";
 import { HeldWorkers } from "./held-workers.js";
@@ -21,6 +21,7 @@
 import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
+import { WorkerRanking } from "./worker-ranking.js";
 
 /** Run numbers reserved per epoch and task, so that numbers increase across owners even if a start was not stored. */
 const RunNumbersPerEpoch = 1_000;
@@ -59,6 +60,8 @@
     readonly tasksWithoutPermit: WaitingTask[] = [];
 
     private readonly held: HeldWorkers;
+    /** The processors left on the workers at the start of the last plan. */
+    private capacity = CapacityIndex.create([]);
 
     private constructor(private readonly context: PlannerContext) {
         this.held = HeldWorkers.create(context.fleet);
@@ -75,6 +78,7 @@
         const overdue: WaitingTask[] = [];
         const unplaceable = UnplaceableSteps.create();
         this.tasksWithoutPermit.length = 0;
+        this.capacity = CapacityIndex.create(this.context.fleet.workers);
         const ranked = this.rankedSteps(nowMs, isBlocked);
         this.held.update(this.overdueSteps(ranked, nowMs), nowMs);
         for (const { step, service } of ranked) {
@@ -147,14 +151,17 @@
         const ready = step.tasks.filter(task => isReady(task, nowMs));
         ready.forEach(task => (task.readySinceMs ??= nowMs));
         if (step.spec.lasting) {
-            ready.sort((a, b) => (a.readySinceMs ?? nowMs) - (b.readySinceMs ?? nowMs));
+            ready.sort((x, y) => (x.readySinceMs ?? nowMs) - (y.readySinceMs ?? nowMs));
         }
+        if (ready.length === 0) {
+            return [];
+        }
+        const ranking = this.rankWorkers(step, service, nowMs, requiresGoodFit);
         for (const task of ready) {
             if (orders.length >= maxStarts) {
                 break;
             }
-            const { fleet, effects } = this.context;
-            const worker = chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
+            const worker = ranking.choose(task);
             if (worker === undefined) {
                 break;
             }
@@ -183,11 +190,10 @@
         }
         const number = Math.max(...step.tasks.map(task => this.nextRunNumber(task)));
         const orders: Order[] = [];
-        const requiresGoodFit = longestWaitMs(step, nowMs) < GangWaitMs;
+        const ranking = this.rankWorkers(step, service, nowMs, longestWaitMs(step, nowMs) < GangWaitMs);
         for (const task of step.tasks) {
             task.readySinceMs ??= nowMs;
-            const { fleet, effects } = this.context;
-            const worker = chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
+            const worker = ranking.choose(task);
             if (worker === undefined) {
                 for (const order of orders) {
                     if (order.kind === OrderKind.Start) {
@@ -201,6 +207,12 @@
         return orders;
     }
 
+    private rankWorkers(step: Step, service: string, nowMs: number, requiresGoodFit: boolean): WorkerRanking {
+        const workers = this.capacity.candidates(step, requiresGoodFit);
+        const { effects } = this.context;
+        return WorkerRanking.create({ workers, step, service, effects, nowMs, requiresGoodFit });
+    }
+
     private nextRunNumber(task: Task): number {
         return Math.max(task.lastRun + 1, (this.context.epoch - 1) * RunNumbersPerEpoch + 1);
     }
--- /dev/null
+++ b/packages/jobs/tests/plan-cost.test.ts
@@ -0,0 +1,73 @@
+import { Resources } from "@samphireward/core/resources";
+import t from "tap";
+import { EndKind } from "../src/end-kind.js";
+import type { WorkerIncarnation } from "../src/worker-incarnation.js";
+import { SchedulerHarness } from "./scheduler-harness.js";
+
+const WorkerCount = 40;
+
+/** Adds workers that count how often their capacity is checked. */
+const addWorkers = (
+    harness: SchedulerHarness,
+): { workers: WorkerIncarnation[]; takeChecks: () => number } => {
+    let checks = 0;
+    const workers = Array.from({ length: WorkerCount }, (_, index) => {
+        const worker = harness.addWorker(`w${index}`);
+        const hasCapacityFor = worker.hasCapacityFor.bind(worker);
+        worker.hasCapacityFor = reservation => {
+            checks++;
+            return hasCapacityFor(reservation);
+        };
+        return worker;
+    });
+    const takeChecks = (): number => {
+        const taken = checks;
+        checks = 0;
+        return taken;
+    };
+    return { workers, takeChecks };
+};
+
+// Guards against a plan whose duration grows with the product of workers and tasks, which saturates the owner's thread.
+t.test("load pattern: steps of many tasks start on many workers", t => {
+    const harness = SchedulerHarness.create();
+    const { takeChecks } = addWorkers(harness);
+    const count = 30;
+    const limit = WorkerCount + count;
+    harness.submit({ count });
+    t.equal(harness.planAndStartAll().length, count);
+    const checks = takeChecks();
+    t.ok(checks <= limit, `each worker is checked once, and again after a start there: ${checks} checks`);
+    harness.submit({ count, gang: true });
+    t.equal(harness.planAndStartAll().length, count);
+    const gangChecks = takeChecks();
+    t.ok(gangChecks <= limit, `also for a gang: ${gangChecks} checks`);
+    t.end();
+});
+
+// Guards against plans that check all workers again and again for every waiting step, and against a task that waits
+// although a worker has become free.
+t.test("load pattern: steps of different sizes wait for full workers", t => {
+    const harness = SchedulerHarness.create();
+    const { takeChecks } = addWorkers(harness);
+    const resources = (processors: number): Resources => Resources.create({ processors, memoryMb: 10 });
+    harness.submit({ count: WorkerCount, resources: resources(15) });
+    const [first] = harness.planAndStartAll();
+    const sizes = Array.from({ length: 20 }, (_, index) => 3 + (index % 10));
+    sizes.forEach((processors, index) =>
+        harness.submit({ resources: resources(processors), lasting: index % 2 === 0 }),
+    );
+    harness.submit({ resources: resources(20), filler: true, image: "filler" });
+    harness.submit({ resources: resources(30), filler: true, image: "other" });
+    takeChecks();
+    t.same(harness.planStarts(), []);
+    const checks = takeChecks();
+    t.equal(checks, 0, "no worker is checked for steps that are larger than the largest free capacity");
+    if (first !== undefined) {
+        harness.reportEnd(first, EndKind.Done);
+    }
+    t.not(harness.planStarts().length, 0, "tasks start in the first plan after a run has ended");
+    const later = takeChecks();
+    t.ok(later < WorkerCount, `only workers with free capacity are checked: ${later} checks`);
+    t.end();
+});
