Read the runs of a worker once for fillers of all images

Each kind of filler (image and size) that waited was checked against all runs of all workers again after each listing. The headroom that fillers leave is now kept by serving image until the worker changes; a check compares the filler with these few values.

--- a/packages/jobs/src/neighbour-effects.ts
+++ b/packages/jobs/src/neighbour-effects.ts
@@ -38,6 +38,12 @@
 /** Weight of a step's mean headroom in the moving average of its image. */
 const ImageMeanWeight = 0.02;
 
+/** Headroom that further fillers may take on a worker, valid while the worker's version is unchanged. */
+interface Allowance {
+    readonly version: number;
+    readonly headrooms: ReadonlyMap<string, number>;
+}
+
 const isServing = (run: Run): boolean =>
     run.task.step.spec.tailTargetMs > 0 && run.phase === RunPhase.Running;
 
@@ -52,11 +58,7 @@
     private readonly forecasts = new WeakMap<Step, HeadroomForecast>();
     /** Mean headroom by serving image, for steps without a forecast of their own. */
     private readonly headrooms = new Map<string, number>();
-    /** Allowed speeds by worker, valid while the worker's version is unchanged. */
-    private readonly allowedSpeeds = new WeakMap<
-        WorkerIncarnation,
-        { readonly version: number; readonly speeds: Map<string, number> }
-    >();
+    private readonly allowances = new WeakMap<WorkerIncarnation, Allowance>();
 
     private constructor() {}
 
@@ -107,18 +109,13 @@
      * there keeps enough headroom.
      */
     allowedSpeed(worker: WorkerIncarnation, added: StepSpec, nowMs: number): number {
-        let cached = this.allowedSpeeds.get(worker);
-        if (cached?.version !== worker.version) {
-            cached = { version: worker.version, speeds: new Map() };
-            this.allowedSpeeds.set(worker, cached);
-        }
-        const key = `${added.image}/${added.resources.processors}`;
-        let speed = cached.speeds.get(key);
-        if (speed === undefined) {
-            speed = this.computeAllowedSpeed(worker, added, nowMs);
-            cached.speeds.set(key, speed);
+        const addedShare = added.resources.processors / worker.entry.capacity.processors;
+        let allowed = 1;
+        for (const [image, headroom] of this.allowanceOf(worker, nowMs).headrooms) {
+            const take = this.pairs.effect(image, added.image) * addedShare;
+            allowed = Math.min(allowed, take <= NegligibleTake ? 1 : Math.max(0, headroom) / take);
         }
-        return speed;
+        return allowed;
     }
 
     /** Expected ratio of tail latency to target for a serving task beside the fillers of a worker. */
@@ -147,22 +144,31 @@
             : this.pairs.compatibleShare(others) - this.pairs.compatibleShare(images);
     }
 
-    private computeAllowedSpeed(worker: WorkerIncarnation, added: StepSpec, nowMs: number): number {
+    private allowanceOf(worker: WorkerIncarnation, nowMs: number): Allowance {
+        const cached = this.allowances.get(worker);
+        if (cached?.version === worker.version) {
+            return cached;
+        }
+        const allowance = { version: worker.version, headrooms: this.unusedHeadrooms(worker, nowMs) };
+        this.allowances.set(worker, allowance);
+        return allowance;
+    }
+
+    /** Headroom that the fillers of a worker leave, by serving image: that of the image's run with the least. */
+    private unusedHeadrooms(worker: WorkerIncarnation, nowMs: number): Map<string, number> {
         const shares = requestedFillerShares(worker);
-        const addedShare = added.resources.processors / worker.entry.capacity.processors;
-        let allowed = 1;
+        const headrooms = new Map<string, number>();
         for (const run of worker.runs.values()) {
             const { image, tailTargetMs } = run.task.step.spec;
             if (tailTargetMs > 0) {
-                const take = this.pairs.effect(image, added.image) * addedShare;
-                const remaining =
+                const headroom =
                     this.averageHeadroom(run, nowMs) -
                     ReservedAverageHeadroom -
                     this.pairs.totalEffect(image, shares);
-                allowed = Math.min(allowed, take <= NegligibleTake ? 1 : Math.max(0, remaining) / take);
+                headrooms.set(image, Math.min(headroom, headrooms.get(image) ?? Infinity));
             }
         }
-        return allowed;
+        return headrooms;
     }
 
     /** Expected headroom of a run, without fillers, over the run time of a filler that starts now. */
