Keep a worker's reservation until what it holds changes

reservedOrPending summed runs, orphan runs and late starts anew for each check of a worker's capacity, and each check made at least one Resources object; on the deployment collections took a sixth of the owner's thread.

WorkerIncarnation now keeps the sum until one of its parts changes. The maps of runs, orphan runs and late starts are read-only outside the class, so that each change passes through a method that discards the sum; `version` would not do, since late starts and stops of orphan runs change without it. The capacity is not part of the sum: a run of unknown size reserves whatever the capacity is at the time of the check. Resources.fitsBeside compares a sum with a limit without making it.

--- a/packages/core/src/resources.ts
+++ b/packages/core/src/resources.ts
@@ -39,6 +39,15 @@
         return new Resources(this.processors * factor, this.memoryMb * factor, this.accelerators * factor);
     }
 
+    /** Whether the sums of these resources and `other` fit in `limit`; as `plus` and `fitsIn`, without a new object. */
+    fitsBeside(other: ResourceFields, limit: ResourceFields): boolean {
+        return (
+            other.processors + this.processors <= limit.processors &&
+            other.memoryMb + this.memoryMb <= limit.memoryMb &&
+            other.accelerators + this.accelerators <= limit.accelerators
+        );
+    }
+
     /** Whether each of the three resources is at most that of `limit`. */
     fitsIn(limit: ResourceFields): boolean {
         return (
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -47,7 +47,7 @@
                 orphanRuns.set(listedRun.task, { number: listedRun.number, reservation, stopSentAtMs });
             }
         }
-        worker.orphanRuns = orphanRuns;
+        worker.setOrphanRuns(orphanRuns);
         if (!listing.isPartial) {
             this.releaseMissing(worker, listed, times);
             this.releaseStoppedStarts(worker, times);
@@ -173,7 +173,7 @@
         for (const [name, start] of worker.lateStarts) {
             const { stopConfirmedAtMs, isOver, run } = start;
             if (!isOver && stopConfirmedAtMs !== undefined && stopConfirmedAtMs < times.sentAtMs) {
-                worker.lateStarts.set(name, { ...start, isOver: true });
+                worker.setLateStart(name, { ...start, isOver: true });
                 run.task.notBeforeMs = times.nowMs;
             }
         }
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -57,7 +57,7 @@
         }
         const start = worker.lateStarts.get(task);
         if (start?.run.number === number && start.stopConfirmedAtMs === undefined) {
-            worker.lateStarts.set(task, { ...start, stopConfirmedAtMs: this.clock.nowMs() });
+            worker.setLateStart(task, { ...start, stopConfirmedAtMs: this.clock.nowMs() });
         }
     }
 
@@ -78,7 +78,7 @@
             }
         }
         previous.lateStarts.forEach((start, name) => {
-            worker.lateStarts.set(name, { ...start, ...unconfirmed });
+            worker.setLateStart(name, { ...start, ...unconfirmed });
             // Its deadline is a time of the earlier incarnation's clock, which the worker shortens to its maximum.
             const leaseEndsAtMs = start.expiresAtMs + maxLeaseDurationMs(this.limits.maxLeaseMs);
             worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, leaseEndsAtMs);
@@ -89,7 +89,7 @@
 
     private trackLateStart(run: Run): void {
         const untilMs = this.clock.nowMs() + this.limits.lateOrderMs;
-        run.worker.lateStarts.set(run.task.name, {
+        run.worker.setLateStart(run.task.name, {
             run,
             expiresAtMs: untilMs,
             ...unconfirmed,
--- a/packages/jobs/src/stop-orders.ts
+++ b/packages/jobs/src/stop-orders.ts
@@ -41,13 +41,13 @@
     const orders: Order[] = [];
     for (const [task, start] of worker.lateStarts) {
         if (nowMs > start.expiresAtMs) {
-            worker.lateStarts.delete(task);
+            worker.removeLateStart(task);
         } else if (
             start.stopConfirmedAtMs === undefined &&
             worker.runs.get(task)?.number !== start.run.number &&
             nowMs - start.stopSentAtMs >= LateStartStopRetryDelayMs
         ) {
-            worker.lateStarts.set(task, { ...start, stopSentAtMs: nowMs });
+            worker.setLateStart(task, { ...start, stopSentAtMs: nowMs });
             const { number } = start.run;
             orders.push({ kind: OrderKind.Stop, worker, task, number, reason: StopReason.LateStart });
         }
@@ -59,7 +59,7 @@
     const due = [...worker.orphanRuns].filter(([, { stopSentAtMs }]) => isRetryDue(stopSentAtMs, nowMs));
     if (due.length > 0) {
         const sent = due.map(([task, orphan]) => [task, { ...orphan, stopSentAtMs: nowMs }] as const);
-        worker.orphanRuns = new Map([...worker.orphanRuns, ...sent]);
+        worker.setOrphanRuns(new Map([...worker.orphanRuns, ...sent]));
     }
     const reason = StopReason.Orphan;
     return due.map(([task, { number }]) => ({ kind: OrderKind.Stop, worker, task, number, reason }));
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -11,13 +11,17 @@
 
 /** One incarnation of a worker, from its start to its end, with the runs that it may hold. */
 export class WorkerIncarnation {
+    private readonly runsByTask = new Map<string, Run>();
+    private readonly lateStartsByTask = new Map<string, LateStart>();
+    private orphans: ReadonlyMap<string, OrphanRun> = new Map();
+    private reservedByRuns = Resources.none;
+    /** Reserved resources without those of orphan runs of unknown size; undefined after a change. */
+    private knownReservation: Resources | undefined;
+    private unknownOrphanCount = 0;
     /** Runs by task name, including those being stopped. */
-    readonly runs = new Map<string, Run>();
-    /** Listed runs that belong to no known task, by task name, until a listing no longer shows them. */
-    orphanRuns: ReadonlyMap<string, OrphanRun> = new Map();
+    readonly runs: ReadonlyMap<string, Run> = this.runsByTask;
     /** Unanswered starts that this incarnation may still carry out, by task name. */
-    readonly lateStarts = new Map<string, LateStart>();
-    reserved = Resources.none;
+    readonly lateStarts: ReadonlyMap<string, LateStart> = this.lateStartsByTask;
     /** Whether the last call was answered. */
     isReachable = false;
     /** Whether the worker has listed its runs to this owner. */
@@ -67,18 +71,46 @@
 
     add(run: Run): void {
         this.version++;
-        this.runs.set(run.task.name, run);
-        this.reserved = this.reserved.plus(run.reservation);
+        this.runsByTask.set(run.task.name, run);
+        this.reservedByRuns = this.reservedByRuns.plus(run.reservation);
+        this.knownReservation = undefined;
     }
 
     remove(run: Run): void {
         if (this.runs.get(run.task.name) === run) {
             this.version++;
-            this.runs.delete(run.task.name);
-            this.reserved = this.runs.size === 0 ? Resources.none : this.reserved.minus(run.reservation);
+            this.runsByTask.delete(run.task.name);
+            this.reservedByRuns =
+                this.runs.size === 0 ? Resources.none : this.reservedByRuns.minus(run.reservation);
+            this.knownReservation = undefined;
         }
     }
 
+    /** Resources that the runs reserve. */
+    get reserved(): Resources {
+        return this.reservedByRuns;
+    }
+
+    /** Listed runs that belong to no known task, by task name, until a listing no longer shows them. */
+    get orphanRuns(): ReadonlyMap<string, OrphanRun> {
+        return this.orphans;
+    }
+
+    setOrphanRuns(orphanRuns: ReadonlyMap<string, OrphanRun>): void {
+        this.orphans = orphanRuns;
+        this.knownReservation = undefined;
+    }
+
+    setLateStart(taskName: string, start: LateStart): void {
+        this.lateStartsByTask.set(taskName, start);
+        this.knownReservation = undefined;
+    }
+
+    removeLateStart(taskName: string): void {
+        this.lateStartsByTask.delete(taskName);
+        this.knownReservation = undefined;
+    }
+
     /**
      * Keeps the capacity of a serving task that has ended for compatible images, but only for part of the time, so that
      * other waiting tasks get capacity as well.
@@ -95,15 +127,27 @@
     }
 
     hasCapacityFor(reservation: Resources): boolean {
-        return this.reservedOrPending.plus(reservation).fitsIn(this.entry.capacity);
+        return reservation.fitsBeside(this.reservedOrPending, this.entry.capacity);
     }
 
     /** Resources reserved by runs, by orphan runs and by unanswered starts that may still be carried out. */
     get reservedOrPending(): Resources {
+        this.knownReservation ??= this.computeKnownReservation();
+        // A run of unknown size reserves the whole worker, whose capacity may change.
+        return this.unknownOrphanCount === 0
+            ? this.knownReservation
+            : this.knownReservation.plus(this.entry.capacity.scale(this.unknownOrphanCount));
+    }
+
+    private computeKnownReservation(): Resources {
         let total = this.reserved;
+        this.unknownOrphanCount = 0;
         for (const { reservation } of this.orphanRuns.values()) {
-            // A run of unknown size reserves the whole worker.
-            total = total.plus(reservation ?? this.entry.capacity);
+            if (reservation === undefined) {
+                this.unknownOrphanCount++;
+            } else {
+                total = total.plus(reservation);
+            }
         }
         for (const [task, { isOver, run }] of this.lateStarts) {
             if (!isOver && !this.runs.has(task)) {
--- a/packages/jobs/tests/worker-ranking.test.ts
+++ b/packages/jobs/tests/worker-ranking.test.ts
@@ -202,7 +202,8 @@
 t.test("a worker whose free processors differ from the request by a rounding error is a candidate", t => {
     const step = makeStep("job", { ...plainStep, resources: Resources.create({ processors: 0.1 }) });
     const worker = makeWorker({ ...usual, processors: 0.9 }, 0, step);
-    worker.reserved = Resources.create({ processors: 0.8 });
+    const other = { ...plainStep, resources: Resources.create({ processors: 0.8 }) };
+    startOn(worker, makeStep("other", other), 0, true);
     t.ok(worker.hasCapacityFor(step.reservation));
     t.ok(0.9 - 0.8 < 0.1, "the difference is too small");
     t.same(CapacityIndex.create([worker]).candidates(step, true), [worker]);
