Skip workers and runs that a plan has nothing to do for

Migrations are looked for only on workers that are slow, throttle fillers or did so in the last plan; runs of one step share the scores of the workers to which they could migrate, until a run is marked. The pace is looked up for running fillers only. Orders are collected without an array for each worker, and blockUnlistedWorkers compares the keys without a list of them.

--- a/packages/dispatch/src/roster-writer.ts
+++ b/packages/dispatch/src/roster-writer.ts
@@ -37,10 +37,15 @@
     /** Blocks starts on workers that are not listed yet. Returns whether the roster has to be written for them. */
     blockUnlistedWorkers(): boolean {
         const { scheduler } = this.context;
+        let hasUnlisted = false;
         for (const worker of scheduler.fleet.workers) {
             worker.isStartBlocked = !this.listedKeys.has(worker.key);
+            hasUnlisted ||= worker.isStartBlocked;
         }
-        return !this.isWriting && scheduler.workerKeysToRead.some(key => !this.listedKeys.has(key));
+        for (const key of scheduler.unreadWorkerKeys) {
+            hasUnlisted ||= !this.listedKeys.has(key);
+        }
+        return hasUnlisted && !this.isWriting;
     }
 
     /** Whether the roster lists ended incarnations, for which the next owner would wait. */
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -131,6 +131,11 @@
         ];
     }
 
+    /** Keys of the workers of previous owners that have not listed their runs. */
+    get unreadWorkerKeys(): ReadonlySet<string> {
+        return this.previousOwners.unreadWorkerKeys;
+    }
+
     deregisterWorker(id: string): void {
         const worker = this.fleet.get(id);
         if (worker !== undefined) {
--- a/packages/jobs/src/mark-migrations.ts
+++ b/packages/jobs/src/mark-migrations.ts
@@ -1,13 +1,23 @@
+import { CapacityIndex } from "./capacity-index.js";
 import { isSlowWorker } from "./is-slow-worker.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { QueueRules } from "./queue-rules.js";
 import type { Run } from "./run.js";
 import { RunPhase } from "./run-phase.js";
+import type { Step } from "./step.js";
 import { StopReason } from "./stop-reason.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 import { WorkerRanking } from "./worker-ranking.js";
 
+/** What the marks of one plan depend on. */
+interface MigrationContext {
+    readonly fleet: WorkerFleet;
+    readonly rules: QueueRules;
+    readonly effects: NeighbourEffects;
+    readonly nowMs: number;
+}
+
 /** A filler whose pace is below this counts as throttled. */
 const LowPacePercent = 50;
 /** A filler that has been throttled for this long migrates if another worker can take it. */
@@ -59,24 +69,50 @@
     return hereMs > elsewhereMs * MinMigrationGainRatio;
 };
 
-const findTarget = (
-    { task }: Run,
-    { workers }: WorkerFleet,
-    rules: QueueRules,
-    effects: NeighbourEffects,
-    nowMs: number,
-): WorkerIncarnation | undefined => {
-    const { step } = task;
-    const rule = rules.get(step.occurrence.job.spec.queue);
-    if (rule === undefined) {
-        return undefined;
+/** Chooses the workers to which runs may migrate. Runs of one step share the scores of the workers. */
+class TargetChooser {
+    private capacity: CapacityIndex | undefined;
+    private readonly rankings = new Map<Step, WorkerRanking>();
+
+    private constructor(private readonly context: MigrationContext) {}
+
+    static create(context: MigrationContext): TargetChooser {
+        return new TargetChooser(context);
+    }
+
+    choose({ task }: Run): WorkerIncarnation | undefined {
+        const { step } = task;
+        const rule = this.context.rules.get(step.occurrence.job.spec.queue);
+        return rule === undefined ? undefined : this.rankingFor(step, rule.service).choose(task);
     }
-    const { service } = rule;
-    return WorkerRanking.create({ workers, step, service, effects, nowMs, requiresGoodFit: true }).choose(
-        task,
-    );
+
+    private rankingFor(step: Step, service: string): WorkerRanking {
+        let ranking = this.rankings.get(step);
+        if (ranking === undefined) {
+            const { fleet, effects, nowMs } = this.context;
+            this.capacity ??= CapacityIndex.create(fleet.workers);
+            const workers = this.capacity.candidates(step, true);
+            ranking = WorkerRanking.create({ workers, step, service, effects, nowMs, requiresGoodFit: true });
+            this.rankings.set(step, ranking);
+        }
+        return ranking;
+    }
+}
+
+/** Whether fillers of any image are throttled on a worker. */
+const hasLowPace = (worker: WorkerIncarnation): boolean => {
+    for (const percent of worker.pacePercentByImage.values()) {
+        if (percent < LowPacePercent) {
+            return true;
+        }
+    }
+    return false;
 };
 
+/** Whether a worker may have runs to mark, or runs whose time of low pace has to be reset. */
+const mayHaveMigrations = (worker: WorkerIncarnation, nowMs: number): boolean =>
+    worker.hadLowPaceRuns || (worker.isReachable && (isSlowWorker(worker, nowMs) || hasLowPace(worker)));
+
 /**
  * Marks runs that would finish sooner elsewhere: fillers throttled for the sake of serving tasks, and tasks on slow
  * workers. They are stopped, with a checkpoint where the task supports it, and started again.
@@ -88,17 +124,26 @@
     nowMs: number,
 ): readonly Run[] => {
     const migrations: Run[] = [];
+    const context = { fleet, rules, effects, nowMs };
+    let chooser = TargetChooser.create(context);
     for (const worker of fleet.workers) {
+        if (!mayHaveMigrations(worker, nowMs)) {
+            continue;
+        }
+        worker.hadLowPaceRuns = false;
         for (const run of worker.runs.values()) {
             const isThrottled = hasLongLowPace(run, nowMs) && run.progressPercent < NearlyDonePercent;
+            worker.hadLowPaceRuns ||= run.lowPaceSinceMs !== undefined;
             const mayMigrate =
                 migrations.length < MaxMigrationsPerPlan && run.task.migrationCount < MaxMigrationsPerTask;
             if (mayMigrate && (isThrottled || isStraggler(run, nowMs))) {
-                const target = findTarget(run, fleet, rules, effects, nowMs);
+                const target = chooser.choose(run);
                 if (target !== undefined && !isSlowWorker(target, nowMs)) {
                     run.stopReason = StopReason.Migrated;
                     run.task.migrationCount++;
                     migrations.push(run);
+                    // A run that is being stopped counts no longer in the scores of its worker.
+                    chooser = TargetChooser.create(context);
                 }
             }
         }
--- a/packages/jobs/src/pace-orders.ts
+++ b/packages/jobs/src/pace-orders.ts
@@ -14,18 +14,25 @@
     return change >= MinChangePercent || (isBoundary && change > 0);
 };
 
-const ordersFor = (worker: WorkerIncarnation): Order[] => {
-    const orders: Order[] = [];
+const paceRuns = (worker: WorkerIncarnation, orders: Order[]): void => {
     for (const run of worker.runs.values()) {
         const { filler, image } = run.task.step.spec;
-        const percent = worker.pacePercentFor(image);
-        if (filler && run.phase === RunPhase.Running && !run.isStopRequested && needsOrder(run, percent)) {
-            orders.push({ kind: OrderKind.Pace, worker, run, percent });
+        if (filler && run.phase === RunPhase.Running && !run.isStopRequested) {
+            const percent = worker.pacePercentFor(image);
+            if (needsOrder(run, percent)) {
+                orders.push({ kind: OrderKind.Pace, worker, run, percent });
+            }
         }
     }
-    return orders;
 };
 
 /** Returns the orders that set the fillers of all workers to their planned pace. */
-export const paceOrders = (fleet: WorkerFleet): Order[] =>
-    [...fleet.workers].filter(worker => worker.isReachable).flatMap(ordersFor);
+export const paceOrders = (fleet: WorkerFleet): Order[] => {
+    const orders: Order[] = [];
+    for (const worker of fleet.workers) {
+        if (worker.isReachable) {
+            paceRuns(worker, orders);
+        }
+    }
+    return orders;
+};
--- a/packages/jobs/src/stop-orders.ts
+++ b/packages/jobs/src/stop-orders.ts
@@ -33,6 +33,22 @@
     return run.phase === RunPhase.Unknown ? StopReason.NoAnswer : undefined;
 };
 
+const stopRuns = (worker: WorkerIncarnation, orders: Order[], nowMs: number): void => {
+    for (const run of worker.runs.values()) {
+        const reason = reasonToStop(run);
+        if (reason !== undefined && isRetryDue(run.stopSentAtMs, nowMs)) {
+            run.stopSentAtMs = nowMs;
+            orders.push({
+                kind: OrderKind.Stop,
+                worker,
+                task: run.task.name,
+                number: run.number,
+                reason,
+            });
+        }
+    }
+};
+
 /**
  * A restarted worker has forgotten which runs were stopped, and would carry out a start that was sent to its previous
  * incarnation. A stop makes it refuse that run number.
@@ -69,21 +85,15 @@
 export const stopOrders = (fleet: WorkerFleet, nowMs: number): Order[] => {
     const orders: Order[] = [];
     for (const worker of fleet.workers) {
-        for (const run of worker.runs.values()) {
-            const reason = reasonToStop(run);
-            if (reason !== undefined && isRetryDue(run.stopSentAtMs, nowMs) && worker.isReachable) {
-                run.stopSentAtMs = nowMs;
-                orders.push({
-                    kind: OrderKind.Stop,
-                    worker,
-                    task: run.task.name,
-                    number: run.number,
-                    reason,
-                });
-            }
+        if (worker.isReachable) {
+            stopRuns(worker, orders, nowMs);
+        }
+        if (worker.orphanRuns.size > 0) {
+            orders.push(...stopOrphanRuns(worker, nowMs));
+        }
+        if (worker.lateStarts.size > 0) {
+            orders.push(...stopLateStarts(worker, nowMs));
         }
-        orders.push(...stopOrphanRuns(worker, nowMs));
-        orders.push(...stopLateStarts(worker, nowMs));
     }
     return orders;
 };
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -51,6 +51,8 @@
     version = 0;
     /** Planned pace of fillers by image, 0 to 99; images without an entry work at 100. */
     readonly pacePercentByImage = new Map<string, number>();
+    /** Whether the last plan found runs here whose pace has been low. */
+    hadLowPaceRuns = false;
     /** Monotonic time of the last plan of `pacePercentByImage`. */
     pacePlannedAtMs = -Infinity;
     /** Factor on the headroom that fillers may take here according to the estimates, 0 to 1. */
--- a/packages/jobs/tests/plan-cost.test.ts
+++ b/packages/jobs/tests/plan-cost.test.ts
@@ -1,6 +1,7 @@
 import { Resources } from "@samphireward/core/resources";
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
+import type { WorkerEntry } from "../src/worker-entry.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -9,10 +10,11 @@
 /** Adds workers that count how often their capacity is checked. */
 const addWorkers = (
     harness: SchedulerHarness,
+    entry: Partial<WorkerEntry> = {},
 ): { workers: WorkerIncarnation[]; takeChecks: () => number } => {
     let checks = 0;
     const workers = Array.from({ length: WorkerCount }, (_, index) => {
-        const worker = harness.addWorker(`w${index}`);
+        const worker = harness.addWorker(`w${index}`, entry);
         const hasCapacityFor = worker.hasCapacityFor.bind(worker);
         worker.hasCapacityFor = reservation => {
             checks++;
@@ -71,3 +73,45 @@
     t.ok(later < WorkerCount, `only workers with free capacity are checked: ${later} checks`);
     t.end();
 });
+
+// Guards against a plan that scores all workers again for each run that would migrate and finds no worker.
+t.test("load pattern: the tasks of a slow worker have nowhere to go", t => {
+    const harness = SchedulerHarness.create();
+    const slow = harness.addWorker("slow");
+    const count = 5;
+    harness.submit({ count });
+    t.equal(harness.planAndStartAll().length, count);
+    const { workers, takeChecks } = addWorkers(harness, { isDraining: true });
+    for (let round = 0; round < 8; round++) {
+        harness.clock.advance(500);
+        harness.reportListing(slow, [...slow.runs.values()].map(SchedulerHarness.listedRun), []);
+    }
+    takeChecks();
+    t.same(harness.planOrders(), [], "no other worker takes them");
+    const checks = takeChecks();
+    t.ok(checks <= WorkerCount, `the workers are checked once for the step: ${checks} checks`);
+    workers
+        .slice(0, 1)
+        .forEach(worker => harness.scheduler.registerWorker({ ...worker.entry, isDraining: false }));
+    t.not(
+        harness.planOrders().length,
+        0,
+        "they migrate in the first plan after a worker has become available",
+    );
+    t.end();
+});
+
+// Guards against plans that look up the pace of every run, although only fillers have one.
+t.test("load pattern: many workers without fillers", t => {
+    const harness = SchedulerHarness.create();
+    const { workers } = addWorkers(harness);
+    harness.submit({ count: WorkerCount });
+    harness.planAndStartAll();
+    const lookups = workers.map(worker =>
+        t.capture(worker, "pacePercentFor", worker.pacePercentFor.bind(worker)),
+    );
+    harness.planOrders();
+    const count = lookups.reduce((sum, calls) => sum + calls().length, 0);
+    t.equal(count, 0, "no lookups");
+    t.end();
+});
