Count the registered workers before the number of cells is stored

Cause: the layout, which never changes, was derived from the workers that were registered 0.13 s after the processes had started.

Change: the number is derived once the count of workers is not 0 and has not changed for 1.8 s, at the latest 6 s after the first one. Until then a process is not ready. Processes far from the store count less often, so that those near it settle first.

Cells hold about 400 workers instead of 128.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -17,10 +17,10 @@
 import type { OperatorConfig } from "./operator-config.js";
 import { PeerClient } from "./peer-client.js";
 import type { PermitSource } from "./permit-source.js";
+import { resolveCellCount } from "./resolve-cell-count.js";
 import { RouteTable } from "./route-table.js";
 import { runInBackground } from "./run-in-background.js";
 import type { StoredOwner } from "./stored-owner.js";
-import { sleep } from "./sleep.js";
 import type { StoreChange } from "./store-change.js";
 import type { StoredItem } from "./stored-item.js";
 import { storedRecords } from "./stored-records.js";
@@ -29,9 +29,6 @@
 import { WorkerPoller } from "./worker-poller.js";
 import type { WorkerSource } from "./worker-source.js";
 
-/** Workers per cell; more workers are divided over more cells. */
-const WorkersPerCell = 128;
-const RetryDelayMs = 150;
 /** Time without a response of the store after which the process reports that it is not ready. */
 const UnreadyAfterMs = 4_000;
 
@@ -106,7 +103,10 @@
             configs.run(signal, config => this.applyConfig(config)),
             log,
         );
-        const count = await this.resolveCellCount();
+        const count = await resolveCellCount({ ...this.context, workers: this.workers }, signal);
+        if (count === undefined) {
+            return;
+        }
         metrics.layoutCells.set(count);
         log.write("layout-in-force", { cells: count });
         this.cells.set(Array.from({ length: count }, (_, cell) => this.createCandidate(cell, peerAddress)));
@@ -175,34 +175,6 @@
         return cellForKey(entry.id, this.cells.count) === cell;
     }
 
-    /** Reads the number of cells from the store, or derives it from the number of workers and stores it. */
-    private async resolveCellCount(): Promise<number> {
-        const { store, log } = this.context;
-        for (;;) {
-            const stored = await store.get(cellKeys.layout);
-            if (stored.isOk() && stored.value !== undefined) {
-                const cells = storedRecords.decodeCells(stored.value.value);
-                if (cells !== undefined) {
-                    return cells;
-                }
-                // Another number would assign jobs to the wrong cells, so an operator has to repair the entry.
-                log.write("entry-unreadable", { key: cellKeys.layout });
-                await sleep(RetryDelayMs);
-                continue;
-            }
-            if (stored.isOk() && (await this.workers.refresh())) {
-                const count = Math.max(1, Math.round([...this.workers.entries].length / WorkersPerCell));
-                log.write("layout-proposed", { cells: count });
-                await store.commit({
-                    expected: [{ key: cellKeys.layout, revision: 0 }],
-                    writes: [{ key: cellKeys.layout, value: JSON.stringify({ cells: count }) }],
-                });
-            } else {
-                await sleep(RetryDelayMs);
-            }
-        }
-    }
-
     private applyOwners(items: readonly StoredItem[]): void {
         this.areOwnersRead = true;
         const byKey = new Map(items.map(item => [item.key, item]));
