Spread the cells over the processes that could own them

All processes read the owners at the same time and waited equally long before they claimed each free cell, so the one nearest to the store got every cell, and the delay for cells that a process owns already came too late: it counted only cells whose state had been read.

A process ranks the cells by a hash of its name, waits up to 150 ms more for those it ranks last, counts a cell as soon as it claims it, and waits again if it has claimed another one meanwhile. Not exercised by the sites of today and the grown ones, which have one cell.

--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -4,30 +4,17 @@
 import type { WorkerEntry } from "@samphireward/jobs/worker-entry";
 import { CellLease } from "./cell-lease.js";
 import { CellOwner } from "./cell-owner.js";
+import { claimDelayMs } from "./claim-delay-ms.js";
 import type { EventLog } from "./event-log.js";
 import type { MetadataStore } from "./metadata-store.js";
 import type { Metrics } from "./metrics.js";
 import type { OwnerRecord } from "./owner-record.js";
 import type { PermitSource } from "./permit-source.js";
+import { rankOfCell } from "./rank-of-cell.js";
 import { runInBackground } from "./run-in-background.js";
 import type { StoredOwner } from "./stored-owner.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
-/**
- * Multiple of its round trip to the store after which a process claims a free cell, so that one near the store wins.
- */
-const ClaimDelayRoundTrips = 8;
-const MinClaimDelayMs = 30;
-const MaxClaimDelayMs = 900;
-/**
- * Claim delay of a VM without processors, which falls to 0 at `SufficientProcessors`: an owner on a small VM sends
- * its orders late.
- */
-const SmallVmDelayMs = 150;
-/** Claim delay for each cell that the process owns already, so that cells spread over VMs. */
-const OtherCellDelayMs = 400;
-/** Cores from which the size of a VM no longer delays its claims. */
-const SufficientProcessors = 1;
 /** Upper bound of the random part of the delay, so that equal processes do not claim at the same moment. */
 const MaxClaimJitterMs = 40;
 const RetryDelayMs = 150;
@@ -51,8 +38,8 @@
     readonly readWorkers: () => Promise<Iterable<WorkerEntry>>;
     readonly roundTripMs: () => number;
     readonly processors: number;
-    /** Cells that this process owns. */
-    readonly ownedCellCount: () => number;
+    /** Cells that this process owns or is claiming, except this one. */
+    readonly otherCellCount: () => number;
 }
 
 /** Claims a cell when it is free, and owns it until another process takes over or this one stops. */
@@ -75,6 +62,11 @@
         return this.owned?.owner.isReady === true ? this.owned.owner : undefined;
     }
 
+    /** Whether this process owns the cell, reads its state, or is claiming it. */
+    get isClaimed(): boolean {
+        return this.owned !== undefined || this.isClaiming;
+    }
+
     /** The owner recorded in the store. */
     get ownerRecord(): OwnerRecord | undefined {
         return this.record?.owner;
@@ -122,18 +114,21 @@
         if (this.ownerRecord !== undefined && !isOwnRecord) {
             return;
         }
-        const { roundTripMs, processors, ownedCellCount } = this.context;
-        const processorShortfall = 1 - Math.min(SufficientProcessors, processors) / SufficientProcessors;
-        const unclampedDelayMs =
-            roundTripMs() * ClaimDelayRoundTrips +
-            processorShortfall * SmallVmDelayMs +
-            ownedCellCount() * OtherCellDelayMs;
-        const delayMs = Math.min(MaxClaimDelayMs, Math.max(MinClaimDelayMs, unclampedDelayMs));
+        const { cell, node, cellCount, roundTripMs, processors, otherCellCount } = this.context;
+        const rank = rankOfCell(cell, cellCount(), node);
+        const otherCells = otherCellCount();
+        const delayMs = claimDelayMs({ roundTripMs: roundTripMs(), processors, otherCells, rank });
         this.claimTimer = setTimeout(
-            () =>
+            () => {
+                if (!isOwnRecord && otherCellCount() > otherCells) {
+                    // This process has claimed another cell meanwhile, so that others go first for this one.
+                    this.scheduleClaim();
+                    return;
+                }
                 runInBackground("claim", this.claim(), this.context.log, reason =>
                     this.loseOwnership(reason),
-                ),
+                );
+            },
             isOwnRecord ? 0 : delayMs + Math.random() * MaxClaimJitterMs,
         );
     }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -149,7 +149,8 @@
                 return [...this.workers.entries].filter(entry => this.belongsToCell(entry, cell));
             },
             processors: settings.processors,
-            ownedCellCount: () => this.cells.all.filter(candidate => candidate.owner !== undefined).length,
+            otherCellCount: () =>
+                this.cells.all.filter((candidate, other) => other !== cell && candidate.isClaimed).length,
         });
     }
 
