Delay the next plan by twice the time that the last one took

An owner planned 6 ms after each change. With 342 workers there is always a change, and plans took 42% of the saturated thread, so that heartbeats and responses, which free capacity, came late.

PlanDelay makes the delay twice the duration of the last plan, so that plans take at most about a third of the thread, between 6 ms as before and 60 ms. Beyond 30 ms for a plan the share grows again. The time to send the orders does not count: fewer plans send as many orders.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from "./metrics.js";
 import { PermitRequester } from "./permit-requester.js";
 import type { PermitSource } from "./permit-source.js";
+import { PlanDelay } from "./plan-delay.js";
 import { ProgressWriter } from "./progress-writer.js";
 import { readCellState } from "./read-cell-state.js";
 import { RosterWriter } from "./roster-writer.js";
@@ -22,8 +23,6 @@
 import { WorkerLinks } from "./worker-links.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
-/** Time for which changes are collected before orders are planned. */
-const PlanDelayMs = 6;
 /** Longest time between two plans, for conditions that change with time alone. */
 const PlanIntervalMs = 100;
 const MaintenanceIntervalMs = 1_000;
@@ -56,6 +55,7 @@
     private readonly permits: PermitRequester;
     private readonly roster: RosterWriter;
     private readonly writer: ProgressWriter;
+    private readonly planDelay = PlanDelay.create();
     private planTimer: NodeJS.Timeout | undefined;
     private hasReadState = false;
 
@@ -205,16 +205,21 @@
             this.planTimer = setTimeout(() => {
                 this.planTimer = undefined;
                 this.plan();
-            }, PlanDelayMs);
+            }, this.planDelay.nextMs);
         }
     }
 
     private plan(): void {
+        const { clock } = this.context;
+        const startedAtMs = clock.nowMs();
         this.links.sync();
         if (this.roster.blockUnlistedWorkers()) {
             runInBackground("roster", this.writeRoster(), this.context.log, this.context.onLost);
         }
-        for (const order of this.scheduler.plan()) {
+        const orders = this.scheduler.plan();
+        // Without the time to send the orders, of which there are as many with fewer plans.
+        this.planDelay.record(clock.nowMs() - startedAtMs);
+        for (const order of orders) {
             this.links.send(order);
         }
         const requested = this.permits.requestNext().then(hasSent => hasSent && this.schedulePlan());
