Share the candidates of steps that ask for as many processors

With a long queue, many steps ask for the same number of processors, and the capacity index searched its workers again for each of them: 9% of a loaded thread. It now keeps the workers by the number asked for, for one plan.

The new test failed before with "the same array".

--- a/packages/jobs/src/capacity-index.ts
+++ b/packages/jobs/src/capacity-index.ts
@@ -10,6 +10,8 @@
 interface Column {
     readonly values: Float64Array;
     readonly largest: number;
+    /** The workers with at least a number, by that number. Few steps ask for different ones. */
+    readonly candidates: Map<number, readonly WorkerIncarnation[]>;
 }
 
 const columnOf = (
@@ -17,7 +19,7 @@
     valueOf: (worker: WorkerIncarnation) => number,
 ): Column => {
     const values = Float64Array.from(workers, valueOf);
-    return { values, largest: values.reduce((a, b) => Math.max(a, b), -Infinity) };
+    return { values, largest: values.reduce((a, b) => Math.max(a, b), -Infinity), candidates: new Map() };
 };
 
 /**
@@ -45,8 +47,16 @@
     /** Returns the workers whose processors may be enough for a task of a step, in fleet order. */
     candidates({ spec, reservation }: Step, requiresGoodFit: boolean): readonly WorkerIncarnation[] {
         const usesUnused = spec.filler && requiresGoodFit;
-        const { values, largest } = usesUnused ? this.unused : this.free;
+        const { values, largest, candidates } = usesUnused ? this.unused : this.free;
         const needed = (usesUnused ? minUnusedProcessors(spec) : reservation.processors) - RoundingTolerance;
-        return largest < needed ? [] : this.workers.filter((_, index) => Number(values[index]) >= needed);
+        if (largest < needed) {
+            return [];
+        }
+        let workers = candidates.get(needed);
+        if (workers === undefined) {
+            workers = this.workers.filter((_, index) => Number(values[index]) >= needed);
+            candidates.set(needed, workers);
+        }
+        return workers;
     }
 }
--- a/packages/jobs/tests/worker-ranking.test.ts
+++ b/packages/jobs/tests/worker-ranking.test.ts
@@ -198,6 +198,25 @@
     },
 );
 
+// Guards against plans that search all workers again for each of many steps that ask for as much as others.
+t.test("steps that ask for as many processors share their candidates", t => {
+    const workers = Array.from({ length: 3 }, (_, number) =>
+        makeWorker(usual, number, makeStep("job", plainStep)),
+    );
+    const index = CapacityIndex.create(workers);
+    const small = index.candidates(makeStep("a", plainStep), true);
+    t.same(small, workers);
+    t.equal(index.candidates(makeStep("b", plainStep), true), small, "the same array");
+    const large = { ...plainStep, resources: Resources.create({ processors: 9 }) };
+    t.same(index.candidates(makeStep("c", large), true), []);
+    t.same(
+        index.candidates(makeStep("d", { ...large, filler: true }), true),
+        workers,
+        "half of it must be unused",
+    );
+    t.end();
+});
+
 // Guards against a task that waits because sums of fractional reservations are not exact.
 t.test("a worker whose free processors differ from the request by a rounding error is a candidate", t => {
     const step = makeStep("job", { ...plainStep, resources: Resources.create({ processors: 0.1 }) });
