--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from "./metrics.js";
 import { PermitRequester } from "./permit-requester.js";
 import type { PermitSource } from "./permit-source.js";
+import { PlanDelay } from "./plan-delay.js";
 import { ProgressWriter } from "./progress-writer.js";
 import { readCellState } from "./read-cell-state.js";
 import { RosterWriter } from "./roster-writer.js";
@@ -22,8 +23,6 @@
 import { WorkerLinks } from "./worker-links.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
-/** Time for which changes are collected before orders are planned. */
-const PlanDelayMs = 6;
 /** Longest time between two plans, for conditions that change with time alone. */
 const PlanIntervalMs = 100;
 const MaintenanceIntervalMs = 1_000;
@@ -58,6 +57,7 @@
     private readonly permits: PermitRequester;
     private readonly roster: RosterWriter;
     private readonly writer: ProgressWriter;
+    private readonly planDelay = PlanDelay.create();
     private planTimer: NodeJS.Timeout | undefined;
     private hasReadState = false;
 
@@ -204,23 +204,27 @@
 
     private schedulePlan(): void {
         if (this.planTimer === undefined && this.hasReadState && !this.abort.signal.aborted) {
-            const dueAtMs = this.context.clock.nowMs() + PlanDelayMs;
+            const delayMs = this.planDelay.nextMs;
+            const dueAtMs = this.context.clock.nowMs() + delayMs;
             this.planTimer = setTimeout(() => {
                 this.planTimer = undefined;
                 this.loadReporter.recordTimer(dueAtMs);
                 this.plan();
-            }, PlanDelayMs);
+            }, delayMs);
         }
     }
 
     private plan(): void {
+        const { clock } = this.context;
+        const startedAtMs = clock.nowMs();
         this.links.sync();
         if (this.roster.blockUnlistedWorkers()) {
             runInBackground("roster", this.writeRoster(), this.context.log, this.context.onLost);
         }
-        const startedAtMs = this.context.clock.nowMs();
         const orders = this.scheduler.plan();
         this.loadReporter.recordPlan(startedAtMs);
+        // Without the time to send the orders, of which there are as many with fewer plans.
+        this.planDelay.record(clock.nowMs() - startedAtMs);
         for (const order of orders) {
             this.links.send(order);
         }
