--- a/packages/dispatch/tests/plan-delay.test.ts
+++ b/packages/dispatch/tests/plan-delay.test.ts
@@ -48,6 +48,7 @@
         clock,
         log: NullLog.create(),
         metrics: Metrics.create(),
+        cellCount: () => 1,
         limits: cellLimits,
         onLost: () => undefined,
     });
