Show that a task may crash worker after worker

A task that crashes its worker lists no end there, so its attempt ends as released and counts nothing against it. The owner starts it again as soon as the worker answers or the lease has ended.

The simulation gets tasks that crash their worker and workers that restart after a while. Its checker reports a task that is started three times after three workers have crashed under it.

--- a/packages/tasks/tests/faults/invariant-checker.ts
+++ b/packages/tasks/tests/faults/invariant-checker.ts
@@ -6,6 +6,10 @@
 
 type End = "finished" | "failed" | "lease-lapsed" | "stopped" | "died";
 
+/** After so many workers have crashed under a task, it must not be started `MaxStartsAfterCrashes` times more. */
+const MaxCrashedWorkers = 3;
+const MaxStartsAfterCrashes = 3;
+
 /**
  * Compares what the workers do with the durable records. It shares no code with the owner besides the replay
  * of the log.
@@ -13,6 +17,11 @@
 export class InvariantChecker {
     readonly violations: string[] = [];
     readonly startedKeys = new Set<string>();
+    /** Number of workers that each task has crashed. */
+    readonly crashes = new Map<string, number>();
+    /** Workers that died while the records said that the task is on them, one entry for each death. */
+    private readonly deaths = new Map<string, string[]>();
+    private readonly startsAfterCrashes = new Map<string, number>();
     private readonly running = new Map<string, Map<string, RunningTask>>();
     private readonly startedAttempts = new Set<string>();
     private readonly ends = new Map<string, End[]>();
@@ -35,6 +44,7 @@
             this.report(`${key}#${attempt} starts twice`);
         }
         this.startedAttempts.add(`${key}#${attempt}`);
+        this.checkCrashes(key);
         this.checkRecord(worker, task, checkpoint);
         const workerTasks = this.running.get(worker) ?? new Map<string, RunningTask>();
         this.running.set(worker, workerTasks.set(`${key}#${attempt}`, task));
@@ -52,6 +62,19 @@
         this.ends.set(task.key, [...(this.ends.get(task.key) ?? []), end]);
     }
 
+    /** Called when a task has crashed its worker, before the worker dies. */
+    crashedBy(key: string): void {
+        this.crashes.set(key, (this.crashes.get(key) ?? 0) + 1);
+    }
+
+    workerDied(worker: string): void {
+        for (const [key, record] of this.durable.tasks) {
+            if (record.worker === worker) {
+                this.deaths.set(key, [...(this.deaths.get(key) ?? []), worker]);
+            }
+        }
+    }
+
     overcommitRefused(worker: string, key: string, attempt: number): void {
         this.report(`${key}#${attempt} was sent to ${worker}, which lacks free capacity`);
     }
@@ -77,6 +100,19 @@
         }
     }
 
+    private checkCrashes(key: string): void {
+        if ((this.crashes.get(key) ?? 0) < MaxCrashedWorkers) {
+            return;
+        }
+        const starts = (this.startsAfterCrashes.get(key) ?? 0) + 1;
+        this.startsAfterCrashes.set(key, starts);
+        if (starts === MaxStartsAfterCrashes) {
+            this.report(
+                `${key} is started ${starts} times after ${MaxCrashedWorkers} workers crashed under it`,
+            );
+        }
+    }
+
     private checkRecord(worker: string, task: RunningTask, checkpoint: string | undefined): void {
         const record = this.durable.get(task.key);
         const { attempt, key } = task;
--- a/packages/tasks/tests/faults/sim-worker.ts
+++ b/packages/tasks/tests/faults/sim-worker.ts
@@ -7,27 +7,28 @@
 import type { InvariantChecker } from "./invariant-checker.js";
 import { SkewedClock } from "./skewed-clock.js";
 
-const capacity = Resources.create({ processors: 4, memoryMb: 8000, accelerators: 1 });
+const fullCapacity = Resources.create({ processors: 4, memoryMb: 8000, accelerators: 1 });
 
 /** Passes a worker's starts and ends to the checker. */
 class Observer extends WorkerObserver {
     constructor(
-        private readonly worker: string,
+        private readonly worker: SimWorker,
         private readonly checker: InvariantChecker,
     ) {
         super();
     }
 
     override started(task: RunningTask, checkpoint: string | undefined): void {
-        this.checker.started(this.worker, capacity, task, checkpoint);
+        this.checker.started(this.worker.name, this.worker.capacity, task, checkpoint);
+        this.worker.onStarted?.(task);
     }
 
     override ended(task: RunningTask, end: Parameters<InvariantChecker["ended"]>[2]): void {
-        this.checker.ended(this.worker, task, end);
+        this.checker.ended(this.worker.name, task, end);
     }
 
     override overcommitRefused(key: string, attempt: number): void {
-        this.checker.overcommitRefused(this.worker, key, attempt);
+        this.checker.overcommitRefused(this.worker.name, key, attempt);
     }
 }
 
@@ -39,39 +40,50 @@
     address = "127.0.0.1:1";
     /** Incremented when the VM dies; what was sent to an earlier incarnation never arrives. */
     incarnation = 0;
+    /** Called when a task has started on the worker. */
+    onStarted: ((task: RunningTask) => void) | undefined;
+    readonly capacity = fullCapacity;
     readonly model: WorkerModel;
 
     private constructor(
         readonly name: string,
+        readonly rack: string,
         clock: Clock,
         rate: number,
         readonly checker: InvariantChecker,
     ) {
         this.model = WorkerModel.create(
-            capacity,
+            fullCapacity,
             SkewedClock.create(clock, rate),
-            new Observer(name, checker),
+            new Observer(this, checker),
         );
     }
 
-    static create(name: string, clock: Clock, rate: number, checker: InvariantChecker): SimWorker {
-        return new SimWorker(name, clock, rate, checker);
+    static create(
+        name: string,
+        rack: string,
+        clock: Clock,
+        rate: number,
+        checker: InvariantChecker,
+    ): SimWorker {
+        return new SimWorker(name, rack, clock, rate, checker);
     }
 
     get info(): WorkerInfo {
-        const { name, leaving, address } = this;
+        const { name, rack, leaving, address, capacity } = this;
         return {
             name,
             taskAddress: address,
             serviceAddress: address,
             dataCentre: "herning-a",
-            rack: name,
+            rack,
             capacity,
             leaving,
         };
     }
 
     die(): void {
+        this.checker.workerDied(this.name);
         this.model.crash();
         this.alive = false;
         this.incarnation += 1;
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from "@samphireward/core/seeded-random";
 import { WorkClass } from "@samphireward/core/work-class";
 import { LeastLoadedPolicy } from "@samphireward/placement/least-loaded-policy";
+import type { RunningTask } from "@samphireward/standins/worker/running-task";
 import type { WorkerModel } from "@samphireward/standins/worker/worker-model";
 import type { Result } from "ts-results-es";
 import { CellOwner } from "../../src/cell-owner.js";
@@ -31,6 +32,16 @@
 ];
 const pools = new Map([pool("cutting", WorkClass.Batch), pool("proofs", WorkClass.LatencyCritical)]);
 
+/** Payload of a task: how long it runs, and whether it fails or crashes its worker. */
+interface SimPayload {
+    readonly runMs: number;
+    readonly fail?: boolean;
+    /** The task crashes its worker this long after each start. */
+    readonly crashAfterMs?: number;
+    /** Time from the crash to the restart of the worker. */
+    readonly downMs?: number;
+}
+
 /** A cell with its log, workers, directory and scheduler processes under a manual clock. */
 export class Simulation {
     readonly clock = ManualClock.create(1000);
@@ -46,7 +57,7 @@
     private readonly mayBeRecorded = new Map<string, number>();
     readonly cancelled = new Set<string>();
     readonly keys: string[] = [];
-    private readonly payloads = new Map<string, { runMs: number; fail?: boolean }>();
+    private readonly payloads = new Map<string, SimPayload>();
     private cuts = new Set<string>();
     private faultRate = 0;
     private freeSinceMs = 0;
@@ -59,8 +70,11 @@
         this.log = SimLog.create(this.events, this.random, () => this.faultRate, mutant);
         this.checker = InvariantChecker.create(this.log.durable);
         this.workers = workerClockRates.map((rate, index) =>
-            SimWorker.create(`w-${index}`, this.clock, rate, this.checker),
+            SimWorker.create(`w-${index}`, `r-${index}`, this.clock, rate, this.checker),
         );
+        for (const worker of this.workers) {
+            worker.onStarted = task => this.scheduleCrash(worker, task);
+        }
         this.scheduleTick();
     }
 
@@ -94,6 +108,15 @@
         this.cuts.add(`${process?.epoch ?? "all"}|${worker.name}`);
     }
 
+    /** Crashes a worker, which is back after `downMs` unless it has crashed again meanwhile. */
+    crash(worker: SimWorker, downMs: number): void {
+        worker.die();
+        const { incarnation } = worker;
+        this.events.after(downMs, () => {
+            worker.alive = worker.alive || worker.incarnation === incarnation;
+        });
+    }
+
     healNetwork(): void {
         this.cuts = new Set();
     }
@@ -107,7 +130,7 @@
         return command(worker.model);
     }
 
-    submit(key: string, payload: { runMs: number; fail?: boolean }): void {
+    submit(key: string, payload: SimPayload): void {
         this.keys.push(key);
         this.payloads.set(key, payload);
         this.resubmit(key);
@@ -189,6 +212,21 @@
         return this.keys.filter(key => this.mayBeRecorded.get(key) === 0);
     }
 
+    private scheduleCrash(worker: SimWorker, task: RunningTask): void {
+        const { crashAfterMs, downMs = 2000 } = task.payload as SimPayload;
+        if (crashAfterMs === undefined) {
+            return;
+        }
+        const { key, attempt } = task;
+        this.events.after(crashAfterMs, () => {
+            const runs = worker.model.tasks().some(other => other.key === key && other.attempt === attempt);
+            if (runs) {
+                this.checker.crashedBy(key);
+                this.crash(worker, downMs);
+            }
+        });
+    }
+
     private scheduleTick(): void {
         this.events.after(TickIntervalMs, () => {
             this.scheduleTick();
