Give up a task that crashes the workers that start it

A task that crashed its worker left no end on it, so its attempts ended as released, counted nothing and were started again; one task took 45 workers in 120 s of simulated time.

Cause: the owner could not tell a crash from a lapsed lease, and the task's record had no place for it. A worker that restarts reports epoch 0, but the owner raised the epoch again before it looked.

Change: after an unanswered call, and at a takeover, the owner asks for the worker's epoch before any command raises it, and makes the losses durable first, so the next owner finds either the reset epoch or the notes. Losses are in the task's record. After 3 s, in which the loss of other workers is noticed, LossJudge decides: tasks with earlier losses are blamed, and those that started after them; without such tasks, all that were there. A cut clears, a planned leave, a VM off the directory's list, the loss of most of a rack or cell and a loss explained by another task are excused, at most twice for each task. A task is given up after crashes of two workers, or three of one. Until then it starts only where no other suspect runs, on the worker with the fewest tasks and not on one lost under it; with three undecided losses it waits. A run of 60 s, or twice as long as before any loss, clears it.

Stored form: a loss is a `running` row with more columns and giving up is a `cancelled` row with one, because earlier versions refuse unknown tags. By both readings a task that was given up has ended.

New: neighbours, changes of the owner at six moments after each crash, loss of all workers, cuts, planned leave, long runs, quarantine, rows as earlier versions read them, and random schedules with deadly tasks (crash-faults). The checker also reports two suspects on one worker, a crash recorded without a death, and a neighbour given up for the only culprit.

The random schedules found, before this commit: a restart noticed while a lapsed lease was queued for the log; three excused crashes in a row; tasks that hid behind other suspects again and again; a second crash of the same worker that told nothing. The existing test "missing from the list" found that a worker off the list counted as crashed.

--- a/packages/placement/src/queued-task.ts
+++ b/packages/placement/src/queued-task.ts
@@ -12,4 +12,6 @@
     readonly expectedRunMs: number;
     /** Time of the first submission. An evicted task keeps it, and with it its position in the queue. */
     readonly submittedAtMs: number;
+    /** Whether the task may crash its worker. Such tasks wait apart, because at most one may run on each worker. */
+    readonly isSuspect?: boolean;
 }
--- a/packages/placement/src/task-queue.ts
+++ b/packages/placement/src/task-queue.ts
@@ -13,7 +13,8 @@
 const subQueueName = (task: QueuedTask): string => {
     const { processors, memoryMb, accelerators } = task.resources;
     const size = [processors, memoryMb, accelerators, task.expectedRunMs].map(sizeBucket).join(",");
-    return `${task.workClass}|${task.team}|${task.interferenceClass}|${size}`;
+    const suspect = task.isSuspect === true ? "|suspect" : "";
+    return `${task.workClass}|${task.team}|${task.interferenceClass}|${size}${suspect}`;
 };
 
 /**
@@ -44,6 +45,10 @@
         return this.subQueueByKey.has(key);
     }
 
+    get(key: string): QueuedTask | undefined {
+        return this.subQueueByKey.get(key)?.tasks.get(key);
+    }
+
     /** Returns false, without any change, if a task with this key is queued already. */
     add(task: QueuedTask): boolean {
         if (this.subQueueByKey.has(task.key)) {
--- a/packages/tasks/src/attempt-commands.ts
+++ b/packages/tasks/src/attempt-commands.ts
@@ -1,4 +1,6 @@
 import type { CodedError } from "@samphireward/core/coded-error";
+import { describeCode } from "@samphireward/core/describe-code";
+import { Outcome } from "@samphireward/core/outcome";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { Result } from "ts-results-es";
 import type { Attempt } from "./attempt.js";
@@ -10,6 +12,8 @@
 /** Checkpoint calls per eviction. After the last unanswered one the task is stopped with its previous checkpoint. */
 const MaxCheckpointCalls = 3;
 
+const isNotRun = (err: CodedError): boolean => describeCode(err.code).outcome === Outcome.NotRun;
+
 /** Sends the start, renewal, stop and checkpoint commands for one worker's attempts, and handles the answers. */
 export class AttemptCommands {
     private constructor(
@@ -64,7 +68,12 @@
             return;
         }
         const unknown = new Set(answer.value.map(ref => ref.key));
-        renewed.filter(attempt => unknown.has(attempt.key)).forEach(attempt => attempt.requestStop());
+        renewed.filter(attempt => unknown.has(attempt.key)).forEach(attempt => this.stopUnknown(attempt));
+    }
+
+    private stopUnknown(attempt: Attempt): void {
+        attempt.isForgotten = attempt.phase === AttemptPhase.Live;
+        attempt.requestStop();
     }
 
     /** Returns whether the worker has confirmed the stop. */
@@ -122,6 +131,8 @@
             return;
         }
         attempt.phase = AttemptPhase.Stopping;
+        // A stale attempt number may mean that a copy of the command arrived before and ran.
+        attempt.wasRefused = isNotRun(err) && err.code !== ResultCode.StaleAttempt;
         if (err.code === ResultCode.CapacityExceeded) {
             this.link.requestInventory();
         } else if (err.code === ResultCode.BadRequest) {
--- a/packages/tasks/src/attempt-tracker.ts
+++ b/packages/tasks/src/attempt-tracker.ts
@@ -6,6 +6,7 @@
 import { AttemptPhase } from "./attempt-phase.js";
 import type { CellStatistics } from "./cell-statistics.js";
 import type { CellState } from "./cell-state.js";
+import { isSuspect } from "./is-suspect.js";
 import { isActiveState } from "./is-active-state.js";
 import type { LoadManager } from "./load-manager.js";
 import type { Placer } from "./placer.js";
@@ -57,7 +58,12 @@
         const link = this.parts.workers.getOrCreate(worker);
         const { resources, pool } = task.spec;
         const interferenceClass = this.parts.placer.pool(pool)?.interferenceClass ?? "";
-        link.entry.reserve(attemptId(ref), { resources, interferenceClass, pool });
+        link.entry.reserve(attemptId(ref), {
+            resources,
+            interferenceClass,
+            pool,
+            isSuspect: isSuspect(task.losses),
+        });
         this.parts.loadManager.onReservationsChanged(link);
     }
 
@@ -118,6 +124,10 @@
             case "finished":
             case "failed":
                 return this.applyEnd(transition, worker);
+            case "attempt-loss":
+            case "given-up":
+                this.syncQueue(transition.key);
+                return undefined;
             case "cancelled":
                 return this.applyCancellation(transition.key);
             case "worker-mode":
--- a/packages/tasks/src/attempt.ts
+++ b/packages/tasks/src/attempt.ts
@@ -23,6 +23,11 @@
     /** Error of a worker that rejected the command itself; counts as a failure of the task on that worker. */
     rejectionError: string | undefined;
 
+    /** The worker refused the start, so the attempt never ran. */
+    wasRefused = false;
+    /** The worker does not know the running attempt, and no stop was requested. */
+    isForgotten = false;
+
     /** Index of the worker's attempts in phase `Stopping`, which avoids a search. */
     stoppingAttempts: Set<Attempt> | undefined;
 
--- a/packages/tasks/src/cell-owner.ts
+++ b/packages/tasks/src/cell-owner.ts
@@ -161,6 +161,7 @@
         if (this.core.isActive) {
             this.core.submissions.expire();
             this.core.forgetTasks(selectTasksToForget(this.core.state, this.core.wallMs()));
+            this.core.lossJudge.tick();
             this.core.placeIfDue();
             this.core.flush();
         }
--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -1,5 +1,7 @@
 import type { TaskState } from "@samphireward/core/task-state";
+import type { AttemptLoss } from "./attempt-loss.js";
 import { CellState } from "./cell-state.js";
+import type { LossVerdict } from "./loss-verdict.js";
 import type { StateRow } from "./state-row.js";
 import type { TaskRecord } from "./task-record.js";
 import { TransitionCodec } from "./transition-codec.js";
@@ -19,6 +21,18 @@
     return row.slice(0, last + 1);
 };
 
+const lossToRow = ({ attempt, worker, verdict, ranMs }: AttemptLoss): Row => [
+    attempt,
+    worker,
+    verdict,
+    ranMs,
+];
+
+const lossFromRow = (row: Row): AttemptLoss => {
+    const [attempt, worker, verdict, ranMs] = row as [number, string, LossVerdict, number];
+    return { attempt, worker, verdict, ranMs };
+};
+
 const toRow = (record: TaskRecord): Row =>
     trim([
         ...TransitionCodec.specToRow(record.spec),
@@ -30,10 +44,12 @@
         record.cancelRequested ? 1 : 0,
         record.checkpoint === undefined ? 0 : [record.checkpoint],
         record.failures.length === 0 ? 0 : record.failures,
+        record.losses.length === 0 ? 0 : record.losses.map(lossToRow),
     ]);
 
 const fromRow = (row: Row): TaskRecord => {
-    const [state, wallMs, attempt, worker, output, cancel, checkpoint, failures] = row.slice(SpecColumns);
+    const [state, wallMs, attempt, worker, output, cancel, checkpoint, failures, losses] =
+        row.slice(SpecColumns);
     return {
         spec: TransitionCodec.specFromRow(row),
         state: state as TaskState,
@@ -44,6 +60,7 @@
         cancelRequested: cancel === 1,
         checkpoint: Array.isArray(checkpoint) ? (checkpoint[0] as string) : undefined,
         failures: Array.isArray(failures) ? (failures as string[]) : [],
+        losses: Array.isArray(losses) ? (losses as Row[]).map(lossFromRow) : [],
     };
 };
 
--- a/packages/tasks/src/cell-state.ts
+++ b/packages/tasks/src/cell-state.ts
@@ -1,5 +1,8 @@
 import type { TaskSpec } from "@samphireward/core/task-spec";
 import { TaskState } from "@samphireward/core/task-state";
+import { applyLoss } from "./apply-loss.js";
+import type { AttemptLoss } from "./attempt-loss.js";
+import { describeCrashes } from "./describe-crashes.js";
 import { hasFailedPermanently } from "./has-failed-permanently.js";
 import { isActiveState } from "./is-active-state.js";
 import { isWaitingState } from "./is-waiting-state.js";
@@ -12,6 +15,7 @@
 type MutableRecord = { -readonly [Field in keyof TaskRecord]: TaskRecord[Field] };
 
 const noFailures: readonly string[] = [];
+const noLosses: readonly AttemptLoss[] = [];
 
 const newRecord = (spec: TaskSpec, wallMs: number): MutableRecord => ({
     spec,
@@ -20,6 +24,7 @@
     worker: undefined,
     checkpoint: undefined,
     failures: noFailures,
+    losses: noLosses,
     cancelRequested: false,
     output: "",
     wallMs,
@@ -35,6 +40,9 @@
     /** Ended tasks in the order of their end. */
     private readonly endedKeys = new Set<string>();
 
+    /** Tasks that have not ended and have losses. */
+    private readonly lossyKeys = new Set<string>();
+
     private constructor() {}
 
     static create(): CellState {
@@ -50,9 +58,11 @@
         const state = new CellState();
         for (const record of records) {
             state.records.set(record.spec.key, { ...record });
+            state.updateLossy(record);
         }
         for (const key of endedKeys) {
             state.endedKeys.add(key);
+            state.lossyKeys.delete(key);
         }
         for (const [worker, mode] of modes) {
             state.modes.set(worker, mode);
@@ -72,6 +82,11 @@
         return this.endedKeys;
     }
 
+    /** Tasks that have not ended and have losses; usually few. */
+    get lossy(): ReadonlySet<string> {
+        return this.lossyKeys;
+    }
+
     /** Workers whose mode is not open. */
     get workerModes(): ReadonlyMap<string, WorkerMode> {
         return this.modes;
@@ -97,6 +112,9 @@
             case "checkpointing":
                 this.advance(transition, TaskState.Running, TaskState.Checkpointing);
                 return;
+            case "attempt-loss":
+                this.applyLoss(transition);
+                return;
             case "released":
                 this.release(transition, transition.checkpoint, transition.wallMs);
                 return;
@@ -109,6 +127,9 @@
             case "cancelled":
                 this.cancel(transition.key, transition.wallMs);
                 return;
+            case "given-up":
+                this.giveUp(transition.key, transition.wallMs);
+                return;
             case "forgotten":
                 this.forget(transition.keys);
                 return;
@@ -191,6 +212,30 @@
         }
     }
 
+    private applyLoss(loss: AttemptLoss & AttemptRef): void {
+        const record = this.records.get(loss.key);
+        if (record !== undefined && !this.endedKeys.has(loss.key)) {
+            record.losses = applyLoss(record.losses, loss, this.findActive(loss) !== undefined);
+            this.updateLossy(record);
+        }
+    }
+
+    private updateLossy(record: TaskRecord): void {
+        if (record.losses.length > 0) {
+            this.lossyKeys.add(record.spec.key);
+        } else {
+            this.lossyKeys.delete(record.spec.key);
+        }
+    }
+
+    private giveUp(key: string, wallMs: number): void {
+        const record = this.records.get(key);
+        if (record !== undefined && isWaitingState(record.state)) {
+            record.output = describeCrashes(record.losses);
+            this.end(record, TaskState.Failed, wallMs);
+        }
+    }
+
     private requeue(record: MutableRecord, wallMs: number): void {
         if (record.cancelRequested) {
             this.end(record, TaskState.Cancelled, wallMs);
@@ -207,6 +252,7 @@
         record.wallMs = wallMs;
         record.spec = { ...record.spec, payload: "" };
         this.endedKeys.add(record.spec.key);
+        this.lossyKeys.delete(record.spec.key);
     }
 
     private forget(keys: readonly string[]): void {
--- a/packages/tasks/src/commit-queue.ts
+++ b/packages/tasks/src/commit-queue.ts
@@ -47,8 +47,10 @@
         case "starting":
         case "running":
         case "checkpointing":
+        case "attempt-loss":
         case "released":
         case "cancelled":
+        case "given-up":
         case "worker-mode":
             return TransitionBaseBytes;
     }
--- a/packages/tasks/src/describe-task.ts
+++ b/packages/tasks/src/describe-task.ts
@@ -1,4 +1,5 @@
 import { TaskState } from "@samphireward/core/task-state";
+import { hasCrashedPermanently } from "./has-crashed-permanently.js";
 import type { OwnerCore } from "./owner-core.js";
 import type { TaskRecord } from "./task-record.js";
 import type { TaskStatus } from "./task-status.js";
@@ -35,7 +36,9 @@
         case TaskState.Cancelled:
             return "cancelled";
         case TaskState.Failed:
-            return `failed on ${task.failures.join(", ")}; the last error: ${task.output}`;
+            return hasCrashedPermanently(task.losses)
+                ? task.output
+                : `failed on ${task.failures.join(", ")}; the last error: ${task.output}`;
     }
 };
 
--- a/packages/tasks/src/link-state.ts
+++ b/packages/tasks/src/link-state.ts
@@ -19,6 +19,13 @@
     inventoryDueMs = 0;
     renewDueMs = 0;
     retryAtMs = 0;
+    /** Whether the worker was asked, since its last unanswered call, if it still has its tasks. */
+    isIncarnationKnown = false;
+    /** When the worker stopped answering, or restarted without that; kept after it answers again. */
+    silentSinceMs = -Infinity;
+    /** When this owner noticed the worker's last restart. */
+    restartedMs = -Infinity;
+    private highestEpoch = 0;
     private isInventoryKnown = false;
     private lastCallAnswered = false;
 
@@ -52,6 +59,19 @@
         }
     }
 
+    /** Notes the epoch that the worker reports. Returns whether it has restarted, by which it has lost the epoch. */
+    noteEpoch(epoch: number): boolean {
+        const hasRestarted = epoch === 0 || epoch < this.highestEpoch;
+        this.highestEpoch = epoch;
+        return hasRestarted;
+    }
+
+    markRestarted(): void {
+        const nowMs = this.clock.nowMs();
+        this.restartedMs = nowMs;
+        this.silentSinceMs = this.lastCallAnswered || this.silentSinceMs < 0 ? nowMs : this.silentSinceMs;
+    }
+
     /** Requests an inventory. No task is placed on the worker until it has reported which tasks it runs. */
     requestInventory(): void {
         this.isInventoryKnown = false;
@@ -66,6 +86,14 @@
         this.owner.onWorkerChanged();
     }
 
+    /** Notes that the worker does not answer. It may have lost its tasks by the time it answers again. */
+    markSilent(): void {
+        if (this.lastCallAnswered || this.silentSinceMs < 0) {
+            this.silentSinceMs = this.clock.nowMs();
+        }
+        this.isIncarnationKnown = false;
+    }
+
     /**
      * Handles a call's error and returns whether the worker gave no answer. With `delayNextCall` a refusal
      * also delays the next call, so that a worker that refuses everything is not called in a tight loop.
@@ -82,6 +110,7 @@
             this.retryAtMs = this.clock.nowMs() + this.timing.retryDelayMs;
         }
         if (isUnanswered) {
+            this.markSilent();
             this.setReachable(false);
             this.renewDueMs = 0;
         }
--- a/packages/tasks/src/outcome-processor.ts
+++ b/packages/tasks/src/outcome-processor.ts
@@ -34,10 +34,16 @@
     private constructor(
         private readonly attempts: ReadonlyMap<string, Attempt>,
         private readonly owner: OwnerContext,
+        /** Called before the end of an attempt that the worker has lost. */
+        private readonly onForgotten: (attempt: Attempt) => void,
     ) {}
 
-    static create(attempts: ReadonlyMap<string, Attempt>, owner: OwnerContext): OutcomeProcessor {
-        return new OutcomeProcessor(attempts, owner);
+    static create(
+        attempts: ReadonlyMap<string, Attempt>,
+        owner: OwnerContext,
+        onForgotten: (attempt: Attempt) => void,
+    ): OutcomeProcessor {
+        return new OutcomeProcessor(attempts, owner, onForgotten);
     }
 
     get hasAcknowledgements(): boolean {
@@ -72,6 +78,9 @@
         }
         for (const attempt of stopped) {
             if (attempt.phase === AttemptPhase.Stopped) {
+                if (attempt.isForgotten) {
+                    this.onForgotten(attempt);
+                }
                 attempt.recordEnd(this.owner);
             }
         }
--- a/packages/tasks/src/owner-context.ts
+++ b/packages/tasks/src/owner-context.ts
@@ -1,5 +1,6 @@
 import type { CodedError } from "@samphireward/core/coded-error";
 import type { Result } from "ts-results-es";
+import type { LossRecorder } from "./loss-recorder.js";
 import type { TaskRecord } from "./task-record.js";
 import type { Transition } from "./transition.js";
 import type { WorkerUsage } from "./worker-usage.js";
@@ -26,6 +27,12 @@
     /** Handles a worker's usage report. */
     abstract handleUsageReport(worker: string, usage: WorkerUsage): void;
 
+    /** Appends queued transitions to the log, unless an append is in progress. */
+    abstract flush(): void;
+
+    /** Records the losses of attempts on workers. */
+    abstract get lossRecorder(): LossRecorder;
+
     /** Must be called when a worker has become usable or unusable, or its load or the queue has changed. */
     abstract onWorkerChanged(): void;
 }
--- a/packages/tasks/src/owner-core.ts
+++ b/packages/tasks/src/owner-core.ts
@@ -10,6 +10,8 @@
 import type { OwnerOptions } from "./owner-options.js";
 import type { OwnerTables } from "./owner-tables.js";
 import type { OwnerTiming } from "./owner-timing.js";
+import { LossJudge } from "./loss-judge.js";
+import { LossRecorder } from "./loss-recorder.js";
 import { LoadManager } from "./load-manager.js";
 import { Placer } from "./placer.js";
 import { OwnerContext } from "./owner-context.js";
@@ -35,6 +37,8 @@
     readonly submissions: SubmissionQueue;
     readonly loadManager: LoadManager;
     readonly attemptTracker: AttemptTracker;
+    readonly lossRecorder: LossRecorder;
+    readonly lossJudge: LossJudge;
     readonly quarantine = QuarantineTracker.create();
     readonly statistics = CellStatistics.create();
 
@@ -82,6 +86,11 @@
         const { state, workers, placer, loadManager, quarantine, statistics } = this;
         const parts = { state, workers, placer, loadManager, quarantine, statistics, owner: this, clock };
         this.attemptTracker = AttemptTracker.create(parts);
+        const nowMs = (): number => clock.nowMs();
+        this.lossRecorder = LossRecorder.create({ state, workers, owner: this, nowMs });
+        const recorder = this.lossRecorder;
+        const isStartPending = (key: string): boolean => placer.isStartPending(key);
+        this.lossJudge = LossJudge.create({ state, workers, recorder, owner: this, isStartPending, nowMs });
         this.attemptTracker.restoreActiveAttempts();
     }
 
@@ -138,7 +147,7 @@
     }
 
     /** Appends waiting submissions and transitions to the log, unless an append is in progress. */
-    flush(): void {
+    override flush(): void {
         if (!this.isActive || !this.commits.isIdle) {
             return;
         }
@@ -188,7 +197,9 @@
     private updateOpen(link: WorkerLink): void {
         const { name, taskCount } = link.entry;
         const allowed = this.state.workerMode(name) === WorkerMode.Open;
+        link.entry.isWithdrawn = link.state.isLeaving || !allowed;
         link.entry.open = link.state.isUsable && allowed && this.quarantine.mayPlace(name, taskCount);
+        link.entry.open &&= !this.lossJudge.isUndecided(name);
     }
 
     private workClass(task: TaskRecord): WorkClass {
--- a/packages/tasks/src/placer.ts
+++ b/packages/tasks/src/placer.ts
@@ -6,6 +6,8 @@
 import { QuotaTracker } from "@samphireward/placement/quota-tracker";
 import { TaskQueue } from "@samphireward/placement/task-queue";
 import type { CellWorkers } from "./cell-workers.js";
+import { isStartHeld } from "./is-start-held.js";
+import { isSuspect } from "./is-suspect.js";
 import { isWaitingState } from "./is-waiting-state.js";
 import type { OwnerTables } from "./owner-tables.js";
 import type { TaskRecord } from "./task-record.js";
@@ -81,6 +83,11 @@
         return this.quotas?.admits(pool.team, resources) ?? true;
     }
 
+    /** Whether the start of a task is queued for the log. */
+    isStartPending(key: string): boolean {
+        return this.pendingStarts.has(key);
+    }
+
     /** Must be called once the start of a task is applied. */
     onStartApplied(key: string): void {
         this.pendingStarts.delete(key);
@@ -92,15 +99,33 @@
         if (this.pendingStarts.has(key)) {
             return;
         }
-        if (task === undefined || !isWaitingState(task.state)) {
-            this.queue.remove(key);
-            this.reasons.delete(key);
-            this.holds.release(key);
-        } else if (!this.queue.has(key)) {
-            this.queue.add(this.toQueued(task));
+        const isWaiting = task !== undefined && isWaitingState(task.state);
+        if (!isWaiting || isStartHeld(task.losses)) {
+            this.remove(key);
+        }
+        if (isWaiting && isStartHeld(task.losses)) {
+            const workers = task.losses.map(({ worker }) => worker).join(", ");
+            this.reasons.set(key, `waits until it is known whether it crashed ${workers}`);
+        } else if (isWaiting) {
+            this.enqueue(task);
         }
     }
 
+    private remove(key: string): void {
+        this.queue.remove(key);
+        this.reasons.delete(key);
+        this.holds.release(key);
+    }
+
+    /** Queues a task. One whose blame has changed is queued again, among its like. */
+    private enqueue(task: TaskRecord): void {
+        const queued = this.toQueued(task);
+        if (this.queue.get(queued.key)?.isSuspect !== queued.isSuspect) {
+            this.remove(queued.key);
+        }
+        this.queue.add(queued);
+    }
+
     /** Charges a task that an earlier owner started to its team's quota. */
     chargeQuota(task: TaskRecord): void {
         const pool = this.pool(task.spec.pool);
@@ -158,7 +183,9 @@
         }
         const entry = choice.unwrapOr(undefined);
         if (entry === undefined) {
-            this.handleBlocked(task, nowMs);
+            if (!task.isSuspect || this.chooser.hasWorkerFor(task)) {
+                this.handleBlocked(task, nowMs);
+            }
             return false;
         }
         this.quotas?.reserveUnchecked(task.key, task.team, task.resources, task.workClass);
@@ -213,6 +240,7 @@
             resources: task.spec.resources,
             expectedRunMs: task.spec.expectedRunMs,
             submittedAtMs: task.wallMs,
+            isSuspect: isSuspect(task.losses),
         };
     }
 }
--- a/packages/tasks/src/task-record.ts
+++ b/packages/tasks/src/task-record.ts
@@ -1,3 +1,4 @@
+import type { AttemptLoss } from "./attempt-loss.js";
 import type { TaskSpec } from "@samphireward/core/task-spec";
 import type { TaskState } from "@samphireward/core/task-state";
 
@@ -14,6 +15,8 @@
     readonly checkpoint: string | undefined;
     /** Worker of each failed attempt, in order. */
     readonly failures: readonly string[];
+    /** Attempts whose worker crashed or stopped answering, in the order in which they were noted. */
+    readonly losses: readonly AttemptLoss[];
     /** A cancellation is recorded and the current attempt is being stopped. */
     readonly cancelRequested: boolean;
     /** Output of a finished task, error of a failed one. */
--- a/packages/tasks/src/transition-codec.ts
+++ b/packages/tasks/src/transition-codec.ts
@@ -1,12 +1,17 @@
 import { Resources } from "@samphireward/core/resources";
 import type { TaskSpec } from "@samphireward/core/task-spec";
+import type { LossVerdict } from "./loss-verdict.js";
 import type { Transition } from "./transition.js";
 import type { TransitionRow } from "./transition-row.js";
 import type { WorkerMode } from "./worker-mode.js";
 
 type Row = TransitionRow;
 
-/** Tags of the rows. A tag is never reused for another kind, because records of earlier versions are replayed. */
+/**
+ * Tags of the rows. A tag is never reused for another kind, because records of earlier versions are replayed. A
+ * loss is a `Running` row with more columns, and giving a task up is a `Cancelled` row with one: earlier versions
+ * refuse unknown tags but ignore additional columns, and by both readings the task has ended or has not.
+ */
 const Tag = {
     Accepted: 0,
     Starting: 1,
@@ -20,6 +25,9 @@
     WorkerMode: 9,
 } as const;
 
+/** Third column of a `Cancelled` row by which a waiting task ends as failed. */
+const GivenUp = "given-up";
+
 const specToRow = (spec: TaskSpec): Row => {
     const { processors, memoryMb, accelerators } = spec.resources;
     return [spec.key, spec.pool, processors, memoryMb, accelerators, spec.expectedRunMs, spec.payload];
@@ -47,6 +55,15 @@
             return [Tag.Starting, transition.key, transition.attempt, transition.worker];
         case "running":
             return [Tag.Running, transition.key, transition.attempt];
+        case "attempt-loss":
+            return [
+                Tag.Running,
+                transition.key,
+                transition.attempt,
+                transition.verdict,
+                transition.worker,
+                transition.ranMs,
+            ];
         case "checkpointing":
             return [Tag.Checkpointing, transition.key, transition.attempt];
         case "released":
@@ -63,6 +80,8 @@
             return [Tag.Failed, transition.key, transition.attempt, transition.wallMs, transition.error];
         case "cancelled":
             return [Tag.Cancelled, transition.key, transition.wallMs];
+        case "given-up":
+            return [Tag.Cancelled, transition.key, transition.wallMs, GivenUp];
         case "forgotten":
             return [Tag.Forgotten, ...transition.keys];
         case "worker-mode":
@@ -82,8 +101,24 @@
             };
         case Tag.Starting:
             return { kind: "starting", ...ref, worker: fields[2] as string };
-        case Tag.Running:
-            return { kind: "running", ...ref };
+        case Tag.Running: {
+            const [, , verdict, worker, ranMs] = fields as [
+                string,
+                number,
+                string | undefined,
+                string,
+                number,
+            ];
+            return verdict === undefined
+                ? { kind: "running", ...ref }
+                : {
+                      kind: "attempt-loss",
+                      ...ref,
+                      verdict: verdict as LossVerdict,
+                      worker,
+                      ranMs,
+                  };
+        }
         case Tag.Checkpointing:
             return { kind: "checkpointing", ...ref };
         case Tag.Released: {
@@ -95,7 +130,11 @@
         case Tag.Failed:
             return { kind: "failed", ...ref, wallMs: fields[2] as number, error: fields[3] as string };
         case Tag.Cancelled:
-            return { kind: "cancelled", key: ref.key, wallMs: fields[1] as number };
+            return {
+                kind: fields[2] === GivenUp ? "given-up" : "cancelled",
+                key: ref.key,
+                wallMs: fields[1] as number,
+            };
         case Tag.Forgotten:
             return { kind: "forgotten", keys: fields as string[] };
         case Tag.WorkerMode:
--- a/packages/tasks/src/worker-chooser.ts
+++ b/packages/tasks/src/worker-chooser.ts
@@ -1,14 +1,34 @@
+import type { Resources } from "@samphireward/core/resources";
 import { WorkClass } from "@samphireward/core/work-class";
 import type { PlacementPolicy } from "@samphireward/placement/placement-policy";
 import type { QueuedTask } from "@samphireward/placement/queued-task";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import type { CellWorkers } from "./cell-workers.js";
+import { isSuspect } from "./is-suspect.js";
 import type { TaskRecord } from "./task-record.js";
 import type { WorkerEntry } from "./worker-entry.js";
 
 const emptySet: ReadonlySet<string> = new Set();
 
+/** Returns the names if another worker could hold the task. */
+const otherThanAll = (
+    entries: readonly WorkerEntry[],
+    names: readonly string[],
+    resources: Resources,
+): readonly string[] => {
+    const excluded = new Set(names);
+    const others = entries.some(entry => !excluded.has(entry.name) && entry.fitsWhenEmpty(resources));
+    return others ? names : [];
+};
+
+/** Workers without suspects that have room, and of these the ones with the fewest tasks. */
+const quietestFor = (resources: Resources, entries: readonly WorkerEntry[]): readonly WorkerEntry[] => {
+    const suitable = entries.filter(entry => !entry.hasSuspect && entry.fits(resources));
+    const least = Math.min(...suitable.map(({ taskCount }) => taskCount));
+    return suitable.filter(({ taskCount }) => taskCount === least);
+};
+
 /** Chooses the worker for one task with the placement policy. */
 export class WorkerChooser {
     private constructor(
@@ -30,15 +50,22 @@
         held: WorkerEntry | undefined,
     ): Result<WorkerEntry | undefined, string> {
         const { key, resources, interferenceClass, workClass } = task;
-        const open = this.workers
+        const available = this.workers
             .openEntries()
             .filter(entry => entry.open && (entry.heldFor === undefined || entry === held));
+        const excludedWorkers = this.excludedWorkers(record);
+        const open = task.isSuspect
+            ? quietestFor(
+                  resources,
+                  available.filter(({ name }) => !excludedWorkers.has(name)),
+              )
+            : available;
         const request = {
             key,
             resources,
             interferenceClass,
             workClass,
-            excludedWorkers: this.excludedWorkers(record),
+            excludedWorkers,
             runningTasksByRack: this.tasksByRack(task, record.spec.pool),
         };
         const decision = this.policy.choose(request, open);
@@ -49,16 +76,26 @@
         return Ok(entry?.fits(resources) === true ? entry : undefined);
     }
 
-    /** Workers on which the task failed, unless no other worker could hold it. */
+    /** Whether a worker without suspects could hold a suspect, now or once it has room. */
+    hasWorkerFor(task: QueuedTask): boolean {
+        return this.workers
+            .openEntries()
+            .some(entry => !entry.hasSuspect && entry.fitsWhenEmpty(task.resources));
+    }
+
+    /**
+     * Workers on which the task failed or was lost, unless no other worker could hold it. A lost one is not used
+     * again while others are expected back: a second crash of it would not tell the task from the worker.
+     */
     private excludedWorkers(record: TaskRecord): ReadonlySet<string> {
-        if (record.failures.length === 0) {
+        if (record.failures.length === 0 && record.losses.length === 0) {
             return emptySet;
         }
-        const failed = new Set(record.failures);
-        const others = this.workers
-            .entries()
-            .some(entry => !failed.has(entry.name) && entry.fitsWhenEmpty(record.spec.resources));
-        return others ? failed : emptySet;
+        const { resources } = record.spec;
+        const suspected = record.losses.filter(loss => isSuspect([loss])).map(({ worker }) => worker);
+        const failed = otherThanAll(this.workers.entries(), record.failures, resources);
+        const expected = this.workers.entries().filter(entry => !entry.isWithdrawn);
+        return new Set([...failed, ...otherThanAll(expected, suspected, resources)]);
     }
 
     /** Number of the pool's tasks in each rack; only latency-critical tasks are spread over racks. */
--- a/packages/tasks/src/worker-entry.ts
+++ b/packages/tasks/src/worker-entry.ts
@@ -5,6 +5,8 @@
     readonly resources: Resources;
     readonly interferenceClass: string;
     readonly pool: string;
+    /** Whether the task may crash the worker. */
+    readonly isSuspect?: boolean;
 }
 
 /**
@@ -13,6 +15,8 @@
  */
 export class WorkerEntry implements WorkerView {
     open = false;
+    /** The worker takes no tasks because it is leaving or by an operator's command. */
+    isWithdrawn = false;
     measuredLoad = 0;
     /** Task for which the worker is kept free. */
     heldFor: string | undefined;
@@ -47,6 +51,11 @@
         return this.reservations.size;
     }
 
+    /** Whether a task runs here that may crash the worker. */
+    get hasSuspect(): boolean {
+        return [...this.reservations.values()].some(({ isSuspect }) => isSuspect === true);
+    }
+
     /** Whether a task fits beside the service's reserve on the otherwise empty worker. */
     fitsWhenEmpty(resources: Resources): boolean {
         return this.reservedForService.plus(resources).fitsIn(this.capacity);
--- a/packages/tasks/src/worker-inventory.ts
+++ b/packages/tasks/src/worker-inventory.ts
@@ -83,6 +83,8 @@
             return;
         }
         const task = this.owner.task(attempt.key);
+        const isStopExpected = task?.cancelRequested === true || task?.state !== TaskState.Running;
+        attempt.isForgotten = !runs && (phase === AttemptPhase.Live || !isStopExpected);
         attempt.runningSinceMs = runs ? attempt.runningSinceMs || this.link.clock.nowMs() : 0;
         attempt.phase = runs && task?.cancelRequested !== true ? AttemptPhase.Live : AttemptPhase.Stopping;
         if (runs && task?.state === TaskState.Starting) {
--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -6,6 +6,7 @@
 import type { Attempt } from "./attempt.js";
 import { AttemptCommands } from "./attempt-commands.js";
 import { AttemptPhase } from "./attempt-phase.js";
+import { checkIncarnation } from "./check-incarnation.js";
 import { describeLink } from "./describe-link.js";
 import { leaseEndMs } from "./lease-end-ms.js";
 import { LinkState } from "./link-state.js";
@@ -44,7 +45,9 @@
         private readonly timing: OwnerTiming,
     ) {
         this.state = LinkState.create(entry.name, owner, clock, timing);
-        this.polls = WorkerPolls.create(entry.name, this.attempts, this.state, owner);
+        this.polls = WorkerPolls.create(entry.name, this.attempts, this.state, owner, attempt =>
+            owner.lossRecorder.noteForgotten(this, attempt),
+        );
         this.inventory = WorkerInventory.create(entry, this.attempts, this.state, owner);
         this.commands = AttemptCommands.create(this.state, owner);
     }
@@ -86,6 +89,7 @@
         this.state.isGone = gone;
         this.state.isEpochAnnounced = false;
         this.state.requestInventory();
+        this.state.markSilent();
         this.state.setReachable(false);
         if (gone) {
             this.startLeaseExpiry();
@@ -96,6 +100,7 @@
     replaceClient(client: WorkerClient): void {
         this.client = client;
         this.state.isEpochAnnounced = false;
+        this.state.isIncarnationKnown = false;
         this.state.requestInventory();
     }
 
@@ -169,6 +174,7 @@
         }
         const base = attempt.leaseCallPending ? undefined : attempt.leaseCallSettledMs;
         if (base !== undefined && nowMs >= leaseEndMs(base, this.timing)) {
+            this.owner.lossRecorder.noteLeaseEnd(this, attempt);
             attempt.recordEnd(this.owner);
         } else if (this.isCheckpointDue(attempt)) {
             runInBackground("checkpoint", this.checkpoint(attempt));
@@ -194,6 +200,9 @@
         if (nowMs < this.state.retryAtMs) {
             return undefined;
         }
+        if (!this.state.isIncarnationKnown) {
+            return () => checkIncarnation(this, this.client, this.owner);
+        }
         if (!this.state.isEpochAnnounced) {
             return () => this.announceEpoch();
         }
@@ -248,6 +257,7 @@
             this.state.handleCallError(answer.error);
             return;
         }
+        this.state.noteEpoch(answer.value.epoch);
         this.inventory.processReport(asked, answer.value);
         this.polls.outcomes.processOutcomes(answer.value.outcomes, []);
         this.state.setReachable(true);
--- a/packages/tasks/src/worker-polls.ts
+++ b/packages/tasks/src/worker-polls.ts
@@ -17,8 +17,9 @@
         attempts: ReadonlyMap<string, Attempt>,
         private readonly link: LinkState,
         private readonly owner: OwnerContext,
+        onForgotten: (attempt: Attempt) => void,
     ) {
-        this.outcomes = OutcomeProcessor.create(attempts, owner);
+        this.outcomes = OutcomeProcessor.create(attempts, owner, onForgotten);
     }
 
     static create(
@@ -26,8 +27,9 @@
         attempts: ReadonlyMap<string, Attempt>,
         link: LinkState,
         owner: OwnerContext,
+        onForgotten: (attempt: Attempt) => void,
     ): WorkerPolls {
-        return new WorkerPolls(worker, attempts, link, owner);
+        return new WorkerPolls(worker, attempts, link, owner, onForgotten);
     }
 
     /** Returns the call that is due, if any. */
--- a/packages/tasks/tests/cell-state.test.ts
+++ b/packages/tasks/tests/cell-state.test.ts
@@ -4,6 +4,7 @@
 import t from "tap";
 import { CellState } from "../src/cell-state.js";
 import { CellStateCodec } from "../src/cell-state-codec.js";
+import { LossVerdict } from "../src/loss-verdict.js";
 import type { StateRow } from "../src/state-row.js";
 import type { Transition } from "../src/transition.js";
 import { TransitionCodec } from "../src/transition-codec.js";
@@ -47,6 +48,22 @@
     failed(attempt),
 ];
 
+const loss = (attempt: number, worker: string, verdict: LossVerdict): Transition => ({
+    kind: "attempt-loss",
+    key: "k",
+    attempt,
+    worker,
+    verdict,
+    ranMs: 100,
+});
+const crashOn = (worker: string, attempt: number): Transition[] => [
+    starting(attempt, worker),
+    loss(attempt, worker, "lost"),
+    released(attempt),
+    loss(attempt, worker, "crashed"),
+];
+const givenUp: Transition = { kind: "given-up", key: "k", wallMs };
+
 const replay = (transitions: readonly Transition[]): CellState => {
     const state = CellState.create();
     transitions.forEach(transition => state.apply(transition));
@@ -116,6 +133,19 @@
             "cancelled",
             1,
         ],
+        [
+            "a loss ends no attempt",
+            [accepted, starting(1), running(1), loss(1, "w-0", "restarted")],
+            "running",
+            1,
+        ],
+        [
+            "a waiting task is given up",
+            [accepted, ...crashOn("a", 1), ...crashOn("b", 2), givenUp],
+            "failed",
+            2,
+        ],
+        ["a task that runs again is not given up", [accepted, starting(1), givenUp], "starting", 1],
         ["two failed workers are not enough", [accepted, ...failOn("a", 1), ...failOn("b", 2)], "queued", 2],
         [
             "one worker three times is not enough",
@@ -147,6 +177,59 @@
     t.end();
 });
 
+// Guards against losses that are noted for attempts that have ended, and against verdicts without a loss.
+t.test("losses follow the attempts and their verdicts", t => {
+    const cases: [name: string, transitions: Transition[], verdicts: string[]][] = [
+        ["a loss of an attempt that has ended", [starting(1), released(1), loss(1, "w-0", "lost")], []],
+        ["a crash without a loss", [starting(1), loss(1, "w-0", "crashed")], []],
+        ["a crash", crashOn("w-0", 1), ["crashed"]],
+        [
+            "a lease that ends after the restart was noted",
+            [starting(1), loss(1, "w-0", "restarted"), loss(1, "w-0", "lost")],
+            ["restarted"],
+        ],
+        ["a cut", [...crashOn("w-0", 1), loss(1, "w-0", "cleared")], []],
+        [
+            "a later loss keeps an earlier one",
+            [...crashOn("w-0", 1), ...crashOn("w-1", 2)],
+            ["crashed", "crashed"],
+        ],
+        [
+            "a long run clears all",
+            [...crashOn("w-0", 1), starting(2), running(2), loss(2, "w-1", "trusted")],
+            [],
+        ],
+        ["a long run that has ended", [...crashOn("w-0", 1), loss(1, "w-0", "trusted")], ["crashed"]],
+    ];
+    for (const [name, transitions, verdicts] of cases) {
+        const state = replay([accepted, ...transitions]);
+        const losses = state.get("k")?.losses ?? [];
+        t.strictSame(
+            losses.map(({ verdict }) => verdict),
+            verdicts,
+            name,
+        );
+        t.equal(state.lossy.has("k"), verdicts.length > 0, name);
+    }
+    t.end();
+});
+
+// Guards against a mixed update in which an earlier version fails on the log, or takes a task that was given up for one
+// that waits.
+t.test("earlier versions read losses as rows that they know", t => {
+    const transitions = [accepted, ...crashOn("a", 1), ...crashOn("b", 2), givenUp];
+    const columnsOfEarlierVersions = new Map([
+        [2, 3],
+        [7, 3],
+    ]);
+    const rows = transitions.map(each => TransitionCodec.toRow(each));
+    const cut = rows.map(row => row.slice(0, columnsOfEarlierVersions.get(row[0] as number)));
+    const state = replay(cut.map(row => TransitionCodec.fromRow(row)));
+    t.equal(state.get("k")?.state, "cancelled");
+    t.ok(state.ended.has("k"));
+    t.end();
+});
+
 const key = fc.constantFrom("a", "b", "c");
 const attempt = fc.integer({ min: 1, max: 4 });
 const worker = fc.constantFrom("w-0", "w-1", "w-2");
@@ -161,6 +244,15 @@
     fc.record({ kind: fc.constant("finished" as const), key, attempt, wallMs: time, output: text }),
     fc.record({ kind: fc.constant("failed" as const), key, attempt, wallMs: time, error: text }),
     fc.record({ kind: fc.constant("cancelled" as const), key, wallMs: time }),
+    fc.record({ kind: fc.constant("given-up" as const), key, wallMs: time }),
+    fc.record({
+        kind: fc.constant("attempt-loss" as const),
+        key,
+        attempt,
+        worker,
+        verdict: fc.constantFrom(...Object.values(LossVerdict)),
+        ranMs: time,
+    }),
     fc.record({ kind: fc.constant("forgotten" as const), keys: fc.array(key) }),
     fc.record({
         kind: fc.constant("worker-mode" as const),
--- a/packages/tasks/tests/crash-blame.test.ts
+++ b/packages/tasks/tests/crash-blame.test.ts
@@ -33,3 +33,141 @@
         t.match(owner.status("deadly")?.reason, /w-\d and w-\d crashed while they ran it/);
     });
 }
+
+/** Records of tasks that were given up, by key. */
+const givenUp = (sim: Simulation): string[] =>
+    sim.keys.filter(key => sim.log.durable.get(key)?.state === "failed");
+
+const submitNeighbours = (sim: Simulation, count: number, runMs: number): void => {
+    for (let index = 0; index < count; index += 1) {
+        sim.submit(`neighbour-${index}`, { runMs });
+    }
+};
+
+// Guards against tasks that are given up because they ran beside one that crashed their worker.
+for (const seed of [1, 2, 3]) {
+    t.test(`the neighbours of a task that crashes its worker go on, seed ${seed}`, async t => {
+        const sim = Simulation.create(seed);
+        const owner = await waitForOwner(sim);
+        submitNeighbours(sim, 9, 15_000);
+        sim.submit("deadly", { runMs: 5000, crashAfterMs: 1500 });
+        await sim.run(120_000);
+        t.strictSame(givenUp(sim), ["deadly"]);
+        t.equal(sim.checker.crashes.get("deadly"), 2);
+        const neighbours = sim.keys.filter(key => key !== "deadly");
+        t.strictSame([...new Set(neighbours.map(key => owner.status(key)?.state))], ["finished"]);
+        t.strictSame(sim.checker.violations, []);
+    });
+}
+
+// Guards against a count of crashes that is lost when the cell's owner dies between a crash and its discovery.
+t.test("the crashes of a task count across changes of the owner", async t => {
+    for (const killAfterMs of [0, 300, 800, 1500, 2500, 3500]) {
+        const sim = Simulation.create(1);
+        await waitForOwner(sim);
+        sim.submit("deadly", { runMs: 5000, crashAfterMs: 500 });
+        for (let crashes = 1; crashes <= 3; crashes += 1) {
+            for (let step = 0; step < 600 && (sim.checker.crashes.get("deadly") ?? 0) < crashes; step += 1) {
+                await sim.run(100);
+            }
+            await sim.run(killAfterMs);
+            const process = sim.current;
+            if (process !== undefined) {
+                process.alive = false;
+            }
+        }
+        await sim.run(60_000);
+        t.equal(sim.log.durable.get("deadly")?.state, "failed", `killed ${killAfterMs} ms after each crash`);
+        t.ok((sim.checker.crashes.get("deadly") ?? 0) <= 3, `at most three crashes (${killAfterMs} ms)`);
+        t.strictSame(sim.checker.violations, []);
+    }
+});
+
+// Guards against tasks that are given up for crashes of all workers, whose cause is outside the tasks.
+t.test("the loss of all workers condemns nothing", async t => {
+    const sim = Simulation.create(1);
+    await waitForOwner(sim);
+    submitNeighbours(sim, 6, 20_000);
+    for (let round = 0; round < 2; round += 1) {
+        await sim.run(5000);
+        sim.workers.forEach(worker => sim.crash(worker, 1500));
+    }
+    await sim.run(9000);
+    t.equal(sim.current?.owner?.describe().running, 6, "all run, and several on one worker");
+    await sim.run(40_000);
+    t.strictSame(givenUp(sim), []);
+    t.ok(sim.keys.every(key => sim.log.durable.get(key)?.state === "finished"));
+});
+
+// Guards against tasks that are blamed for cuts, and that stay suspects after their worker is back.
+t.test("workers that were only cut off clear their tasks", async t => {
+    const sim = Simulation.create(1);
+    const owner = await waitForOwner(sim);
+    sim.submit("k", { runMs: 600_000 });
+    await sim.run(2000);
+    for (let round = 0; round < 4; round += 1) {
+        const worker = sim.workers.find(({ name }) => name === owner.status("k")?.worker);
+        if (worker !== undefined) {
+            sim.cut(undefined, worker);
+        }
+        await sim.run(12_000);
+        t.match(sim.log.durable.get("k")?.losses, [{ verdict: "lost", worker: worker?.name }]);
+        sim.healNetwork();
+        await sim.run(5000);
+        t.strictSame(sim.log.durable.get("k")?.losses, []);
+    }
+    t.equal(owner.status("k")?.state, "running");
+});
+
+// Guards against a task that is given up because the workers that it was on were taken away as planned.
+t.test("a planned leave condemns nothing", async t => {
+    const sim = Simulation.create(1);
+    const owner = await waitForOwner(sim);
+    sim.submit("k", { runMs: 600_000 });
+    for (let round = 0; round < 2; round += 1) {
+        await sim.run(3000);
+        const worker = sim.workers.find(({ name }) => name === owner.status("k")?.worker);
+        if (worker !== undefined) {
+            worker.leaving = true;
+            sim.cut(undefined, worker);
+            await sim.run(1500);
+            worker.die();
+            worker.listed = false;
+        }
+        await sim.run(20_000);
+    }
+    t.equal(owner.status("k")?.state, "running");
+    t.ok(sim.log.durable.get("k")?.losses.every(({ verdict }) => verdict === "excused"));
+});
+
+// Guards against a task that stays a suspect for ever, and against one that is cleared by a run that proves nothing.
+t.test("a task is cleared once it has run long enough", async t => {
+    const sim = Simulation.create(1);
+    const owner = await waitForOwner(sim);
+    sim.submit("k", { runMs: 600_000 });
+    await sim.run(3000);
+    const worker = sim.workers.find(({ name }) => name === owner.status("k")?.worker);
+    if (worker !== undefined) {
+        sim.crash(worker, 1000);
+    }
+    await sim.run(50_000);
+    t.match(sim.log.durable.get("k")?.losses, [{ verdict: "crashed" }]);
+    await sim.run(30_000);
+    t.strictSame(sim.log.durable.get("k")?.losses, []);
+});
+
+// Guards against workers that leave use because a task crashed them: the task is at fault.
+t.test("crashes quarantine no worker", async t => {
+    const sim = Simulation.create(1);
+    const owner = await waitForOwner(sim);
+    for (let index = 0; index < 4; index += 1) {
+        sim.submit(`deadly-${index}`, { runMs: 5000, crashAfterMs: 500, downMs: 1000 });
+        await sim.run(15_000);
+    }
+    await sim.run(30_000);
+    t.equal(givenUp(sim).length, 4);
+    t.strictSame(
+        owner.describe().workers.map(({ state }) => state),
+        ["open", "open", "open", "open"],
+    );
+});
--- a/packages/tasks/tests/faults/mutant.ts
+++ b/packages/tasks/tests/faults/mutant.ts
@@ -10,6 +10,10 @@
     NoWriteAhead: "no-write-ahead",
     /** A stop counts as confirmed when it is sent. */
     ReleaseBeforeStop: "release-before-stop",
+    /** Losses are not written to the log, so that the next owner does not know them. */
+    NoDurableLosses: "no-durable-losses",
+    /** A worker that was cut off looks as if it had restarted. */
+    CutLooksLikeCrash: "cut-looks-like-crash",
 } as const;
 
 export type Mutant = (typeof Mutant)[keyof typeof Mutant];
--- a/packages/tasks/tests/faults/sim-log.ts
+++ b/packages/tasks/tests/faults/sim-log.ts
@@ -21,6 +21,8 @@
     /** Replay of all durable records. */
     readonly durable = CellState.create();
     readonly transitions: Transition[] = [];
+    /** Called before a durable transition is applied. */
+    onWritten: ((transition: Transition) => void) | undefined;
     private readonly blocked: (() => void)[] = [];
 
     private constructor(
@@ -99,6 +101,10 @@
         }
         for (const row of JSON.parse(text) as TransitionRow[]) {
             const transition = TransitionCodec.fromRow(row);
+            if (transition.kind === "attempt-loss" && this.mutant === Mutant.NoDurableLosses) {
+                continue;
+            }
+            this.onWritten?.(transition);
             this.durable.apply(transition);
             this.transitions.push(transition);
         }
