Count a crash that shows at the checkpoint of an eviction

A task that was being moved when it crashed its worker kept a clean record if the worker was back within the time between two calls: the worker answered the checkpoint that the task is unknown, the owner stopped it and recorded a release.

Change: the answer "unknown" to a checkpoint marks the attempt as forgotten, as the same answer to a renewal does. If its worker then lists no end, it counts.

The new test failed before: no losses where one crash was expected.

--- a/packages/tasks/src/attempt-commands.ts
+++ b/packages/tasks/src/attempt-commands.ts
@@ -98,6 +98,7 @@
         attempt.checkpointPending = false;
         if (answer.isErr()) {
             const isUnanswered = this.link.handleCallError(answer.error, false);
+            attempt.isForgotten ||= answer.error.code === ResultCode.TaskUnknown;
             return !isUnanswered || attempt.checkpointCalls >= MaxCheckpointCalls;
         }
         attempt.checkpoint = answer.value;
--- a/packages/tasks/tests/crash-blame.test.ts
+++ b/packages/tasks/tests/crash-blame.test.ts
@@ -171,3 +171,20 @@
         ["open", "open", "open", "open"],
     );
 });
+
+// Guards against a crash that counts nothing because the task was to be moved: the worker is back before any other call.
+t.test("a crash that shows at the checkpoint of an eviction counts", async t => {
+    const sim = Simulation.create(1);
+    const owner = await waitForOwner(sim);
+    sim.submit("k", { runMs: 600_000 });
+    await sim.run(3000);
+    const worker = sim.workers.find(({ name }) => name === owner.status("k")?.worker);
+    worker?.die();
+    if (worker !== undefined) {
+        worker.alive = true;
+    }
+    t.ok(owner.evict("k"));
+    await sim.run(6000);
+    t.match(sim.log.durable.get("k")?.losses, [{ verdict: "crashed", worker: worker?.name }]);
+    t.strictSame(sim.checker.violations, []);
+});
