Do not send a start to a worker that has become too small

A start is decided, its record is made durable, and then it is sent. The owner compared it with the capacity only at the decision. When the directory listed a smaller capacity while the record waited for the log, the start was sent nevertheless.

Change: before a start is sent, the link compares everything that is reserved on the worker with its capacity. While that is too much, it ends the last attempt that was not sent, one at a time, and its task is placed again.

--- a/packages/tasks/src/worker-entry.ts
+++ b/packages/tasks/src/worker-entry.ts
@@ -75,6 +75,11 @@
         return this.reserved.plus(resources).fitsIn(this.capacity);
     }
 
+    /** Whether the worker has become too small for what is reserved on it. */
+    get isOverCapacity(): boolean {
+        return !this.reserved.fitsIn(this.capacity);
+    }
+
     reserve(id: string, reservation: Reservation): void {
         this.reservations.set(id, reservation);
         this.recomputeReserved();
--- a/packages/tasks/src/worker-link.ts
+++ b/packages/tasks/src/worker-link.ts
@@ -32,6 +32,8 @@
 
     private isCallInProgress = false;
     private readonly startQueue: Attempt[] = [];
+    /** The last attempt that was ended without being sent because the worker had become too small. */
+    private withdrawn: Attempt | undefined;
     private readonly stopping = new Set<Attempt>();
     private readonly polls: WorkerPolls;
     private readonly inventory: WorkerInventory;
@@ -235,7 +237,25 @@
         while (this.startQueue[0] !== undefined && this.startQueue[0].phase !== AttemptPhase.ToStart) {
             this.startQueue.shift();
         }
-        return this.owner.mayGrant() ? this.startQueue[0] : undefined;
+        if (!this.owner.mayGrant()) {
+            return undefined;
+        }
+        if (this.entry.isOverCapacity) {
+            this.withdrawLastStart();
+            return undefined;
+        }
+        return this.startQueue[0];
+    }
+
+    /** Ends the last attempt that was not sent, if none is being ended: the worker has become too small for all. */
+    private withdrawLastStart(): void {
+        const { withdrawn } = this;
+        const isPending = withdrawn !== undefined && this.attempts.get(withdrawn.key) === withdrawn;
+        const last = this.startQueue.findLast(({ phase }) => phase === AttemptPhase.ToStart);
+        if (!isPending && last !== undefined) {
+            this.withdrawn = last;
+            last.recordEnd(this.owner);
+        }
     }
 
     private async announceEpoch(): Promise<void> {
--- a/packages/tasks/tests/faults/mutant.ts
+++ b/packages/tasks/tests/faults/mutant.ts
@@ -12,6 +12,8 @@
     ReleaseBeforeStop: "release-before-stop",
     /** Losses are not written to the log, so that the next owner does not know them. */
     NoDurableLosses: "no-durable-losses",
+    /** The directory never lists a changed capacity. */
+    StaleCapacity: "stale-capacity",
     /** A worker that was cut off looks as if it had restarted. */
     CutLooksLikeCrash: "cut-looks-like-crash",
 } as const;
--- a/packages/tasks/tests/faults/schedule.ts
+++ b/packages/tasks/tests/faults/schedule.ts
@@ -92,6 +92,10 @@
         const downMs = [500, 2000, 6000, 20_000][(pick >> 2) % 4] ?? 0;
         sim.submit(`task-${sim.keys.length}`, { runMs: 6000, crashAfterMs, downMs });
     },
+    resize: (sim: Simulation, pick: number): void => {
+        const worker = pickFrom(sim.workers, pick);
+        worker?.resize(1 + ((pick >> 2) % 4));
+    },
     crashAll: (sim: Simulation, pick: number): void => {
         sim.workers.forEach(worker => sim.crash(worker, 500 + (pick % 4) * 2000));
     },
@@ -101,7 +105,7 @@
     healLog: (sim: Simulation): void => sim.log.heal(),
 } as const;
 
-const crashOps: readonly Step["op"][] = ["submitDeadly", "crashAll"];
+const crashOps: readonly Step["op"][] = ["submitDeadly", "resize", "crashAll"];
 const opNames = (Object.keys(operations) as Step["op"][]).filter(name => !crashOps.includes(name));
 
 const stepArbitrary = (common: readonly Step["op"][], names: readonly Step["op"][]): fc.Arbitrary<Step> =>
@@ -125,6 +129,7 @@
     "killWorker",
     "restartWorkers",
     "leave",
+    "resize",
     "drain",
     "evict",
     "cancel",
--- a/packages/tasks/tests/faults/sim-worker.ts
+++ b/packages/tasks/tests/faults/sim-worker.ts
@@ -9,6 +9,9 @@
 
 const fullCapacity = Resources.create({ processors: 4, memoryMb: 8000, accelerators: 1 });
 
+/** The directory lists a change within 2 s; the owner then acts within a tick, and a late start arrives 1.9 s later. */
+const CapacityLagMs = 4200;
+
 /** Passes a worker's starts and ends to the checker. */
 class Observer extends WorkerObserver {
     constructor(
@@ -19,7 +22,7 @@
     }
 
     override started(task: RunningTask, checkpoint: string | undefined): void {
-        this.checker.started(this.worker.name, this.worker.capacity, task, checkpoint);
+        this.checker.started(this.worker.name, this.worker.usableCapacity, task, checkpoint);
         this.worker.onStarted?.(task);
     }
 
@@ -42,13 +45,14 @@
     incarnation = 0;
     /** Called when a task has started on the worker. */
     onStarted: ((task: RunningTask) => void) | undefined;
-    readonly capacity = fullCapacity;
+    private says = { capacity: fullCapacity, sinceMs: 0 };
+    private saidBefore = fullCapacity;
     readonly model: WorkerModel;
 
     private constructor(
         readonly name: string,
         readonly rack: string,
-        clock: Clock,
+        private readonly clock: Clock,
         rate: number,
         readonly checker: InvariantChecker,
     ) {
@@ -69,6 +73,25 @@
         return new SimWorker(name, rack, clock, rate, checker);
     }
 
+    /** The capacity that the worker says it has. It does not guard it: the model holds the full capacity. */
+    get capacity(): Resources {
+        return this.says.capacity;
+    }
+
+    /** Changes the processors that the worker says it has. */
+    resize(processors: number): void {
+        const capacity = Resources.create({ processors, memoryMb: 8000, accelerators: 1 });
+        this.saidBefore = this.says.capacity;
+        this.says = { capacity, sinceMs: this.clock.nowMs() };
+    }
+
+    /** The most that an owner may use now: a worker that has shrunk counts as it was for `CapacityLagMs`. */
+    get usableCapacity(): Resources {
+        const { capacity, sinceMs } = this.says;
+        const hasReachedOwners = this.clock.nowMs() - sinceMs >= CapacityLagMs;
+        return hasReachedOwners || this.saidBefore.fitsIn(capacity) ? capacity : this.saidBefore;
+    }
+
     get info(): WorkerInfo {
         const { name, rack, leaving, address, capacity } = this;
         return {
--- a/packages/tasks/tests/faults/simulation.ts
+++ b/packages/tasks/tests/faults/simulation.ts
@@ -6,6 +6,7 @@
 import type { ResultCode } from "@samphireward/core/result-code";
 import { SeededRandom } from "@samphireward/core/seeded-random";
 import { WorkClass } from "@samphireward/core/work-class";
+import type { WorkerInfo } from "@samphireward/core/worker-info";
 import { LeastLoadedPolicy } from "@samphireward/placement/least-loaded-policy";
 import type { RunningTask } from "@samphireward/standins/worker/running-task";
 import type { WorkerModel } from "@samphireward/standins/worker/worker-model";
@@ -172,6 +173,7 @@
             worker.alive = true;
             worker.listed = true;
             worker.leaving = false;
+            worker.resize(4);
         }
         this.processes.filter(process => process.paused).forEach(process => process.resume());
         for (let step = 0; step < 60 && !this.isSettled(); step += 1) {
@@ -276,7 +278,7 @@
     }
 
     private refreshDirectory(process: SimProcess): void {
-        const listed = this.workers.filter(worker => worker.listed).map(worker => worker.info);
+        const listed = this.workers.filter(worker => worker.listed).map(worker => this.listingOf(worker));
         this.events.after(DirectoryDelayMs, () => {
             process.deliver(() => process.owner?.updateWorkers(listed));
             if (process.alive) {
@@ -285,6 +287,11 @@
         });
     }
 
+    private listingOf(worker: SimWorker): WorkerInfo {
+        const isStale = this.mutant === Mutant.StaleCapacity;
+        return isStale ? { ...worker.info, capacity: worker.model.capacity } : worker.info;
+    }
+
     private findWorker(name: string): SimWorker {
         const worker = this.workers.find(other => other.name === name);
         if (worker === undefined) {
--- a/packages/tasks/tests/mutants.test.ts
+++ b/packages/tasks/tests/mutants.test.ts
@@ -5,8 +5,12 @@
 const Seed = 20261204;
 const MaxRuns = 400;
 
-/** Mutants that show only with tasks that crash their workers. */
-const crashMutants: readonly Mutant[] = [Mutant.NoDurableLosses, Mutant.CutLooksLikeCrash];
+/** Mutants that show only with tasks that crash their workers and with changes of capacity. */
+const crashMutants: readonly Mutant[] = [
+    Mutant.NoDurableLosses,
+    Mutant.StaleCapacity,
+    Mutant.CutLooksLikeCrash,
+];
 
 t.setTimeout(0);
 
