Release a worker that has become too small for the task it is kept free for

A worker that is kept free for a task that has waited too long was released only when the task started or the worker left the cell. When its capacity shrank below the task's size, it stayed closed to all other tasks, and no other worker was kept free for the waiting task.

Change: each placement round also releases workers that cannot hold their task even when they are empty. The next round may keep another one free.

Test: changing-capacity > a worker that has become too small is not kept free for a task. Before, the small task stayed queued on a worker with room for it.

packages/scheduler was read for capacities that are kept: it passes on each list of the directory whole, and a changed list is a new array, so none.

--- a/packages/tasks/src/placer.ts
+++ b/packages/tasks/src/placer.ts
@@ -202,7 +202,7 @@
         if (task.workClass === WorkClass.LatencyCritical && this.holds.get(task.key) === undefined) {
             const entry = this.cell.preemptFor(task);
             if (entry !== undefined) {
-                this.holds.hold(task.key, entry);
+                this.holds.hold(task, entry);
                 this.reasons.set(task.key, `room is being made on worker ${entry.name}`);
             }
         }
@@ -210,7 +210,7 @@
 
     /** Keeps the least reserved suitable worker free for the first task that has waited too long. */
     private holdWorkerForFirstBlocked(nowMs: number): void {
-        this.holds.releaseRemovedWorkers(this.cell.entries());
+        this.holds.releaseUnsuitable(this.cell.entries());
         const task = this.queue.taskToHoldFor(nowMs);
         if (task === undefined) {
             return;
@@ -226,7 +226,7 @@
         // nothing.
         this.queue.hold(task.key, true);
         if (best !== undefined) {
-            this.holds.hold(task.key, best);
+            this.holds.hold(task, best);
         }
     }
 
--- a/packages/tasks/src/worker-holds.ts
+++ b/packages/tasks/src/worker-holds.ts
@@ -1,12 +1,18 @@
+import type { QueuedTask } from "@samphireward/placement/queued-task";
 import type { TaskQueue } from "@samphireward/placement/task-queue";
 import type { WorkerEntry } from "./worker-entry.js";
 
+interface Hold {
+    readonly task: QueuedTask;
+    readonly entry: WorkerEntry;
+}
+
 /**
  * Workers that are kept free for tasks that have waited too long, or on which capacity is being freed for a
  * task.
  */
 export class WorkerHolds {
-    private readonly byKey = new Map<string, WorkerEntry>();
+    private readonly byKey = new Map<string, Hold>();
 
     private constructor(private readonly queue: TaskQueue) {}
 
@@ -15,28 +21,28 @@
     }
 
     get(key: string): WorkerEntry | undefined {
-        return this.byKey.get(key);
+        return this.byKey.get(key)?.entry;
     }
 
-    hold(key: string, entry: WorkerEntry): void {
-        entry.heldFor = key;
-        this.byKey.set(key, entry);
-        this.queue.hold(key, true);
+    hold(task: QueuedTask, entry: WorkerEntry): void {
+        entry.heldFor = task.key;
+        this.byKey.set(task.key, { task, entry });
+        this.queue.hold(task.key, true);
     }
 
     release(key: string): void {
-        const entry = this.byKey.get(key);
-        if (entry !== undefined) {
-            entry.heldFor = undefined;
+        const hold = this.byKey.get(key);
+        if (hold !== undefined) {
+            hold.entry.heldFor = undefined;
             this.byKey.delete(key);
             this.queue.hold(key, false);
         }
     }
 
-    /** Releases the workers that are no longer in the cell. */
-    releaseRemovedWorkers(entries: readonly WorkerEntry[]): void {
-        for (const [key, entry] of this.byKey) {
-            if (!entries.includes(entry)) {
+    /** Releases the workers that are no longer in the cell, or have become too small for their task. */
+    releaseUnsuitable(entries: readonly WorkerEntry[]): void {
+        for (const [key, { task, entry }] of this.byKey) {
+            if (!entries.includes(entry) || !entry.fitsWhenEmpty(task.resources)) {
                 this.release(key);
             }
         }
--- a/packages/tasks/tests/changing-capacity.test.ts
+++ b/packages/tasks/tests/changing-capacity.test.ts
@@ -80,3 +80,19 @@
     t.strictSame(runningOn(worker).sort(), ["d", "e", "f"]);
     t.strictSame(sim.checker.violations, []);
 });
+
+// Guards against a worker that is kept free for a task that it cannot hold any more, while other tasks pass that task.
+t.test("a worker that has become too small is not kept free for a task", async t => {
+    const { sim, owner, worker } = await createCell();
+    void owner.accept(spec("long", 600_000));
+    await sim.run(2000);
+    void owner.accept(spec("large", 60_000, 4));
+    await sim.run(35_000);
+    void owner.accept(spec("small", 60_000));
+    await sim.run(3000);
+    t.equal(owner.status("small")?.state, "queued", "the worker is kept free");
+    worker.resize(2);
+    await sim.run(2 * DirectoryLagMs);
+    t.strictSame(runningOn(worker).sort(), ["long", "small"]);
+    t.strictSame(sim.checker.violations, []);
+});
