--- a/packages/core/src/result-code-table.ts
+++ b/packages/core/src/result-code-table.ts
@@ -40,7 +40,7 @@
     TargetRefused: [503, "The target said that it did not run the request."],
     KeyAlreadyUsed: [409, "A request with this key was sent before; it is not sent twice."],
     TaskFitsNoWorker: [422, "The task needs more than any worker of its pool has."],
-    TaskFailedEverywhere: [422, "The task failed on the allowed number of workers."],
+    TaskFailedEverywhere: [422, "The task failed on, or crashed, the allowed number of workers."],
     QuotaExceeded: [429, "The task alone exceeds its team's quota."],
     TaskUnknown: [404, "No task with this key is known."],
     StaleEpoch: [409, "A newer owner has taken the cell."],
