Do not decide an excused loss again when its worker is back

When a worker was back while an excused loss on it was queued for the log, the restart turned that loss into an undecided one. The task had meanwhile been started as one without blame, so it ran beside a suspect.

Change: only undecided losses that are queued for the log are reopened.

--- a/packages/tasks/src/loss-recorder.ts
+++ b/packages/tasks/src/loss-recorder.ts
@@ -47,7 +47,10 @@
             const isExcused = this.isWideOrPlanned(link) && this.mayExcuse(this.parts.state.get(key));
             const verdict = isExcused ? LossVerdict.Excused : LossVerdict.Lost;
             const lost = { key, loss: this.lossOf(link, attempt, verdict) };
-            this.queuedLosses.add(lost);
+            // An excused loss is decided, and its task may be started as any other.
+            if (!isExcused) {
+                this.queuedLosses.add(lost);
+            }
             this.push(key, lost.loss, () => this.queuedLosses.delete(lost));
         }
     }
--- a/packages/tasks/tests/crash-blame.test.ts
+++ b/packages/tasks/tests/crash-blame.test.ts
@@ -1,6 +1,7 @@
 import { Resources } from "@samphireward/core/resources";
 import t from "tap";
 import type { CellOwner } from "../src/cell-owner.js";
+import { Schedules } from "./faults/schedule.js";
 import { Simulation } from "./faults/simulation.js";
 
 /** Returns the owner of a cell with four idle workers, each of 4 processors and in a rack of its own. */
@@ -188,3 +189,29 @@
     t.match(sim.log.durable.get("k")?.losses, [{ verdict: "crashed", worker: worker?.name }]);
     t.strictSame(sim.checker.violations, []);
 });
+
+// Guards against a suspect beside another one: an excused loss that was decided again while the task's start was recorded.
+t.test("an excused loss is not decided again when the worker is back", async t => {
+    const steps = [
+        { op: "submitDeadly", pick: 619, gapMs: 11_988 },
+        { op: "evict", pick: 13, gapMs: 9554 },
+        { op: "submitDeadly", pick: 432, gapMs: 5 },
+        { op: "killOwner", pick: 476, gapMs: 77 },
+        { op: "killOwner", pick: 279, gapMs: 1063 },
+        { op: "evict", pick: 560, gapMs: 2514 },
+        { op: "submit", pick: 377, gapMs: 53 },
+        { op: "submitDeadly", pick: 728, gapMs: 293 },
+        { op: "resumeOwners", pick: 30, gapMs: 1346 },
+        { op: "submitDeadly", pick: 318, gapMs: 10_883 },
+        { op: "submit", pick: 701, gapMs: 11 },
+        { op: "resize", pick: 840, gapMs: 147 },
+        { op: "crashAll", pick: 415, gapMs: 10_127 },
+        { op: "cutWorker", pick: 461, gapMs: 11 },
+        { op: "pauseOwner", pick: 198, gapMs: 13 },
+        { op: "cutWorker", pick: 357, gapMs: 2893 },
+        { op: "submit", pick: 611, gapMs: 2815 },
+        { op: "killOwner", pick: 986, gapMs: 1524 },
+    ] as const;
+    const schedule = { seed: -10, faultRate: 0.02, steps };
+    t.strictSame(await Schedules.run(Simulation.create(schedule.seed), schedule), []);
+});
