--- /dev/null
+++ b/packages/jobs/tests/crash-model-worker.ts
@@ -0,0 +1,94 @@
+import { Resources } from "@samphireward/core/resources";
+import { EndKind } from "../src/end-kind.js";
+import type { ListedEnd } from "../src/listed-end.js";
+import type { WorkerEntry } from "../src/worker-entry.js";
+import type { WorkerListing } from "../src/worker-listing.js";
+
+const Processors = 8;
+
+/** A run on a model worker. */
+interface ModelRun {
+    readonly task: string;
+    readonly number: number;
+    /** Infinity for a lasting task. */
+    readonly endsAtMs: number;
+}
+
+/** One incarnation of a worker that lists its runs and ends, and that can crash or be cut off. */
+export class CrashModelWorker {
+    isUp = true;
+    /** Time until which no call reaches it. */
+    cutUntilMs = 0;
+    readonly runs = new Map<string, ModelRun>();
+    private ends: ListedEnd[] = [];
+    private sequence = 0;
+    private leaseEndsMs = 0;
+
+    private constructor(readonly entry: WorkerEntry) {}
+
+    static create(id: string, index: number, startedAtMs: number): CrashModelWorker {
+        return new CrashModelWorker({
+            id,
+            startedAtMs,
+            address: `10.0.0.${index}:1`,
+            service: "desk",
+            zone: "zone",
+            rack: `r1-${Math.floor(index / 6)}`,
+            labels: [],
+            capacity: Resources.create({ processors: Processors, memoryMb: 64_000 }),
+            isDraining: false,
+        });
+    }
+
+    get key(): string {
+        return `${this.entry.id}/${this.entry.startedAtMs}`;
+    }
+
+    answers(nowMs: number): boolean {
+        return this.isUp && nowMs >= this.cutUntilMs;
+    }
+
+    start(run: ModelRun, deadlineMs: number): void {
+        this.runs.set(run.task, run);
+        this.leaseEndsMs = Math.max(this.leaseEndsMs, deadlineMs);
+    }
+
+    stop(task: string, number: number): void {
+        if (this.runs.get(task)?.number === number) {
+            this.end(task, EndKind.Stopped);
+        }
+    }
+
+    /** Renews the lease and acknowledges ends. */
+    heartbeat(deadlineMs: number, durableEnd: number): WorkerListing {
+        this.leaseEndsMs = Math.max(this.leaseEndsMs, deadlineMs);
+        this.ends = this.ends.filter(end => end.sequence > durableEnd);
+        const running = [...this.runs.values()].map(({ task, number }) => ({
+            task,
+            number,
+            checkpoint: "",
+            progressPercent: 50,
+            gauge: 0,
+        }));
+        return { startedAtMs: this.entry.startedAtMs, running, ended: [...this.ends], isPartial: false };
+    }
+
+    /** Ends the runs that are done by now, and all runs once the lease has expired. */
+    advance(nowMs: number): void {
+        for (const run of [...this.runs.values()]) {
+            if (run.endsAtMs <= Math.min(nowMs, this.leaseEndsMs)) {
+                this.end(run.task, EndKind.Done);
+            } else if (nowMs > this.leaseEndsMs) {
+                this.end(run.task, EndKind.Lapsed);
+            }
+        }
+    }
+
+    private end(task: string, kind: EndKind): void {
+        const run = this.runs.get(task);
+        if (run !== undefined) {
+            this.runs.delete(task);
+            this.ends.push({ sequence: ++this.sequence, task, number: run.number, kind, checkpoint: "" });
+        }
+    }
+}
