Give up tasks that crash their workers

Callers saw workers go down one after the other: a task that crashes each worker that starts it was started again by the same owner about every 5 s for as long as its job was open, each time beside other tasks, which lapsed with it. The cause: RunResults.lapse counted nothing against the task; only ends that workers list as failed counted, and only those were stored.

A crash (the lease is over, or another incarnation has replaced the worker) now adds a point to each task that had started there within 10 s. A task with points starts only in a trial: on a worker without another suspected task, where nothing else starts for 1.5 s, with at most one open trial for six workers, if possible apart from other trials by rack. A crash in a trial counts against the task on trial alone, and twice if its start was confirmed and never listed, nothing else had just started there, another worker has taken the place of the lost one and no other losses or repeated losses at the address cast doubt. A task with three points is given up: its job ends as failed with the reason worker-crashes. So no task is given up after one crash or starts again after three that count. Points are taken back if the worker answers again, once for a task if most of the rack or the cell was lost at the same time, and after 10 s on a worker. Draining workers and what has run for 10 s count nothing. The members of a gang that are suspected get a worker each, all trials are opened together or none.

The next owner knows the points and the worker: the progress of a job has the optional fields suspicion and suspectWorker, and the run of a trial starts only when the latter is durable. A worker that does not answer is stored with the tasks that have just started there as well, so that a crash between two owners counts once the next owner has found the worker gone. Older builds ignore the fields and drop them.

--- a/packages/dispatch/src/end-reporter.ts
+++ b/packages/dispatch/src/end-reporter.ts
@@ -4,6 +4,7 @@
 import { EndReason } from "@samphireward/jobs/end-reason";
 import type { IgnoredEnd } from "@samphireward/jobs/ignored-end";
 import type { RunEnd } from "@samphireward/jobs/run-end";
+import type { SuspicionChange } from "@samphireward/jobs/suspicion-change";
 import type { Task } from "@samphireward/jobs/task";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
 import type { EventLog } from "./event-log.js";
@@ -50,6 +51,13 @@
         log.write("end-ignored", { task, run, worker: worker.entry.id, how, reason, current, epoch });
     }
 
+    onSuspicion(task: Task, workerKey: string, reason: SuspicionChange): void {
+        const { epoch, log, metrics } = this.context;
+        const [worker] = workerKey.split("/", 1);
+        metrics.suspicionChanges.inc({ reason });
+        log.write("task-suspected", { task: task.name, worker, reason, points: task.suspicion, epoch });
+    }
+
     /** Fields that show on what the owner based an end that the worker did not list. */
     private evidence(worker: WorkerIncarnation, end: RunEnd): Readonly<Record<string, number | undefined>> {
         const nowMs = this.context.clock.nowMs();
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -38,6 +38,12 @@
     readonly endsIgnored = this.counter("ends_ignored_total", "Listed ends that were not applied, by kind", [
         "kind",
     ]);
+    /** Changes of the suspicion that a task crashes its workers, by their reason. */
+    readonly suspicionChanges = this.counter(
+        "suspicion_changes_total",
+        "Changes of the suspicion that a task crashes its workers, by reason",
+        ["reason"],
+    );
     /** Jobs by final state. */
     readonly jobsEnded = this.counter("jobs_ended_total", "Jobs by final state", ["queue", "state"]);
     /** Time from a job's arrival to its final state. */
--- a/packages/dispatch/src/progress-writer.ts
+++ b/packages/dispatch/src/progress-writer.ts
@@ -2,6 +2,7 @@
 import type { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import type { Job } from "@samphireward/jobs/job";
 import { readProgress } from "@samphireward/jobs/read-progress";
+import { unstoredTrials } from "@samphireward/jobs/unstored-trials";
 import { cellKeys } from "./cell-keys.js";
 import type { CommitLog } from "./commit-log.js";
 import type { EventLog } from "./event-log.js";
@@ -90,10 +91,12 @@
         for (let first = 0; first < changed.length; first += MaxJobsPerCommit) {
             const jobs = changed.slice(first, first + MaxJobsPerCommit);
             const ends = jobs.map(job => job.endState);
+            const trials = jobs.flatMap(unstoredTrials);
             if (!(await this.commit(jobs.map(job => this.encodeProgress(job))))) {
                 this.hasLostChanges = true;
                 return;
             }
+            trials.forEach(trial => (trial.isStored = true));
             jobs.forEach((job, index) => this.publishEnd(job, ends[index]));
         }
         for (const { worker, end } of lastReadEnds) {
@@ -152,6 +155,7 @@
         const ageMs = clock.wallMs() - arrivedAtMs;
         metrics.jobsEnded.inc({ queue, state: end });
         metrics.jobSeconds.observe({ queue }, ageMs / 1_000);
-        log.write("job-ended", { job: id, queue, state: end, ageMs: Math.round(ageMs) });
+        const { endReason: reason } = job;
+        log.write("job-ended", { job: id, queue, state: end, reason, ageMs: Math.round(ageMs) });
     }
 }
--- a/packages/dispatch/tests/lease-model.ts
+++ b/packages/dispatch/tests/lease-model.ts
@@ -7,6 +7,7 @@
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
 import { Metrics } from "../src/metrics.js";
+import { unstoredTrials } from "@samphireward/jobs/unstored-trials";
 import { WorkerLinks } from "../src/worker-links.js";
 import type { LeaseDisruption } from "./lease-disruption.js";
 import { LeaseModelClient } from "./lease-model-client.js";
@@ -196,6 +197,7 @@
 
     private commit(): void {
         for (const job of this.scheduler.jobs.takeChanged()) {
+            unstoredTrials(job).forEach(trial => (trial.isStored = true));
             job.storedEndState = job.endState;
         }
         for (const worker of this.scheduler.fleet.workers) {
--- a/packages/dispatch/tests/progress-writer.test.ts
+++ b/packages/dispatch/tests/progress-writer.test.ts
@@ -98,6 +98,29 @@
     await Promise.all([first, second]);
 });
 
+// Guards against a crash that the next owner does not count: a suspected task started before its worker was stored.
+t.test("a trial counts as stored once the progress that names its worker is durable", async t => {
+    const store = ManualStore.create();
+    const cell = endedJob();
+    const { scheduler, worker } = cell;
+    scheduler.addJob({ ...oneTaskJob, id: otherId });
+    const task = scheduler.jobs.get(otherId)?.findTask(0, 0, 0);
+    if (task !== undefined) {
+        Object.assign(task, { lastRun: 1, suspicion: 1 });
+    }
+    t.strictSame(scheduler.plan(), [], "it waits for its trial to be stored");
+    t.equal(task?.trial?.worker, worker);
+    const written = createWriter(store, cell, []).flush();
+    await answerUntilProgress(store);
+    t.equal(task?.trial?.isStored, false);
+    t.strictSame(scheduler.plan(), []);
+    const writes = store.transactions.at(-1)?.writes ?? [];
+    t.ok(writes.some(({ value }) => value.includes(`"suspectWorker":"${worker.key}"`)));
+    await store.answerNext();
+    await written;
+    t.equal(scheduler.plan().length, 1);
+});
+
 // Guards against state that counts as durable although another owner has taken over the cell.
 t.test("a commit that finds another owner's epoch acknowledges nothing", async t => {
     const store = ManualStore.create();
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -1,9 +1,11 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellLimits } from "./cell-limits.js";
 import type { CellLoad } from "./cell-load.js";
+import { CrashSuspicions } from "./crash-suspicions.js";
 import { PreviousOwners } from "./previous-owners.js";
 import type { EndObserver } from "./end-observer.js";
 import { EndReason } from "./end-reason.js";
+import { InheritedTrials } from "./inherited-trials.js";
 import { JobRegistry } from "./job-registry.js";
 import type { JobProgress } from "./job-progress.js";
 import type { JobSpec } from "./job-spec.js";
@@ -26,6 +28,8 @@
 import { RunResults } from "./run-results.js";
 import { StartPlanner } from "./start-planner.js";
 import { stopOrders } from "./stop-orders.js";
+import { TrialPlanner } from "./trial-planner.js";
+import { Trials } from "./trials.js";
 import { updatePaceBudgetFactor } from "./update-pace-budget-factor.js";
 import type { WorkerEntry } from "./worker-entry.js";
 import { WorkerFleet } from "./worker-fleet.js";
@@ -41,6 +45,9 @@
     readonly fleet = WorkerFleet.create();
     private readonly rules = QueueRules.create();
     private readonly results: RunResults;
+    private readonly trials = Trials.create(this.jobs, this.fleet);
+    private readonly suspicions: CrashSuspicions;
+    private readonly inheritedTrials: InheritedTrials;
     /** Learned interference between fillers and serving tasks; stored for the next owner. */
     readonly effects = NeighbourEffects.create();
     readonly responses: OrderResponses;
@@ -56,11 +63,23 @@
         observer: EndObserver,
     ) {
         this.previousOwners = PreviousOwners.create(clock, limits);
-        this.results = RunResults.create(this.jobs, this.rules, observer);
+        this.results = RunResults.create(this.jobs, this.rules, this.trials, observer);
+        this.suspicions = CrashSuspicions.create(this.jobs, this.fleet, observer);
         this.responses = OrderResponses.create(clock, limits, this.results);
-        this.listings = ListingReader.create(this.jobs, this.results, observer);
-        const { jobs, fleet, rules, effects, results } = this;
-        this.planner = StartPlanner.create({ epoch, clock, jobs, fleet, rules, effects, results });
+        this.listings = ListingReader.create(this.jobs, this.results, this.suspicions, observer);
+        const { jobs, fleet, rules, effects, results, trials, suspicions } = this;
+        this.inheritedTrials = InheritedTrials.create({ jobs, fleet, trials, suspicions });
+        const trialPlanner = TrialPlanner.create({ fleet, effects, trials, suspicions });
+        this.planner = StartPlanner.create({
+            epoch,
+            clock,
+            jobs,
+            fleet,
+            rules,
+            effects,
+            results,
+            trialPlanner,
+        });
     }
 
     static create(
@@ -86,6 +105,7 @@
         const job = this.jobs.add(spec, progress);
         if (job.endState === undefined) {
             this.previousOwners.addJob(spec.id);
+            this.inheritedTrials.addJob(job);
             job.openDueOccurrences(this.clock.wallMs());
             this.jobs.closeDoneOccurrences(job, this.clock.wallMs());
         }
@@ -146,7 +166,8 @@
 
     noteListing(worker: WorkerIncarnation, listing: WorkerListing, sentAtMs: number): void {
         const nowMs = this.clock.nowMs();
-        worker.isReachable = true;
+        this.noteReachability(worker, true);
+        this.suspicions.noteAlive(worker);
         worker.lastContactAtMs = nowMs;
         if (!worker.hasListedRuns) {
             // A previous owner may have extended the lease just before this listing, or a call that was sent to an earlier
@@ -168,13 +189,14 @@
     }
 
     noteUnreachable(worker: WorkerIncarnation): void {
-        worker.isReachable = false;
+        this.noteReachability(worker, false);
     }
 
     /** Returns the orders to send now. A planned start reserves its resources from here on. */
     plan(): Order[] {
         const nowMs = this.clock.nowMs();
         this.expireLeases(nowMs);
+        this.judgeLosses(nowMs);
         this.openDue();
         markMigrations(this.fleet, this.rules, this.effects, nowMs);
         // Starts are planned before stops: planning them marks the lasting tasks to preempt.
@@ -198,6 +220,14 @@
         return computeCellLoad(this.jobs, this.fleet, this.previousOwners.unreadWorkerKeys.size);
     }
 
+    /** The stored progress of the jobs tells the next owner which workers may be lost. */
+    private noteReachability(worker: WorkerIncarnation, isReachable: boolean): void {
+        if (worker.isReachable !== isReachable) {
+            worker.isReachable = isReachable;
+            worker.runs.forEach(({ task }) => this.jobs.markChanged(task.step.occurrence.job));
+        }
+    }
+
     private openDue(): void {
         const wallMs = this.clock.wallMs();
         for (const job of this.jobs.undecided) {
@@ -211,6 +241,7 @@
     private expireLeases(nowMs: number): void {
         for (const worker of [...this.fleet.workers]) {
             if (!worker.isReachable && nowMs > worker.leaseEndsAtMs + this.limits.stopMs) {
+                this.suspicions.noteLoss(worker, nowMs);
                 this.releaseRunsOf(worker, nowMs);
                 // The worker may register again under its id while a late start can still reach it.
                 if (!worker.isRegistered && worker.runs.size === 0 && worker.lateStarts.size === 0) {
@@ -221,6 +252,15 @@
         this.previousOwners.expire(nowMs);
     }
 
+    /** Counts crashes against tasks, and gives up those that have crashed too many workers. */
+    private judgeLosses(nowMs: number): void {
+        const wallMs = this.clock.wallMs();
+        const { unreadWorkerKeys } = this.previousOwners;
+        this.inheritedTrials.resolve(workerKey => unreadWorkerKeys.has(workerKey), wallMs);
+        this.suspicions.settle(nowMs, wallMs);
+        this.trials.closeFinished();
+    }
+
     private releaseRunsOf(worker: WorkerIncarnation, nowMs: number): void {
         for (const run of [...worker.runs.values()]) {
             const mayStillStart =
@@ -234,6 +274,7 @@
 
     /** Ends all runs of an incarnation that no longer exists. */
     private endIncarnation(worker: WorkerIncarnation, restartedAtMs: number): void {
+        this.suspicions.noteLoss(worker, this.clock.nowMs());
         for (const run of [...worker.runs.values()]) {
             this.results.lapse(run, EndReason.Restarted, this.times(), restartedAtMs);
         }
--- a/packages/jobs/src/end-observer.ts
+++ b/packages/jobs/src/end-observer.ts
@@ -1,5 +1,6 @@
 import type { IgnoredEnd } from "./ignored-end.js";
 import type { RunEnd } from "./run-end.js";
+import type { SuspicionChange } from "./suspicion-change.js";
 import type { Task } from "./task.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
@@ -9,4 +10,6 @@
     readonly onApplied?: (task: Task, worker: WorkerIncarnation, end: RunEnd) => void;
     /** Called for each listed end that is not applied to its task. */
     readonly onIgnored?: (worker: WorkerIncarnation, end: IgnoredEnd) => void;
+    /** Called for each change of the suspicion that a task crashes its workers; `workerKey` is the worker concerned. */
+    readonly onSuspicion?: (task: Task, workerKey: string, change: SuspicionChange) => void;
 }
--- /dev/null
+++ b/packages/jobs/src/inherited-trials.ts
@@ -0,0 +1,62 @@
+import type { CrashSuspicions } from "./crash-suspicions.js";
+import type { Job } from "./job.js";
+import type { JobRegistry } from "./job-registry.js";
+import type { Task } from "./task.js";
+import type { Trials } from "./trials.js";
+import type { WorkerFleet } from "./worker-fleet.js";
+
+/** Dependencies provided by the cell's scheduler. */
+interface InheritedContext {
+    readonly jobs: JobRegistry;
+    readonly fleet: WorkerFleet;
+    readonly trials: Trials;
+    readonly suspicions: CrashSuspicions;
+}
+
+/** Suspected tasks that a previous owner left, and those that it had stored with a worker that may be lost. */
+export class InheritedTrials {
+    private readonly tasks = new Set<Task>();
+
+    private constructor(private readonly context: InheritedContext) {}
+
+    static create(context: InheritedContext): InheritedTrials {
+        return new InheritedTrials(context);
+    }
+
+    addJob(job: Job): void {
+        for (const task of job.tasks()) {
+            if (task.suspicion > 0 || task.inheritedWorkerKey !== undefined) {
+                this.tasks.add(task);
+            }
+        }
+    }
+
+    /**
+     * Decides about the tasks whose worker has been read or is known to be gone. `mayHaveRuns` tells whether a worker,
+     * by its key, is still to be read.
+     */
+    resolve(mayHaveRuns: (workerKey: string) => boolean, wallMs: number): void {
+        for (const task of this.tasks) {
+            const { inheritedWorkerKey } = task;
+            if (inheritedWorkerKey === undefined || !mayHaveRuns(inheritedWorkerKey)) {
+                this.tasks.delete(task);
+                this.resolveTask(task, inheritedWorkerKey, wallMs);
+            }
+        }
+    }
+
+    private resolveTask(task: Task, workerKey: string | undefined, wallMs: number): void {
+        const { fleet, trials, suspicions, jobs } = this.context;
+        task.inheritedWorkerKey = undefined;
+        if (workerKey !== undefined) {
+            const worker = [...fleet.workers].find(({ key }) => key === workerKey);
+            if (worker?.hasListedRuns !== true) {
+                suspicions.noteInheritedLoss(task, workerKey);
+            } else if (task.run?.worker === worker && task.suspicion > 0 && worker.trialTask === undefined) {
+                trials.open(task, worker);
+            }
+            jobs.markChanged(task.step.occurrence.job);
+        }
+        suspicions.giveUpIfDue(task, wallMs);
+    }
+}
--- a/packages/jobs/src/is-suitable-ignoring-permits.ts
+++ b/packages/jobs/src/is-suitable-ignoring-permits.ts
@@ -21,6 +21,7 @@
         worker.isReachable &&
         worker.hasListedRuns &&
         !worker.isStartBlocked &&
+        (worker.trialTask === undefined || worker.trialTask === task) &&
         // A lasting task must not wait while any worker has capacity, even one that other tasks avoid.
         (spec.lasting || (nowMs >= worker.avoidUntilMs && !isSlowWorker(worker, nowMs, StalledSpeed))) &&
         (spec.requiredLabel === undefined || entry.labels.includes(spec.requiredLabel)) &&
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,3 +1,4 @@
+import type { JobEndReason } from "./job-end-reason.js";
 import type { JobState } from "./job-state.js";
 import type { OccurrenceProgress } from "./occurrence-progress.js";
 
@@ -5,6 +6,8 @@
 export interface JobProgress {
     /** Absent while the job has no final state. */
     readonly endState: JobState | undefined;
+    /** Why the job ended as failed; absent for other ends, and in the progress of older versions. */
+    readonly endReason?: JobEndReason | undefined;
     readonly endedAtMs: number;
     readonly hasStarted: boolean;
     /** Occurrences below this number have been opened; those that are not in `open` are done. */
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -2,6 +2,7 @@
 import { reservationFor } from "./reservation-for.js";
 import type { Job as JobType } from "./job.js";
 import { Job } from "./job.js";
+import type { JobEndReason } from "./job-end-reason.js";
 import type { JobProgress } from "./job-progress.js";
 import type { JobSpec } from "./job-spec.js";
 import { JobState } from "./job-state.js";
@@ -79,9 +80,10 @@
     }
 
     /** Sets a job's final state; a job that has one keeps it. */
-    setEndState(job: JobType, state: JobState, wallMs: number): void {
+    setEndState(job: JobType, state: JobState, wallMs: number, reason?: JobEndReason): void {
         if (job.endState === undefined) {
             job.endState = state;
+            job.endReason = reason;
             job.endedAtMs = wallMs;
             this.undecidedJobs.delete(job);
             this.markChanged(job);
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from "./job-spec.js";
+import type { JobEndReason } from "./job-end-reason.js";
 import { JobState } from "./job-state.js";
 import { Occurrence } from "./occurrence.js";
 import type { Step } from "./step.js";
@@ -10,6 +11,8 @@
     endState: JobState | undefined;
     /** Final state that is durable in the store; callers are shown only this one. */
     storedEndState: JobState | undefined;
+    /** Why the job ended as failed; undefined for any other end and for a task that failed too often. */
+    endReason: JobEndReason | undefined;
     /** Wall-clock time at which the job ended, in milliseconds since 1970. */
     endedAtMs = 0;
     hasStarted = false;
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -1,3 +1,4 @@
+import type { CrashSuspicions } from "./crash-suspicions.js";
 import { EndKind } from "./end-kind.js";
 import type { EndObserver } from "./end-observer.js";
 import { EndReason } from "./end-reason.js";
@@ -27,11 +28,17 @@
     private constructor(
         private readonly jobs: JobRegistry,
         private readonly results: RunResults,
+        private readonly suspicions: CrashSuspicions,
         private readonly observer: EndObserver,
     ) {}
 
-    static create(jobs: JobRegistry, results: RunResults, observer: EndObserver): ListingReader {
-        return new ListingReader(jobs, results, observer);
+    static create(
+        jobs: JobRegistry,
+        results: RunResults,
+        suspicions: CrashSuspicions,
+        observer: EndObserver,
+    ): ListingReader {
+        return new ListingReader(jobs, results, suspicions, observer);
     }
 
     read(worker: WorkerIncarnation, listing: WorkerListing, times: ListingTimes): void {
@@ -145,6 +152,7 @@
     private confirm(run: Run, listedRun: ListedRun, times: ListingTimes): void {
         run.confirm(times.nowMs);
         run.isListed = true;
+        this.suspicions.noteListed(run, times.nowMs);
         trackSpeed(run, listedRun, times.nowMs);
         run.gauge = listedRun.gauge;
         if (listedRun.checkpoint !== "" && run.task.run === run) {
--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -8,6 +8,7 @@
 export const restoreProgress = (job: Job, progress: JobProgress): void => {
     job.endState = progress.endState;
     job.storedEndState = progress.endState;
+    job.endReason = progress.endReason;
     job.endedAtMs = progress.endedAtMs;
     job.hasStarted = progress.hasStarted;
     job.nextOccurrence = progress.nextOccurrence;
@@ -25,10 +26,11 @@
             task.markDone();
         }
     });
-    for (const { index, failedRuns, lastRun, checkpoint } of progress?.marks ?? []) {
+    for (const mark of progress?.marks ?? []) {
+        const { index, failedRuns, lastRun, checkpoint, suspicion = 0, suspectWorker } = mark;
         const task = step.tasks[index];
         if (task !== undefined) {
-            Object.assign(task, { lastRun, checkpoint });
+            Object.assign(task, { lastRun, checkpoint, suspicion, inheritedWorkerKey: suspectWorker });
             failedRuns.forEach(number => task.failedRuns.add(number));
         }
     }
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -7,6 +7,7 @@
 import type { RunEnd } from "./run-end.js";
 import type { Run } from "./run.js";
 import type { Task } from "./task.js";
+import type { Trials } from "./trials.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
 /** Consecutive failures on a worker, of tasks that did not fail elsewhere, after which the worker is avoided. */
@@ -26,11 +27,12 @@
     private constructor(
         private readonly jobs: JobRegistry,
         private readonly rules: QueueRules,
+        private readonly trials: Trials,
         private readonly observer: EndObserver,
     ) {}
 
-    static create(jobs: JobRegistry, rules: QueueRules, observer: EndObserver): RunResults {
-        return new RunResults(jobs, rules, observer);
+    static create(jobs: JobRegistry, rules: QueueRules, trials: Trials, observer: EndObserver): RunResults {
+        return new RunResults(jobs, rules, trials, observer);
     }
 
     /** Removes a run from its worker, so that the task can start again. */
@@ -38,6 +40,7 @@
         run.worker.remove(run);
         if (run.task.run === run) {
             run.task.run = undefined;
+            this.trials.close(run.task);
         }
     }
 
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -12,6 +12,7 @@
 import type { Step } from "./step.js";
 import { StepRank } from "./step-rank.js";
 import type { Task } from "./task.js";
+import type { TrialPlanner } from "./trial-planner.js";
 import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
@@ -37,6 +38,7 @@
     readonly rules: QueueRules;
     readonly effects: NeighbourEffects;
     readonly results: RunResults;
+    readonly trialPlanner: TrialPlanner;
 }
 
 const isReady = (task: Task, nowMs: number): boolean =>
@@ -91,7 +93,7 @@
                 orders.push(...this.startGang(step, service, nowMs));
             } else {
                 orders.push(...this.startTasks(step, service, nowMs));
-                if (step.tasks.some(task => isReady(task, nowMs))) {
+                if (step.tasks.some(task => task.suspicion === 0 && isReady(task, nowMs))) {
                     unplaceable.add(step, service);
                 }
             }
@@ -152,6 +154,10 @@
             }
             task.readySinceMs ??= nowMs;
             const { fleet, effects } = this.context;
+            if (task.suspicion > 0) {
+                orders.push(...this.startSuspect(task, service, nowMs, requiresGoodFit));
+                continue;
+            }
             const worker = chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
             if (worker === undefined) {
                 break;
@@ -161,13 +167,20 @@
         return orders;
     }
 
+    /** Starts a suspected task if its trial is stored; otherwise prepares its trial. */
+    private startSuspect(task: Task, service: string, nowMs: number, requiresGoodFit: boolean): Order[] {
+        const worker = this.context.trialPlanner.workerFor(task, { service, requiresGoodFit }, nowMs);
+        return worker === undefined ? [] : [this.startOn(task, worker, this.nextRunNumber(task), nowMs)];
+    }
+
     /** Collects short tasks that found no worker; lasting tasks may be preempted for them. */
     private collectWaiting(step: Step, service: string, waiting: WaitingTask[], nowMs: number): void {
         if (step.spec.lasting || step.spec.filler || step.spec.gang) {
             return;
         }
         for (const task of step.tasks) {
-            if (isReady(task, nowMs) && waiting.length < MaxWaitingShortTasks) {
+            const isUnplaced = task.suspicion === 0 || this.context.trialPlanner.mayOpen(task);
+            if (isUnplaced && isReady(task, nowMs) && waiting.length < MaxWaitingShortTasks) {
                 task.readySinceMs ??= nowMs;
                 waiting.push({ task, service });
             }
@@ -182,16 +195,23 @@
         const number = Math.max(...step.tasks.map(task => this.nextRunNumber(task)));
         const orders: Order[] = [];
         const requiresGoodFit = longestWaitMs(step, nowMs) < GangWaitMs;
+        const { fleet, effects, trialPlanner } = this.context;
+        const suspects = step.tasks.filter(task => task.suspicion > 0);
+        if (suspects.length > 0 && !trialPlanner.isGangReady(suspects, { service, requiresGoodFit }, nowMs)) {
+            return [];
+        }
         for (const task of step.tasks) {
             task.readySinceMs ??= nowMs;
-            const { fleet, effects } = this.context;
-            const worker = chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
+            const worker =
+                task.trial?.worker ??
+                chooseWorker(fleet.workers, task, service, effects, nowMs, requiresGoodFit);
             if (worker === undefined) {
                 for (const order of orders) {
                     if (order.kind === OrderKind.Start) {
                         this.context.results.release(order.run);
                     }
                 }
+                trialPlanner.closeTrials(suspects);
                 return [];
             }
             orders.push(this.startOn(task, worker, number, nowMs));
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -1,5 +1,6 @@
 import type { Run } from "./run.js";
 import type { Step } from "./step.js";
+import type { Trial } from "./trial.js";
 
 /** One task of a step in one occurrence of a job. */
 export class Task {
@@ -20,6 +21,14 @@
     migrationCount = 0;
     /** Monotonic time before which the task is not started again. */
     notBeforeMs = 0;
+    /** Points of suspicion that the task crashes its workers; 0 if it is not suspected. */
+    suspicion = 0;
+    /** Whether a crash did not count against the task because a rack or the cell was lost at the same time. */
+    hasBeenExcused = false;
+    /** The open trial; undefined if there is none. */
+    trial: Trial | undefined;
+    /** Key of a worker, stored by a previous owner, whose loss would count against the task; until it is known. */
+    inheritedWorkerKey: string | undefined;
 
     private constructor(
         readonly step: Step,
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -1,6 +1,7 @@
 import { Resources } from "@samphireward/core/resources";
 import type { LateStart } from "./late-start.js";
 import type { Run } from "./run.js";
+import type { Task } from "./task.js";
 import type { OrphanRun } from "./orphan-run.js";
 import type { WorkerEntry } from "./worker-entry.js";
 
@@ -24,6 +25,10 @@
     hasListedRuns = false;
     /** Whether starts are blocked because the stored roster, by which a next owner finds workers, lacks this one. */
     isStartBlocked = false;
+    /** Whether the worker was taken for lost since its last answer: its lease ended or it was replaced. */
+    isLost = false;
+    /** Task on trial here; nothing else starts meanwhile. */
+    trialTask: Task | undefined;
     lastContactAtMs = 0;
     /** Monotonic time after which nothing that was ordered so far can be running here. */
     leaseEndsAtMs = 0;
--- a/packages/jobs/tests/crash-model-worker.ts
+++ b/packages/jobs/tests/crash-model-worker.ts
@@ -59,6 +59,12 @@
         }
     }
 
+    /** Ends the runs of a gang, by the prefix of its tasks' names. */
+    breakGang(prefix: string): void {
+        const members = [...this.runs.keys()].filter(task => task.startsWith(prefix));
+        members.forEach(task => this.end(task, EndKind.GangBroken));
+    }
+
     /** Renews the lease and acknowledges ends. */
     heartbeat(deadlineMs: number, durableEnd: number): WorkerListing {
         this.leaseEndsMs = Math.max(this.leaseEndsMs, deadlineMs);
--- a/packages/jobs/tests/crash-model.ts
+++ b/packages/jobs/tests/crash-model.ts
@@ -10,6 +10,7 @@
 import { readProgress } from "../src/read-progress.js";
 import { StartOutcome } from "../src/start-outcome.js";
 import type { StepSpec } from "../src/step-spec.js";
+import { unstoredTrials } from "../src/unstored-trials.js";
 import { CrashModelWorker } from "./crash-model-worker.js";
 import { cellLimits } from "./fixtures/cell-limits.js";
 import { plainStep } from "./fixtures/plain-step.js";
@@ -54,6 +55,8 @@
     private readonly restarts = new Map<number, number>();
     private readonly laterStarts = new Map<string, number>();
     private readonly specs: JobSpec[] = [];
+    /** Steps and run numbers of gangs that have lost a member. */
+    private readonly brokenGangs = new Set<string>();
     private readonly deadlyJobs = new Set<string>();
     private readonly stored = new Map<string, string>();
     private roster: readonly string[] = [];
@@ -217,6 +220,7 @@
     private commit(): void {
         for (const job of this.scheduler.jobs.takeChanged()) {
             this.stored.set(job.spec.id, JSON.stringify(readProgress(job)));
+            unstoredTrials(job).forEach(trial => (trial.isStored = true));
             job.storedEndState = job.endState;
         }
         for (const incarnation of this.scheduler.fleet.workers) {
@@ -241,6 +245,9 @@
             const endsAtMs = task.step.spec.lasting ? Infinity : nowMs + TaskMs;
             worker.start({ task: task.name, number, endsAtMs }, nowMs + cellLimits.leaseMs);
             this.checkStart(task.name);
+            if (this.brokenGangs.has(`${task.step.name}#${number}`)) {
+                this.breakGang(task.name, number);
+            }
         }
         const isDeadly = task.index === 0 && this.deadlyJobs.has(task.step.occurrence.job.spec.id);
         if (isDeadly && isReached) {
@@ -264,8 +271,20 @@
     }
 
     private crash(worker: CrashModelWorker): void {
+        const runs = [...worker.runs.values()];
         worker.isUp = false;
         worker.runs.clear();
+        runs.forEach(({ task, number }) => this.breakGang(task, number));
         this.restarts.set(this.workers.indexOf(worker), this.clock.nowMs() + RestartMs);
     }
+
+    /** The other members of a gang end when one of them does, also those that start later. */
+    private breakGang(task: string, number: number): void {
+        const step = task.slice(0, task.lastIndexOf("."));
+        const id = task.split(".", 1)[0] ?? "";
+        if (this.specs.find(spec => spec.id === id)?.steps[0]?.gang === true) {
+            this.brokenGangs.add(`${step}#${number}`);
+            this.workers.forEach(worker => worker.breakGang(`${step}.`));
+        }
+    }
 }
--- /dev/null
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -0,0 +1,244 @@
+import { Resources } from "@samphireward/core/resources";
+import t from "tap";
+import { EndKind } from "../src/end-kind.js";
+import { JobState } from "../src/job-state.js";
+import { readProgress } from "../src/read-progress.js";
+import type { Run } from "../src/run.js";
+import { settledRunMs } from "../src/settled-run-ms.js";
+import type { WorkerIncarnation } from "../src/worker-incarnation.js";
+import { SchedulerHarness } from "./scheduler-harness.js";
+
+/** Longer than a lease with its margins, and than the time in which other losses are awaited. */
+const LeaseOverMs = 7_000;
+/** Longer than the time in which a replacement of a lost worker is awaited. */
+const UnprovenMs = 13_000;
+
+let bornMs = 1;
+
+const addWorker = (harness: SchedulerHarness, id: string, rack = "r1-1"): WorkerIncarnation =>
+    harness.addWorker(id, { address: `${id}:1`, rack, startedAtMs: ++bornMs });
+
+/** Lists the runs of all workers that answer, so that their leases go on. */
+const heartbeat = (harness: SchedulerHarness, ...workers: readonly WorkerIncarnation[]): void => {
+    for (const worker of workers) {
+        harness.scheduler.noteLeaseExtension(worker);
+        harness.reportListing(worker, [...worker.runs.values()].map(SchedulerHarness.listedRun), []);
+    }
+};
+
+/** Loses workers at the same time, until their leases are over. */
+const lose = (harness: SchedulerHarness, ...workers: readonly WorkerIncarnation[]): void => {
+    workers.forEach(worker => harness.scheduler.noteUnreachable(worker));
+    harness.clock.advance(LeaseOverMs);
+};
+
+const startOne = (harness: SchedulerHarness): Run | undefined => harness.planAndStartAll()[0];
+
+// Guards against a job that ends as failed without the reason, which callers and the next owner need.
+t.test("a task under which a worker crashes alone, after a shared crash, is given up with the reason", t => {
+    const harness = SchedulerHarness.create();
+    const spec = harness.submit({});
+    for (const id of ["w1", "w2"]) {
+        const worker = addWorker(harness, id);
+        harness.scheduler.noteLeaseExtension(worker);
+        t.equal(startOne(harness)?.worker, worker);
+        lose(harness, worker);
+        harness.addUnreadWorker(`${id}-next`, { address: `${id}:1`, startedAtMs: ++bornMs });
+        harness.planOrders();
+    }
+    const job = harness.scheduler.jobs.get(spec.id);
+    t.equal(job?.endState, JobState.Failed);
+    t.equal(job && readProgress(job).endReason, "worker-crashes");
+    t.end();
+});
+
+// Guards against a job that is given up because its workers were only cut off.
+t.test("a worker that answers again has not crashed", t => {
+    const harness = SchedulerHarness.create();
+    const spec = harness.submit({});
+    const workers = ["w1", "w2", "w3", "w4"].map(id => addWorker(harness, id));
+    heartbeat(harness, ...workers);
+    let run = startOne(harness);
+    for (let cut = 1; cut <= workers.length; cut++) {
+        const lost = run?.worker;
+        if (lost !== undefined) {
+            lose(harness, lost);
+            heartbeat(harness, ...workers.filter(worker => worker !== lost));
+            run = startOne(harness);
+            t.equal(run?.task.suspicion, 1, `cut ${cut}`);
+            heartbeat(harness, lost);
+            t.equal(run?.task.suspicion, 0, `answer after cut ${cut}`);
+        }
+    }
+    t.equal(harness.scheduler.jobs.get(spec.id)?.endState, undefined);
+    t.end();
+});
+
+// Guards against tasks that wait for trials, or whose jobs are given up, because their rack was lost.
+t.test("the loss of most of a rack counts against no task", t => {
+    const harness = SchedulerHarness.create();
+    const rack = ["w1", "w2", "w3", "w4"].map(id => addWorker(harness, id, "r1-1"));
+    const others = ["w5", "w6", "w7", "w8"].map(id => addWorker(harness, id, "r1-2"));
+    for (let count = 0; count < 8; count++) {
+        harness.submit({ resources: Resources.create({ processors: 16, memoryMb: 100 }) });
+    }
+    heartbeat(harness, ...rack, ...others);
+    const runs = harness.planAndStartAll();
+    t.equal(runs.length, 8);
+    lose(harness, ...rack.slice(0, 3));
+    heartbeat(harness, ...others, ...rack.slice(3));
+    harness.clock.advance(UnprovenMs - LeaseOverMs);
+    heartbeat(harness, ...others, ...rack.slice(3));
+    harness.planOrders();
+    t.strictSame(
+        runs.map(({ task }) => task.suspicion),
+        runs.map(() => 0),
+    );
+    t.end();
+});
+
+// Guards against a neighbour that is blamed for a crash that the task on trial explains.
+t.test("a crash during a trial counts against the task on trial alone", t => {
+    const harness = SchedulerHarness.create();
+    const first = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(first);
+    harness.submit({});
+    const suspect = startOne(harness)?.task;
+    lose(harness, first);
+    const second = addWorker(harness, "w2");
+    harness.scheduler.noteLeaseExtension(second);
+    t.equal(startOne(harness)?.task, suspect);
+    harness.submit({});
+    t.same(harness.planStarts(), [], "nothing else starts during the trial");
+    harness.clock.advance(2_000);
+    heartbeat(harness, second);
+    t.equal(startOne(harness)?.worker, second, "the trial is over");
+    t.equal(suspect?.suspicion, 1, "but the suspicion is not");
+    t.end();
+});
+
+// Guards against two suspected tasks on one worker: a crash would not tell which of them is the cause.
+t.test("suspected tasks start on different workers", t => {
+    const harness = SchedulerHarness.create();
+    const first = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(first);
+    harness.submit({ count: 3 });
+    t.equal(harness.planAndStartAll().length, 3);
+    lose(harness, first);
+    const workers = Array.from({ length: 18 }, (_, index) => addWorker(harness, `v${index}`));
+    heartbeat(harness, ...workers);
+    const runs = harness.planAndStartAll();
+    t.equal(runs.length, 3);
+    t.equal(new Set(runs.map(({ worker }) => worker)).size, 3);
+    t.end();
+});
+
+// Guards against a lasting task that stays suspected for good.
+t.test("a lasting task that its worker survives is cleared", t => {
+    const harness = SchedulerHarness.create();
+    const first = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(first);
+    harness.submit({ lasting: true });
+    t.ok(startOne(harness));
+    lose(harness, first);
+    const second = addWorker(harness, "w2");
+    heartbeat(harness, second);
+    const run = startOne(harness);
+    t.equal(run?.task.suspicion, 1);
+    harness.clock.advance(settledRunMs);
+    heartbeat(harness, second);
+    t.equal(run?.task.suspicion, 0);
+    t.end();
+});
+
+// Guards against blame for a worker that was drained and then left as planned.
+t.test("the end of a draining worker counts against no task", t => {
+    const harness = SchedulerHarness.create();
+    const worker = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(worker);
+    harness.submit({});
+    const run = startOne(harness);
+    harness.scheduler.registerWorker({ ...worker.entry, isDraining: true });
+    lose(harness, worker);
+    harness.planOrders();
+    t.equal(run?.task.suspicion, 0);
+    t.end();
+});
+
+// Guards against a crash that is not counted because the owner changed before it was known, and against a trial that the
+// next owner does not know.
+t.test("the next owner counts the crash of a worker that is stored with the task", t => {
+    const harness = SchedulerHarness.create();
+    const worker = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(worker);
+    const spec = harness.submit({});
+    startOne(harness);
+    harness.scheduler.noteUnreachable(worker);
+    const job = harness.scheduler.jobs.get(spec.id);
+    t.ok(job);
+    if (job !== undefined) {
+        const next = SchedulerHarness.create(2);
+        next.inherit(spec, readProgress(job));
+        next.scheduler.expectInheritedWorkers([worker.key]);
+        addWorker(next, "w2");
+        next.addUnreadWorker("w1", { ...worker.entry, startedAtMs: ++bornMs });
+        t.equal(startOne(next)?.task.suspicion, 1);
+    }
+    t.end();
+});
+
+// Guards against blame for a worker of a previous owner that the next one has read: the run was done or never began.
+t.test("a stored worker that answers the next owner counts nothing", t => {
+    const harness = SchedulerHarness.create();
+    const worker = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(worker);
+    const spec = harness.submit({});
+    const run = startOne(harness);
+    harness.scheduler.noteUnreachable(worker);
+    const job = harness.scheduler.jobs.get(spec.id);
+    if (job !== undefined && run !== undefined) {
+        const next = SchedulerHarness.create(2);
+        next.inherit(spec, readProgress(job));
+        next.scheduler.expectInheritedWorkers([worker.key]);
+        const read = next.addUnreadWorker("w1", worker.entry);
+        next.reportListing(
+            read,
+            [],
+            [{ sequence: 1, task: run.task.name, number: run.number, kind: EndKind.Stopped, checkpoint: "" }],
+        );
+        t.equal(startOne(next)?.task.suspicion, 0);
+    }
+    t.end();
+});
+
+// Guards against members of a gang that are tried on one worker, or of which only some start.
+t.test("a gang starts again with each suspected member on a worker of its own", t => {
+    const harness = SchedulerHarness.create();
+    const first = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(first);
+    harness.submit({ count: 3, gang: true });
+    t.equal(harness.planAndStartAll().length, 3);
+    lose(harness, first);
+    const [second, third] = ["w2", "w3"].map(id => addWorker(harness, id));
+    t.same(harness.planStarts(), [], "two workers are not enough for three members");
+    const fourth = addWorker(harness, "w4");
+    const workers = [second, third, fourth].flatMap(worker => worker ?? []);
+    heartbeat(harness, ...workers);
+    t.equal(new Set(harness.planAndStartAll().map(({ worker }) => worker)).size, 3);
+    t.end();
+});
+
+// Guards against the job of a caller who has cancelled it being shown as failed.
+t.test("a cancelled job stays cancelled when its worker crashes", t => {
+    const harness = SchedulerHarness.create();
+    const worker = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(worker);
+    const spec = harness.submit({});
+    const run = startOne(harness);
+    harness.scheduler.cancelJob(spec.id);
+    lose(harness, worker);
+    harness.planOrders();
+    t.equal(harness.scheduler.jobs.get(spec.id)?.endState, JobState.Cancelled);
+    t.equal(run?.task.suspicion, 0);
+    t.end();
+});
--- a/packages/jobs/tests/lost-worker.test.ts
+++ b/packages/jobs/tests/lost-worker.test.ts
@@ -2,6 +2,7 @@
 import { EndKind } from "../src/end-kind.js";
 import type { Order } from "../src/order.js";
 import { OrderKind } from "../src/order-kind.js";
+import { settledRunMs } from "../src/settled-run-ms.js";
 import { StartOutcome } from "../src/start-outcome.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -86,6 +87,7 @@
     const listed = sent.slice(0, 15);
     listed.forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
     sent.slice(15).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Unknown));
+    harness.clock.advance(settledRunMs);
     harness.reportListing(previous, listed.map(SchedulerHarness.listedRun), []);
     const worker = harness.addWorker("w1", { startedAtMs: 2 });
     const orders = harness.planOrders();
@@ -122,6 +124,7 @@
     t.equal(sent.length, 16);
     const listed = sent.slice(1);
     listed.forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
+    harness.clock.advance(settledRunMs);
     harness.reportListing(previous, listed.map(SchedulerHarness.listedRun), []);
     harness.addWorker("w1", { startedAtMs: 2 });
     sent.slice(0, 1).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Unknown));
--- a/packages/jobs/tests/worker-crashes.test.ts
+++ b/packages/jobs/tests/worker-crashes.test.ts
@@ -12,6 +12,10 @@
     { name: "changes of owner", day: { deadlyShare: 0.15, takeOvers: 0.02 } },
     { name: "a rack that is lost", day: { deadlyShare: 0.1, rackLostAtMs: 7_000 } },
     { name: "workers that are cut off", day: { deadlyShare: 0.1, cutAtMs: 7_000 } },
+    { name: "a rack and owners", day: { deadlyShare: 0.1, rackLostAtMs: 7_000, takeOvers: 0.02 } },
+    { name: "cuts and owners", day: { deadlyShare: 0.1, cutAtMs: 7_000, takeOvers: 0.02, keepsIds: true } },
+    { name: "a rack alone", day: { deadlyShare: 0, rackLostAtMs: 7_000, takeOvers: 0.02 } },
+    { name: "half of the jobs", day: { deadlyShare: 0.5 } },
 ];
 
 // Guards against a task that crashes one worker after the other, and against jobs that are given up because their tasks
@@ -29,3 +33,14 @@
     }
     t.end();
 });
+
+// Guards against a checker that detects nothing.
+t.test("the checker detects an owner that does not know which worker may have crashed", t => {
+    const day = { deadlyShare: 0.15, takeOvers: 0.02, forgets: ["suspectWorker"] };
+    let caught = false;
+    for (let seed = 1; seed <= SeedCount && !caught; seed++) {
+        caught = CrashModel.create(seed, day).run().violations.length > 0;
+    }
+    t.ok(caught);
+    t.end();
+});
