Begin trials beside tasks that have run for 300 ms

Nothing starts on the worker from the moment the trial is opened, so its start now waits until the others have run for 300 ms; a task that crashes its worker does so within 10 ms. Those that have lived longer are not the cause, and the crash is clear.

The new test failed before: "another task has just started there", one start where none was expected. A test of late starts waits for that age too.

--- a/packages/jobs/src/choose-trial-worker.ts
+++ b/packages/jobs/src/choose-trial-worker.ts
@@ -1,7 +1,7 @@
 import { chooseWorker } from "./choose-worker.js";
+import { minNeighbourAgeMs } from "./min-neighbour-age-ms.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { Task } from "./task.js";
-import { trialDurationMs } from "./trial-duration-ms.js";
 import type { Trials } from "./trials.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
@@ -17,7 +17,7 @@
     [...worker.runs.values()].some(({ task }) => task.suspicion > 0);
 
 const hasRecentStart = (worker: WorkerIncarnation, nowMs: number): boolean =>
-    [...worker.runs.values()].some(({ startedAtMs }) => nowMs - startedAtMs < trialDurationMs);
+    [...worker.runs.values()].some(({ startedAtMs }) => nowMs - startedAtMs < minNeighbourAgeMs);
 
 /**
  * Chooses the worker for a trial: one without another suspected task, if possible without a run that has just started,
--- a/packages/jobs/src/trial-planner.ts
+++ b/packages/jobs/src/trial-planner.ts
@@ -1,6 +1,7 @@
 import { chooseTrialWorker } from "./choose-trial-worker.js";
 import type { CrashSuspicions } from "./crash-suspicions.js";
 import { isSuitable } from "./is-suitable.js";
+import { minNeighbourAgeMs } from "./min-neighbour-age-ms.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { Task } from "./task.js";
 import type { Trials } from "./trials.js";
@@ -47,7 +48,12 @@
             this.context.trials.close(task);
             return undefined;
         }
-        return task.trial.isStored ? task.trial.worker : undefined;
+        const { worker, isStored } = task.trial;
+        // Nothing else starts there since the trial was opened, so this takes the minimum age at most.
+        const hasYoungRun = [...worker.runs.values()].some(
+            ({ startedAtMs }) => nowMs - startedAtMs < minNeighbourAgeMs,
+        );
+        return isStored && !hasYoungRun ? worker : undefined;
     }
 
     /** Whether all suspected members of a gang can start now. Opens their trials together, or none of them. */
--- a/packages/jobs/src/worker-loss.ts
+++ b/packages/jobs/src/worker-loss.ts
@@ -1,9 +1,9 @@
 import type { Job } from "./job.js";
 import type { Run } from "./run.js";
+import { minNeighbourAgeMs } from "./min-neighbour-age-ms.js";
 import { RunPhase } from "./run-phase.js";
 import { settledRunMs } from "./settled-run-ms.js";
 import type { Task } from "./task.js";
-import { trialDurationMs } from "./trial-duration-ms.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
 /** Whether the run may have been there when its worker was lost, and the task is still wanted. */
@@ -44,7 +44,7 @@
         const runs = worker.entry.isDraining ? [] : [...worker.runs.values()].filter(isInvolved);
         const trial = runs.find(({ task }) => task.trial?.worker === worker);
         if (trial !== undefined) {
-            const hadRun = (run: Run): boolean => trial.startedAtMs - run.startedAtMs >= trialDurationMs;
+            const hadRun = (run: Run): boolean => trial.startedAtMs - run.startedAtMs >= minNeighbourAgeMs;
             const isClear =
                 trial.phase === RunPhase.Running &&
                 !trial.isListed &&
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -2,6 +2,7 @@
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
 import { JobState } from "../src/job-state.js";
+import { minNeighbourAgeMs } from "../src/min-neighbour-age-ms.js";
 import { readProgress } from "../src/read-progress.js";
 import type { Run } from "../src/run.js";
 import { settledRunMs } from "../src/settled-run-ms.js";
@@ -117,6 +118,30 @@
     t.end();
 });
 
+// Guards against a crash that another task may explain, because it had just started where a trial began: the task on trial
+// then crashes one worker more.
+t.test("a trial begins when the other tasks of its worker have run for a while", t => {
+    const harness = SchedulerHarness.create();
+    const first = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(first);
+    harness.submit({});
+    const suspect = startOne(harness)?.task;
+    lose(harness, first);
+    harness.planOrders();
+    const second = addWorker(harness, "w2");
+    heartbeat(harness, second);
+    if (suspect !== undefined) {
+        suspect.notBeforeMs = harness.clock.nowMs() + 1;
+    }
+    harness.submit({});
+    t.not(startOne(harness)?.task, suspect);
+    harness.clock.advance(1);
+    t.same(harness.planStarts(), [], "another task has just started there");
+    harness.clock.advance(minNeighbourAgeMs);
+    t.equal(startOne(harness)?.task, suspect);
+    t.end();
+});
+
 // Guards against two suspected tasks on one worker: a crash would not tell which of them is the cause.
 t.test("suspected tasks start on different workers", t => {
     const harness = SchedulerHarness.create();
--- a/packages/jobs/tests/lost-worker.test.ts
+++ b/packages/jobs/tests/lost-worker.test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
 import type { Order } from "../src/order.js";
+import { minNeighbourAgeMs } from "../src/min-neighbour-age-ms.js";
 import { OrderKind } from "../src/order-kind.js";
 import { settledRunMs } from "../src/settled-run-ms.js";
 import { StartOutcome } from "../src/start-outcome.js";
@@ -106,7 +107,7 @@
         harness.scheduler.responses.recordStop(worker, stop.task, stop.number);
     }
     t.same(harness.planStarts(), [], "it may have ended as done");
-    harness.clock.advance(10);
+    harness.clock.advance(minNeighbourAgeMs);
     harness.reportListing(worker, [...worker.runs.values()].map(SchedulerHarness.listedRun), []);
     t.equal(harness.planStarts().length, 1, "it can no longer start");
     harness.clock.advance(1_000);
