Start nothing on a restarted worker before its registration is read

A heartbeat shows the restart of a worker up to 0.7 s before its registration is read. Until then the owner went on with the capacity and the labels of the earlier incarnation, and could start more than the new one has. The restarted incarnation now counts as not registered until its registration has been read, as one whose registration is older does already.

The new test failed before: "should be equivalent strictly", a start order where none was expected.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -193,8 +193,10 @@
         this.clockReadAtMs = clock.nowMs();
         this.clockOffsetMs = response.clockMs - this.clockReadAtMs;
         if (response.listing.startedAtMs !== entry.startedAtMs) {
-            // The worker restarted under its id; its registration will show the same.
+            // The worker restarted under its id; its registration will show the same. Until that is read, its capacity
+            // and labels are not known.
             scheduler.registerWorker({ ...entry, startedAtMs: response.listing.startedAtMs });
+            scheduler.deregisterWorker(entry.id);
             listener.onChange();
             return;
         }
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -1,4 +1,5 @@
 import { ManualClock } from "@samphireward/core/manual-clock";
+import { Resources } from "@samphireward/core/resources";
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
@@ -75,6 +76,25 @@
     link.close();
 });
 
+// Guards against starts by the capacity of the earlier incarnation: a worker may start again with less, and its heartbeat
+// shows the restart before its registration is read.
+t.test("nothing starts on a restarted worker before its registration is read", async t => {
+    const { scheduler, client, link } = createLink();
+    const listing = { ...emptyListing, startedAtMs: StartedAtMs + 1 };
+    await client.answerHeartbeat(Ok({ listing, clockMs: 0 }));
+    const next = scheduler.fleet.get(oneWorker.id);
+    t.ok(next);
+    if (next !== undefined) {
+        scheduler.noteListing(next, listing, 0);
+        scheduler.addJob(oneTaskJob);
+        t.strictSame(scheduler.plan(), []);
+        const capacity = Resources.create({ processors: 1, memoryMb: 1_000 });
+        scheduler.registerWorker({ ...oneWorker, startedAtMs: StartedAtMs + 1, capacity });
+        t.equal(scheduler.plan().length, 1);
+    }
+    link.close();
+});
+
 // Guards against a start after an end that was forgotten unread: after a restart the numbers of ends begin anew, and the
 // first heartbeat still carried the highest number of the previous incarnation.
 t.test("a heartbeat to an unreachable worker acknowledges no ends", async t => {
