Show callers why a job was given up

A caller whose job was given up because of crashes saw the state failed like that of a job whose tasks had failed too often. The answer to a question for a job's state, between processes and from the store as well, now has the reason next to the state, once the end is durable; other answers are as before.

--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -21,7 +21,7 @@
     return JsonServer.create()
         .on("GET", "/cells/:cell/jobs/:id", req => ({
             status: 200,
-            body: { state: ownerOf(req).scheduler.jobs.get(req.params["id"] ?? "")?.state },
+            body: ownerOf(req).scheduler.jobs.get(req.params["id"] ?? "")?.status ?? {},
         }))
         .on("GET", "/cells/:cell/queues/:queue", req => ({
             status: 200,
--- a/packages/dispatch/src/job-gateway.ts
+++ b/packages/dispatch/src/job-gateway.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import { JobState } from "@samphireward/jobs/job-state";
+import type { JobStatus } from "@samphireward/jobs/job-status";
 import type { JobSpec } from "@samphireward/jobs/job-spec";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
@@ -55,26 +56,26 @@
         return outcome;
     }
 
-    /** Returns the state of a job; undefined if there is no such job. */
-    async state(id: string): Promise<Result<JobState | undefined, Unavailable>> {
+    /** Returns the status of a job; undefined if there is no such job. */
+    async status(id: string): Promise<Result<JobStatus | undefined, Unavailable>> {
         const cell = this.cells.cellNumber(id);
         if (cell === undefined) {
             return Err("unavailable");
         }
         const candidate = this.cells.get(cell);
-        const knownState =
-            candidate?.owner?.scheduler.jobs.get(id)?.state ?? (await this.fetchStateFromOwner(cell, id));
-        return knownState === undefined ? this.readStoredState(cell, id) : Ok(knownState);
+        const known =
+            candidate?.owner?.scheduler.jobs.get(id)?.status ?? (await this.fetchStatusFromOwner(cell, id));
+        return known === undefined ? this.readStoredStatus(cell, id) : Ok(known);
     }
 
     /** Cancels a job; returns false if there is no such job. */
     async cancel(id: string, deadlineMs: number): Promise<Result<boolean, Unavailable>> {
         const cell = this.cells.cellNumber(id);
-        const state = await this.state(id);
-        if (cell === undefined || state.isErr()) {
+        const status = await this.status(id);
+        if (cell === undefined || status.isErr()) {
             return Err("unavailable");
         }
-        if (state.value === undefined) {
+        if (status.value === undefined) {
             return Ok(false);
         }
         const outcome = await this.writer.cancel(cell, id, deadlineMs);
@@ -110,13 +111,13 @@
         return response.unwrapOr(undefined);
     }
 
-    private async fetchStateFromOwner(cell: number, id: string): Promise<JobState | undefined> {
+    private async fetchStatusFromOwner(cell: number, id: string): Promise<JobStatus | undefined> {
         const candidate = this.cells.get(cell);
         const address = candidate?.ownerRecord?.address;
         if (address === undefined || candidate?.owner !== undefined) {
             return undefined;
         }
-        const response = await this.peers.jobState(address, cell, id);
+        const response = await this.peers.jobStatus(address, cell, id);
         this.logFailure(response, "state", id, address);
         return response.unwrapOr(undefined);
     }
@@ -131,11 +132,11 @@
         }
     }
 
-    /** Reads the state from the store, for jobs that the owner has not read yet or when no owner responds. */
-    private async readStoredState(
+    /** Reads the status from the store, for jobs that the owner has not read yet or when no owner responds. */
+    private async readStoredStatus(
         cell: number,
         id: string,
-    ): Promise<Result<JobState | undefined, Unavailable>> {
+    ): Promise<Result<JobStatus | undefined, Unavailable>> {
         const [job, progress] = await Promise.all([
             this.store.get(cellKeys.job(cell, id)),
             this.store.get(cellKeys.progress(cell, id)),
@@ -148,10 +149,11 @@
         }
         const storedProgress =
             progress.value === undefined ? undefined : jobCodec.decodeProgress(progress.value.value);
-        return Ok(
-            storedProgress?.endState ??
-                (storedProgress?.hasStarted === true ? JobState.Running : JobState.Queued),
-        );
+        const { endState, endReason, hasStarted = false } = storedProgress ?? {};
+        return Ok({
+            state: endState ?? (hasStarted ? JobState.Running : JobState.Queued),
+            ...(endReason === undefined ? {} : { reason: endReason }),
+        });
     }
 
     /** Asks the owner's process to store the job: it may reach the store although this process does not. */
--- a/packages/dispatch/src/peer-client.ts
+++ b/packages/dispatch/src/peer-client.ts
@@ -1,5 +1,5 @@
 import { JsonClient } from "@samphireward/core/json-client";
-import type { JobState } from "@samphireward/jobs/job-state";
+import type { JobStatus } from "@samphireward/jobs/job-status";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 
@@ -18,10 +18,17 @@
         return new PeerClient();
     }
 
-    /** Returns the state of a job; undefined if its owner does not know it. */
-    async jobState(address: string, cell: number, id: string): Promise<Result<JobState | undefined, string>> {
+    /** Returns the status of a job; undefined if its owner does not know it. */
+    async jobStatus(
+        address: string,
+        cell: number,
+        id: string,
+    ): Promise<Result<JobStatus | undefined, string>> {
         const response = await this.call(address, "GET", `/cells/${cell}/jobs/${encodeURIComponent(id)}`);
-        return response.map(body => (body as { readonly state?: JobState }).state);
+        return response.map(body => {
+            const { state, reason } = body as Partial<JobStatus>;
+            return state === undefined ? undefined : { state, ...(reason === undefined ? {} : { reason }) };
+        });
     }
 
     async waitingCount(address: string, cell: number, queue: string): Promise<Result<number, string>> {
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,6 +1,7 @@
 import type { JobSpec } from "./job-spec.js";
 import type { JobEndReason } from "./job-end-reason.js";
 import { JobState } from "./job-state.js";
+import type { JobStatus } from "./job-status.js";
 import { Occurrence } from "./occurrence.js";
 import type { Step } from "./step.js";
 import type { Task } from "./task.js";
@@ -59,6 +60,12 @@
         return this.storedEndState ?? (this.hasStarted ? JobState.Running : JobState.Queued);
     }
 
+    /** What callers are shown; a final state and its reason only once they are durable. */
+    get status(): JobStatus {
+        const isFinal = this.storedEndState !== undefined && this.endReason !== undefined;
+        return { state: this.state, ...(isFinal ? { reason: this.endReason } : {}) };
+    }
+
     get isComplete(): boolean {
         return this.openOccurrences.size === 0 && this.nextOccurrence >= this.occurrenceCount;
     }
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -50,6 +50,11 @@
     const job = harness.scheduler.jobs.get(spec.id);
     t.equal(job?.endState, JobState.Failed);
     t.equal(job && readProgress(job).endReason, "worker-crashes");
+    t.strictSame(job?.status, { state: JobState.Running }, "the end is not durable");
+    if (job !== undefined) {
+        job.storedEndState = job.endState;
+    }
+    t.strictSame(job?.status, { state: JobState.Failed, reason: "worker-crashes" });
     t.end();
 });
 
