--- a/packages/jobs/src/is-suitable-ignoring-permits.ts
+++ b/packages/jobs/src/is-suitable-ignoring-permits.ts
@@ -8,4 +8,7 @@
     task: Task,
     service: string,
     nowMs: number,
-): boolean => !worker.holds(task.name) && isOpenToStep(worker, task.step, service, nowMs);
+): boolean =>
+    !worker.holds(task.name) &&
+    !worker.hasTrialOfOther(task) &&
+    isOpenToStep(worker, task.step, service, nowMs);
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,5 +1,7 @@
 import type { JobSpec } from "./job-spec.js";
+import type { JobEndReason } from "./job-end-reason.js";
 import { JobState } from "./job-state.js";
+import type { JobStatus } from "./job-status.js";
 import { Occurrence } from "./occurrence.js";
 import type { Step } from "./step.js";
 import type { Task } from "./task.js";
@@ -10,6 +12,8 @@
     endState: JobState | undefined;
     /** Final state that is durable in the store; callers are shown only this one. */
     storedEndState: JobState | undefined;
+    /** Why the job ended as failed; undefined for any other end and for a task that failed too often. */
+    endReason: JobEndReason | undefined;
     /** Wall-clock time at which the job ended, in milliseconds since 1970. */
     endedAtMs = 0;
     hasStarted = false;
@@ -56,6 +60,12 @@
         return this.storedEndState ?? (this.hasStarted ? JobState.Running : JobState.Queued);
     }
 
+    /** What callers are shown; a final state and its reason only once they are durable. */
+    get status(): JobStatus {
+        const isFinal = this.storedEndState !== undefined && this.endReason !== undefined;
+        return { state: this.state, ...(isFinal ? { reason: this.endReason } : {}) };
+    }
+
     get isComplete(): boolean {
         return this.openOccurrences.size === 0 && this.nextOccurrence >= this.occurrenceCount;
     }
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -2,6 +2,7 @@
 import type { LateStart } from "./late-start.js";
 import type { Run } from "./run.js";
 import type { Step } from "./step.js";
+import type { Task } from "./task.js";
 import type { OrphanRun } from "./orphan-run.js";
 import type { WorkerEntry } from "./worker-entry.js";
 
@@ -31,6 +32,10 @@
     isStartBlocked = false;
     /** Step whose next task gets the capacity that it needs here before tasks of other steps; undefined if none. */
     heldFor: Step | undefined;
+    /** Whether the worker was taken for lost since its last answer: its lease ended or it was replaced. */
+    isLost = false;
+    /** Task on trial here; nothing else starts meanwhile. */
+    trialTask: Task | undefined;
     lastContactAtMs = 0;
     /** Monotonic time after which nothing that was ordered so far can be running here. */
     leaseEndsAtMs = 0;
@@ -171,6 +176,11 @@
         return total;
     }
 
+    /** Whether another task is on trial here. */
+    hasTrialOfOther(task: Task): boolean {
+        return this.trialTask !== undefined && this.trialTask !== task;
+    }
+
     /** Whether a run of the task may be here, including one that is being stopped. */
     holds(taskName: string): boolean {
         return this.runs.has(taskName) || this.orphanRuns.has(taskName);
--- a/packages/jobs/src/worker-ranking.ts
+++ b/packages/jobs/src/worker-ranking.ts
@@ -172,7 +172,7 @@
                 each.version = worker.version;
                 each.score = this.score(worker);
             }
-            if (each.score > bestScore && !worker.holds(task.name)) {
+            if (each.score > bestScore && !worker.holds(task.name) && !worker.hasTrialOfOther(task)) {
                 const hasFailed = task.failedWorkerIds.has(worker.entry.id);
                 const score = hasFailed ? each.score - FailedOnWorkerWeight : each.score;
                 if (score > bestScore) {
--- a/packages/jobs/tests/lost-worker.test.ts
+++ b/packages/jobs/tests/lost-worker.test.ts
@@ -1,7 +1,9 @@
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
 import type { Order } from "../src/order.js";
+import { minNeighbourAgeMs } from "../src/min-neighbour-age-ms.js";
 import { OrderKind } from "../src/order-kind.js";
+import { settledRunMs } from "../src/settled-run-ms.js";
 import { StartOutcome } from "../src/start-outcome.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -86,6 +88,7 @@
     const listed = sent.slice(0, 15);
     listed.forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
     sent.slice(15).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Unknown));
+    harness.clock.advance(settledRunMs);
     harness.reportListing(previous, listed.map(SchedulerHarness.listedRun), []);
     const worker = harness.addWorker("w1", { startedAtMs: 2 });
     const orders = harness.planOrders();
@@ -104,7 +107,7 @@
         harness.scheduler.responses.recordStop(worker, stop.task, stop.number);
     }
     t.same(harness.planStarts(), [], "it may have ended as done");
-    harness.clock.advance(10);
+    harness.clock.advance(minNeighbourAgeMs);
     harness.reportListing(worker, [...worker.runs.values()].map(SchedulerHarness.listedRun), []);
     t.equal(harness.planStarts().length, 1, "it can no longer start");
     harness.clock.advance(1_000);
@@ -122,6 +125,7 @@
     t.equal(sent.length, 16);
     const listed = sent.slice(1);
     listed.forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Started));
+    harness.clock.advance(settledRunMs);
     harness.reportListing(previous, listed.map(SchedulerHarness.listedRun), []);
     harness.addWorker("w1", { startedAtMs: 2 });
     sent.slice(0, 1).forEach(run => harness.scheduler.responses.recordStart(run, StartOutcome.Unknown));
