Suspect only tasks that had just started when their worker was lost

A task that crashes its workers does so within milliseconds of its start, and a run that a heartbeat has shown alive a second later has survived that.

The new test failed with the window of 10 s: 1 of 2 tasks started at once.

--- a/packages/jobs/src/settled-run-ms.ts
+++ b/packages/jobs/src/settled-run-ms.ts
@@ -1,2 +1,2 @@
-/** A run that its worker has survived for this long is not taken for the cause of a crash, in milliseconds. */
+/** A task whose worker has survived it for this long is suspected no more, in milliseconds. */
 export const settledRunMs = 10_000;
--- a/packages/jobs/src/unresolved-worker-key.ts
+++ b/packages/jobs/src/unresolved-worker-key.ts
@@ -1,4 +1,4 @@
-import { settledRunMs } from "./settled-run-ms.js";
+import { recentStartMs } from "./recent-start-ms.js";
 import type { Task } from "./task.js";
 
 /**
@@ -12,7 +12,7 @@
     if (run === undefined || run.worker.isReachable || run.worker.isLost || run.worker.entry.isDraining) {
         return undefined;
     }
-    const isRecent = run.worker.lastContactAtMs - run.startedAtMs < settledRunMs;
+    const isRecent = run.worker.lastContactAtMs - run.startedAtMs < recentStartMs;
     const { trialTask } = run.worker;
     return isRecent && trialTask === undefined ? run.worker.key : undefined;
 };
--- a/packages/jobs/src/worker-loss.ts
+++ b/packages/jobs/src/worker-loss.ts
@@ -1,8 +1,8 @@
 import type { Job } from "./job.js";
 import type { Run } from "./run.js";
 import { minNeighbourAgeMs } from "./min-neighbour-age-ms.js";
+import { recentStartMs } from "./recent-start-ms.js";
 import { RunPhase } from "./run-phase.js";
-import { settledRunMs } from "./settled-run-ms.js";
 import type { Task } from "./task.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
@@ -15,7 +15,7 @@
 
 /** An unconfirmed start may have been carried out at any time since. */
 const mayHaveJustStarted = (run: Run, lostAtMs: number): boolean =>
-    run.phase !== RunPhase.Running || lostAtMs - run.startedAtMs < settledRunMs;
+    run.phase !== RunPhase.Running || lostAtMs - run.startedAtMs < recentStartMs;
 
 /** A worker that crashed, or that seems to have crashed, and the tasks that may be the cause. */
 export class WorkerLoss {
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -4,6 +4,7 @@
 import { JobState } from "../src/job-state.js";
 import { minNeighbourAgeMs } from "../src/min-neighbour-age-ms.js";
 import { readProgress } from "../src/read-progress.js";
+import { recentStartMs } from "../src/recent-start-ms.js";
 import type { Run } from "../src/run.js";
 import { settledRunMs } from "../src/settled-run-ms.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
@@ -58,6 +59,25 @@
     t.end();
 });
 
+// Guards against tasks of a lost worker that wait for trials one after the other, although they had run there for long.
+t.test("a task that had run before its worker was lost starts again at once", t => {
+    const harness = SchedulerHarness.create();
+    const [first, second] = ["w1", "w2"].map(id => addWorker(harness, id));
+    if (first === undefined || second === undefined) {
+        throw new Error("expected two workers");
+    }
+    heartbeat(harness, first, second);
+    harness.submit({ count: 3, lasting: true });
+    const lost = harness.planAndStartAll().filter(run => run.worker === first);
+    t.ok(lost.length > 0);
+    harness.clock.advance(recentStartMs);
+    heartbeat(harness, first, second);
+    lose(harness, first);
+    heartbeat(harness, second);
+    t.equal(harness.planAndStartAll().length, lost.length);
+    t.end();
+});
+
 // Guards against a job that is given up because its workers were only cut off.
 t.test("a worker that answers again has not crashed", t => {
     const harness = SchedulerHarness.create();
