Bound the open tasks of a job and of an owner

Seen: a schedule of 10,000 occurrences with an interval of 0 ms and one step of 100 tasks, 170 bytes of JSON, was accepted and ended each owner of its cell in turn. So did 64 steps of 1,000 tasks.

Cause: all occurrences that were due were opened at once, with an object of about 0.5 KB for each of their tasks, 1,000,000 in this case. The job is stored, so the next owner opened them as well.

An owner opens the occurrences of a job while it has at most 10,240 open tasks, and at most 50,000 of all jobs. A queue may hold as many as are still free for the others, so that a flooded queue leaves room for each other one; within a queue the order is that of arrival. Tasks of jobs that have ended are dropped at once. A worker that lists a run of an occurrence far ahead no longer makes the owner open all before it. Occurrences are now opened by the plan after a job's arrival, not by the arrival.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -76,9 +76,9 @@
         this.rules.replace(rules);
     }
 
-    /** Adds a job that was accepted by this owner. */
+    /** Adds a job that was accepted by this owner. The next plan opens its tasks. */
     addJob(spec: JobSpec): void {
-        this.jobs.add(spec).openDueOccurrences(this.clock.wallMs());
+        this.jobs.add(spec);
     }
 
     /** Adds a job that was accepted by a previous owner. */
@@ -86,7 +86,6 @@
         const job = this.jobs.add(spec, progress);
         if (job.endState === undefined) {
             this.previousOwners.addJob(spec.id);
-            job.openDueOccurrences(this.clock.wallMs());
             this.jobs.closeDoneOccurrences(job, this.clock.wallMs());
         }
     }
@@ -175,7 +174,7 @@
     plan(): Order[] {
         const nowMs = this.clock.nowMs();
         this.expireLeases(nowMs);
-        this.openDue();
+        this.jobs.openDueOccurrences(this.clock.wallMs());
         markMigrations(this.fleet, this.rules, this.effects, nowMs);
         // Starts are planned before stops: planning them marks the lasting tasks to preempt.
         const starts = this.planner.plan(nowMs, job => this.previousOwners.mayHaveRuns(job));
@@ -198,15 +197,6 @@
         return computeCellLoad(this.jobs, this.fleet, this.previousOwners.unreadWorkerKeys.size);
     }
 
-    private openDue(): void {
-        const wallMs = this.clock.wallMs();
-        for (const job of this.jobs.undecided) {
-            if (job.spec.schedule !== undefined) {
-                job.openDueOccurrences(wallMs);
-            }
-        }
-    }
-
     /** Ends the runs of unreachable workers whose lease has expired. */
     private expireLeases(nowMs: number): void {
         for (const worker of [...this.fleet.workers]) {
--- a/packages/jobs/src/check-job.ts
+++ b/packages/jobs/src/check-job.ts
@@ -1,5 +1,7 @@
 import type { JobSpec } from "./job-spec.js";
+import { openTaskLimits } from "./open-task-limits.js";
 import type { StepSpec } from "./step-spec.js";
+import { taskCount } from "./task-count.js";
 
 /** Limits for a job; a job that exceeds one is refused and never stored. */
 const MaxPayloadBytes = 4_000;
@@ -52,5 +54,8 @@
             return problem;
         }
     }
-    return undefined;
+    const tasks = taskCount(spec);
+    return tasks > openTaskLimits.perJob
+        ? `the steps have ${tasks} tasks, more than ${openTaskLimits.perJob}`
+        : undefined;
 };
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -5,6 +5,7 @@
 import type { JobProgress } from "./job-progress.js";
 import type { JobSpec } from "./job-spec.js";
 import { JobState } from "./job-state.js";
+import { OpenTasks } from "./open-tasks.js";
 import { parseTaskName } from "./parse-task-name.js";
 import { restoreProgress } from "./restore-progress.js";
 import type { Task } from "./task.js";
@@ -13,6 +14,7 @@
 export class JobRegistry {
     private readonly jobs = new Map<string, Job>();
     private readonly undecidedJobs = new Set<Job>();
+    private readonly openTasks = OpenTasks.create();
     private changed = new Set<Job>();
 
     private constructor() {}
@@ -27,7 +29,7 @@
         if (existing !== undefined) {
             return existing;
         }
-        const job = Job.create(spec);
+        const job = Job.create(spec, this.openTasks);
         if (progress !== undefined) {
             restoreProgress(job, progress);
         }
@@ -62,11 +64,25 @@
             return undefined;
         }
         if (job.endState === undefined) {
-            job.openUpTo(position.occurrence);
+            job.openListed(position.occurrence);
         }
         return job.findTask(position.occurrence, position.step, position.index);
     }
 
+    /**
+     * Opens the occurrences that are due, in the order in which the jobs of a queue were added, as far as the bounds on
+     * open tasks allow it.
+     */
+    openDueOccurrences(wallMs: number): void {
+        const fullQueues = new Set<string>();
+        for (const job of this.undecidedJobs) {
+            const { queue } = job.spec;
+            if (!fullQueues.has(queue) && !job.openDueOccurrences(wallMs)) {
+                fullQueues.add(queue);
+            }
+        }
+    }
+
     /** Resources that a task reserves on its worker, even if its job has ended; undefined if the job is unknown. */
     reservationOfTask(name: string): Resources | undefined {
         const position = parseTaskName(name);
@@ -83,6 +99,7 @@
         if (job.endState === undefined) {
             job.endState = state;
             job.endedAtMs = wallMs;
+            job.closeAll();
             this.undecidedJobs.delete(job);
             this.markChanged(job);
         }
@@ -92,7 +109,7 @@
     closeDoneOccurrences(job: JobType, wallMs: number): void {
         for (const occurrence of [...job.openOccurrences.values()]) {
             if (occurrence.isDone) {
-                job.openOccurrences.delete(occurrence.number);
+                job.closeOccurrence(occurrence.number);
                 this.markChanged(job);
             }
         }
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,7 +1,10 @@
 import type { JobSpec } from "./job-spec.js";
 import { JobState } from "./job-state.js";
 import { Occurrence } from "./occurrence.js";
+import { openTaskLimits } from "./open-task-limits.js";
+import { OpenTasks } from "./open-tasks.js";
 import type { Step } from "./step.js";
+import { taskCount } from "./task-count.js";
 import type { Task } from "./task.js";
 
 /** An accepted job with the state of its tasks. */
@@ -15,17 +18,28 @@
     hasStarted = false;
     /** Number of times that a lasting task of the job was preempted. */
     preemptionCount = 0;
-    /** Occurrences that have been opened and are not done, by number. */
-    readonly openOccurrences = new Map<number, Occurrence>();
+    private readonly opened = new Map<number, Occurrence>();
+    /** Number of tasks of one occurrence. */
+    private readonly taskCount: number;
     /** Occurrences below this number have been opened. */
     nextOccurrence = 0;
     /** Occurrences below this number have been due. */
     nextDueOccurrence = 0;
 
-    private constructor(readonly spec: JobSpec) {}
+    private constructor(
+        readonly spec: JobSpec,
+        private readonly openTasks: OpenTasks,
+    ) {
+        this.taskCount = taskCount(spec);
+    }
 
-    static create(spec: JobSpec): Job {
-        return new Job(spec);
+    static create(spec: JobSpec, openTasks = OpenTasks.create()): Job {
+        return new Job(spec, openTasks);
+    }
+
+    /** Occurrences that have been opened and are not done, by number. */
+    get openOccurrences(): ReadonlyMap<number, Occurrence> {
+        return this.opened;
     }
 
     get occurrenceCount(): number {
@@ -37,21 +51,54 @@
         return schedule === undefined ? arrivedAtMs : schedule.firstAtMs + occurrence * schedule.intervalMs;
     }
 
-    /** Opens the occurrences that are due by `wallMs`. */
-    openDueOccurrences(wallMs: number): void {
+    /**
+     * Opens the occurrences that are due by `wallMs`. Those that the bounds on open tasks leave no room for are opened
+     * by a later call. Returns false if the queue has no room for the next one.
+     */
+    openDueOccurrences(wallMs: number): boolean {
         while (this.nextDueOccurrence < this.occurrenceCount && this.isDue(this.nextDueOccurrence, wallMs)) {
+            if (this.nextDueOccurrence >= this.nextOccurrence) {
+                if (!this.hasRoom) {
+                    return true;
+                }
+                if (!this.openTasks.mayAdd(this.spec.queue, this.taskCount)) {
+                    return false;
+                }
+            }
             this.openUpTo(this.nextDueOccurrence++);
         }
+        return true;
     }
 
-    /** Opens an occurrence and those before it. Their tasks do not start before they are due. */
-    openUpTo(occurrence: number): void {
-        while (this.nextOccurrence <= occurrence && this.nextOccurrence < this.occurrenceCount) {
-            const number = this.nextOccurrence++;
-            this.openOccurrences.set(number, Occurrence.create(this, number, this.dueAtMs(number)));
+    /**
+     * Opens an occurrence and those before it, of which a run is listed. Their tasks do not start before they are due.
+     * A number so high that no owner can have opened it opens nothing.
+     */
+    openListed(occurrence: number): void {
+        const count = occurrence + 1 - this.nextOccurrence;
+        if (count * this.taskCount <= openTaskLimits.perOwner) {
+            this.openUpTo(occurrence);
+        }
+    }
+
+    addOccurrence(number: number): Occurrence {
+        const occurrence = Occurrence.create(this, number, this.dueAtMs(number));
+        this.opened.set(number, occurrence);
+        this.openTasks.add(this.spec.queue, this.taskCount);
+        return occurrence;
+    }
+
+    closeOccurrence(number: number): void {
+        if (this.opened.delete(number)) {
+            this.openTasks.add(this.spec.queue, -this.taskCount);
         }
     }
 
+    /** Drops the tasks of a job that has ended; the runs that are left keep theirs. */
+    closeAll(): void {
+        [...this.opened.keys()].forEach(number => this.closeOccurrence(number));
+    }
+
     get state(): JobState {
         return this.storedEndState ?? (this.hasStarted ? JobState.Running : JobState.Queued);
     }
@@ -81,6 +128,16 @@
         return this.openOccurrences.get(occurrence)?.steps[step]?.tasks[index];
     }
 
+    private get hasRoom(): boolean {
+        return this.opened.size === 0 || (this.opened.size + 1) * this.taskCount <= openTaskLimits.perJob;
+    }
+
+    private openUpTo(occurrence: number): void {
+        while (this.nextOccurrence <= occurrence && this.nextOccurrence < this.occurrenceCount) {
+            this.addOccurrence(this.nextOccurrence++);
+        }
+    }
+
     private isDue(occurrence: number, wallMs: number): boolean {
         return this.spec.schedule === undefined || this.dueAtMs(occurrence) <= wallMs;
     }
--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -1,6 +1,5 @@
 import type { Job } from "./job.js";
 import type { JobProgress } from "./job-progress.js";
-import { Occurrence } from "./occurrence.js";
 import type { StepProgress } from "./step-progress.js";
 import type { Step } from "./step.js";
 
@@ -13,9 +12,8 @@
     job.nextOccurrence = progress.nextOccurrence;
     job.nextDueOccurrence = progress.nextOccurrence;
     for (const { number, steps } of progress.open) {
-        const occurrence = Occurrence.create(job, number, job.dueAtMs(number));
+        const occurrence = job.addOccurrence(number);
         occurrence.steps.forEach((step, index) => restoreStep(step, steps[index]));
-        job.openOccurrences.set(number, occurrence);
     }
 };
 
