Set stored jobs aside that an owner cannot carry

Seen: a stored job over the limits, or with a field of another type, ended each owner of its cell in turn, or was given objects for as many tasks as it said.

Cause: the owner checked four fields of a stored job, and none of its limits. Read in the code: a job whose progress could not be decoded was taken up without it, so that its finished tasks would have run again; and progress with a step without its list of tasks ended the start of the owner with a TypeError.

Change: the codec checks the type of each known field (missing optional ones and unknown ones are allowed), and an owner checks the limits of each job that it reads. A job that is unreadable or over the limits, whose progress is unreadable, or that is stored under another id is set aside with the line job-set-aside and the metric jobs_set_aside_total, and stays so until the next owner, whether a watch or a repeated submission reports it again. It stays in the store. The rest is served.

Evidence: platform/tests/large-jobs.test.ts stores seven such jobs. On the code before: "status null, signal SIGABRT", out of memory. Now the owner logs the seven, completes another job, and its resident memory stays below 350 MB (67 MB).

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -8,7 +8,7 @@
 import type { CommitLog } from "./commit-log.js";
 import { EndReporter } from "./end-reporter.js";
 import type { EventLog } from "./event-log.js";
-import { jobCodec } from "./job-codec.js";
+import { JobIntake } from "./job-intake.js";
 import { LoadReporter } from "./load-reporter.js";
 import type { MetadataStore } from "./metadata-store.js";
 import type { Metrics } from "./metrics.js";
@@ -51,6 +51,7 @@
 export class CellOwner {
     readonly scheduler: CellScheduler;
     private readonly abort = new AbortController();
+    private readonly intake: JobIntake;
     private readonly links: WorkerLinks;
     private readonly loadReporter: LoadReporter;
     private readonly permits: PermitRequester;
@@ -62,6 +63,7 @@
     private constructor(private readonly context: OwnerContext) {
         const { epoch, clock, limits } = context;
         this.scheduler = CellScheduler.create(epoch, clock, limits, EndReporter.create(context));
+        this.intake = JobIntake.create({ ...context, scheduler: this.scheduler });
         this.links = WorkerLinks.create({
             ...context,
             scheduler: this.scheduler,
@@ -171,12 +173,7 @@
 
     /** Adds a job that was just accepted; the watch reports it as well. */
     jobAccepted(text: string): void {
-        const spec = jobCodec.decodeJob(text);
-        if (spec === undefined) {
-            this.context.log.write("job-unreadable", { cell: this.context.cell, bytes: text.length });
-            return;
-        }
-        this.scheduler.addJob(spec);
+        this.intake.accept(text);
         this.schedulePlan();
     }
 
@@ -191,9 +188,7 @@
         if (state.effects !== undefined) {
             scheduler.effects.restore(state.effects);
         }
-        for (const { spec, progress } of state.jobs) {
-            scheduler.inheritJob(spec, progress);
-        }
+        this.intake.restore(state);
         state.cancelled
             .filter(id => scheduler.jobs.get(id)?.endState === undefined)
             .forEach(id => this.jobCancelled(id));
--- a/packages/dispatch/src/cell-state.ts
+++ b/packages/dispatch/src/cell-state.ts
@@ -2,10 +2,13 @@
 import type { JobProgress } from "@samphireward/jobs/job-progress";
 import type { JobSpec } from "@samphireward/jobs/job-spec";
 import type { Roster } from "./roster.js";
+import type { StoredJobProblem } from "./stored-job-problem.js";
 
 /** State of a cell as read from the store. */
 export interface CellState {
     readonly jobs: readonly { readonly spec: JobSpec; readonly progress: JobProgress | undefined }[];
+    /** Ids of the jobs that cannot be carried. */
+    readonly setAside: ReadonlyMap<string, StoredJobProblem>;
     /** Ids of the jobs that callers cancelled. */
     readonly cancelled: readonly string[];
     readonly roster: Roster;
--- a/packages/dispatch/src/job-codec.ts
+++ b/packages/dispatch/src/job-codec.ts
@@ -1,6 +1,7 @@
 import { Resources } from "@samphireward/core/resources";
 import type { JobProgress } from "@samphireward/jobs/job-progress";
 import type { JobSpec } from "@samphireward/jobs/job-spec";
+import { JobState } from "@samphireward/jobs/job-state";
 import type { StepSpec } from "@samphireward/jobs/step-spec";
 import { isObject } from "./is-object.js";
 import { parseFields } from "./parse-fields.js";
@@ -13,31 +14,78 @@
     return fields["v"] === FormatVersion ? fields : {};
 };
 
-const isStepSpec = (value: unknown): value is StepSpec =>
-    isObject(value) &&
-    typeof value["count"] === "number" &&
-    Array.isArray(value["after"]) &&
-    isObject(value["resources"]);
-
-const isJobSpec = (value: unknown): value is JobSpec =>
-    isObject(value) &&
-    typeof value["id"] === "string" &&
-    typeof value["queue"] === "string" &&
-    typeof value["arrivedAtMs"] === "number" &&
-    Array.isArray(value["steps"]) &&
-    value["steps"].every(isStepSpec);
-
-const isOccurrence = (value: unknown): boolean =>
-    isObject(value) &&
-    typeof value["number"] === "number" &&
-    Array.isArray(value["steps"]) &&
-    value["steps"].every(isObject);
-
-const isJobProgress = (value: unknown): value is JobProgress =>
-    isObject(value) &&
-    typeof value["nextOccurrence"] === "number" &&
-    Array.isArray(value["open"]) &&
-    value["open"].every(isOccurrence);
+type Check = (value: unknown) => boolean;
+
+const isNumber: Check = value => typeof value === "number";
+const isString: Check = value => typeof value === "string";
+const isBoolean: Check = value => typeof value === "boolean";
+const isNaturalNumber: Check = value => Number.isSafeInteger(value) && (value as number) >= 0;
+const isListOf =
+    (check: Check): Check =>
+    value =>
+        Array.isArray(value) && value.every(check);
+/** Properties that are undefined are not stored. */
+const optional =
+    (check: Check): Check =>
+    value =>
+        value === undefined || check(value);
+/** Checks the named properties of an object; others may be those of a newer build. */
+const hasFields =
+    (checks: Readonly<Record<string, Check>>): Check =>
+    value =>
+        isObject(value) && Object.entries(checks).every(([name, check]) => check(value[name]));
+
+const isStepSpec = hasFields({
+    count: isNumber,
+    resources: hasFields({ processors: isNumber, memoryMb: isNumber, accelerators: isNumber }),
+    estimatedMs: isNumber,
+    after: isListOf(isNumber),
+    checkpoints: optional(isBoolean),
+    gang: optional(isBoolean),
+    sameRack: optional(isBoolean),
+    requiredLabel: optional(isString),
+    preferredRack: optional(isString),
+    maxPerWorker: optional(isNumber),
+    speculative: optional(isBoolean),
+    lasting: optional(isBoolean),
+    image: optional(isString),
+    tailTargetMs: optional(isNumber),
+    filler: optional(isBoolean),
+    maxUnavailable: optional(isNumber),
+});
+
+const isJobSpecValue = hasFields({
+    id: isString,
+    queue: isString,
+    payload: isString,
+    arrivedAtMs: isNumber,
+    schedule: optional(hasFields({ occurrences: isNumber, firstAtMs: isNumber, intervalMs: isNumber })),
+    steps: isListOf(isStepSpec),
+});
+const isJobSpec = (value: unknown): value is JobSpec => isJobSpecValue(value);
+
+const isMark = hasFields({
+    index: isNaturalNumber,
+    failedRuns: isListOf(isNumber),
+    lastRun: isNumber,
+    checkpoint: isString,
+});
+
+const endStates: ReadonlySet<unknown> = new Set([JobState.Completed, JobState.Failed, JobState.Cancelled]);
+
+const isJobProgressValue = hasFields({
+    endState: optional(value => endStates.has(value)),
+    endedAtMs: isNumber,
+    hasStarted: isBoolean,
+    nextOccurrence: isNaturalNumber,
+    open: isListOf(
+        hasFields({
+            number: isNaturalNumber,
+            steps: isListOf(hasFields({ doneBits: isString, marks: isListOf(isMark) })),
+        }),
+    ),
+});
+const isJobProgress = (value: unknown): value is JobProgress => isJobProgressValue(value);
 
 const restoreStep = (step: StepSpec): StepSpec => ({ ...step, resources: Resources.create(step.resources) });
 
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -38,6 +38,12 @@
     readonly endsIgnored = this.counter("ends_ignored_total", "Listed ends that were not applied, by kind", [
         "kind",
     ]);
+    /** Stored jobs that an owner did not take up, by why. */
+    readonly jobsSetAside = this.counter(
+        "jobs_set_aside_total",
+        "Stored jobs that an owner did not take up",
+        ["reason"],
+    );
     /** Jobs by final state. */
     readonly jobsEnded = this.counter("jobs_ended_total", "Jobs by final state", ["queue", "state"]);
     /** Time from a job's arrival to its final state. */
--- a/packages/dispatch/src/read-cell-state.ts
+++ b/packages/dispatch/src/read-cell-state.ts
@@ -1,16 +1,20 @@
+import type { JobProgress } from "@samphireward/jobs/job-progress";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import { cellKeys } from "./cell-keys.js";
 import type { CellState } from "./cell-state.js";
 import type { EventLog } from "./event-log.js";
+import { findStoredJobProblem } from "./find-stored-job-problem.js";
 import { itemsUnderPrefix } from "./items-under-prefix.js";
 import { jobCodec } from "./job-codec.js";
 import type { MetadataStore } from "./metadata-store.js";
 import { readPrefix } from "./read-prefix.js";
 import { rosterCodec } from "./roster-codec.js";
 import type { Roster } from "./roster.js";
+import { SetAsideReason } from "./set-aside-reason.js";
 import { sleep } from "./sleep.js";
 import type { StoredItem } from "./stored-item.js";
+import type { StoredJobProblem } from "./stored-job-problem.js";
 import type { StoreFailure } from "./store-failure.js";
 import { storedRecords } from "./stored-records.js";
 
@@ -19,25 +23,46 @@
 /** Called with the key of each entry that cannot be decoded. */
 type OnUnreadable = (key: string) => void;
 
+const unreadableJob = (detail: string): StoredJobProblem => ({ reason: SetAsideReason.Unreadable, detail });
+
 /**
- * Decodes the items under a prefix, by what follows it in their keys; omits and reports those that cannot be decoded.
+ * Decodes the jobs and their progress. A job whose progress cannot be decoded is set aside as well: its tasks that are
+ * done would run again.
  */
-const decodeUnderPrefix = <T>(
-    items: readonly StoredItem[],
-    prefix: string,
-    decode: (text: string) => T | undefined,
+const decodeJobs = (
+    cell: number,
+    inputItems: readonly StoredItem[],
+    progressItems: readonly StoredItem[],
     onUnreadable: OnUnreadable,
-): ReadonlyMap<string, T> => {
-    const byId = new Map<string, T>();
-    for (const { id, key, value } of itemsUnderPrefix(items, prefix)) {
-        const decoded = decode(value);
-        if (decoded === undefined) {
+): Pick<CellState, "jobs" | "setAside"> => {
+    const progressById = new Map<string, JobProgress | undefined>();
+    for (const { id, key, value } of itemsUnderPrefix(progressItems, cellKeys.progressPrefix(cell))) {
+        const progress = jobCodec.decodeProgress(value);
+        progressById.set(id, progress);
+        if (progress === undefined) {
+            onUnreadable(key);
+        }
+    }
+    const jobs: CellState["jobs"][number][] = [];
+    const setAside = new Map<string, StoredJobProblem>();
+    for (const { id, key, value } of itemsUnderPrefix(inputItems, cellKeys.job(cell, ""))) {
+        const spec = jobCodec.decodeJob(value);
+        const progress = progressById.get(id);
+        if (spec?.id !== id) {
             onUnreadable(key);
+            setAside.set(id, unreadableJob("the job"));
+        } else if (progress === undefined && progressById.has(id)) {
+            setAside.set(id, unreadableJob("the progress"));
         } else {
-            byId.set(id, decoded);
+            const problem = findStoredJobProblem(spec, progress);
+            if (problem === undefined) {
+                jobs.push({ spec, progress });
+            } else {
+                setAside.set(id, problem);
+            }
         }
     }
-    return byId;
+    return { jobs, setAside };
 };
 
 const decodeEffects = (item: StoredItem | undefined, onUnreadable: OnUnreadable): CellState["effects"] => {
@@ -79,17 +104,9 @@
     if (input.isErr()) {
         return Err(input.error);
     }
-    const progressPrefix = cellKeys.progressPrefix(cell);
-    const progressByJob = decodeUnderPrefix(
-        progress.value.items,
-        progressPrefix,
-        jobCodec.decodeProgress,
-        onUnreadable,
-    );
     const { items, revision } = input.value;
-    const jobs = decodeUnderPrefix(items, cellKeys.job(cell, ""), jobCodec.decodeJob, onUnreadable);
     return Ok({
-        jobs: [...jobs.values()].map(spec => ({ spec, progress: progressByJob.get(spec.id) })),
+        ...decodeJobs(cell, items, progress.value.items, onUnreadable),
         cancelled: itemsUnderPrefix(items, cellKeys.cancellation(cell, "")).map(({ id }) => id),
         roster: decodeRoster(roster.value, onUnreadable),
         effects: decodeEffects(effects.value, onUnreadable),
