Keep the progress of a job within the size of a stored value

Seen: read in the code. Progress over 1 MiB, of a job with many unfinished tasks and long checkpoints, is refused by the store each time. CommitLog retries without end, so that no job of the cell gets a durable end again, also under the next owner.

Change: progress over 1,000,000 bytes is written without checkpoints and without the marks of tasks that have not failed; what prevents a second run is kept. The line checkpoints-omitted says so. Only a job of more than about 10,000 tasks that have each failed many times would still be larger.

Evidence: the new test of progress-writer, with 10,240 tasks.

--- a/packages/dispatch/src/progress-writer.ts
+++ b/packages/dispatch/src/progress-writer.ts
@@ -9,11 +9,14 @@
 import type { Metrics } from "./metrics.js";
 import { sleep } from "./sleep.js";
 import type { StoreWrite } from "./store-write.js";
+import { withoutCheckpoints } from "./without-checkpoints.js";
 
 /** Minimum time between two commits of progress. */
 const CommitIntervalMs = 80;
 /** Maximum number of jobs in one commit; a transaction holds at most 32 entries. */
 const MaxJobsPerCommit = 30;
+/** The platform's store takes values of 1 MiB. It would refuse a larger one, and the cell's commits, for good. */
+const MaxValueBytes = 1_000_000;
 const EffectsIntervalMs = 2_500;
 /** Time after its end for which a job is kept, so that its final state can be queried. */
 const EndedRetentionMs = 10 * 60_000;
@@ -138,8 +141,16 @@
     }
 
     private encodeProgress(job: Job): StoreWrite {
-        const key = cellKeys.progress(this.context.cell, job.spec.id);
-        return { key, value: jobCodec.encodeProgress(readProgress(job)) };
+        const { cell, log } = this.context;
+        const key = cellKeys.progress(cell, job.spec.id);
+        const progress = readProgress(job);
+        const value = jobCodec.encodeProgress(progress);
+        const bytes = Buffer.byteLength(value);
+        if (bytes <= MaxValueBytes) {
+            return { key, value };
+        }
+        log.write("checkpoints-omitted", { cell, job: job.spec.id, bytes });
+        return { key, value: jobCodec.encodeProgress(withoutCheckpoints(progress)) };
     }
 
     private publishEnd(job: Job, end: Job["endState"]): void {
--- a/packages/dispatch/tests/progress-writer.test.ts
+++ b/packages/dispatch/tests/progress-writer.test.ts
@@ -8,11 +8,13 @@
 import { Err, Ok } from "ts-results-es";
 import t from "tap";
 import { CommitLog } from "../src/commit-log.js";
+import { jobCodec } from "../src/job-codec.js";
 import { LostOwnership } from "../src/lost-ownership.js";
 import { Metrics } from "../src/metrics.js";
 import { ProgressWriter } from "../src/progress-writer.js";
 import { StoreFailure } from "../src/store-failure.js";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
+import { plainStep } from "@samphireward/jobs/fixtures/plain-step";
 import { ManualStore } from "./manual-store.js";
 import { NullLog } from "./null-log.js";
 import { oneTaskJob } from "./one-task-job.js";
@@ -223,3 +225,36 @@
     mock.timers.reset();
     await done;
 });
+
+// Guards against a cell whose commits the store refuses for good: the progress of one job, whose tasks have long
+// checkpoints, is larger than the store's values may be.
+t.test("progress that is too large for the store is written without checkpoints", async t => {
+    const maxStoreValueBytes = 1_048_576;
+    const store = ManualStore.create();
+    const cell = endedJob();
+    const writer = createWriter(store, cell, []);
+    const spec = {
+        ...oneTaskJob,
+        id: otherId,
+        steps: Array.from({ length: 64 }, () => ({ ...plainStep, count: 160 })),
+    };
+    cell.scheduler.inheritJob(spec, undefined);
+    cell.scheduler.plan();
+    const job = cell.scheduler.jobs.get(otherId);
+    for (const task of job?.tasks() ?? []) {
+        Object.assign(task, { lastRun: 11_003, checkpoint: "c".repeat(64) });
+        task.failedRuns.add(11_001).add(11_002);
+    }
+    if (job !== undefined) {
+        cell.scheduler.jobs.markChanged(job);
+    }
+    const flushed = writer.flush();
+    await answerUntilProgress(store);
+    const writes = store.transactions.flatMap(transaction => transaction.writes);
+    const value = writes.find(({ key }) => key === `cells/0/progress/${otherId}`)?.value ?? "";
+    t.ok(value.length <= maxStoreValueBytes, `${value.length} bytes`);
+    const [occurrence] = jobCodec.decodeProgress(value)?.open ?? [];
+    t.same(occurrence?.steps[0]?.marks[0]?.failedRuns, [11_001, 11_002]);
+    await store.answerNext();
+    await flushed;
+});
