--- a/packages/jobs/tests/check-job.test.ts
+++ b/packages/jobs/tests/check-job.test.ts
@@ -33,7 +33,15 @@
     "no steps": { steps: [] },
     "a fraction of a task": { steps: steps(1, 1.5) },
     "an estimate that is no number": { steps: [{ ...plainStep, estimatedMs: NaN }] },
+    "too many dependencies": { steps: [plainStep, { ...plainStep, after: Array<number>(65).fill(0) }] },
+    "a first time that is no number": { schedule: { ...schedule, firstAtMs: NaN } },
+    "an interval that is no number": { schedule: { ...schedule, intervalMs: NaN } },
+    "an infinite interval": { schedule: { ...schedule, intervalMs: Infinity } },
     "a negative interval": { schedule: { ...schedule, intervalMs: -1 } },
+    "a maximum per worker below 1": { steps: [{ ...plainStep, maxPerWorker: -1 }] },
+    "a fraction of a task per worker": { steps: [{ ...plainStep, maxPerWorker: 0.5 }] },
+    "a negative number of tasks that may be unavailable": { steps: [{ ...plainStep, maxUnavailable: -1 }] },
+    "a negative target": { steps: [{ ...plainStep, tailTargetMs: -1 }] },
 };
 
 // Guards against a job that is accepted and then takes all memory of its owner or can never start, and against a limit
