Check the calls of other processes and log their unexpected errors

A call to accept a job stored any text, under any id and any cell, "cells/NaN/in/job/..." for a cell that is no number; such a key is never read or removed. A call without a body failed with a TypeError, and no unexpected error of this port was logged.

Change: the text has to decode to the job of the id, and the cell has to be the id's; anything else gets 400 and is not stored. Unexpected errors get 500 as before and are logged as peer-request-failed with their stack.

--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -1,13 +1,17 @@
 import { CodedError } from "@samphireward/core/coded-error";
+import { describeError } from "@samphireward/core/describe-error";
 import type { JsonRequest } from "@samphireward/core/json-request";
 import { JsonServer } from "@samphireward/core/json-server";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { CellDirectory } from "./cell-directory.js";
 import type { CellOwner } from "./cell-owner.js";
+import type { EventLog } from "./event-log.js";
+import { isObject } from "./is-object.js";
+import { jobCodec } from "./job-codec.js";
 import type { JobWriter } from "./job-writer.js";
 
 /** Creates the server for calls between processes of the system, most of which concern cells that this process owns. */
-export const createPeerServer = (cells: CellDirectory, writer: JobWriter): JsonServer => {
+export const createPeerServer = (cells: CellDirectory, writer: JobWriter, log: EventLog): JsonServer => {
     const ownerOf = (req: JsonRequest): CellOwner => {
         const owner = cells.get(Number(req.params["cell"]))?.owner;
         if (owner === undefined) {
@@ -18,7 +22,15 @@
         }
         return owner;
     };
-    return JsonServer.create()
+    return JsonServer.create(
+        () => true,
+        (err, req) =>
+            log.write("peer-request-failed", {
+                method: req.method,
+                path: req.url,
+                reason: describeError(err),
+            }),
+    )
         .on("GET", "/cells/:cell/jobs/:id", req => ({
             status: 200,
             body: { state: ownerOf(req).scheduler.jobs.get(req.params["id"] ?? "")?.state },
@@ -32,8 +44,13 @@
             return { status: 200, body: {} };
         })
         .on("POST", "/cells/:cell/jobs/:id/accept", async req => {
-            const { text } = req.body as { readonly text: string };
-            const outcome = await writer.accept(Number(req.params["cell"]), req.params["id"] ?? "", text);
-            return { status: 200, body: { outcome } };
+            const { text } = isObject(req.body) ? req.body : {};
+            const id = req.params["id"] ?? "";
+            const cell = cells.cellNumber(id);
+            const isJob = typeof text === "string" && jobCodec.decodeJob(text)?.id === id;
+            if (!isJob || cell === undefined || String(cell) !== req.params["cell"]) {
+                throw CodedError.create(ResultCode.BadRequest, `Expected the text of job ${id} of its cell`);
+            }
+            return { status: 200, body: { outcome: await writer.accept(cell, id, text) } };
         });
 };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -66,7 +66,7 @@
         const { store, clock, log } = context;
         const writer = JobWriter.create(store, clock);
         this.gateway = JobGateway.create(this.cells, store, writer, this.peers, clock, log);
-        this.peerServer = createPeerServer(this.cells, writer);
+        this.peerServer = createPeerServer(this.cells, writer, log);
         this.workers = WorkerPoller.create(
             context.workers,
             {
