Bound the log of a process whose reader has stopped

JsonLinesLog keeps lines in memory while its sink accepts no data, up to 400 a second, without end: about 100 KB a second for a process with 160 MB.

Change: at most 1,000,000 characters are kept. Later lines are dropped and counted in lines-dropped and samphireward_log_lines_dropped_total, as those over the rate limit are. Writing never waits.

--- a/packages/dispatch/src/json-lines-log.ts
+++ b/packages/dispatch/src/json-lines-log.ts
@@ -5,6 +5,8 @@
 const FlushIntervalMs = 100;
 /** Rate limit of a process; lines above it are counted and dropped. */
 const MaxLinesPerSecond = 400;
+/** Length of the lines that are kept while the sink accepts no data; about 10 s at the rate limit. */
+const MaxBufferedLength = 1_000_000;
 
 /** The part of a writable stream that the log uses. */
 interface LineSink {
@@ -14,10 +16,11 @@
 
 /**
  * Buffers JSON lines and writes them in batches while the sink accepts data. Drops and counts lines above the rate
- * limit.
+ * limit, and those for which the buffer has no room.
  */
 export class JsonLinesLog extends EventLog {
     private readonly lines: string[] = [];
+    private bufferedLength = 0;
     private lineBudget = MaxLinesPerSecond;
     private refilledAtMs: number;
     private dropped = 0;
@@ -44,13 +47,18 @@
     ): void {
         this.refill();
         if (this.lineBudget < 1) {
-            this.dropped++;
-            this.metrics.droppedLines.inc();
+            this.drop();
             return;
         }
         this.lineBudget--;
         const line = { time: Math.round(this.clock.wallMs()), node: this.node, event, ...fields };
-        this.lines.push(JSON.stringify(line));
+        const text = JSON.stringify(line);
+        if (this.bufferedLength + text.length > MaxBufferedLength) {
+            this.drop();
+            return;
+        }
+        this.lines.push(text);
+        this.bufferedLength += text.length;
     }
 
     flush(): void {
@@ -64,6 +72,12 @@
         }
         this.sink.write(`${this.lines.join("\n")}\n`);
         this.lines.length = 0;
+        this.bufferedLength = 0;
+    }
+
+    private drop(): void {
+        this.dropped++;
+        this.metrics.droppedLines.inc();
     }
 
     private refill(): void {
