--- a/packages/state/src/log-ring.ts
+++ b/packages/state/src/log-ring.ts
@@ -2,6 +2,7 @@
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import type { CellKeys } from "./cell-keys.js";
+import { decodeLogRecord } from "./decode-log-record.js";
 import type { KeyValueStore } from "./key-value-store.js";
 import type { KvEntry } from "./kv-entry.js";
 import { LogLimits } from "./log-limits.js";
@@ -44,10 +45,17 @@
         this.counters.add("log.reads");
         const listed = await this.store.list(this.keys.logPrefix);
         const entries = listed.isOk() ? Ok([...listed.value.entries]) : await this.readSlots();
-        return entries.map(found => {
+        return entries.andThen(found => {
             this.revisions.fill(0);
-            const records = found.map(entry => this.decodeEntry(entry));
-            return records.sort((a, b) => a.position - b.position);
+            const records: LogRecord<T>[] = [];
+            for (const entry of found) {
+                const record = this.decodeEntry(entry);
+                if (record === undefined) {
+                    return Err(`${entry.key} holds no record`);
+                }
+                records.push(record);
+            }
+            return Ok(records.sort((a, b) => a.position - b.position));
         });
     }
 
@@ -89,16 +97,20 @@
             return WriteOutcome.missing();
         }
         const found = this.decodeEntry(current);
-        if (found.position < record.position) {
+        if (found === undefined || found.position < record.position) {
             return WriteOutcome.missing();
         }
         const isOurs = found.position === record.position && found.writer === record.writer;
         return isOurs ? WriteOutcome.durable() : WriteOutcome.occupied(found);
     }
 
-    /** Decodes a slot and stores its revision. */
-    private decodeEntry(entry: KvEntry): LogRecord<T> {
-        const record = JSON.parse(entry.value) as LogRecord<T>;
+    /** Decodes a slot and stores its revision; undefined if it holds no record. */
+    private decodeEntry(entry: KvEntry): LogRecord<T> | undefined {
+        const record = decodeLogRecord<T>(entry.value);
+        if (record === undefined) {
+            this.counters.add("log.unreadable");
+            return undefined;
+        }
         this.revisions[record.position % this.slotCount] = entry.revision;
         return record;
     }
--- a/packages/state/src/snapshot-store.ts
+++ b/packages/state/src/snapshot-store.ts
@@ -2,6 +2,7 @@
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import type { CellKeys } from "./cell-keys.js";
+import { decodeSnapshotManifest } from "./decode-snapshot-manifest.js";
 import type { KeyValueStore } from "./key-value-store.js";
 import type { KvEntry } from "./kv-entry.js";
 import { LogLimits } from "./log-limits.js";
@@ -9,6 +10,15 @@
 import type { SnapshotManifest } from "./snapshot-manifest.js";
 import { StoreErrorKind } from "./store-error-kind.js";
 
+const parseList = <S>(text: string): readonly S[] | undefined => {
+    try {
+        const value: unknown = JSON.parse(text);
+        return Array.isArray(value) ? (value as S[]) : undefined;
+    } catch {
+        return undefined;
+    }
+};
+
 /**
  * Reads and writes the snapshot of a cell. The manifest under the key `snapshot` is written by compare-and-swap and
  * determines the current snapshot. The parts of a large snapshot have keys that are used only once, so that two
@@ -60,8 +70,16 @@
         if (parts.includes(undefined)) {
             return Ok(undefined);
         }
-        const fromParts = parts.flatMap(part => JSON.parse(part ?? "[]") as S[]);
-        return Ok([...(manifest.value?.items ?? []), ...fromParts]);
+        const items = [...(manifest.value?.items ?? [])];
+        for (const [index, part] of parts.entries()) {
+            const partItems = parseList<S>(part ?? "");
+            if (partItems === undefined) {
+                return Err(`${this.currentPartKeys[index]} holds no part of a snapshot`);
+            }
+            // A part may hold more items than a call takes as arguments.
+            partItems.forEach(item => items.push(item));
+        }
+        return Ok(items);
     }
 
     /** Writes a snapshot. Returns whether the store holds a snapshot that includes `position`. */
@@ -96,7 +114,11 @@
             return Err(read.error.message);
         }
         const entry = read.value;
-        const manifest = entry === undefined ? undefined : (JSON.parse(entry.value) as SnapshotManifest<S>);
+        const manifest = entry && decodeSnapshotManifest<S>(entry.value);
+        if (entry !== undefined && manifest === undefined) {
+            this.counters.add("snapshot.unreadable");
+            return Err(`${this.keys.snapshot} holds no snapshot`);
+        }
         this.revision = entry?.revision ?? 0;
         this.includedPosition = manifest?.position ?? 0;
         this.currentPartKeys = manifest?.parts ?? [];
@@ -137,8 +159,11 @@
         for (const [key, revision] of this.partRevisions) {
             if (!partKeys.includes(key)) {
                 this.counters.add("snapshot.writes");
-                await this.store.delete(key, revision);
-                this.partRevisions.delete(key);
+                const deleted = await this.store.delete(key, revision);
+                // A part that may still be there is deleted after the next snapshot.
+                if (deleted.isOk() || deleted.error.kind === StoreErrorKind.Conflict) {
+                    this.partRevisions.delete(key);
+                }
             }
         }
     }
--- a/packages/state/src/write-outcome.ts
+++ b/packages/state/src/write-outcome.ts
@@ -34,7 +34,7 @@
         return new WriteOutcome(this.kind, this.occupant, true);
     }
 
-    /** The slot is empty or holds an earlier record. No owner does either, so this owner stops writing. */
+    /** The slot holds no record or an earlier one. No owner does either, so this owner stops writing. */
     static missing<T>(): WriteOutcome<T> {
         return new WriteOutcome("missing");
     }
