Keep a cell claimable after an unreadable epoch and a release during a claim

An epoch key that cannot be read was raised to "NaN" or "1.5" + 1; each later process read NaN, claimed NaN, and no owner was fenced by another. A claim that was under way while its process released its cells wrote the owner key after the release, so that the cell had no owner until the lease ended.

Change: an epoch that is no integer is neither raised nor claimed, and counted in ownership.epoch-unreadable; an operator has to set it above the epoch of the log's newest record. A release waits for the claim that is under way, which deletes the owner key that it wrote, and no claim begins afterwards.

--- a/packages/state/src/cell-ownership.ts
+++ b/packages/state/src/cell-ownership.ts
@@ -5,6 +5,7 @@
 import { decodeJson } from "./decode-json.js";
 import type { KeyValueStore } from "./key-value-store.js";
 import type { KvEntry } from "./kv-entry.js";
+import { nextEpoch } from "./next-epoch.js";
 import { OwnerRecord } from "./owner-record.js";
 import type { ProcessLease } from "./process-lease.js";
 import { repeatStep } from "./repeat-step.js";
@@ -48,6 +49,7 @@
     private lastSeenRevision = 0;
     private freeSinceMs: number | undefined;
     private isStopping = false;
+    private acquiring: Promise<void> | undefined;
 
     private constructor(private readonly options: Options) {
         this.keys = CellKeys.create(options.cell);
@@ -90,8 +92,9 @@
             this.freeSinceMs = undefined;
             return 0;
         }
-        if (this.mayAcquire()) {
-            await this.acquire(read.value?.revision ?? 0);
+        if (this.mayAcquire() && !this.isStopping) {
+            this.acquiring = this.acquire(read.value?.revision ?? 0);
+            await this.acquiring;
         }
         return AcquireIntervalMs;
     }
@@ -106,17 +109,12 @@
     /** Gives up ownership on a planned stop, so that the next owner does not wait for the lease to expire. */
     async release(): Promise<void> {
         this.isStopping = true;
+        // A claim that is under way may still write the owner key.
+        await this.acquiring;
         const claim = this.claim;
-        if (claim === undefined) {
-            return;
-        }
-        this.loseOwnership();
-        for (let attempt = 0; attempt < MaxAttempts; attempt += 1) {
-            const deleted = await this.options.store.delete(this.keys.owner, claim.revision);
-            // A conflict on a repeated deletion shows that an earlier attempt took effect.
-            if (deleted.isOk() || deleted.error.kind === StoreErrorKind.Conflict) {
-                return;
-            }
+        if (claim !== undefined) {
+            this.loseOwnership();
+            await this.deleteOwner(claim.revision);
         }
     }
 
@@ -128,6 +126,16 @@
         });
     }
 
+    private async deleteOwner(revision: number): Promise<void> {
+        for (let attempt = 0; attempt < MaxAttempts; attempt += 1) {
+            const deleted = await this.options.store.delete(this.keys.owner, revision);
+            // A conflict on a repeated deletion shows that an earlier attempt took effect.
+            if (deleted.isOk() || deleted.error.kind === StoreErrorKind.Conflict) {
+                return;
+            }
+        }
+    }
+
     /** Waits for a change of the owner key, instead of polling it. */
     private async waitForOwnerChange(): Promise<number> {
         const result = await this.options.store.watch(this.keys.owner, this.lastSeenRevision, MaxWatchWaitMs);
@@ -168,6 +176,9 @@
         const revision = await this.writeOwner(epoch, ifRevision, leaseId);
         if (revision === undefined || this.isStopping) {
             this.counters.add("ownership.not-acquired");
+            if (revision !== undefined) {
+                await this.deleteOwner(revision);
+            }
             return;
         }
         this.claim = { epoch, leaseId, revision };
@@ -183,7 +194,11 @@
             if (read.isErr()) {
                 return undefined;
             }
-            const epoch = Number(read.value?.value ?? 0) + 1;
+            const epoch = nextEpoch(read.value?.value);
+            if (epoch === undefined) {
+                this.counters.add("ownership.epoch-unreadable");
+                return undefined;
+            }
             const raised = await this.options.store.put(
                 this.keys.epoch,
                 String(epoch),
--- a/packages/state/tests/cell-ownership.test.ts
+++ b/packages/state/tests/cell-ownership.test.ts
@@ -113,3 +113,40 @@
     await ownership.step();
     t.equal(ownership.owner?.owner, "s2");
 });
+
+// Guards against a cell that no process can own any more: an epoch that cannot be read was raised to "NaN", which each
+// later process read, raised and claimed again, so that no owner was fenced by another.
+t.test("an epoch that cannot be read is neither raised nor claimed", async t => {
+    for (const value of ["x", "NaN", "", "-1", "1.5", "9007199254740993"]) {
+        const { start, table } = setup();
+        t.ok(table.table.put("cell/a/0/epoch", value, 0).isOk());
+        const { ownership } = await start("s1", true);
+        await ownership.step();
+        t.equal(ownership.epoch, undefined, value);
+        t.equal(table.table.get("cell/a/0/epoch")?.value, value);
+        t.equal(table.table.get("cell/a/0/owner"), undefined);
+        t.equal(ownership.counters.get("ownership.epoch-unreadable"), 1);
+    }
+});
+
+// Guards against a cell that has no owner until the lease of a stopped process ends: the process claimed it while it
+// released its cells.
+t.test("a release during a claim leaves the cell free", async t => {
+    // The calls of a step read the owner and the epoch, and write the epoch and the owner; each has two hold points.
+    for (let holdPoints = 0; holdPoints < 8; holdPoints++) {
+        const { start, table } = setup();
+        const { store, ownership } = await start("s1", true);
+        store.holdAfter(holdPoints);
+        const stepped = ownership.step();
+        await new Promise(resolve => setImmediate(resolve));
+        let isReleased = false;
+        const released = ownership.release().then(() => (isReleased = true));
+        await new Promise(resolve => setImmediate(resolve));
+        const hadClaimed = isReleased;
+        store.release();
+        await Promise.all([stepped, released]);
+        t.equal(table.table.get("cell/a/0/owner"), undefined, `after ${holdPoints} hold points`);
+        t.equal(ownership.epoch, undefined);
+        t.equal(hadClaimed, holdPoints < 2, "a release waits for a claim that is under way");
+    }
+});
