Count no worker as listed that only records name

After a change of owner a submission could be refused for good with 2101 ("fits no worker") in place of 2007, on which callers repeat.

Cause: the tables, and with them the service's reserve, are applied before the directory's first list. The workers of replayed records were then taken for listed ones with no capacity.

Change: only workers that the directory has listed count.

--- a/packages/tasks/src/worker-set.ts
+++ b/packages/tasks/src/worker-set.ts
@@ -160,9 +160,9 @@
 
     private indexCapacities(): void {
         this.entryByCapacity = new Map();
-        for (const { entry, state } of this.links.values()) {
+        for (const [name, { entry, state }] of this.links) {
             const { processors, memoryMb, accelerators } = entry.capacity;
-            if (!state.isGone) {
+            if (!state.isGone && this.addresses.has(name)) {
                 this.entryByCapacity.set(`${processors}|${memoryMb}|${accelerators}`, entry);
             }
         }
