Measure batches of transitions in bytes of JSON

Cause: CommitQueue counted UTF-16 units, the log counts bytes of JSON.

Change: the size of payloads, outputs and errors is that of their JSON in UTF-8.

Evidence: the new test of commit-queue on the code before: "not ok 2 - 1181485 bytes" for control characters and for lone surrogates. Payloads of other characters stayed within the limit.

--- a/packages/tasks/src/commit-queue.ts
+++ b/packages/tasks/src/commit-queue.ts
@@ -34,14 +34,17 @@
 /** Estimated size of a transition without its payload or output. */
 const TransitionBaseBytes = 120;
 
+/** The log stores JSON in UTF-8: a character takes up to three bytes, and up to six if it is escaped. */
+const jsonBytes = (text: string): number => Buffer.byteLength(JSON.stringify(text));
+
 const estimateBytes = (transition: Transition): number => {
     switch (transition.kind) {
         case "accepted":
-            return TransitionBaseBytes + transition.spec.payload.length;
+            return TransitionBaseBytes + jsonBytes(transition.spec.payload);
         case "finished":
-            return TransitionBaseBytes + transition.output.length;
+            return TransitionBaseBytes + jsonBytes(transition.output);
         case "failed":
-            return TransitionBaseBytes + transition.error.length;
+            return TransitionBaseBytes + jsonBytes(transition.error);
         case "forgotten":
             return TransitionBaseBytes * transition.keys.length;
         case "starting":
--- a/packages/tasks/tests/commit-queue.test.ts
+++ b/packages/tasks/tests/commit-queue.test.ts
@@ -1,4 +1,5 @@
 import type { CodedError } from "@samphireward/core/coded-error";
+import { Resources } from "@samphireward/core/resources";
 import { ResultCode } from "@samphireward/core/result-code";
 import { TransitionLog } from "@samphireward/state/transition-log";
 import type { Result } from "ts-results-es";
@@ -51,3 +52,41 @@
         t.strictSame(refused, [ResultCode.NoCellOwner], "later transitions are refused");
     }
 });
+
+/** Limit of the log on one append. */
+const MaxAppendBytes = 1_000_000;
+
+// Guards against an owner that loses its cell because callers send payloads of characters that take several bytes: the
+// log refuses a batch that is too large, for this owner and for each later one.
+t.test("a batch stays within the limit of the log, whatever its characters", async t => {
+    const payloads = ["x", "\u0001", "\ud800", "\u20ac", '"'].map(text => text.repeat(16_384));
+    for (const payload of payloads) {
+        const sizes: number[] = [];
+        class SizeLog extends TransitionLog<Transition> {
+            override append(transitions: readonly Transition[]): Promise<Result<void, CodedError>> {
+                sizes.push(Buffer.byteLength(JSON.stringify(transitions)));
+                return Promise.resolve(Ok(undefined));
+            }
+        }
+        const queue = CommitQueue.create(new SizeLog(), {
+            apply: () => undefined,
+            onOwnershipLost: () => t.fail("the cell is lost"),
+            onIdle: () => undefined,
+        });
+        for (let number = 0; number < 40; number++) {
+            const spec = {
+                key: `k${number}`,
+                pool: "p",
+                resources: Resources.none,
+                expectedRunMs: 1,
+                payload,
+            };
+            queue.push({ kind: "accepted", spec, wallMs: 1 });
+        }
+        while (queue.length > 0) {
+            queue.flush();
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        t.ok(Math.max(...sizes) <= MaxAppendBytes, `${Math.max(...sizes)} bytes`);
+    }
+});
