Refuse no repeated submission as not run while the first is unanswered

A submission that was handed to the log and timed out was answered as unknown, as it should. A repetition of it was answered with 2004 or 2007, "not run", when it timed out in its turn or the owner closed, although the first one could be recorded and its task run.

Cause: only the repetition's own record was asked whether it had been handed to the log.

Change: the queue remembers the keys that the log has not answered. A repetition of one is answered as unknown (3005). That it settles with the first one's answer stays: the key is one task, and a second acceptance of it changes nothing.

--- a/packages/tasks/src/submission-queue.ts
+++ b/packages/tasks/src/submission-queue.ts
@@ -26,6 +26,8 @@
         { submission: Submission; promise: Promise<Result<void, CodedError>> }
     >();
     private waiting: Submission[] = [];
+    /** Keys that were handed to the log and not answered yet, also those whose submission has timed out. */
+    private readonly unansweredKeys = new Set<string>();
 
     private constructor(
         private readonly clock: Clock,
@@ -68,14 +70,15 @@
         this.waiting = [];
         for (const submission of taken) {
             submission.isHandedToLog = true;
+            this.unansweredKeys.add(submission.spec.key);
         }
         return taken.map(({ spec }) => spec);
     }
 
-    /** Resolves a submission with the answer of the log or the reason of its refusal, and removes it. */
+    /** Resolves a submission with the answer of the log, and removes it. */
     settle(key: string, result: Result<void, CodedError>): void {
-        this.byKey.get(key)?.submission.settle(result);
-        this.byKey.delete(key);
+        this.unansweredKeys.delete(key);
+        this.remove(key, result);
     }
 
     /** Resolves the submissions whose deadline has passed with an error. */
@@ -88,7 +91,7 @@
                 // Submissions are kept in the order of their deadlines.
                 return;
             }
-            this.settle(submission.spec.key, Err(this.timeoutError(submission)));
+            this.remove(submission.spec.key, Err(this.timeoutError(submission)));
         }
     }
 
@@ -97,17 +100,27 @@
         const waiting = this.waiting;
         this.waiting = [];
         for (const { spec } of waiting) {
-            this.settle(spec.key, Err(ownershipLostError()));
+            const err = this.unansweredKeys.has(spec.key) ? unconfirmedError() : ownershipLostError();
+            this.remove(spec.key, Err(err));
         }
     }
 
-    private timeoutError(submission: Submission): CodedError {
-        return submission.isHandedToLog
-            ? CodedError.create(ResultCode.OwnerUnreachable, "The store has not confirmed the submission")
+    private remove(key: string, result: Result<void, CodedError>): void {
+        this.byKey.get(key)?.submission.settle(result);
+        this.byKey.delete(key);
+    }
+
+    /** The task of a repeated submission may be recorded by the first one, which the log has not answered. */
+    private timeoutError({ spec, isHandedToLog }: Submission): CodedError {
+        return isHandedToLog || this.unansweredKeys.has(spec.key)
+            ? unconfirmedError()
             : CodedError.create(ResultCode.StoreUnavailable, "The store does not accept submissions");
     }
 }
 
+const unconfirmedError = (): CodedError =>
+    CodedError.create(ResultCode.OwnerUnreachable, "The store has not confirmed the submission");
+
 const ownershipLostError = (): CodedError =>
     CodedError.create(ResultCode.NoCellOwner, "Another scheduler has taken the cell");
 
