Keep the counts of the last seconds when tables are applied

Each change of the tables dropped the open bucket of each route, up to 10 s of requests, because the route's objective is another object then.

Change: the bucket stays open; its counts were made by the objective of their time.

Evidence: the new test route-metrics on the code before lost both good requests.

--- a/packages/entry/src/route-metrics.ts
+++ b/packages/entry/src/route-metrics.ts
@@ -50,7 +50,9 @@
     private seriesOf(route: Route): RouteSeries {
         let series = this.series.get(route.name);
         if (series === undefined || series.objective !== route.objective) {
-            series = { objective: route.objective, closed: series?.closed ?? [], open: this.newBucket() };
+            // The counts of the open bucket stay; they were made by the objective of their time.
+            const { closed = [], open = this.newBucket() } = series ?? {};
+            series = { objective: route.objective, closed, open };
             this.series.set(route.name, series);
         }
         return series;
