Let a pool go on after an unexpected error of one request

A request whose sending threw left PoolDispatcher marked as dispatching, so that no queued request of the pool was ever sent again.

Change: the mark is reset in a finally.

--- a/packages/routing/src/pool-dispatcher.ts
+++ b/packages/routing/src/pool-dispatcher.ts
@@ -127,10 +127,13 @@
             return;
         }
         this.isDispatching = true;
-        while (this.dispatchNext()) {
-            // Each iteration serves the next route in round-robin order.
+        try {
+            while (this.dispatchNext()) {
+                // Each iteration serves the next route in round-robin order.
+            }
+        } finally {
+            this.isDispatching = false;
         }
-        this.isDispatching = false;
     }
 
     private dispatchNext(): boolean {
