Report a process that ends before its last test beside a failed test

Change: only exit code 1 after a failed test, with a complete plan, counts as the end of a run. A signal, another code or a plan that is missing or not kept is reported as "<file> > exit", which an entry for a test does not cover.

--- a/packages/tools/src/run-test-file.ts
+++ b/packages/tools/src/run-test-file.ts
@@ -13,6 +13,11 @@
     readonly diag?: unknown;
 }
 
+/** The end of a TAP output as tap-parser reports it. */
+interface Completion {
+    readonly failures: readonly { readonly tapError?: unknown }[];
+}
+
 /** Collects the failed assertions of all subtests; the diagnostic of the parent test does not contain them. */
 const collectFailures = (parser: Parser, prefix: string, failures: string[]): void => {
     parser.on("child", (child: Parser) => {
@@ -50,15 +55,22 @@
             const diagnostic = result.ok ? "" : [ownDiagnostic, ...failures.splice(0)].join("\n");
             outcomes.push({ test: `${sourceFile} > ${result.name}`, passed: result.ok, diagnostic });
         });
+        let isComplete = false;
+        parser.on("complete", ({ failures: problems }: Completion) => {
+            // A missing plan, or one that was not kept, is listed with the failed assertions.
+            isComplete = problems.every(({ tapError }) => typeof tapError !== "string");
+        });
         child.stdout.pipe(parser);
-        child.on("close", exitCode => {
+        child.on("close", (exitCode, signal) => {
             clearTimeout(timer);
             const hasFailedTest = outcomes.some(outcome => !outcome.passed);
-            if ((exitCode !== 0 && !hasFailedTest) || outcomes.length === 0) {
+            // Exit code 1 is tap's own after a failed test, but also that of a process which ended before its last test.
+            const isExpected = exitCode === 0 || (exitCode === 1 && hasFailedTest && isComplete);
+            if (!isExpected || outcomes.length === 0) {
                 outcomes.push({
                     test: `${sourceFile} > exit`,
                     passed: false,
-                    diagnostic: `process exited with code ${exitCode}\n${stderr}`,
+                    diagnostic: `process exited with code ${exitCode}, signal ${signal}\n${stderr}`,
                 });
             }
             resolve(outcomes);
