Tell the two shares that serving tasks are reckoned to use apart

Paces follow the load and reckon with the mean; a placement lasts and keeps more. The one of plan-pace is MeanServingUseRatio now; no value changes.

--- a/packages/jobs/src/choose-worker.ts
+++ b/packages/jobs/src/choose-worker.ts
@@ -6,7 +6,7 @@
 import type { Task } from "./task.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
-/** Share of its request that a serving task uses on average; the rest is available to fillers. */
+/** Share of its request that placement keeps for a serving task, more than its mean; fillers may use the rest. */
 const ServingUseRatio = 0.5;
 /** Share of a filler's request that must be unused on a worker for the filler to start there. */
 const MinUnusedRequestRatio = 0.5;
--- a/packages/jobs/src/plan-pace.ts
+++ b/packages/jobs/src/plan-pace.ts
@@ -16,8 +16,8 @@
 const NegligibleTake = 0.12;
 /** Fillers that would get a lower pace than this are paused. */
 const MinPacePercent = 5;
-/** Share of their request that serving tasks use on average. */
-const ServingUseRatio = 0.42;
+/** Share of their request that serving tasks use on average. Placement, which lasts, reckons with more. */
+const MeanServingUseRatio = 0.42;
 /** Time over its target after which all fillers beside a serving task are paused, regardless of the estimates. */
 const PauseAfterOverTargetMs = 1_800;
 
@@ -52,7 +52,7 @@
     let unused = 1;
     for (const run of worker.runs.values()) {
         const { filler, resources, tailTargetMs } = run.task.step.spec;
-        const use = tailTargetMs > 0 ? ServingUseRatio : 1;
+        const use = tailTargetMs > 0 ? MeanServingUseRatio : 1;
         unused -= filler ? 0 : (resources.processors * use) / processors;
     }
     const requested = requestedFillerShares(worker);
