--- a/packages/dispatch/src/cell-count-proposal.ts
+++ b/packages/dispatch/src/cell-count-proposal.ts
@@ -2,6 +2,8 @@
 const WorkersPerCell = 400;
 /** Workers register within one heartbeat interval of each other, about 1.5 s. */
 const SettledAfterMs = 1_800;
+/** Time without any worker after which the system starts with one cell, so that it accepts jobs. */
+const NoWorkersMs = 10_000;
 /** Time after the first registration after which the fleet counts as complete although it still grows. */
 const MaxSettleMs = 6_000;
 
@@ -11,6 +13,7 @@
  */
 export class CellCountProposal {
     private workerCount = 0;
+    private startedAtMs: number | undefined;
     private firstSeenAtMs: number | undefined;
     private unchangedSinceMs = 0;
 
@@ -29,8 +32,9 @@
             this.workerCount = workerCount;
             this.unchangedSinceMs = nowMs;
         }
+        this.startedAtMs ??= nowMs;
         if (workerCount === 0) {
-            return undefined;
+            return nowMs - this.startedAtMs >= NoWorkersMs ? 1 : undefined;
         }
         this.firstSeenAtMs ??= nowMs;
         const isSettled = nowMs - this.unchangedSinceMs >= SettledAfterMs;
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -52,6 +52,12 @@
         "Changes of the suspicion that a task crashes its workers, by reason",
         ["reason"],
     );
+    /** Stored jobs that an owner did not take up, by why. */
+    readonly jobsSetAside = this.counter(
+        "jobs_set_aside_total",
+        "Stored jobs that an owner did not take up",
+        ["reason"],
+    );
     /** Jobs by final state. */
     readonly jobsEnded = this.counter("jobs_ended_total", "Jobs by final state", ["queue", "state"]);
     /** Time from a job's arrival to its final state. */
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -100,7 +100,7 @@
         this.rules.replace(rules);
     }
 
-    /** Adds a job that was accepted by this owner. */
+    /** Adds a job that was accepted by this owner. A later plan opens the tasks for which there is no room now. */
     addJob(spec: JobSpec): void {
         this.jobs.add(spec).openDueOccurrences(this.clock.wallMs());
     }
@@ -111,7 +111,6 @@
         if (job.endState === undefined) {
             this.previousOwners.addJob(spec.id);
             this.inheritedTrials.addJob(job);
-            job.openDueOccurrences(this.clock.wallMs());
             this.jobs.closeDoneOccurrences(job, this.clock.wallMs());
         }
     }
@@ -207,7 +206,7 @@
         const nowMs = this.clock.nowMs();
         this.expireLeases(nowMs);
         this.judgeLosses(nowMs);
-        this.openDue();
+        this.jobs.openDueOccurrences(this.clock.wallMs());
         markMigrations(this.fleet, this.rules, this.effects, nowMs);
         // Starts are planned before stops: planning them marks the lasting tasks to preempt.
         const starts = this.planner.plan(nowMs, job => this.previousOwners.mayHaveRuns(job));
@@ -238,15 +237,6 @@
         }
     }
 
-    private openDue(): void {
-        const wallMs = this.clock.wallMs();
-        for (const job of this.jobs.undecided) {
-            if (job.spec.schedule !== undefined) {
-                job.openDueOccurrences(wallMs);
-            }
-        }
-    }
-
     /** Ends the runs of unreachable workers whose lease has expired. */
     private expireLeases(nowMs: number): void {
         for (const worker of [...this.fleet.workers]) {
--- a/packages/jobs/src/unused-processors.ts
+++ b/packages/jobs/src/unused-processors.ts
@@ -1,7 +1,7 @@
 import type { Run } from "./run.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 
-/** Share of its request that a serving task uses on average; the rest is available to fillers. */
+/** Share of its request that placement keeps for a serving task, more than its mean; fillers may use the rest. */
 const ServingUseRatio = 0.5;
 
 /** Share of its processor request that a run is expected to use. */
--- a/packages/jobs/tests/lasting-waits.test.ts
+++ b/packages/jobs/tests/lasting-waits.test.ts
@@ -66,6 +66,7 @@
             harness.inherit(harness.makeJob(lasting));
             harness.scheduler.expectInheritedWorkers(["w9/1"]);
             harness.addWorker("w1");
+            harness.planStarts();
             return waitLong(harness);
         },
         evidence: { withCapacity: 1, maxFree: 16 },
