Hold a worker only if its short tasks end in time

Callers would see a lasting task without a run beside enough free capacity: a short task of any duration counted as one that ends soon, so a worker with a task of a minute was held for a larger lasting task, released after 2.5 s and held again in the same plan, for as long as the short task ran. All other tasks were kept from its free processors, and the task for which it was held got neither another worker nor the place of another lasting task.

A worker is held only if the runs that have to end for it are expected to end within the time of a hold, by their estimates. Runs that have overrun their estimates by more than that time no longer count.

--- a/packages/jobs/src/held-workers.ts
+++ b/packages/jobs/src/held-workers.ts
@@ -16,7 +16,14 @@
     readonly untilMs: number;
 }
 
-const endsSoon = (run: Run): boolean => run.isStopRequested || !run.task.step.spec.lasting;
+/**
+ * Whether a run is expected to end while its worker is held. One that has run far longer than estimated tells nothing
+ * about its end.
+ */
+const endsSoon = ({ task, startedAtMs, isStopRequested }: Run, nowMs: number): boolean => {
+    const { lasting, estimatedMs } = task.step.spec;
+    return isStopRequested || (!lasting && Math.abs(startedAtMs + estimatedMs - nowMs) <= MaxHoldMs);
+};
 
 /**
  * Holds workers for overdue lasting tasks. Capacity becomes free in pieces; if each piece went to the next task that
@@ -91,7 +98,7 @@
             }
             const { reservedOrPending } = worker;
             const free = worker.entry.capacity.processors - reservedOrPending.processors;
-            if (free > mostFree && this.willFit(worker, task)) {
+            if (free > mostFree && this.willFit(worker, task, nowMs)) {
                 best = worker;
                 mostFree = free;
             }
@@ -99,10 +106,10 @@
         return best;
     }
 
-    private willFit(worker: WorkerIncarnation, task: Task): boolean {
+    private willFit(worker: WorkerIncarnation, task: Task, nowMs: number): boolean {
         let remaining = worker.reservedOrPending;
         for (const run of worker.runs.values()) {
-            remaining = endsSoon(run) ? remaining.minus(run.reservation) : remaining;
+            remaining = endsSoon(run, nowMs) ? remaining.minus(run.reservation) : remaining;
         }
         return remaining.plus(task.step.reservation).fitsIn(worker.entry.capacity);
     }
