Preempt one lasting task on a worker that is held

Callers saw more lasting tasks stopped than had to make way: a worker is held for one task, but each plan could preempt further tasks on a worker that was held already. The holds of a step stayed at one, so its next task counted as one without a worker in each plan until the stops were confirmed. A task that was preempted on a worker held for another step ended that step's hold.

Lasting tasks make way for others only on workers that are not held.

--- a/packages/jobs/src/preemption-candidates.ts
+++ b/packages/jobs/src/preemption-candidates.ts
@@ -76,10 +76,11 @@
         return new PreemptionCandidates(candidates.sort(compare), nowMs);
     }
 
-    /** Removes and returns the first candidate whose capacity is enough for a waiting task. */
-    takeFor(task: Task, service: string): Run | undefined {
+    /** Removes and returns the first allowed candidate whose capacity is enough for a waiting task. */
+    takeFor(task: Task, service: string, isAllowed: (run: Run) => boolean = () => true): Run | undefined {
         const found = this.candidates.find(
             ({ run }) =>
+                isAllowed(run) &&
                 allowsUnavailableTask(run) &&
                 run.worker
                     .reservedFromOthers(task.step)
--- a/packages/jobs/src/swap-lasting-tasks.ts
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -28,7 +28,8 @@
     }
     const candidates = PreemptionCandidates.create(fleet, effects, nowMs, MinRunTimeMs);
     for (const { task, service } of starved.slice(0, MaxSwapsPerPlan)) {
-        const run = candidates.takeFor(task, service);
+        // A worker is held for one task, so capacity that is freed on a held one would be left to others.
+        const run = candidates.takeFor(task, service, ({ worker }) => worker.heldFor === undefined);
         if (run !== undefined) {
             preemptRun(run, nowMs);
             held.hold(run.worker, task.step, nowMs);
--- /dev/null
+++ b/packages/jobs/tests/swap-lasting-tasks.test.ts
@@ -0,0 +1,57 @@
+import { Resources } from "@samphireward/core/resources";
+import t from "tap";
+import { OrderKind } from "../src/order-kind.js";
+import type { StepSpec } from "../src/step-spec.js";
+import { SchedulerHarness } from "./scheduler-harness.js";
+
+const MinRunTimeMs = 5_000;
+const StarvedMs = 3_500;
+const TickMs = 20;
+const Ticks = 8;
+
+const lasting = (count: number): Partial<StepSpec> => ({
+    lasting: true,
+    count,
+    resources: Resources.create({ processors: 4, memoryMb: 100 }),
+});
+
+/** A worker that is full of lasting tasks of as many jobs, which have run long enough to make way for others. */
+const fullWorker = (): SchedulerHarness => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1");
+    for (let job = 0; job < 4; job++) {
+        harness.submit(lasting(1));
+    }
+    const runs = harness.planAndStartAll();
+    harness.clock.advance(MinRunTimeMs);
+    const listed = runs.map(run => ({ ...SchedulerHarness.listedRun(run), progressPercent: 100 }));
+    harness.reportListing(worker, listed, []);
+    return harness;
+};
+
+/** Plans repeatedly before any stop is confirmed, and returns the names of the stopped tasks. */
+const stoppedTasks = (harness: SchedulerHarness): Set<string> => {
+    const stopped = new Set<string>();
+    for (let tick = 0; tick < Ticks; tick++) {
+        for (const order of harness.planOrders()) {
+            if (order.kind === OrderKind.Stop) {
+                stopped.add(order.task);
+            }
+        }
+        harness.clock.advance(TickMs);
+    }
+    return stopped;
+};
+
+// Guards against plans that each stop further lasting tasks on one worker, because what was freed there counted for a
+// single one of the waiting tasks.
+t.test("no more lasting tasks are preempted than wait", t => {
+    const harness = fullWorker();
+    harness.submit(lasting(2));
+    harness.planOrders();
+    harness.clock.advance(StarvedMs);
+    const stopped = stoppedTasks(harness);
+    t.ok(stopped.size >= 1, "one makes way");
+    t.ok(stopped.size <= 2, `${stopped.size} make way for 2`);
+    t.end();
+});
