Keep lasting tasks of urgent queues from making way for others

Callers saw a lasting task of an urgent queue stopped for one of a queue with a lower priority as soon as the latter had waited 3.5 s: the swap of lasting tasks, which shares too little capacity between them, did not look at the priorities of their queues.

A lasting task makes way only for one of a queue with the same or a higher priority.

The test failed before with "expected 0, actual 1" stopped tasks; now none. The reverse case, an urgent task that takes the place of a less urgent one, passed before and after.

--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -108,8 +108,8 @@
                 orders.push(...this.startTasks(step, service, nowMs, { requiresGoodFit: false, maxStarts }));
             }
         }
-        const { fleet, effects } = this.context;
-        swapLastingTasks(fleet, overdue, this.held, effects, nowMs);
+        const { fleet, rules, effects } = this.context;
+        swapLastingTasks(fleet, overdue, this.held, rules, effects, nowMs);
         preemptLastingTasks(fleet, waiting, effects, nowMs);
         return orders;
     }
--- a/packages/jobs/src/swap-lasting-tasks.ts
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -3,6 +3,9 @@
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import { PreemptionCandidates } from "./preemption-candidates.js";
 import { preemptRun } from "./preempt-run.js";
+import type { QueueRules } from "./queue-rules.js";
+import type { Run } from "./run.js";
+import type { Task } from "./task.js";
 import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
@@ -11,14 +14,19 @@
 /** Most lasting tasks that one plan preempts for others. */
 const MaxSwapsPerPlan = 2;
 
+/** Priority of a task's queue; tasks of a queue without a rule go last. */
+const priorityOf = ({ step }: Task, rules: QueueRules): number =>
+    rules.get(step.occurrence.job.spec.queue)?.priority ?? Infinity;
+
 /**
  * Preempts lasting tasks for others that have waited long and fit nowhere. Where lasting tasks request more than there
- * is, each of them is unavailable for some time instead of a few for good.
+ * is, each of them is unavailable for some time instead of a few for good; those of more urgent queues do not make way.
  */
 export const swapLastingTasks = (
     fleet: WorkerFleet,
     overdue: readonly WaitingTask[],
     held: HeldWorkers,
+    rules: QueueRules,
     effects: NeighbourEffects,
     nowMs: number,
 ): void => {
@@ -28,8 +36,11 @@
     }
     const candidates = PreemptionCandidates.create(fleet, effects, nowMs, MinRunTimeMs);
     for (const { task, service } of starved.slice(0, MaxSwapsPerPlan)) {
+        const priority = priorityOf(task, rules);
         // A worker is held for one task, so capacity that is freed on a held one would be left to others.
-        const run = candidates.takeFor(task, service, ({ worker }) => worker.heldFor === undefined);
+        const isAllowed = ({ worker, task: other }: Run): boolean =>
+            worker.heldFor === undefined && priorityOf(other, rules) >= priority;
+        const run = candidates.takeFor(task, service, isAllowed);
         if (run !== undefined) {
             preemptRun(run, nowMs);
             held.hold(run.worker, task.step, nowMs);
--- a/packages/jobs/tests/swap-lasting-tasks.test.ts
+++ b/packages/jobs/tests/swap-lasting-tasks.test.ts
@@ -2,6 +2,7 @@
 import t from "tap";
 import { OrderKind } from "../src/order-kind.js";
 import type { StepSpec } from "../src/step-spec.js";
+import { queueRule } from "./fixtures/queue-rule.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
 const MinRunTimeMs = 5_000;
@@ -55,3 +56,27 @@
     t.ok(stopped.size <= 2, `${stopped.size} make way for 2`);
     t.end();
 });
+
+// Guards against lasting tasks of an urgent queue that are stopped for those of a less urgent one.
+t.test("a lasting task does not make way for one of a queue with a lower priority", t => {
+    const harness = fullWorker();
+    const low = { ...queueRule("low"), priority: 1 };
+    harness.scheduler.setQueues([queueRule("queue"), low]);
+    harness.scheduler.addJob({ ...harness.makeJob(lasting(1)), queue: low.name });
+    harness.planOrders();
+    harness.clock.advance(StarvedMs);
+    t.equal(stoppedTasks(harness).size, 0);
+    t.end();
+});
+
+// Guards against an urgent lasting task that waits while less urgent ones run.
+t.test("a lasting task makes way for one of a queue with a higher priority", t => {
+    const harness = fullWorker();
+    const low = { ...queueRule("queue"), priority: 1 };
+    harness.scheduler.setQueues([low, queueRule("urgent")]);
+    harness.scheduler.addJob({ ...harness.makeJob(lasting(1)), queue: "urgent" });
+    harness.planOrders();
+    harness.clock.advance(StarvedMs);
+    t.equal(stoppedTasks(harness).size, 1);
+    t.end();
+});
