Swap lasting tasks in although others can run nowhere

Callers saw lasting tasks wait although others of their priority had run for long: each plan looked at the two starved tasks that had waited longest and stopped there, so two tasks that no worker may run (a label that no worker has, more than a worker holds) kept all others from being swapped in, for good.

A plan goes on to other steps until it has preempted two tasks. Tasks of one step are alike, so a step without a candidate is asked for once.

The test failed before with "expected 1, actual 0" stopped tasks; now 1.

--- a/packages/jobs/src/swap-lasting-tasks.ts
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -5,6 +5,7 @@
 import { preemptRun } from "./preempt-run.js";
 import type { QueueRules } from "./queue-rules.js";
 import type { Run } from "./run.js";
+import type { Step } from "./step.js";
 import type { Task } from "./task.js";
 import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
@@ -35,15 +36,26 @@
         return;
     }
     const candidates = PreemptionCandidates.create(fleet, effects, nowMs, MinRunTimeMs);
-    for (const { task, service } of starved.slice(0, MaxSwapsPerPlan)) {
+    const withoutCandidate = new Set<Step>();
+    let swaps = 0;
+    for (const { task, service } of starved) {
+        if (swaps >= MaxSwapsPerPlan) {
+            break;
+        }
+        if (withoutCandidate.has(task.step)) {
+            continue;
+        }
         const priority = priorityOf(task, rules);
         // A worker is held for one task, so capacity that is freed on a held one would be left to others.
         const isAllowed = ({ worker, task: other }: Run): boolean =>
             worker.heldFor === undefined && priorityOf(other, rules) >= priority;
         const run = candidates.takeFor(task, service, isAllowed);
-        if (run !== undefined) {
+        if (run === undefined) {
+            withoutCandidate.add(task.step);
+        } else {
             preemptRun(run, nowMs);
             held.hold(run.worker, task.step, nowMs);
+            swaps++;
         }
     }
 };
--- a/packages/jobs/tests/swap-lasting-tasks.test.ts
+++ b/packages/jobs/tests/swap-lasting-tasks.test.ts
@@ -80,3 +80,16 @@
     t.equal(stoppedTasks(harness).size, 1);
     t.end();
 });
+
+// Guards against lasting tasks that never take the place of others, because tasks that no worker can run have waited longer.
+t.test("tasks without a permitted worker do not keep others from being swapped in", t => {
+    const harness = fullWorker();
+    harness.submit({ ...lasting(3), requiredLabel: "no-worker-has-this" });
+    harness.planOrders();
+    harness.clock.advance(StarvedMs);
+    harness.submit(lasting(1));
+    harness.planOrders();
+    harness.clock.advance(StarvedMs);
+    t.equal(stoppedTasks(harness).size, 1);
+    t.end();
+});
