Release a held worker that accepts no more starts

Each plan releases held workers that accept no starts.

The test drains the held one of two workers and failed before with the old worker still held (expected "w1", actual "w0"); now the other one is held in the next plan.

--- a/packages/jobs/src/held-workers.ts
+++ b/packages/jobs/src/held-workers.ts
@@ -1,3 +1,4 @@
+import { acceptsStarts } from "./accepts-starts.js";
 import { isSuitable } from "./is-suitable.js";
 import type { Run } from "./run.js";
 import type { Step } from "./step.js";
@@ -38,10 +39,10 @@
         return new HeldWorkers(fleet);
     }
 
-    /** Releases all workers whose time is over or whose step has no overdue task left. */
+    /** Releases all workers whose time is over, that accept no starts, or whose step has no overdue task left. */
     update(overdue: ReadonlySet<Step>, nowMs: number): void {
         for (const [worker, { step, untilMs }] of this.holds) {
-            if (nowMs >= untilMs || !overdue.has(step) || this.fleet.get(worker.entry.id) !== worker) {
+            if (nowMs >= untilMs || !overdue.has(step) || !this.isUsable(worker)) {
                 this.release(worker);
             }
         }
@@ -80,6 +81,11 @@
         return waiting.slice(heldCount);
     }
 
+    private isUsable(worker: WorkerIncarnation): boolean {
+        const { id, service } = worker.entry;
+        return this.fleet.get(id) === worker && acceptsStarts(worker, service);
+    }
+
     private countFor(step: Step): number {
         let count = 0;
         for (const hold of this.holds.values()) {
--- a/packages/jobs/tests/held-workers.test.ts
+++ b/packages/jobs/tests/held-workers.test.ts
@@ -1,8 +1,11 @@
 import { Resources } from "@samphireward/core/resources";
 import t from "tap";
+import type { Run } from "../src/run.js";
 import type { StepSpec } from "../src/step-spec.js";
+import type { WorkerIncarnation } from "../src/worker-incarnation.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
+const WorkerProcessors = 16;
 const OverdueMs = 2_000;
 const TickMs = 50;
 
@@ -15,6 +18,22 @@
     resources: processors(requested),
 });
 
+/** Workers that are each filled with short tasks of the same size. */
+const fillWithShort = (
+    harness: SchedulerHarness,
+    workerCount: number,
+    requested: number,
+    estimatedMs = 3_000,
+): { readonly workers: readonly WorkerIncarnation[]; readonly runs: readonly Run[] } => {
+    const workers = Array.from({ length: workerCount }, (_, index) => harness.addWorker(`w${index}`));
+    const count = workerCount * Math.floor(WorkerProcessors / requested);
+    harness.submit({ count, estimatedMs, resources: processors(requested) });
+    return { workers, runs: harness.planAndStartAll() };
+};
+
+const heldWorkers = (workers: readonly WorkerIncarnation[]): WorkerIncarnation[] =>
+    workers.filter(worker => worker.heldFor !== undefined);
+
 /** A worker on which a short task leaves some processors free. */
 const addBusyWorker = (harness: SchedulerHarness, requested: number, estimatedMs: number): void => {
     harness.addWorker("w1");
@@ -40,3 +59,24 @@
     t.ok(waitedMs < 6_000, `the smaller task has waited ${waitedMs} ms`);
     t.end();
 });
+
+// Guards against a lasting task that waits for a worker which takes no more tasks, while others free capacity.
+t.test("a worker that starts to drain is no longer held", t => {
+    const harness = SchedulerHarness.create();
+    const { workers } = fillWithShort(harness, 2, 8);
+    harness.submit(lasting(10));
+    harness.planStarts();
+    harness.clock.advance(OverdueMs);
+    harness.planStarts();
+    const [held] = heldWorkers(workers);
+    if (held !== undefined) {
+        harness.scheduler.registerWorker({ ...held.entry, isDraining: true });
+    }
+    harness.clock.advance(TickMs);
+    harness.planStarts();
+    t.same(
+        heldWorkers(workers).map(worker => worker.entry.id),
+        workers.filter(worker => worker !== held).map(worker => worker.entry.id),
+    );
+    t.end();
+});
