Hold no more workers than lasting tasks wait for

Callers would see short tasks wait beside free capacity: when tasks of a step started on other workers, the workers held for them stayed held for up to 2.5 s as long as any task of the step waited, up to a quarter of the fleet.

A plan releases the surplus holds of a step, the latest first.

The test failed before with "expected 1, actual 3" held workers for one waiting task.

--- a/packages/jobs/src/held-workers.ts
+++ b/packages/jobs/src/held-workers.ts
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Holds workers for the waiting tasks of one step until there is one for each of them. Returns the tasks for which
-     * there is none.
+     * Holds workers for the waiting tasks of one step until there is one for each of them, and releases those that tasks
+     * which started elsewhere no longer need. Returns the tasks for which there is none.
      */
     holdFor(waiting: readonly Task[], service: string, nowMs: number): readonly Task[] {
         const [task] = waiting;
@@ -69,7 +69,9 @@
             return [];
         }
         const { step } = task;
-        let heldCount = this.countFor(step);
+        const holding = this.workersFor(step);
+        holding.slice(waiting.length).forEach(worker => this.release(worker));
+        let heldCount = Math.min(holding.length, waiting.length);
         while (heldCount < waiting.length && this.holds.size < this.fleet.size * MaxHeldShare) {
             const worker = this.findWorker(task, service, nowMs);
             if (worker === undefined) {
@@ -86,12 +88,9 @@
         return this.fleet.get(id) === worker && acceptsStarts(worker, service);
     }
 
-    private countFor(step: Step): number {
-        let count = 0;
-        for (const hold of this.holds.values()) {
-            count += hold.step === step ? 1 : 0;
-        }
-        return count;
+    /** The workers held for a step, the longest held first. */
+    private workersFor(step: Step): WorkerIncarnation[] {
+        return [...this.holds].filter(([, hold]) => hold.step === step).map(([worker]) => worker);
     }
 
     /** Finds the worker that lacks the fewest processors, if the ends of its short runs free enough of everything. */
--- a/packages/jobs/tests/held-workers.test.ts
+++ b/packages/jobs/tests/held-workers.test.ts
@@ -1,5 +1,6 @@
 import { Resources } from "@samphireward/core/resources";
 import t from "tap";
+import { EndKind } from "../src/end-kind.js";
 import type { Run } from "../src/run.js";
 import type { StepSpec } from "../src/step-spec.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
@@ -31,6 +32,9 @@
     return { workers, runs: harness.planAndStartAll() };
 };
 
+const runsOn = (runs: readonly Run[], worker: WorkerIncarnation | undefined): Run[] =>
+    runs.filter(run => run.worker === worker);
+
 const heldWorkers = (workers: readonly WorkerIncarnation[]): WorkerIncarnation[] =>
     workers.filter(worker => worker.heldFor !== undefined);
 
@@ -80,3 +84,20 @@
     );
     t.end();
 });
+
+// Guards against capacity that stays unused because it is held for tasks that have found another worker meanwhile.
+t.test("no more workers are held than there are waiting tasks", t => {
+    const harness = SchedulerHarness.create();
+    const { workers, runs } = fillWithShort(harness, 16, 16);
+    harness.submit(lasting(12, 3));
+    harness.planStarts();
+    harness.clock.advance(OverdueMs);
+    harness.planStarts();
+    t.equal(heldWorkers(workers).length, 3, "one for each");
+    const others = workers.filter(worker => worker.heldFor === undefined).slice(0, 2);
+    others.forEach(worker => runsOn(runs, worker).forEach(run => harness.reportEnd(run, EndKind.Done)));
+    harness.clock.advance(TickMs);
+    t.equal(harness.planAndStartAll().length, 2, "two tasks start elsewhere");
+    t.equal(heldWorkers(workers).length, 1);
+    t.end();
+});
