Keep the wait of a task whose start was refused

Callers saw a lasting task without a run for longer than its wait would allow: each planned start reset the time since which it had waited, also one that the worker refused, so a task that was refused now and then was never overdue, and neither held a worker nor took the place of another one. The members of a gang lost their wait whenever one of them found no worker.

A refused start, or one of a gang that is not started, gives the task its wait back.

--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -97,7 +97,7 @@
     }
 
     private handleRefusal(run: Run, outcome: StartOutcome, nowMs: number): void {
-        this.results.release(run);
+        this.results.withdraw(run);
         if (outcome === StartOutcome.RunNumberUsed) {
             run.task.lastRun += 1;
             return;
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -33,8 +33,17 @@
         return new RunResults(jobs, rules, observer);
     }
 
+    /** Removes a run that has not started from its worker. The task has waited since before that start. */
+    withdraw(run: Run): void {
+        const isCurrent = run.task.run === run;
+        this.release(run);
+        if (isCurrent) {
+            run.task.readySinceMs = run.waitedSinceMs;
+        }
+    }
+
     /** Removes a run from its worker, so that the task can start again. */
-    release(run: Run): void {
+    private release(run: Run): void {
         run.worker.remove(run);
         if (run.task.run === run) {
             run.task.run = undefined;
--- a/packages/jobs/src/run.ts
+++ b/packages/jobs/src/run.ts
@@ -9,6 +9,8 @@
     phase: RunPhase = RunPhase.Starting;
     /** Permit ticket sent with the start; undefined if none is needed. */
     ticket: string | undefined;
+    /** Monotonic time since which the task had waited for this start; undefined if this owner did not order it. */
+    waitedSinceMs: number | undefined;
     /** Monotonic time at which the worker confirmed the run. */
     confirmedAtMs = 0;
     /** Whether the worker has listed the run, so that it belongs to this incarnation of the worker. */
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -197,7 +197,7 @@
             if (worker === undefined) {
                 for (const order of orders) {
                     if (order.kind === OrderKind.Start) {
-                        this.context.results.release(order.run);
+                        this.context.results.withdraw(order.run);
                     }
                 }
                 return [];
@@ -223,6 +223,7 @@
             worker.pacePlannedAtMs = -Infinity;
         }
         const run = Run.create(task, worker, number, nowMs);
+        run.waitedSinceMs = task.readySinceMs;
         run.ticket = task.step.permits?.ticketFor(worker, nowMs);
         if (worker.heldFor === task.step) {
             this.held.release(worker);
--- a/packages/jobs/tests/held-workers.test.ts
+++ b/packages/jobs/tests/held-workers.test.ts
@@ -2,6 +2,7 @@
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
 import type { Run } from "../src/run.js";
+import { StartOutcome } from "../src/start-outcome.js";
 import type { StepSpec } from "../src/step-spec.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
@@ -101,3 +102,24 @@
     t.equal(heldWorkers(workers).length, 1);
     t.end();
 });
+
+// Guards against a wait that begins again with each refused start, so that a lasting task is never overdue.
+t.test("a lasting task whose start was refused has waited since before that start", t => {
+    const harness = SchedulerHarness.create();
+    const { workers, runs } = fillWithShort(harness, 2, 8);
+    const [first, second] = workers;
+    harness.submit(lasting(10));
+    harness.planStarts();
+    harness.clock.advance(1_500);
+    runsOn(runs, first).forEach(run => harness.reportEnd(run, EndKind.Done));
+    const [refused] = harness.planStarts();
+    t.equal(refused?.worker, first);
+    if (refused !== undefined) {
+        harness.scheduler.responses.recordStart(refused, StartOutcome.Refused);
+        harness.scheduler.registerWorker({ ...refused.worker.entry, isDraining: true });
+    }
+    harness.clock.advance(OverdueMs - 1_500);
+    harness.planStarts();
+    t.ok(second?.heldFor, "it is overdue, so that a worker is held");
+    t.end();
+});
