Keep the wait of a task whose start was not answered

A run that was never confirmed and that lapsed or was stopped gives the task its wait back, as a refused start does.

The test failed before with "not ok 2 - it is overdue, so that a worker is held", 2 s after the first plan that found no worker.

--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -57,7 +57,11 @@
     finish(run: Run, end: RunEnd, times: EndTimes): void {
         const isCurrent = run.task.run === run;
         const completesTask = end.kind === EndKind.Done && run.task.run === undefined;
-        this.release(run);
+        if (run.confirmedAtMs === 0 && (end.kind === EndKind.Lapsed || end.kind === EndKind.Stopped)) {
+            this.withdraw(run);
+        } else {
+            this.release(run);
+        }
         if (run.task.step.spec.tailTargetMs > 0) {
             run.worker.noteServingTaskEnded(times.nowMs);
         }
--- a/packages/jobs/tests/held-workers.test.ts
+++ b/packages/jobs/tests/held-workers.test.ts
@@ -123,3 +123,28 @@
     t.ok(second?.heldFor, "it is overdue, so that a worker is held");
     t.end();
 });
+
+// Guards against a wait that begins again after each start without an answer, which busy workers cause by the dozen.
+t.test("a lasting task whose start was not answered has waited since before that start", t => {
+    const harness = SchedulerHarness.create();
+    const { workers, runs } = fillWithShort(harness, 2, 8);
+    const [first, second] = workers;
+    harness.submit(lasting(10));
+    harness.planStarts();
+    harness.clock.advance(500);
+    runsOn(runs, first).forEach(run => harness.reportEnd(run, EndKind.Done));
+    const [unanswered] = harness.planStarts();
+    t.equal(unanswered?.worker, first);
+    if (unanswered !== undefined) {
+        const { worker, task, number } = unanswered;
+        harness.scheduler.responses.recordStart(unanswered, StartOutcome.Unknown);
+        harness.planOrders();
+        harness.scheduler.responses.recordStop(worker, task.name, number);
+        harness.scheduler.registerWorker({ ...worker.entry, isDraining: true });
+        harness.clock.advance(OverdueMs - 500);
+        harness.reportListing(worker, [], []);
+    }
+    harness.planStarts();
+    t.ok(second?.heldFor, "it is overdue, so that a worker is held");
+    t.end();
+});
