End the wait of a task whose run is found on a worker

Callers would see others pushed aside for a task that has hardly waited: a task that waited for a worker while a listing showed a run of it (a start that was carried out late, or one of a previous owner) kept the start of its wait while it ran. When that run ended, it counted as waiting since then: it was overdue and starved at once, went before all other tasks of its priority, and held a worker or took the place of another lasting task.

Adopting a run ends the wait, as starting one does.

The test failed before: the first worker was held 50 ms after the run had ended ("it is not overdue yet" expected no held worker, got w0).

--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -135,6 +135,7 @@
         if (isWanted) {
             task.run = run;
             task.lastRun = listedRun.number;
+            task.readySinceMs = undefined;
             task.step.occurrence.job.hasStarted = true;
         } else {
             run.stopReason = StopReason.NotCurrent;
--- a/packages/jobs/tests/held-workers.test.ts
+++ b/packages/jobs/tests/held-workers.test.ts
@@ -148,3 +148,29 @@
     t.ok(second?.heldFor, "it is overdue, so that a worker is held");
     t.end();
 });
+
+// Guards against a task that goes before all others when its run ends, since its wait before the run is still counted.
+t.test("a task whose run was found on a worker has not waited meanwhile", t => {
+    const harness = SchedulerHarness.create();
+    const { workers } = fillWithShort(harness, 2, 8, 20_000);
+    const [first, second] = workers;
+    harness.submit(lasting(10));
+    harness.planStarts();
+    const [task] = harness.scheduler.jobs.get("2".padStart(16, "0"))?.tasks() ?? [];
+    if (task === undefined || first === undefined || second === undefined) {
+        return t.end();
+    }
+    const listed = [...first.runs.values()].map(SchedulerHarness.listedRun);
+    const found = { task: task.name, number: 7, checkpoint: "", progressPercent: 50, gauge: 0 };
+    harness.reportListing(first, [...listed, found], []);
+    harness.clock.advance(19_000);
+    const { run } = task;
+    t.equal(run?.number, found.number);
+    if (run !== undefined) {
+        harness.reportEnd(run, EndKind.Failed);
+    }
+    harness.clock.advance(TickMs);
+    harness.planStarts();
+    t.equal(heldWorkers(workers).length, 0, "it is not overdue yet");
+    t.end();
+});
