Stop no serving tasks for lasting fillers

Callers saw serving tasks stopped for lasting fillers that would be slow beside them: such a filler counted as starved after 3.5 s, although it reserves no processors and found enough memory on each worker, and took the place of a serving task without starting there. It also held a worker, again and again.

Lasting fillers neither hold workers nor take the place of other lasting tasks. One that lacks memory waits for it as before the holds.

The test failed before with "expected 0, actual 2" stopped serving tasks.

--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -93,7 +93,9 @@
                 if (step.tasks.some(task => isReady(task, nowMs))) {
                     unplaceable.add(step, service);
                 }
-                const without = this.held.holdFor(overdueTasks(step, nowMs), service, nowMs);
+                // Fillers reserve no processors, so that neither a hold nor a swap brings them closer to a start.
+                const waitingLong = step.spec.filler ? [] : overdueTasks(step, nowMs);
+                const without = this.held.holdFor(waitingLong, service, nowMs);
                 overdue.push(...without.map(task => ({ task, service })));
             }
             this.collectWaiting(step, service, waiting, nowMs);
