Start lasting fillers where they are slow after a while

A lasting filler that has waited 2 s starts where it is slow, whether others of its job run or not; the planned pace protects the serving tasks beside it.

The test failed before with "expected 4, actual 1" started tasks within 20 s; now the last of the four starts after 2,150 ms.

--- a/packages/jobs/src/may-relax-fit.ts
+++ b/packages/jobs/src/may-relax-fit.ts
@@ -3,7 +3,7 @@
 
 /** A serving task waits this long for a worker with compatible images before a poorer fit is accepted. */
 const SameImagesWaitMs = 600;
-/** A job without any run waits this long before one of its fillers may start where it is slow. */
+/** A lasting filler, or one of a job without any run, waits this long before it may start where it is slow. */
 const FillerWaitMs = 2_000;
 
 const hasActiveRun = (step: Step): boolean => {
@@ -19,7 +19,7 @@
 export const mayRelaxFit = (step: Step, nowMs: number): boolean => {
     const waitedMs = longestWaitMs(step, nowMs);
     if (step.spec.filler) {
-        return waitedMs >= FillerWaitMs && !hasActiveRun(step);
+        return waitedMs >= FillerWaitMs && (step.spec.lasting || !hasActiveRun(step));
     }
     return step.spec.tailTargetMs > 0 && waitedMs >= SameImagesWaitMs;
 };
