--- a/packages/jobs/src/held-workers.ts
+++ b/packages/jobs/src/held-workers.ts
@@ -1,3 +1,4 @@
+import { acceptsStarts } from "./accepts-starts.js";
 import { isSuitable } from "./is-suitable.js";
 import type { Run } from "./run.js";
 import type { Step } from "./step.js";
@@ -16,7 +17,14 @@
     readonly untilMs: number;
 }
 
-const endsSoon = (run: Run): boolean => run.isStopRequested || !run.task.step.spec.lasting;
+/**
+ * Whether a run is expected to end while its worker is held. One that has run far longer than estimated tells nothing
+ * about its end.
+ */
+const endsSoon = ({ task, startedAtMs, isStopRequested }: Run, nowMs: number): boolean => {
+    const { lasting, estimatedMs } = task.step.spec;
+    return isStopRequested || (!lasting && Math.abs(startedAtMs + estimatedMs - nowMs) <= MaxHoldMs);
+};
 
 /**
  * Holds workers for overdue lasting tasks. Capacity becomes free in pieces; if each piece went to the next task that
@@ -31,10 +39,10 @@
         return new HeldWorkers(fleet);
     }
 
-    /** Releases all workers whose time is over or whose step has no overdue task left. */
+    /** Releases all workers whose time is over, that accept no starts, or whose step has no overdue task left. */
     update(overdue: ReadonlySet<Step>, nowMs: number): void {
         for (const [worker, { step, untilMs }] of this.holds) {
-            if (nowMs >= untilMs || !overdue.has(step) || this.fleet.get(worker.entry.id) !== worker) {
+            if (nowMs >= untilMs || !overdue.has(step) || !this.isUsable(worker)) {
                 this.release(worker);
             }
         }
@@ -52,8 +60,8 @@
     }
 
     /**
-     * Holds workers for the waiting tasks of one step until there is one for each of them. Returns the tasks for which
-     * there is none.
+     * Holds workers for the waiting tasks of one step until there is one for each of them, and releases those that tasks
+     * which started elsewhere no longer need. Returns the tasks for which there is none.
      */
     holdFor(waiting: readonly Task[], service: string, nowMs: number): readonly Task[] {
         const [task] = waiting;
@@ -61,7 +69,9 @@
             return [];
         }
         const { step } = task;
-        let heldCount = this.countFor(step);
+        const holding = this.workersFor(step);
+        holding.slice(waiting.length).forEach(worker => this.release(worker));
+        let heldCount = Math.min(holding.length, waiting.length);
         while (heldCount < waiting.length && this.holds.size < this.fleet.size * MaxHeldShare) {
             const worker = this.findWorker(task, service, nowMs);
             if (worker === undefined) {
@@ -73,12 +83,14 @@
         return waiting.slice(heldCount);
     }
 
-    private countFor(step: Step): number {
-        let count = 0;
-        for (const hold of this.holds.values()) {
-            count += hold.step === step ? 1 : 0;
-        }
-        return count;
+    private isUsable(worker: WorkerIncarnation): boolean {
+        const { id, service } = worker.entry;
+        return this.fleet.get(id) === worker && acceptsStarts(worker, service);
+    }
+
+    /** The workers held for a step, the longest held first. */
+    private workersFor(step: Step): WorkerIncarnation[] {
+        return [...this.holds].filter(([, hold]) => hold.step === step).map(([worker]) => worker);
     }
 
     /** Finds the worker that lacks the fewest processors, if the ends of its short runs free enough of everything. */
@@ -91,7 +103,7 @@
             }
             const { reservedOrPending } = worker;
             const free = worker.entry.capacity.processors - reservedOrPending.processors;
-            if (free > mostFree && this.willFit(worker, task)) {
+            if (free > mostFree && this.willFit(worker, task, nowMs)) {
                 best = worker;
                 mostFree = free;
             }
@@ -99,10 +111,10 @@
         return best;
     }
 
-    private willFit(worker: WorkerIncarnation, task: Task): boolean {
+    private willFit(worker: WorkerIncarnation, task: Task, nowMs: number): boolean {
         let remaining = worker.reservedOrPending;
         for (const run of worker.runs.values()) {
-            remaining = endsSoon(run) ? remaining.minus(run.reservation) : remaining;
+            remaining = endsSoon(run, nowMs) ? remaining.minus(run.reservation) : remaining;
         }
         return remaining.plus(task.step.reservation).fitsIn(worker.entry.capacity);
     }
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -35,8 +35,17 @@
         return new RunResults(jobs, rules, trials, observer);
     }
 
+    /** Removes a run that has not started from its worker. The task has waited since before that start. */
+    withdraw(run: Run): void {
+        const isCurrent = run.task.run === run;
+        this.release(run);
+        if (isCurrent) {
+            run.task.readySinceMs = run.waitedSinceMs;
+        }
+    }
+
     /** Removes a run from its worker, so that the task can start again. */
-    release(run: Run): void {
+    private release(run: Run): void {
         run.worker.remove(run);
         if (run.task.run === run) {
             run.task.run = undefined;
@@ -51,7 +60,11 @@
     finish(run: Run, end: RunEnd, times: EndTimes): void {
         const isCurrent = run.task.run === run;
         const completesTask = end.kind === EndKind.Done && run.task.run === undefined;
-        this.release(run);
+        if (run.confirmedAtMs === 0 && (end.kind === EndKind.Lapsed || end.kind === EndKind.Stopped)) {
+            this.withdraw(run);
+        } else {
+            this.release(run);
+        }
         if (run.task.step.spec.tailTargetMs > 0) {
             run.worker.noteServingTaskEnded(times.nowMs);
         }
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -95,7 +95,9 @@
                 if (step.tasks.some(task => task.suspicion === 0 && isReady(task, nowMs))) {
                     unplaceable.add(step, service);
                 }
-                const without = this.held.holdFor(overdueTasks(step, nowMs), service, nowMs);
+                // Fillers reserve no processors, so that neither a hold nor a swap brings them closer to a start.
+                const waitingLong = step.spec.filler ? [] : overdueTasks(step, nowMs);
+                const without = this.held.holdFor(waitingLong, service, nowMs);
                 overdue.push(...without.map(task => ({ task, service })));
             }
             this.collectWaiting(step, service, waiting, nowMs);
@@ -110,8 +112,8 @@
                 orders.push(...this.startTasks(step, service, nowMs, { requiresGoodFit: false, maxStarts }));
             }
         }
-        const { fleet, effects } = this.context;
-        swapLastingTasks(fleet, overdue, this.held, effects, nowMs);
+        const { fleet, rules, effects } = this.context;
+        swapLastingTasks(fleet, overdue, this.held, rules, effects, nowMs);
         preemptLastingTasks(fleet, waiting, effects, nowMs);
         return orders;
     }
@@ -216,7 +218,7 @@
             if (worker === undefined) {
                 for (const order of orders) {
                     if (order.kind === OrderKind.Start) {
-                        this.context.results.release(order.run);
+                        this.context.results.withdraw(order.run);
                     }
                 }
                 trialPlanner.closeTrials(suspects);
@@ -243,6 +245,7 @@
             worker.pacePlannedAtMs = -Infinity;
         }
         const run = Run.create(task, worker, number, nowMs);
+        run.waitedSinceMs = task.readySinceMs;
         run.ticket = task.step.permits?.ticketFor(worker, nowMs);
         if (worker.heldFor === task.step) {
             this.held.release(worker);
