Wait for each late start of a task separately

A caller would see a task run on two workers at the same time after both workers to which it had been sent started again.

Cause: the wait for a late start was kept in the same time as the delays after refused and failed runs, and each of them replaced it. The confirmed stop on one restarted worker ended the wait for a start on another one as well, and a refused start set the time to 50 ms from now.

Evidence: worker-incarnations > a task waits for each of its late starts, and > a refused start does not end the wait for a late start. Before, "not ok 2 - w2 may still carry out its start" and "not ok 1 - w1 may still carry out its start": the task was planned on a third worker.

The task now keeps the ends of these waits by worker, apart from the other delays, and starts when all of them are over.

--- a/packages/jobs/src/diagnose-lasting-wait.ts
+++ b/packages/jobs/src/diagnose-lasting-wait.ts
@@ -111,7 +111,7 @@
             service === undefined
                 ? LastingWaitReason.NoRule
                 : findReason(task, service, candidates, context, nowMs),
-        delayMs: nowMs < task.notBeforeMs ? Math.round(task.notBeforeMs - nowMs) : undefined,
+        delayMs: nowMs < task.startableAtMs ? Math.round(task.startableAtMs - nowMs) : undefined,
         processors: step.reservation.processors,
         reachable: reachable.length,
         suitable: suitable.length,
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -174,7 +174,7 @@
             const { stopConfirmedAtMs, isOver, run } = start;
             if (!isOver && stopConfirmedAtMs !== undefined && stopConfirmedAtMs < times.sentAtMs) {
                 worker.setLateStart(name, { ...start, isOver: true });
-                run.task.notBeforeMs = times.nowMs;
+                run.task.endWaitForLateStart(worker.entry.id);
             }
         }
     }
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -82,8 +82,7 @@
             // Its deadline is a time of the earlier incarnation's clock, which the worker shortens to its maximum.
             const leaseEndsAtMs = start.expiresAtMs + maxLeaseDurationMs(this.limits.maxLeaseMs);
             worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, leaseEndsAtMs);
-            const { task } = start.run;
-            task.notBeforeMs = Math.max(task.notBeforeMs, start.expiresAtMs);
+            start.run.task.waitForLateStart(worker.entry.id, start.expiresAtMs);
         });
     }
 
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -20,8 +20,10 @@
     notRunningSinceMs: number | undefined;
     /** Number of times that the task was migrated to another worker. */
     migrationCount = 0;
-    /** Monotonic time before which the task is not started again. */
+    /** Monotonic time before which the task is not started again, late starts aside. */
     notBeforeMs = 0;
+    /** Ends of the waits for late starts, in monotonic time, by worker id; undefined if there was none. */
+    private lateStartEndsMs: Map<string, number> | undefined;
 
     private constructor(
         readonly step: Step,
@@ -37,6 +39,24 @@
         return this.done;
     }
 
+    /** Monotonic time before which the task is not started, according to what is known now. */
+    get startableAtMs(): number {
+        return this.lateStartEndsMs === undefined
+            ? this.notBeforeMs
+            : Math.max(this.notBeforeMs, ...this.lateStartEndsMs.values());
+    }
+
+    /** Keeps the task from starting until `untilMs`, because the worker may carry out an earlier start until then. */
+    waitForLateStart(workerId: string, untilMs: number): void {
+        this.lateStartEndsMs ??= new Map();
+        this.lateStartEndsMs.set(workerId, untilMs);
+    }
+
+    /** Ends the wait for the late start on one worker; those on others go on. */
+    endWaitForLateStart(workerId: string): void {
+        this.lateStartEndsMs?.delete(workerId);
+    }
+
     markDone(): void {
         if (!this.done) {
             this.done = true;
--- a/packages/jobs/tests/worker-incarnations.test.ts
+++ b/packages/jobs/tests/worker-incarnations.test.ts
@@ -1,6 +1,8 @@
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
 import { JobState } from "../src/job-state.js";
+import type { Run } from "../src/run.js";
+import { StartOutcome } from "../src/start-outcome.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
 const OldStartMs = 100;
@@ -112,3 +114,60 @@
     t.equal(worker.runs.size, 1);
     t.end();
 });
+
+/** A task whose first start got no answer and was stopped on w1, and whose second start is in flight to w2. */
+const startedTwice = (): { harness: SchedulerHarness; first: Run; second: Run } => {
+    const harness = SchedulerHarness.create();
+    const { responses } = harness.scheduler;
+    const w1 = harness.addWorker("w1", { startedAtMs: OldStartMs });
+    harness.submit({});
+    const [first] = harness.planStarts();
+    if (first === undefined) {
+        throw new Error("the task was not started on w1");
+    }
+    responses.recordStart(first, StartOutcome.Unknown);
+    responses.recordStop(w1, first.task.name, first.number);
+    harness.clock.advance(10);
+    harness.reportListing(w1, [], []);
+    harness.scheduler.noteUnreachable(w1);
+    harness.addWorker("w2", { startedAtMs: OldStartMs });
+    const [second] = harness.planStarts();
+    if (second === undefined) {
+        throw new Error("the task was not started on w2");
+    }
+    return { harness, first, second };
+};
+
+// Guards against a task that runs twice: two restarted workers may each carry out a start of it, and the confirmed stop
+// on one of them ended the wait for both.
+t.test("a task waits for each of its late starts", t => {
+    const { harness, first, second } = startedTwice();
+    const [w1, w2] = ["w1", "w2"].map(id => harness.addWorker(id, { startedAtMs: NewStartMs }));
+    harness.addWorker("w3");
+    t.same(harness.planStarts(), [], "both workers may carry out a start");
+    if (w1 !== undefined) {
+        harness.scheduler.responses.recordStop(w1, first.task.name, first.number);
+        harness.clock.advance(10);
+        harness.reportListing(w1, [], []);
+    }
+    t.same(harness.planStarts(), [], "w2 may still carry out its start");
+    if (w2 !== undefined) {
+        harness.scheduler.responses.recordStop(w2, second.task.name, second.number);
+        harness.clock.advance(10);
+        harness.reportListing(w2, [], []);
+    }
+    t.equal(harness.planStarts().length, 1, "no start is left");
+    t.end();
+});
+
+// Guards against a task that runs twice: a refused start replaced the time until which a late start on another worker,
+// which had started again meanwhile, may be carried out.
+t.test("a refused start does not end the wait for a late start", t => {
+    const { harness, second } = startedTwice();
+    harness.addWorker("w1", { startedAtMs: NewStartMs });
+    harness.scheduler.responses.recordStart(second, StartOutcome.Refused);
+    harness.addWorker("w3");
+    harness.clock.advance(1_000);
+    t.same(harness.planStarts(), [], "w1 may still carry out its start");
+    t.end();
+});
