Complete a task by the end of an earlier run although a later one exists

A caller would see a task whose work was done start once more, after its worker was told to forget that end.

Cause: with a later run of the task, the end as done of an earlier one was acknowledged and had no effect.

Evidence: listed-ends > a task is done by the end of an earlier run although a later run exists.

The end marks the task done, which is stored before the end is acknowledged, and the later run is stopped as unwanted. The line end-ignored and its counter stay as they were: they tell that the work was done besides the current run.

--- a/packages/jobs/src/end-observer.ts
+++ b/packages/jobs/src/end-observer.ts
@@ -5,8 +5,8 @@
 
 /** Callbacks that receive the ends of runs. */
 export interface EndObserver {
-    /** Called for each end of a run that is applied to its task. */
+    /** Called for each end of a run that is applied to its task as that of its current run. */
     readonly onApplied?: (task: Task, worker: WorkerIncarnation, end: RunEnd) => void;
-    /** Called for each listed end that is not applied to its task. */
+    /** Called for each listed end that is not the end of its task's current run. */
     readonly onIgnored?: (worker: WorkerIncarnation, end: IgnoredEnd) => void;
 }
--- a/packages/jobs/src/find-ignore-reason.ts
+++ b/packages/jobs/src/find-ignore-reason.ts
@@ -18,8 +18,8 @@
 };
 
 /**
- * Returns why a listed end is not applied to its task. Undefined if it is applied, or has no effect because its job
- * was cancelled or has failed. `run` is the run that ended, if the owner knows it.
+ * Returns why a listed end is not that of its task's current run. Undefined if it is applied as such, or has no effect
+ * because its job was cancelled or has failed. `run` is the run that ended, if the owner knows it.
  */
 export const findIgnoreReason = (
     jobs: JobRegistry,
--- a/packages/jobs/src/ignored-end.ts
+++ b/packages/jobs/src/ignored-end.ts
@@ -1,7 +1,7 @@
 import type { IgnoreReason } from "./ignore-reason.js";
 import type { ListedEnd } from "./listed-end.js";
 
-/** The end of a run in a worker's listing that is not applied to its task. */
+/** The end of a run in a worker's listing that is not the end of its task's current run. */
 export interface IgnoredEnd extends ListedEnd {
     readonly reason: IgnoreReason;
     /**
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -94,6 +94,8 @@
         } else if (end.kind === EndKind.Failed) {
             // Workers are read in any order, so a failure may be listed after a later run; it still counts.
             this.results.countFailure(task, end.number, times.wallMs);
+        } else if (end.kind === EndKind.Done) {
+            this.results.completeByEarlierRun(task, times.wallMs);
         }
     }
 
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -42,8 +42,8 @@
     }
 
     /**
-     * Removes a run from its worker and, if it is the task's current run, applies its end. A task that has no current
-     * run is done by the end of any of its runs.
+     * Removes a run from its worker and, if it is the task's current run, applies its end. A task is done by the end of
+     * any of its runs.
      */
     finish(run: Run, end: RunEnd, times: EndTimes): void {
         const isCurrent = run.task.run === run;
@@ -57,6 +57,20 @@
         }
         if (isCurrent || completesTask) {
             this.apply(run.task, run.worker, end, times);
+        } else if (end.kind === EndKind.Done) {
+            this.completeByEarlierRun(run.task, times.wallMs);
+        }
+    }
+
+    /**
+     * Marks a task done that has a later run by now, which is then stopped. The end of the earlier run is acknowledged, so
+     * the task must not start once more if the later run does not end as done.
+     */
+    completeByEarlierRun(task: Task, wallMs: number): void {
+        const { job } = task.step.occurrence;
+        if (!task.step.spec.lasting && job.endState === undefined && !task.isDone) {
+            this.jobs.markChanged(job);
+            this.applyDone(task, wallMs);
         }
     }
 
--- a/packages/jobs/tests/listed-ends.test.ts
+++ b/packages/jobs/tests/listed-ends.test.ts
@@ -3,6 +3,7 @@
 import { JobState } from "../src/job-state.js";
 import type { ListedEnd } from "../src/listed-end.js";
 import type { ListedRun } from "../src/listed-run.js";
+import { OrderKind } from "../src/order-kind.js";
 import { StartOutcome } from "../src/start-outcome.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -72,6 +73,39 @@
     t.end();
 });
 
+// Guards against a start after an acknowledged end: the task had a later run when the end was listed, and that run did
+// not end as done.
+t.test("a task is done by the end of an earlier run although a later run exists", t => {
+    for (const isListed of [false, true]) {
+        const harness = SchedulerHarness.create();
+        const silent = harness.addWorker("silent");
+        const spec = harness.submit({ count: 2 });
+        t.equal(harness.planAndStartAll().length, 2);
+        const name = `${spec.id}.0.0.0`;
+        harness.scheduler.noteUnreachable(silent);
+        harness.clock.advance(SchedulerHarness.inheritedLeaseDurationMs);
+        harness.addWorker("w2");
+        const second = harness.planAndStartAll().find(({ task }) => task.name === name);
+        if (isListed) {
+            harness.reportListing(silent, [row(name)], []);
+        }
+        harness.reportListing(silent, [], [doneEnd(name)]);
+        t.ok(
+            harness.planOrders().some(order => order.kind === OrderKind.Stop && order.task === name),
+            "the later run is stopped",
+        );
+        if (second !== undefined) {
+            harness.reportEnd(second, EndKind.Failed);
+        }
+        harness.clock.advance(1_000);
+        t.notOk(
+            harness.planStarts().some(({ task }) => task.name === name),
+            "the task does not start again",
+        );
+    }
+    t.end();
+});
+
 // Guards against a gang that starts again after the end of one of its members, which stands for all of them, was
 // acknowledged.
 t.test("the end of one member completes a gang, whichever members have lost their worker", t => {
