--- a/packages/jobs/src/end-observer.ts
+++ b/packages/jobs/src/end-observer.ts
@@ -6,9 +6,9 @@
 
 /** Callbacks that receive the ends of runs. */
 export interface EndObserver {
-    /** Called for each end of a run that is applied to its task. */
+    /** Called for each end of a run that is applied to its task as that of its current run. */
     readonly onApplied?: (task: Task, worker: WorkerIncarnation, end: RunEnd) => void;
-    /** Called for each listed end that is not applied to its task. */
+    /** Called for each listed end that is not the end of its task's current run. */
     readonly onIgnored?: (worker: WorkerIncarnation, end: IgnoredEnd) => void;
     /** Called for each change of the suspicion that a task crashes its workers; `workerKey` is the worker concerned. */
     readonly onSuspicion?: (task: Task, workerKey: string, change: SuspicionChange) => void;
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -101,6 +101,8 @@
         } else if (end.kind === EndKind.Failed) {
             // Workers are read in any order, so a failure may be listed after a later run; it still counts.
             this.results.countFailure(task, end.number, times.wallMs);
+        } else if (end.kind === EndKind.Done) {
+            this.results.completeByEarlierRun(task, times.wallMs);
         }
     }
 
@@ -183,7 +185,7 @@
             const { stopConfirmedAtMs, isOver, run } = start;
             if (!isOver && stopConfirmedAtMs !== undefined && stopConfirmedAtMs < times.sentAtMs) {
                 worker.setLateStart(name, { ...start, isOver: true });
-                run.task.notBeforeMs = times.nowMs;
+                run.task.endWaitForLateStart(worker.entry.id);
             }
         }
     }
