Say that a lasting task waits for a trial, and for which worker

`no-answer` and `workers-unread` did not name the worker that owes the answer, or how many workers the job waits for.

`lasting-wait` has the reason `trial` and the fields `worker` and `unread`. No decision is changed. The test of the reasons fails on the old code, which has no such reason and reports `next-plan`.

--- a/packages/dispatch/tests/load-reporter.test.ts
+++ b/packages/dispatch/tests/load-reporter.test.ts
@@ -104,6 +104,8 @@
         waitedMs: 2_500,
         reason: LastingWaitReason.NoCapacity,
         delayMs: undefined,
+        worker: undefined,
+        unread: undefined,
         processors: 8,
         reachable: 3,
         suitable: 2,
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -83,8 +83,9 @@
             results,
             trialPlanner,
         });
-        const isBlocked = (job: string): boolean => this.previousOwners.mayHaveRuns(job);
-        this.lastingWaits = LastingWaits.create({ clock, jobs, fleet, rules, effects, isBlocked });
+        const unreadWorkersFor = (job: string): number =>
+            this.previousOwners.mayHaveRuns(job) ? this.previousOwners.unreadWorkerKeys.size : 0;
+        this.lastingWaits = LastingWaits.create({ clock, jobs, fleet, rules, effects, unreadWorkersFor });
     }
 
     static create(
--- a/packages/jobs/src/diagnose-lasting-wait.ts
+++ b/packages/jobs/src/diagnose-lasting-wait.ts
@@ -17,8 +17,8 @@
     readonly fleet: WorkerFleet;
     readonly rules: QueueRules;
     readonly effects: NeighbourEffects;
-    /** Whether tasks of a job may be running on workers that a previous owner used. */
-    readonly isBlocked: (job: string) => boolean;
+    /** Workers of previous owners that are not read and on which tasks of a job may be running. */
+    readonly unreadWorkersFor: (job: string) => number;
 }
 
 /** The workers that are left after each condition for a start. */
@@ -42,14 +42,14 @@
     task: Task,
     service: string,
     { reachable, suitable, withCapacity, permitted }: Candidates,
-    { effects, isBlocked }: DiagnosisContext,
+    { effects, unreadWorkersFor }: DiagnosisContext,
     nowMs: number,
 ): LastingWaitReason => {
     const { step } = task;
     if (task.run !== undefined) {
         return LastingWaitReason.NoAnswer;
     }
-    if (isBlocked(step.occurrence.job.spec.id)) {
+    if (unreadWorkersFor(step.occurrence.job.spec.id) > 0) {
         return LastingWaitReason.Unread;
     }
     if (!isReady(task, nowMs)) {
@@ -79,6 +79,9 @@
             return LastingWaitReason.PoorFit;
         }
     }
+    if (task.suspicion > 0) {
+        return LastingWaitReason.Trial;
+    }
     return step.spec.gang ? LastingWaitReason.Gang : LastingWaitReason.NextPlan;
 };
 
@@ -112,6 +115,8 @@
                 ? LastingWaitReason.NoRule
                 : findReason(task, service, candidates, context, nowMs),
         delayMs: nowMs < task.startableAtMs ? Math.round(task.startableAtMs - nowMs) : undefined,
+        worker: task.run?.worker.entry.id,
+        unread: context.unreadWorkersFor(step.occurrence.job.spec.id) || undefined,
         processors: step.reservation.processors,
         reachable: reachable.length,
         suitable: suitable.length,
--- a/packages/jobs/src/lasting-wait-reason.ts
+++ b/packages/jobs/src/lasting-wait-reason.ts
@@ -20,6 +20,8 @@
     PoorFit: "poor-fit",
     /** The workers with capacity keep it for the images of a serving task that has just ended there. */
     KeptForSameImages: "same-images",
+    /** It is suspected to crash its workers, and starts only in a trial, of which there are few at a time. */
+    Trial: "trial",
     /** The members of its gang do not fit at the same time. */
     Gang: "gang",
     /** A worker would get it if a plan were made now. */
--- a/packages/jobs/src/lasting-wait.ts
+++ b/packages/jobs/src/lasting-wait.ts
@@ -8,6 +8,10 @@
     readonly reason: LastingWaitReason;
     /** Time until it may start, in milliseconds; undefined if it may start now. */
     readonly delayMs: number | undefined;
+    /** Worker that has not confirmed its start; undefined if no start is on its way. */
+    readonly worker: string | undefined;
+    /** Workers of previous owners that have not listed their runs, if its job waits for them; otherwise undefined. */
+    readonly unread: number | undefined;
     /** Processors that it reserves. */
     readonly processors: number;
     /** Workers of its service that accept starts. */
--- a/packages/jobs/src/lasting-waits.ts
+++ b/packages/jobs/src/lasting-waits.ts
@@ -22,7 +22,8 @@
     readonly fleet: WorkerFleet;
     readonly rules: QueueRules;
     readonly effects: NeighbourEffects;
-    readonly isBlocked: (job: string) => boolean;
+    /** Workers of previous owners that are not read and on which tasks of a job may be running. */
+    readonly unreadWorkersFor: (job: string) => number;
 }
 
 /** Reports the lasting tasks that have been without a run for long, and why. It changes no decision. */
--- a/packages/jobs/tests/lasting-waits.test.ts
+++ b/packages/jobs/tests/lasting-waits.test.ts
@@ -10,6 +10,8 @@
 
 /** Longer than the time after which a wait is reported. */
 const LongWaitMs = 2_500;
+/** Longer than a lease with its margins. */
+const LeaseOverMs = 7_000;
 
 const resources = (processors: number): Resources => Resources.create({ processors, memoryMb: 100 });
 const lasting: Partial<StepSpec> = { lasting: true, resources: resources(8) };
@@ -58,7 +60,7 @@
             startUnanswered(harness);
             return waitLong(harness);
         },
-        evidence: { reachable: 1, suitable: 0 },
+        evidence: { reachable: 1, suitable: 0, worker: "w1", unread: undefined },
     },
     {
         reason: LastingWaitReason.Unread,
@@ -69,7 +71,7 @@
             harness.planStarts();
             return waitLong(harness);
         },
-        evidence: { withCapacity: 1, maxFree: 16 },
+        evidence: { withCapacity: 1, maxFree: 16, unread: 1 },
     },
     {
         reason: LastingWaitReason.Delayed,
@@ -159,6 +161,21 @@
         },
         evidence: { withCapacity: 1, maxFree: 8 },
     },
+    {
+        reason: LastingWaitReason.Trial,
+        run: harness => {
+            const lost = harness.addWorker("w1");
+            harness.submit(lasting);
+            harness.planAndStartAll();
+            harness.scheduler.noteUnreachable(lost);
+            harness.clock.advance(LeaseOverMs);
+            harness.addWorker("w2");
+            harness.scheduler.plan();
+            harness.clock.advance(LongWaitMs);
+            return harness.scheduler.lastingWaits.take();
+        },
+        evidence: { withCapacity: 1, maxFree: 16, worker: undefined },
+    },
     {
         reason: LastingWaitReason.Gang,
         run: harness => {
