Suspect no task that a new owner found running of crashing its worker

Callers saw lasting tasks without a run for up to 20 s beside free capacity (LOST) when workers crashed within a second of a change of owner.

Cause: a new owner counts the runs that it finds as started at that moment. Of a worker that is lost within a second of that, all tasks counted as just started, and each was suspected of the crash. Suspected tasks start in trials, one for six workers, so tens of them waited for each other.

A run that was found on its worker had started under the previous owner, and the worker has survived that. It is not blamed any more.

The first test failed before (3 tasks wait for trials); the second holds at once.

--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -139,6 +139,7 @@
     /** Adopts a run of a previous owner as the task's current run, unless the task is done or has a later run. */
     private adopt(worker: WorkerIncarnation, task: Task, listedRun: ListedRun, times: ListingTimes): void {
         const run = Run.create(task, worker, listedRun.number, times.nowMs);
+        run.isAdopted = true;
         worker.add(run);
         const isWanted = task.run === undefined && !task.isDone && listedRun.number >= task.lastRun;
         if (isWanted) {
--- a/packages/jobs/src/run.ts
+++ b/packages/jobs/src/run.ts
@@ -15,6 +15,8 @@
     confirmedAtMs = 0;
     /** Whether the worker has listed the run, so that it belongs to this incarnation of the worker. */
     isListed = false;
+    /** Whether a previous owner ordered the start, so that `startedAtMs` is the time at which this owner found the run. */
+    isAdopted = false;
     /** Reason to stop this run; undefined if none was set. */
     stopReason: StopReason | undefined;
     /** Monotonic time of the last stop order; 0 if none was sent. */
--- a/packages/jobs/src/worker-loss.ts
+++ b/packages/jobs/src/worker-loss.ts
@@ -13,9 +13,12 @@
     run.stopConfirmedAtMs === 0 &&
     run.task.step.occurrence.job.endState === undefined;
 
-/** An unconfirmed start may have been carried out at any time since. */
+/**
+ * An unconfirmed start may have been carried out at any time since. A run that was found on its worker has started under
+ * the previous owner, and the worker has survived that.
+ */
 const mayHaveJustStarted = (run: Run, lostAtMs: number): boolean =>
-    run.phase !== RunPhase.Running || lostAtMs - run.startedAtMs < recentStartMs;
+    run.phase !== RunPhase.Running || (!run.isAdopted && lostAtMs - run.startedAtMs < recentStartMs);
 
 /** A worker that crashed, or that seems to have crashed, and the tasks that may be the cause. */
 export class WorkerLoss {
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -78,6 +78,43 @@
     t.end();
 });
 
+// Guards against all tasks of a worker waiting for trials although they had run there for long: a new owner counts the
+// runs that it finds from the time at which it finds them.
+t.test("a task that a new owner found running starts again at once when its worker is lost", t => {
+    const harness = SchedulerHarness.create(2);
+    const spec = harness.makeJob({ count: 3, lasting: true });
+    harness.inherit(spec);
+    const [found, other] = ["w1", "w2"].map(id => addWorker(harness, id));
+    if (found === undefined || other === undefined) {
+        throw new Error("expected two workers");
+    }
+    const running = [0, 1, 2].map(index => ({
+        task: `${spec.id}.0.0.${index}`,
+        number: 1,
+        checkpoint: "",
+        progressPercent: 100,
+        gauge: 0,
+    }));
+    harness.reportListing(found, running, []);
+    lose(harness, found);
+    heartbeat(harness, other);
+    t.equal(harness.planAndStartAll().length, running.length);
+    t.end();
+});
+
+// Guards against a task that crashes workers without a limit because a new owner excuses what it starts itself.
+t.test("a task that a new owner started just before its worker was lost is suspected", t => {
+    const harness = SchedulerHarness.create(2);
+    harness.inherit(harness.makeJob({}));
+    const worker = addWorker(harness, "w1");
+    harness.scheduler.noteLeaseExtension(worker);
+    const run = startOne(harness);
+    lose(harness, worker);
+    harness.planOrders();
+    t.equal(run?.task.suspicion, 1);
+    t.end();
+});
+
 // Guards against a job that is given up because its workers were only cut off.
 t.test("a worker that answers again has not crashed", t => {
     const harness = SchedulerHarness.create();
