Give a start without a response up when the lease of its worker is over

Cause: an order without a response may be carried out up to 12 s late, and what it starts holds a lease, so the task waited for both. Only a confirmed stop ended that wait, and a worker that is gone confirms none. But a start carries an absolute deadline: when the lease of a silent worker is over, so is the deadline of each start that was sent to it, and the worker refuses it.

The start is now given up together with the runs of the worker. If the worker answers again within the 12 s, its lease is not extended and nothing starts there until it has confirmed the stop, so that it does not matter whether a worker compares the deadline of the start or its lease. Its resources stay reserved, as before. A worker that has started again is treated as before.

The new tests failed before: nothing was planned when the lease was over, and a heartbeat after a cut extended the lease.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -254,14 +254,16 @@
     }
 
     /**
-     * End of a lease that begins now, on the worker's clock; undefined while that clock is not known. A reading older
+     * End of a lease that begins now, on the worker's clock; undefined while that clock is not known, and while the lease
+     * must not be extended. A reading older
      * than a lease, which only a suspended process has, may be further ahead of a slow clock than leases are counted.
      */
     private leaseDeadlineMs(): number | undefined {
         const { clock, leaseMs } = this.context;
         const nowMs = clock.nowMs();
-        return this.clockOffsetMs === undefined || nowMs - this.clockReadAtMs > leaseMs
-            ? undefined
-            : Math.floor(nowMs + this.clockOffsetMs + leaseMs);
+        if (this.clockOffsetMs === undefined || nowMs - this.clockReadAtMs > leaseMs) {
+            return undefined;
+        }
+        return this.worker.mayExtendLease ? Math.floor(nowMs + this.clockOffsetMs + leaseMs) : undefined;
     }
 }
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -4,6 +4,7 @@
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
 import { OrderKind } from "@samphireward/jobs/order-kind";
+import { StopReason } from "@samphireward/jobs/stop-reason";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
 import type { WorkerListing } from "@samphireward/jobs/worker-listing";
 import { Err, Ok } from "ts-results-es";
@@ -77,6 +78,32 @@
     link.close();
 });
 
+// Guards against a task that runs twice: a worker that was cut off for longer than its lease would carry out a start that
+// was given up, once a heartbeat extends the lease.
+t.test("heartbeats extend no lease until the start that was given up is stopped", async t => {
+    const { clock, scheduler, worker, client, link } = createLink();
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 0 }));
+    scheduler.addJob(oneTaskJob);
+    const [order] = scheduler.plan();
+    t.equal(order?.kind, OrderKind.Start);
+    await nextHeartbeat(client);
+    await client.answerHeartbeat(Err(OrderFailure.Unknown));
+    clock.advance(2 * cellLimits.maxLeaseMs);
+    scheduler.plan();
+    t.equal(worker.runs.size, 0, "its lease is over");
+    for (const deadlineMs of [undefined, undefined]) {
+        await nextHeartbeat(client);
+        t.equal(client.heartbeats.at(-1)?.deadlineMs, deadlineMs);
+        await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 0 }));
+    }
+    if (order?.kind === OrderKind.Start) {
+        await link.stop(order.run.task.name, order.run.number, StopReason.LateStart);
+    }
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, cellLimits.leaseMs);
+    link.close();
+});
+
 // Guards against starts by the capacity of the earlier incarnation: a worker may start again with less, and its heartbeat
 // shows the restart before its registration is read.
 t.test("nothing starts on a restarted worker before its registration is read", async t => {
--- a/packages/jobs/src/accepts-starts.ts
+++ b/packages/jobs/src/accepts-starts.ts
@@ -9,6 +9,7 @@
         worker.isRegistered &&
         worker.isReachable &&
         worker.hasListedRuns &&
+        worker.mayExtendLease &&
         !worker.isStartBlocked
     );
 };
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -25,7 +25,6 @@
 import type { QueueRule } from "./queue-rule.js";
 import { QueueRules } from "./queue-rules.js";
 import { computeCellLoad } from "./compute-cell-load.js";
-import { RunPhase } from "./run-phase.js";
 import { RunResults } from "./run-results.js";
 import { StartPlanner } from "./start-planner.js";
 import { stopOrders } from "./stop-orders.js";
@@ -243,7 +242,7 @@
         for (const worker of [...this.fleet.workers]) {
             if (!worker.isReachable && nowMs > worker.leaseEndsAtMs + this.limits.stopMs) {
                 this.suspicions.noteLoss(worker, nowMs);
-                this.releaseRunsOf(worker, nowMs);
+                this.releaseRunsOf(worker);
                 // The worker may register again under its id while a late start can still reach it.
                 if (!worker.isRegistered && worker.runs.size === 0 && worker.lateStarts.size === 0) {
                     this.fleet.remove(worker);
@@ -262,14 +261,11 @@
         this.trials.closeFinished();
     }
 
-    private releaseRunsOf(worker: WorkerIncarnation, nowMs: number): void {
+    /** Starts without a response are given up as well: workers refuse a start after its deadline, which is in the lease. */
+    private releaseRunsOf(worker: WorkerIncarnation): void {
         for (const run of [...worker.runs.values()]) {
-            const mayStillStart =
-                run.phase !== RunPhase.Running &&
-                nowMs < run.startedAtMs + this.limits.lateOrderMs + this.limits.leaseMs;
-            if (!mayStillStart) {
-                this.results.lapse(run, EndReason.LeaseOver, this.times());
-            }
+            this.responses.giveUpStart(run);
+            this.results.lapse(run, EndReason.LeaseOver, this.times());
         }
     }
 
--- a/packages/jobs/src/late-start.ts
+++ b/packages/jobs/src/late-start.ts
@@ -5,6 +5,8 @@
     readonly run: Run;
     /** Monotonic time after which it can no longer be carried out. */
     readonly expiresAtMs: number;
+    /** Whether the lease of its worker is over, so that the task may run elsewhere. */
+    readonly isGivenUp: boolean;
     /** Monotonic time of the last stop order for it; 0 if none was sent. */
     readonly stopSentAtMs: number;
     /**
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -86,11 +86,19 @@
         });
     }
 
-    private trackLateStart(run: Run): void {
+    /** Gives up a start that was not confirmed before the lease was over; it is stopped if the worker answers again. */
+    giveUpStart(run: Run): void {
+        if (run.phase !== RunPhase.Running) {
+            this.trackLateStart(run, true);
+        }
+    }
+
+    private trackLateStart(run: Run, isGivenUp = false): void {
         const untilMs = this.clock.nowMs() + this.limits.lateOrderMs;
         run.worker.setLateStart(run.task.name, {
             run,
             expiresAtMs: untilMs,
+            isGivenUp,
             ...unconfirmed,
         });
     }
--- a/packages/jobs/src/stop-orders.ts
+++ b/packages/jobs/src/stop-orders.ts
@@ -91,7 +91,8 @@
         if (worker.orphanRuns.size > 0) {
             orders.push(...stopOrphanRuns(worker, nowMs));
         }
-        if (worker.lateStarts.size > 0) {
+        // The deadline of the starts holds for a lost worker; it gets their stops once it answers.
+        if (worker.lateStarts.size > 0 && !worker.isLost) {
             orders.push(...stopLateStarts(worker, nowMs));
         }
     }
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -176,6 +176,19 @@
         return total;
     }
 
+    /**
+     * Whether calls may extend the lease. With a new lease the worker could carry out a late start of a task that runs
+     * elsewhere by now, so the stop of such a start has to be confirmed first.
+     */
+    get mayExtendLease(): boolean {
+        for (const [task, { run, isGivenUp, stopConfirmedAtMs }] of this.lateStarts) {
+            if (isGivenUp && stopConfirmedAtMs === undefined && this.runs.get(task)?.number !== run.number) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Whether another task is on trial here. */
     hasTrialOfOther(task: Task): boolean {
         return this.trialTask !== undefined && this.trialTask !== task;
--- a/packages/jobs/tests/worker-reservation.test.ts
+++ b/packages/jobs/tests/worker-reservation.test.ts
@@ -49,6 +49,7 @@
 const lateStart = (run: Run, isOver: boolean): LateStart => ({
     run,
     expiresAtMs: 1,
+    isGivenUp: false,
     stopSentAtMs: 0,
     stopConfirmedAtMs: undefined,
     isOver,
