Count the leases that the previous owner granted after a change of owner

Callers saw lasting tasks without a run for 10 s and more beside free capacity (LOST) when workers crashed for good within 10 s of a change of owner.

The owner knows which workers may hold more than it grants: those that have restarted with a late start, and those that it did not know when it read them. It stores their remaining leases with the roster (`leasesMs`), together with its epoch. The next owner relies on them if it follows directly, since an owner in between may have renewed leases without writing the roster; otherwise, and for rosters of older builds, it counts the longest lease as before. The roster is written again within a second after a change of owner, and when a long lease is over. Where no owner has started anything, the granted lease counts.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -116,7 +116,7 @@
             epoch,
             jobs: this.scheduler.jobs.undecidedCount,
             workers: this.scheduler.fleet.size,
-            roster: state.roster.lives.length,
+            roster: state.roster?.lives.length ?? 0,
             tookMs: Math.round(clock.nowMs() - startedAtMs),
         });
         const inputWatcher = CellInputWatcher.create({
@@ -245,14 +245,14 @@
     }
 
     /**
-     * Logs the cell's load and its long waits, and removes ended incarnations from the roster, so that the next owner does not wait for
-     * them.
+     * Logs the cell's load and its long waits, and brings the roster up to date, so that the next owner does not wait for
+     * workers that have ended.
      */
     private async runMaintenanceLoop(): Promise<void> {
         while (!this.abort.signal.aborted) {
             await sleep(MaintenanceIntervalMs, this.abort.signal);
             this.loadReporter.report(this.scheduler.load, this.scheduler.lastingWaits.take());
-            if (this.roster.hasEndedWorkers) {
+            if (this.roster.isOutdated) {
                 await this.writeRoster();
             }
         }
--- a/packages/dispatch/src/cell-state.ts
+++ b/packages/dispatch/src/cell-state.ts
@@ -11,7 +11,8 @@
     readonly setAside: ReadonlyMap<string, StoredJobProblem>;
     /** Ids of the jobs that callers cancelled. */
     readonly cancelled: readonly string[];
-    readonly roster: Roster;
+    /** Undefined if no owner has started anything yet. */
+    readonly roster: Roster | undefined;
     readonly effects: EffectsSnapshot | undefined;
     /** Revision from which a watch of the cell's input misses no change. */
     readonly revision: number;
--- a/packages/dispatch/src/read-cell-state.ts
+++ b/packages/dispatch/src/read-cell-state.ts
@@ -73,9 +73,12 @@
     return effects;
 };
 
-const decodeRoster = (item: StoredItem | undefined, onUnreadable: OnUnreadable): Roster => {
-    const roster = rosterCodec.decode(item?.value);
-    if (item !== undefined && roster === rosterCodec.unreadable) {
+const decodeRoster = (item: StoredItem | undefined, onUnreadable: OnUnreadable): Roster | undefined => {
+    if (item === undefined) {
+        return undefined;
+    }
+    const roster = rosterCodec.decode(item.value);
+    if (roster === rosterCodec.unreadable) {
         onUnreadable(item.key);
     }
     return roster;
--- a/packages/dispatch/src/roster-writer.ts
+++ b/packages/dispatch/src/roster-writer.ts
@@ -8,6 +8,7 @@
 /** Dependencies provided by the cell's owner. */
 interface RosterContext {
     readonly cell: number;
+    readonly epoch: number;
     readonly scheduler: CellScheduler;
     readonly commits: CommitLog;
     readonly log: EventLog;
@@ -21,6 +22,10 @@
     /** Keys of the workers that are listed in every roster that the store may hold now. */
     private listedKeys: ReadonlySet<string> = new Set();
     private isWriting = false;
+    /** Whether the stored roster is still the one of a previous owner, whose leases the next one cannot rely on. */
+    private isFromPreviousOwner = false;
+    /** Keys of the workers that the stored roster lists with a long lease. */
+    private longLeaseKeys: ReadonlySet<string> = new Set();
 
     private constructor(private readonly context: RosterContext) {}
 
@@ -28,10 +33,18 @@
         return new RosterWriter(context);
     }
 
-    /** Takes over the roster of the previous owner. */
-    restore({ lives, leaseMs }: Roster): void {
-        this.context.scheduler.expectInheritedWorkers(lives, leaseMs);
-        this.listedKeys = new Set(lives);
+    /** Takes over the roster of the previous owner; undefined if no owner has started anything yet. */
+    restore(roster: Roster | undefined): void {
+        const { scheduler, epoch } = this.context;
+        if (roster === undefined) {
+            scheduler.expectNoInheritedWorkers();
+            return;
+        }
+        // An owner in between, which has not written the roster, has renewed leases.
+        const leasesMs = roster.epoch === epoch - 1 ? roster.leasesMs : undefined;
+        scheduler.expectInheritedWorkers(roster.lives, roster.leaseMs, leasesMs);
+        this.listedKeys = new Set(roster.lives);
+        this.isFromPreviousOwner = true;
     }
 
     /** Blocks starts on workers that are not listed yet. Returns whether the roster has to be written for them. */
@@ -48,15 +61,26 @@
         return hasUnlisted && !this.isWriting;
     }
 
-    /** Whether the roster lists ended incarnations, for which the next owner would wait. */
-    get hasEndedWorkers(): boolean {
-        return !this.isWriting && this.context.scheduler.workerKeysToRead.length < this.listedKeys.size;
+    /** Whether the next owner would wait for ended incarnations, or for leases that are over, by the stored roster. */
+    get isOutdated(): boolean {
+        const { workerKeysToRead, longLeasesMs } = this.context.scheduler;
+        return (
+            !this.isWriting &&
+            (this.isFromPreviousOwner ||
+                workerKeysToRead.length < this.listedKeys.size ||
+                [...this.longLeaseKeys].some(key => !longLeasesMs.has(key)))
+        );
     }
 
     /** Writes the roster; one write at a time. An error means that another owner has taken over. */
     async write(): ReturnType<CommitLog["commit"]> {
-        const { cell, scheduler, commits, log } = this.context;
-        const roster = { lives: scheduler.workerKeysToRead, leaseMs: scheduler.maxGrantedLeaseMs };
+        const { cell, epoch, scheduler, commits, log } = this.context;
+        const roster = {
+            lives: scheduler.workerKeysToRead,
+            leaseMs: scheduler.maxGrantedLeaseMs,
+            leasesMs: scheduler.longLeasesMs,
+            epoch,
+        };
         const writtenKeys = new Set(roster.lives);
         const keptKeys = new Set([...this.listedKeys].filter(key => writtenKeys.has(key)));
         const hasLost = keptKeys.size < this.listedKeys.size;
@@ -68,11 +92,14 @@
         this.isWriting = false;
         if (result.isOk()) {
             this.listedKeys = writtenKeys;
+            this.longLeaseKeys = new Set(roster.leasesMs.keys());
+            this.isFromPreviousOwner = false;
         }
         log.write("roster", {
             cell,
             workers: writtenKeys.size,
             leaseMs: roster.leaseMs,
+            longLeases: roster.leasesMs.size,
             hasLost,
             isDurable: result.isOk(),
         });
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -145,7 +145,12 @@
         clients.set(id, client);
         return client;
     });
-    const roster = rosterCodec.encode({ lives: ["w1/1"], leaseMs: 0 });
+    const roster = rosterCodec.encode({
+        lives: ["w1/1"],
+        leaseMs: 0,
+        leasesMs: undefined,
+        epoch: undefined,
+    });
     store.items = [{ key: "cells/0/roster", value: roster, revision: 1 }];
     await owner.start(
         () => [queueRule("queue")],
--- a/packages/dispatch/tests/roster-writer.test.ts
+++ b/packages/dispatch/tests/roster-writer.test.ts
@@ -2,21 +2,99 @@
 import { ManualClock } from "@samphireward/core/manual-clock";
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
+import { maxLeaseDurationMs } from "@samphireward/jobs/max-lease-duration-ms";
 import t from "tap";
 import { CommitLog } from "../src/commit-log.js";
+import { rosterCodec } from "../src/roster-codec.js";
+import type { Roster } from "../src/roster.js";
 import { RosterWriter } from "../src/roster-writer.js";
 import { ManualStore } from "./manual-store.js";
 import { NullLog } from "./null-log.js";
 import { oneWorker } from "./one-worker.js";
 
-// Guards against starts on a worker that the roster lacks, and against plans that list the keys of all workers anew.
-t.test("a worker is blocked until a roster that lists it is durable", async t => {
+/** A writer of the owner with epoch 2, whose commits the store answers one by one. */
+const createWriter = (): {
+    readonly store: ManualStore;
+    readonly scheduler: CellScheduler;
+    readonly writer: RosterWriter;
+    /** Writes the roster and returns its stored form. */
+    readonly write: () => Promise<Roster | undefined>;
+} => {
     const store = ManualStore.create();
     const scheduler = CellScheduler.create(2, ManualClock.create(1_000), cellLimits);
     const { signal } = new AbortController();
     const commits = CommitLog.create(store, 0, { epoch: 2, sequence: 0 }, 1, signal);
-    const writer = RosterWriter.create({ cell: 0, scheduler, commits, log: NullLog.create() });
-    writer.restore({ lives: ["old/1"], leaseMs: cellLimits.leaseMs });
+    const writer = RosterWriter.create({ cell: 0, epoch: 2, scheduler, commits, log: NullLog.create() });
+    const write = async (): Promise<Roster | undefined> => {
+        const written = writer.write();
+        await setImmediate();
+        await store.answerNext();
+        await written;
+        const value = store.transactions.at(-1)?.writes.find(({ key }) => key === "cells/0/roster")?.value;
+        return value === undefined ? undefined : rosterCodec.decode(value);
+    };
+    return { store, scheduler, writer, write };
+};
+
+/** Time for which the scheduler takes the lease of a worker that it has just read. */
+const leaseAfterListingMs = (scheduler: CellScheduler): number => {
+    const worker = scheduler.registerWorker(oneWorker);
+    const { startedAtMs } = oneWorker;
+    scheduler.noteListing(worker, { startedAtMs, running: [], ended: [], isPartial: false }, 1_000);
+    return worker.leaseEndsAtMs - 1_000;
+};
+
+const key = `${oneWorker.id}/${oneWorker.startedAtMs}`;
+const { leaseMs } = cellLimits;
+
+// Guards against a new owner that relies on leases which an owner in between has extended, and against lasting tasks that
+// wait for the longest lease although the previous owner has stored the leases that it granted.
+t.test("stored leases count if the previous owner has written them", t => {
+    const table: [name: string, roster: Roster | undefined, leaseMs: number][] = [
+        ["by the previous owner", { lives: [key], leaseMs, leasesMs: new Map(), epoch: 1 }, leaseMs],
+        [
+            "by an earlier owner",
+            { lives: [key], leaseMs, leasesMs: new Map(), epoch: 0 },
+            cellLimits.maxLeaseMs,
+        ],
+        [
+            "by an older build",
+            { lives: [key], leaseMs, leasesMs: undefined, epoch: undefined },
+            cellLimits.maxLeaseMs,
+        ],
+        ["no roster", undefined, leaseMs],
+    ];
+    for (const [name, roster, longestLeaseMs] of table) {
+        const { scheduler, writer } = createWriter();
+        writer.restore(roster);
+        t.equal(leaseAfterListingMs(scheduler), maxLeaseDurationMs(longestLeaseMs), name);
+    }
+    t.end();
+});
+
+// Guards against a second change of owner after which the longest lease is counted, or a lease that is over by then.
+t.test("the roster is written after a change of owner, and when a long lease is over", async t => {
+    const { scheduler, writer, write } = createWriter();
+    t.notOk(writer.isOutdated);
+    writer.restore({ lives: [key], leaseMs, leasesMs: new Map([[key, 9_000]]), epoch: 1 });
+    t.ok(writer.isOutdated, "it is the one of the previous owner");
+    leaseAfterListingMs(scheduler);
+    t.match(await write(), { lives: [key], epoch: 2, leasesMs: new Map([[key, 9_000]]) });
+    t.notOk(writer.isOutdated);
+    const worker = scheduler.fleet.get(oneWorker.id);
+    if (worker !== undefined) {
+        worker.leaseEndsAtMs = 2_000;
+    }
+    t.ok(writer.isOutdated, "the lease is over soon");
+    t.equal((await write())?.leasesMs?.size, 0);
+    t.notOk(writer.isOutdated);
+    t.end();
+});
+
+// Guards against starts on a worker that the roster lacks, and against plans that list the keys of all workers anew.
+t.test("a worker is blocked until a roster that lists it is durable", async t => {
+    const { store, scheduler, writer } = createWriter();
+    writer.restore({ lives: ["old/1"], leaseMs: cellLimits.leaseMs, leasesMs: undefined, epoch: undefined });
     t.notOk(writer.blockUnlistedWorkers(), "the stored roster lists the workers of the previous owner");
     const worker = scheduler.registerWorker(oneWorker);
     const keyLists = t.intercept(scheduler, "workerKeysToRead", { value: [...scheduler.workerKeysToRead] });
--- a/packages/dispatch/tests/stored-names.test.ts
+++ b/packages/dispatch/tests/stored-names.test.ts
@@ -30,6 +30,7 @@
     ended: '{"v":1,"progress":{"endState":"failed","endedAtMs":9,"hasStarted":true,"nextOccurrence":2,"open":[]}}',
     effects: '{"headrooms":{"web":2.5},"pairs":{"web":[["fill",0.4,0.01],["heavy",9,1.5]]}}',
     roster: '{"lives":["w1/1","w2/5"],"leaseMs":4500}',
+    rosterWithLeases: '{"lives":["w1/1","w2/5"],"leaseMs":4500,"epoch":3,"leasesMs":{"w2/5":9000}}',
 };
 
 const createScheduler = (): CellScheduler =>
@@ -62,6 +63,8 @@
         effects.restore(snapshot);
     }
     t.equal(JSON.stringify(effects.snapshot()), stored.effects);
-    t.equal(rosterCodec.encode(rosterCodec.decode(stored.roster)), stored.roster);
+    for (const roster of [stored.roster, stored.rosterWithLeases]) {
+        t.equal(rosterCodec.encode(rosterCodec.decode(roster)), roster);
+    }
     t.end();
 });
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -25,6 +25,7 @@
 import type { QueueRule } from "./queue-rule.js";
 import { QueueRules } from "./queue-rules.js";
 import { computeCellLoad } from "./compute-cell-load.js";
+import { computeLongLeasesMs } from "./compute-long-leases-ms.js";
 import { RunResults } from "./run-results.js";
 import { StartPlanner } from "./start-planner.js";
 import { stopOrders } from "./stop-orders.js";
@@ -83,7 +84,7 @@
             trialPlanner,
         });
         const unreadWorkersFor = (job: string): number =>
-            this.previousOwners.mayHaveRuns(job) ? this.previousOwners.unreadWorkerKeys.size : 0;
+            this.previousOwners.mayHaveRuns(job) ? this.previousOwners.unreadWorkers.size : 0;
         this.lastingWaits = LastingWaits.create({ clock, jobs, fleet, rules, effects, unreadWorkersFor });
     }
 
@@ -116,11 +117,21 @@
     }
 
     /**
-     * Sets the workers of previous owners, by key, and the longest lease that these owners granted. Tasks that may run
-     * on such a worker are not started elsewhere until the worker has listed its runs or the lease has expired.
+     * Sets the workers of previous owners, by key, the longest lease that these owners granted, and the remaining leases
+     * that may last longer, by key, if they are known. Tasks that may run on such a worker are not started elsewhere until
+     * the worker has listed its runs or the lease has expired.
      */
-    expectInheritedWorkers(keys: readonly string[], leaseMs?: number): void {
-        this.previousOwners.expectWorkers(keys, leaseMs);
+    expectInheritedWorkers(
+        keys: readonly string[],
+        leaseMs?: number,
+        leasesMs?: ReadonlyMap<string, number>,
+    ): void {
+        this.previousOwners.expectWorkers(keys, leaseMs, leasesMs);
+    }
+
+    /** Records that no owner of the cell has started anything before. */
+    expectNoInheritedWorkers(): void {
+        this.previousOwners.expectNone();
     }
 
     /** Longest lease that this owner or a previous one may have granted, in milliseconds. */
@@ -150,14 +161,24 @@
         return [
             ...new Set([
                 ...[...this.fleet.workers].map(worker => worker.key),
-                ...this.previousOwners.unreadWorkerKeys,
+                ...this.previousOwners.unreadWorkers.keys(),
             ]),
         ];
     }
 
     /** Keys of the workers of previous owners that have not listed their runs. */
-    get unreadWorkerKeys(): ReadonlySet<string> {
-        return this.previousOwners.unreadWorkerKeys;
+    get unreadWorkerKeys(): Iterable<string> {
+        return this.previousOwners.unreadWorkers.keys();
+    }
+
+    /** Remaining leases, in milliseconds and by key, of workers whose lease may last longer than one granted now. */
+    get longLeasesMs(): ReadonlyMap<string, number> {
+        return computeLongLeasesMs(
+            this.fleet,
+            this.previousOwners,
+            this.maxGrantedLeaseMs,
+            this.clock.nowMs(),
+        );
     }
 
     deregisterWorker(id: string): void {
@@ -179,10 +200,8 @@
         this.suspicions.noteAlive(worker);
         worker.lastContactAtMs = nowMs;
         if (!worker.hasListedRuns) {
-            // A previous owner may have extended the lease just before this listing, or a call that was sent to an earlier
-            // incarnation, whose deadline the worker shortens to its maximum.
-            const leaseMs = Math.max(this.limits.maxLeaseMs, this.previousOwners.leaseMs);
-            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, nowMs + maxLeaseDurationMs(leaseMs));
+            const endsAtMs = nowMs + this.previousOwners.leaseAtFirstListingMs(worker.key);
+            worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, endsAtMs);
         }
         this.listings.read(worker, listing, { sentAtMs, nowMs, wallMs: this.clock.wallMs() });
         this.previousOwners.noteRead(worker.key);
@@ -226,7 +245,7 @@
 
     /** Totals over the cell, for the log and the metrics. */
     get load(): CellLoad {
-        return computeCellLoad(this.jobs, this.fleet, this.previousOwners.unreadWorkerKeys.size);
+        return computeCellLoad(this.jobs, this.fleet, this.previousOwners.unreadWorkers.size);
     }
 
     /** The stored progress of the jobs tells the next owner which workers may be lost. */
@@ -255,8 +274,8 @@
     /** Counts crashes against tasks, and gives up those that have crashed too many workers. */
     private judgeLosses(nowMs: number): void {
         const wallMs = this.clock.wallMs();
-        const { unreadWorkerKeys } = this.previousOwners;
-        this.inheritedTrials.resolve(workerKey => unreadWorkerKeys.has(workerKey), wallMs);
+        const { unreadWorkers } = this.previousOwners;
+        this.inheritedTrials.resolve(workerKey => unreadWorkers.has(workerKey), wallMs);
         this.suspicions.settle(nowMs, wallMs);
         this.trials.closeFinished();
     }
--- a/packages/jobs/src/previous-owners.ts
+++ b/packages/jobs/src/previous-owners.ts
@@ -3,14 +3,25 @@
 import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import type { WorkerEntry } from "./worker-entry.js";
 
+/** Keys of the workers of the previous owner, and the remaining leases that may last longer than granted ones, by key. */
+interface KnownLeases {
+    readonly workerKeys: ReadonlySet<string>;
+    readonly longLeasesMs: ReadonlyMap<string, number>;
+}
+
 /** What previous owners of a cell may have left running: on which workers, for which jobs, and until when. */
 export class PreviousOwners {
-    /** Keys of the workers that a previous owner used and that have not listed their runs to this one. */
-    private readonly unreadKeys = new Set<string>();
-    /** Inherited jobs, whose tasks may run on a worker in `unreadKeys`. */
+    /**
+     * Workers that a previous owner used and that have not listed their runs to this one, by key, with the monotonic time
+     * at which their lease has expired.
+     */
+    private readonly unreadUntilMs = new Map<string, number>();
+    /** Inherited jobs, whose tasks may run on a worker in `unreadUntilMs`. */
     private readonly jobIds = new Set<string>();
-    private leasesEndAtMs = 0;
+    /** What is known of the leases on workers that were known before; undefined if nothing is. */
+    private knownLeases: KnownLeases | undefined;
     private grantedLeaseMs: number;
+    private isFirstOwner = false;
 
     private constructor(
         private readonly clock: Clock,
@@ -23,11 +34,29 @@
         return new PreviousOwners(clock, limits);
     }
 
-    /** Sets their workers, by key (`id/start time`), and the longest lease that they granted, in milliseconds. */
-    expectWorkers(workerKeys: readonly string[], leaseMs = this.limits.maxLeaseMs): void {
-        workerKeys.forEach(workerKey => this.unreadKeys.add(workerKey));
+    /** Records that there was no previous owner. */
+    expectNone(): void {
+        this.grantedLeaseMs = this.limits.leaseMs;
+        this.knownLeases = undefined;
+        this.isFirstOwner = true;
+    }
+
+    /**
+     * Sets their workers, by key (`id/start time`), and the longest lease that they granted, in milliseconds. `leasesMs`
+     * are the remaining leases that may last longer, by key; undefined if they are not known.
+     */
+    expectWorkers(
+        workerKeys: readonly string[],
+        leaseMs = this.limits.maxLeaseMs,
+        leasesMs?: ReadonlyMap<string, number>,
+    ): void {
+        const nowMs = this.clock.nowMs();
+        const durationMs = maxLeaseDurationMs(leaseMs);
+        for (const key of workerKeys) {
+            this.unreadUntilMs.set(key, nowMs + (leasesMs?.get(key) ?? durationMs) + this.limits.stopMs);
+        }
+        this.knownLeases = leasesMs && { workerKeys: new Set(workerKeys), longLeasesMs: leasesMs };
         this.grantedLeaseMs = workerKeys.length === 0 ? this.limits.leaseMs : leaseMs;
-        this.leasesEndAtMs = this.clock.nowMs() + maxLeaseDurationMs(leaseMs) + this.limits.stopMs;
     }
 
     addJob(id: string): void {
@@ -39,9 +68,9 @@
         return this.jobIds.has(job);
     }
 
-    /** Keys of the workers that have not listed their runs. */
-    get unreadWorkerKeys(): ReadonlySet<string> {
-        return this.unreadKeys;
+    /** Workers that have not listed their runs, by key, with the monotonic time at which their lease has expired. */
+    get unreadWorkers(): ReadonlyMap<string, number> {
+        return this.unreadUntilMs;
     }
 
     /** Longest lease that a previous owner may have granted, in milliseconds. */
@@ -49,26 +78,45 @@
         return this.grantedLeaseMs;
     }
 
+    /**
+     * Longest time for which a lease that this owner did not grant may last on a worker that lists its runs now, by this
+     * process's clock. A worker that is not known from the previous owner may hold the longest one: a start that was sent
+     * to its earlier incarnation carries a deadline by that one's clock, which the worker shortens to its maximum.
+     */
+    leaseAtFirstListingMs(key: string): number {
+        const grantedMs = maxLeaseDurationMs(this.grantedLeaseMs);
+        if (this.isFirstOwner) {
+            return grantedMs;
+        }
+        const isKnown = this.knownLeases?.workerKeys.has(key) === true;
+        const longestMs = isKnown
+            ? this.knownLeases?.longLeasesMs.get(key)
+            : maxLeaseDurationMs(this.limits.maxLeaseMs);
+        return Math.max(grantedMs, longestMs ?? 0);
+    }
+
     /** Records that a worker has listed its runs or that this incarnation has ended. */
     noteRead(workerKey: string): void {
-        this.unreadKeys.delete(workerKey);
+        this.unreadUntilMs.delete(workerKey);
     }
 
     /** Records an incarnation of a worker: the runs of its earlier incarnations have ended. */
     noteIncarnation({ id, startedAtMs }: WorkerEntry): void {
-        for (const key of this.unreadKeys) {
+        for (const key of this.unreadUntilMs.keys()) {
             if (key.startsWith(`${id}/`) && Number(key.slice(id.length + 1)) < startedAtMs) {
-                this.unreadKeys.delete(key);
+                this.unreadUntilMs.delete(key);
             }
         }
     }
 
     /** Forgets workers whose leases have expired, and the jobs once no worker is left to read. */
     expire(nowMs: number): void {
-        if (nowMs > this.leasesEndAtMs) {
-            this.unreadKeys.clear();
+        for (const [key, untilMs] of this.unreadUntilMs) {
+            if (nowMs > untilMs) {
+                this.unreadUntilMs.delete(key);
+            }
         }
-        if (this.unreadKeys.size === 0) {
+        if (this.unreadUntilMs.size === 0) {
             this.jobIds.clear();
         }
     }
--- a/packages/jobs/tests/leases.test.ts
+++ b/packages/jobs/tests/leases.test.ts
@@ -1,5 +1,7 @@
 import { Resources } from "@samphireward/core/resources";
 import t from "tap";
+import type { CellScheduler } from "../src/cell-scheduler.js";
+import { maxLeaseDurationMs } from "../src/max-lease-duration-ms.js";
 import { OrderKind } from "../src/order-kind.js";
 import type { Run } from "../src/run.js";
 import { StartOutcome } from "../src/start-outcome.js";
@@ -59,6 +61,85 @@
     t.end();
 });
 
+// Guards against lasting tasks that are not started for 10 s when their worker is lost soon after a change of owner: the
+// longest lease was counted for each worker that a new owner had just read, whatever the previous owner had granted.
+t.test("a new owner counts the leases that the previous owner may have left", t => {
+    const longest = maxLeaseDurationMs(cellLimits.maxLeaseMs);
+    const granted = maxLeaseDurationMs(cellLimits.leaseMs);
+    const { leaseMs } = cellLimits;
+    const table: [name: string, inherit: (scheduler: CellScheduler) => void, leaseMs: number][] = [
+        [
+            "a worker that the previous owner knew",
+            scheduler => scheduler.expectInheritedWorkers(["w1/1"], leaseMs, new Map()),
+            granted,
+        ],
+        [
+            "a worker that had restarted just before",
+            scheduler => scheduler.expectInheritedWorkers(["w1/1"], leaseMs, new Map([["w1/1", 6_000]])),
+            6_000,
+        ],
+        [
+            "a worker that the previous owner did not know",
+            scheduler => scheduler.expectInheritedWorkers(["w1/0"], leaseMs, new Map()),
+            longest,
+        ],
+        [
+            "a previous owner that has not stored the leases",
+            scheduler => scheduler.expectInheritedWorkers(["w1/1"], leaseMs),
+            longest,
+        ],
+        ["no previous owner", scheduler => scheduler.expectNoInheritedWorkers(), granted],
+    ];
+    for (const [name, inherit, longestLeaseMs] of table) {
+        const harness = SchedulerHarness.create(2);
+        inherit(harness.scheduler);
+        const worker = harness.addWorker("w1");
+        harness.submit({});
+        t.equal(harness.planAndStartAll().length, 1, name);
+        harness.addWorker("w2");
+        harness.scheduler.noteUnreachable(worker);
+        harness.clock.advance(longestLeaseMs + cellLimits.stopMs - 1);
+        t.same(harness.planStarts(), [], `${name}: the lease has not expired`);
+        harness.clock.advance(2);
+        t.equal(harness.planStarts().length, 1, `${name}: it has`);
+    }
+    t.end();
+});
+
+// Guards against a next owner that counts too little for a worker that has restarted, or was not read by this owner.
+t.test("leases that may last longer than granted ones are reported", t => {
+    const harness = SchedulerHarness.create(2);
+    const { scheduler } = harness;
+    scheduler.expectInheritedWorkers(["w1/1", "lost/1"], cellLimits.leaseMs, new Map([["lost/1", 9_000]]));
+    const worker = harness.addWorker("w1");
+    scheduler.noteLeaseExtension(worker);
+    harness.addUnreadWorker("w2");
+    const longest = Math.ceil(maxLeaseDurationMs(cellLimits.maxLeaseMs));
+    const lost = 9_000 + cellLimits.stopMs;
+    t.strictSame(
+        [...scheduler.longLeasesMs],
+        [
+            ["lost/1", lost],
+            ["w2/1", longest],
+        ],
+    );
+    harness.submit({});
+    const [late] = harness.planStarts();
+    if (late !== undefined) {
+        scheduler.responses.recordStart(late, StartOutcome.Unknown);
+    }
+    harness.addWorker("w1", { startedAtMs: 2 });
+    t.equal(
+        scheduler.longLeasesMs.get("w1/2"),
+        cellLimits.lateOrderMs + longest,
+        "a late start may reach it",
+    );
+    harness.clock.advance(cellLimits.lateOrderMs + longest);
+    harness.planOrders();
+    t.strictSame([...scheduler.longLeasesMs.keys()], ["w2/1"]);
+    t.end();
+});
+
 /** Starts a task on a worker that falls silent before it answers; `hasTimedOut`: the missing response was noted. */
 const loseUnansweredStart = (
     hasTimedOut: boolean,
--- a/packages/jobs/tests/model-cell.ts
+++ b/packages/jobs/tests/model-cell.ts
@@ -26,6 +26,9 @@
 /** Time within which the owner reaches a worker that has just started, including lost calls. */
 const UnreachedMs = 1_000;
 
+/** Commits after which the roster is stored again. */
+const RosterInterval = 20;
+
 /** Deliberate defects of an owner, which the checker has to detect. */
 interface OwnerDefects {
     /** Ends are acknowledged when they are read, before they are durable. */
@@ -51,9 +54,13 @@
     private readonly stored = new Map<string, string>();
     private readonly acknowledged = new Set<string>();
     private readonly roster = new Set<string>();
+    /** Remaining leases as stored with the roster, and the epoch of the owner that stored them. */
+    private storedLeases:
+        { readonly epoch: number; readonly leasesMs: ReadonlyMap<string, number> } | undefined;
     private readonly startedRuns = new Set<string>();
     /** Number of workers that ended while they ran a task. */
     private readonly restartsByTask = new Map<string, number>();
+    private commitCount = 0;
     private epoch = 0;
     private scheduler: CellScheduler;
 
@@ -176,11 +183,26 @@
             scheduler.inheritJob(spec, text === undefined ? undefined : (JSON.parse(text) as JobProgress));
         }
         if (this.defects.ignoresRoster !== true) {
-            scheduler.expectInheritedWorkers([...this.roster]);
+            this.inheritWorkers(scheduler);
         }
         return scheduler;
     }
 
+    private inheritWorkers(scheduler: CellScheduler): void {
+        if (this.roster.size === 0) {
+            scheduler.expectNoInheritedWorkers();
+            return;
+        }
+        const { storedLeases } = this;
+        const leasesMs = storedLeases?.epoch === this.epoch - 1 ? storedLeases.leasesMs : undefined;
+        scheduler.expectInheritedWorkers([...this.roster], cellLimits.leaseMs, leasesMs);
+    }
+
+    /** Stores the roster; to be called before tasks start on a worker that it lacks. */
+    private storeRoster(): void {
+        this.storedLeases = { epoch: this.epoch, leasesMs: this.scheduler.longLeasesMs };
+    }
+
     private tick(isFaulty: boolean): void {
         this.clock.advance(TickMs);
         const nowMs = this.clock.nowMs();
@@ -228,7 +250,10 @@
             capacity: Resources.create({ processors: Processors, memoryMb: 100 }),
             isDraining: false,
         });
-        this.roster.add(incarnation.key);
+        if (!this.roster.has(incarnation.key)) {
+            this.roster.add(incarnation.key);
+            this.storeRoster();
+        }
         const deadlineMs = incarnation.isReachable ? nowMs + cellLimits.leaseMs : undefined;
         if (deadlineMs !== undefined) {
             this.scheduler.noteLeaseExtension(incarnation);
@@ -265,6 +290,9 @@
 
     /** Stores the changed jobs, and marks the ends that they cover as durable. */
     private commit(): void {
+        if (++this.commitCount % RosterInterval === 0) {
+            this.storeRoster();
+        }
         for (const job of this.scheduler.jobs.takeChanged()) {
             this.stored.set(job.spec.id, JSON.stringify(readProgress(job)));
             job.storedEndState = job.endState;
