Store what is left of the leases of workers that do not answer

Callers saw lasting tasks without a run for up to 11 s beside free capacity (LOST), and late short ones, when the owner of the cell changed a few seconds after workers had been lost or taken away.

Cause: a new owner starts no task of an inherited job until each worker of the roster has been read or a whole lease is over, 5.1 s. The previous owner had waited for most of that lease already, but the next one began anew: a worker that is gone stays in the roster until its lease is over, and a lease was always counted from the change of owner.

An owner now stores the remaining leases of workers that do not answer with the roster: within a second after they have fallen silent, and on a planned stop when it sends no more orders. It extends none of them, and starts nothing there, until a roster without them is durable, so that the next owner may rely on them. An owner in between that has not written the roster makes them void (epoch). A worker whose lease is over and that holds no run is not listed any more.

The tests failed before: the tasks waited for the whole lease, silent workers were not reported, and ended ones were listed.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -142,6 +142,7 @@
     async stop(): Promise<void> {
         await this.writer.flush();
         this.halt();
+        await this.roster.writeFinal();
     }
 
     /** Stops at once, without writing progress. */
--- a/packages/dispatch/src/roster-writer.ts
+++ b/packages/dispatch/src/roster-writer.ts
@@ -26,6 +26,8 @@
     private isFromPreviousOwner = false;
     /** Keys of the workers that the stored roster lists with a long lease. */
     private longLeaseKeys: ReadonlySet<string> = new Set();
+    /** Keys of the workers that a roster which the store may hold now lists as silent. */
+    private silentKeys: ReadonlySet<string> = new Set();
 
     private constructor(private readonly context: RosterContext) {}
 
@@ -47,38 +49,51 @@
         this.isFromPreviousOwner = true;
     }
 
-    /** Blocks starts on workers that are not listed yet. Returns whether the roster has to be written for them. */
+    /**
+     * Blocks starts on workers that are not listed yet. Returns whether the roster has to be written for them, or because
+     * it lists workers as silent that answer again.
+     */
     blockUnlistedWorkers(): boolean {
         const { scheduler } = this.context;
-        let hasUnlisted = false;
+        let isMissing = false;
         for (const worker of scheduler.fleet.workers) {
             worker.isStartBlocked = !this.listedKeys.has(worker.key);
-            hasUnlisted ||= worker.isStartBlocked;
+            isMissing ||= worker.isStartBlocked && !worker.isEnded;
+            isMissing ||= worker.isLeaseFrozen && worker.isReachable;
         }
         for (const key of scheduler.unreadWorkerKeys) {
-            hasUnlisted ||= !this.listedKeys.has(key);
+            isMissing ||= !this.listedKeys.has(key);
         }
-        return hasUnlisted && !this.isWriting;
+        return isMissing && !this.isWriting;
     }
 
-    /** Whether the next owner would wait for ended incarnations, or for leases that are over, by the stored roster. */
+    /** Whether the next owner would wait longer than necessary, for workers that have ended or are silent. */
     get isOutdated(): boolean {
-        const { workerKeysToRead, longLeasesMs } = this.context.scheduler;
+        const { workerKeysToRead, leases } = this.context.scheduler;
         return (
             !this.isWriting &&
             (this.isFromPreviousOwner ||
                 workerKeysToRead.length < this.listedKeys.size ||
-                [...this.longLeaseKeys].some(key => !longLeasesMs.has(key)))
+                [...this.longLeaseKeys].some(key => !leases.longMs.has(key)) ||
+                [...leases.silentMs.keys()].some(key => !this.silentKeys.has(key)))
         );
     }
 
+    /** Writes how long the leases of silent workers last, if there are any, when nothing extends leases any more. */
+    async writeFinal(): Promise<void> {
+        if (this.context.scheduler.leases.silentMs.size > 0) {
+            await this.write();
+        }
+    }
+
     /** Writes the roster; one write at a time. An error means that another owner has taken over. */
     async write(): ReturnType<CommitLog["commit"]> {
         const { cell, epoch, scheduler, commits, log } = this.context;
+        const { longMs, silentMs } = scheduler.leases;
         const roster = {
             lives: scheduler.workerKeysToRead,
             leaseMs: scheduler.maxGrantedLeaseMs,
-            leasesMs: scheduler.longLeasesMs,
+            leasesMs: new Map([...longMs, ...silentMs]),
             epoch,
         };
         const writtenKeys = new Set(roster.lives);
@@ -86,23 +101,31 @@
         const hasLost = keptKeys.size < this.listedKeys.size;
         this.isWriting = true;
         this.listedKeys = keptKeys;
+        this.setSilentKeys(new Set([...this.silentKeys, ...silentMs.keys()]));
         const result = await commits.commit({
             writes: [{ key: cellKeys.roster(cell), value: rosterCodec.encode(roster) }],
         });
         this.isWriting = false;
         if (result.isOk()) {
             this.listedKeys = writtenKeys;
-            this.longLeaseKeys = new Set(roster.leasesMs.keys());
+            this.longLeaseKeys = new Set(longMs.keys());
+            this.setSilentKeys(new Set(silentMs.keys()));
             this.isFromPreviousOwner = false;
         }
         log.write("roster", {
             cell,
             workers: writtenKeys.size,
             leaseMs: roster.leaseMs,
-            longLeases: roster.leasesMs.size,
+            longLeases: longMs.size,
+            silent: silentMs.size,
             hasLost,
             isDurable: result.isOk(),
         });
         return result;
     }
+
+    private setSilentKeys(keys: ReadonlySet<string>): void {
+        this.silentKeys = keys;
+        this.context.scheduler.fleet.freezeLeases(keys);
+    }
 }
--- a/packages/dispatch/src/roster.ts
+++ b/packages/dispatch/src/roster.ts
@@ -5,8 +5,8 @@
     /** Longest lease that any owner has granted, in milliseconds; undefined if not known. */
     readonly leaseMs: number | undefined;
     /**
-     * Remaining leases, in milliseconds and by key, of the workers whose lease may last longer than `leaseMs`; undefined
-     * if not known. They hold for the epoch of the owner that wrote them.
+     * Remaining leases, in milliseconds and by key, of workers whose lease may last longer than `leaseMs`, and of workers
+     * that do not answer; undefined if not known. An owner that has written such a lease does not extend it.
      */
     readonly leasesMs: ReadonlyMap<string, number> | undefined;
     /** Epoch of the owner that wrote the roster; undefined if not known. */
--- a/packages/dispatch/tests/roster-writer.test.ts
+++ b/packages/dispatch/tests/roster-writer.test.ts
@@ -91,6 +91,77 @@
     t.end();
 });
 
+// Guards against a task that runs twice: the next owner relies on the stored end of a lease that this owner extends.
+t.test("the lease of a silent worker is not extended until the roster no longer names it", async t => {
+    const { store, scheduler, writer, write } = createWriter();
+    writer.restore(undefined);
+    leaseAfterListingMs(scheduler);
+    const worker = scheduler.fleet.get(oneWorker.id);
+    if (worker === undefined) {
+        throw new Error("expected the worker");
+    }
+    await write();
+    t.notOk(writer.isOutdated);
+    scheduler.noteUnreachable(worker);
+    t.ok(writer.isOutdated, "it is silent now");
+    const written = writer.write();
+    t.notOk(worker.mayExtendLease, "the store may have the roster already");
+    await setImmediate();
+    await store.answerNext();
+    await written;
+    t.notOk(writer.isOutdated);
+    t.notOk(writer.blockUnlistedWorkers(), "nothing to write while it is silent");
+    leaseAfterListingMs(scheduler);
+    t.notOk(worker.mayExtendLease, "the stored roster names it");
+    t.ok(writer.blockUnlistedWorkers(), "it answers again");
+    const writtenAgain = writer.write();
+    t.notOk(worker.mayExtendLease, "the write is not durable");
+    await setImmediate();
+    await store.answerNext();
+    await writtenAgain;
+    t.ok(worker.mayExtendLease);
+    t.notOk(writer.blockUnlistedWorkers());
+    t.end();
+});
+
+// Guards against a next owner that waits for a whole lease of a worker that has been silent for seconds, and against a
+// write that costs each planned stop a call of the store.
+t.test("a planned stop stores the remaining leases of silent workers", async t => {
+    const { store, scheduler, writer, write } = createWriter();
+    writer.restore(undefined);
+    leaseAfterListingMs(scheduler);
+    await write();
+    await writer.writeFinal();
+    t.equal(store.transactions.length, 1, "no worker is silent");
+    const worker = scheduler.fleet.get(oneWorker.id);
+    if (worker !== undefined) {
+        scheduler.noteUnreachable(worker);
+    }
+    const written = writer.writeFinal();
+    await setImmediate();
+    await store.answerNext();
+    await written;
+    const value = store.transactions.at(-1)?.writes.find(({ key: name }) => name === "cells/0/roster")?.value;
+    t.match(value && rosterCodec.decode(value), { epoch: 2, lives: [key] });
+    t.ok(value?.includes(`"leasesMs":{"${key}":`));
+    t.end();
+});
+
+// Guards against a roster that is written with each plan although a worker that has ended is not to be listed.
+t.test("no roster is written for a worker that has ended", async t => {
+    const { scheduler, writer, write } = createWriter();
+    writer.restore(undefined);
+    leaseAfterListingMs(scheduler);
+    const worker = scheduler.fleet.get(oneWorker.id);
+    if (worker !== undefined) {
+        worker.isLost = true;
+    }
+    t.strictSame((await write())?.lives, []);
+    t.notOk(writer.blockUnlistedWorkers());
+    t.notOk(writer.isOutdated);
+    t.end();
+});
+
 // Guards against starts on a worker that the roster lacks, and against plans that list the keys of all workers anew.
 t.test("a worker is blocked until a roster that lists it is durable", async t => {
     const { store, scheduler, writer } = createWriter();
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
+import type { CellLeases } from "./cell-leases.js";
 import type { CellLimits } from "./cell-limits.js";
 import type { CellLoad } from "./cell-load.js";
 import { CrashSuspicions } from "./crash-suspicions.js";
@@ -25,7 +26,7 @@
 import type { QueueRule } from "./queue-rule.js";
 import { QueueRules } from "./queue-rules.js";
 import { computeCellLoad } from "./compute-cell-load.js";
-import { computeLongLeasesMs } from "./compute-long-leases-ms.js";
+import { computeCellLeases } from "./compute-cell-leases.js";
 import { RunResults } from "./run-results.js";
 import { StartPlanner } from "./start-planner.js";
 import { stopOrders } from "./stop-orders.js";
@@ -118,7 +119,7 @@
 
     /**
      * Sets the workers of previous owners, by key, the longest lease that these owners granted, and the remaining leases
-     * that may last longer, by key, if they are known. Tasks that may run on such a worker are not started elsewhere until
+     * that differ from that, by key, if they are known. Tasks that may run on such a worker are not started elsewhere until
      * the worker has listed its runs or the lease has expired.
      */
     expectInheritedWorkers(
@@ -156,11 +157,11 @@
         return worker;
     }
 
-    /** Keys of the workers that may hold runs of the cell; the next owner has to read them. */
+    /** Keys of the workers that may hold runs of the cell; the next owner has to read them, or to wait for their leases. */
     get workerKeysToRead(): readonly string[] {
         return [
             ...new Set([
-                ...[...this.fleet.workers].map(worker => worker.key),
+                ...[...this.fleet.workers].filter(worker => !worker.isEnded).map(worker => worker.key),
                 ...this.previousOwners.unreadWorkers.keys(),
             ]),
         ];
@@ -171,14 +172,9 @@
         return this.previousOwners.unreadWorkers.keys();
     }
 
-    /** Remaining leases, in milliseconds and by key, of workers whose lease may last longer than one granted now. */
-    get longLeasesMs(): ReadonlyMap<string, number> {
-        return computeLongLeasesMs(
-            this.fleet,
-            this.previousOwners,
-            this.maxGrantedLeaseMs,
-            this.clock.nowMs(),
-        );
+    /** Remaining leases, for the next owner, that differ from one granted now. */
+    get leases(): CellLeases {
+        return computeCellLeases(this.fleet, this.previousOwners, this.maxGrantedLeaseMs, this.clock.nowMs());
     }
 
     deregisterWorker(id: string): void {
--- a/packages/jobs/src/previous-owners.ts
+++ b/packages/jobs/src/previous-owners.ts
@@ -3,20 +3,20 @@
 import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import type { WorkerEntry } from "./worker-entry.js";
 
-/** Keys of the workers of the previous owner, and the remaining leases that may last longer than granted ones, by key. */
+/** Keys of the workers of the previous owner, and the remaining leases that differ from granted ones, by key. */
 interface KnownLeases {
     readonly workerKeys: ReadonlySet<string>;
-    readonly longLeasesMs: ReadonlyMap<string, number>;
+    readonly leasesMs: ReadonlyMap<string, number>;
 }
 
 /** What previous owners of a cell may have left running: on which workers, for which jobs, and until when. */
 export class PreviousOwners {
     /**
      * Workers that a previous owner used and that have not listed their runs to this one, by key, with the monotonic time
-     * at which their lease has expired.
+     * at which their lease expires.
      */
-    private readonly unreadUntilMs = new Map<string, number>();
-    /** Inherited jobs, whose tasks may run on a worker in `unreadUntilMs`. */
+    private readonly unreadLeaseEndsMs = new Map<string, number>();
+    /** Inherited jobs, whose tasks may run on a worker in `unreadLeaseEndsMs`. */
     private readonly jobIds = new Set<string>();
     /** What is known of the leases on workers that were known before; undefined if nothing is. */
     private knownLeases: KnownLeases | undefined;
@@ -43,7 +43,7 @@
 
     /**
      * Sets their workers, by key (`id/start time`), and the longest lease that they granted, in milliseconds. `leasesMs`
-     * are the remaining leases that may last longer, by key; undefined if they are not known.
+     * are the remaining leases that differ from that, by key; undefined if they are not known.
      */
     expectWorkers(
         workerKeys: readonly string[],
@@ -53,9 +53,9 @@
         const nowMs = this.clock.nowMs();
         const durationMs = maxLeaseDurationMs(leaseMs);
         for (const key of workerKeys) {
-            this.unreadUntilMs.set(key, nowMs + (leasesMs?.get(key) ?? durationMs) + this.limits.stopMs);
+            this.unreadLeaseEndsMs.set(key, nowMs + (leasesMs?.get(key) ?? durationMs));
         }
-        this.knownLeases = leasesMs && { workerKeys: new Set(workerKeys), longLeasesMs: leasesMs };
+        this.knownLeases = leasesMs && { workerKeys: new Set(workerKeys), leasesMs };
         this.grantedLeaseMs = workerKeys.length === 0 ? this.limits.leaseMs : leaseMs;
     }
 
@@ -68,9 +68,9 @@
         return this.jobIds.has(job);
     }
 
-    /** Workers that have not listed their runs, by key, with the monotonic time at which their lease has expired. */
+    /** Workers that have not listed their runs, by key, with the monotonic time at which their lease expires. */
     get unreadWorkers(): ReadonlyMap<string, number> {
-        return this.unreadUntilMs;
+        return this.unreadLeaseEndsMs;
     }
 
     /** Longest lease that a previous owner may have granted, in milliseconds. */
@@ -90,33 +90,33 @@
         }
         const isKnown = this.knownLeases?.workerKeys.has(key) === true;
         const longestMs = isKnown
-            ? this.knownLeases?.longLeasesMs.get(key)
+            ? this.knownLeases?.leasesMs.get(key)
             : maxLeaseDurationMs(this.limits.maxLeaseMs);
         return Math.max(grantedMs, longestMs ?? 0);
     }
 
     /** Records that a worker has listed its runs or that this incarnation has ended. */
     noteRead(workerKey: string): void {
-        this.unreadUntilMs.delete(workerKey);
+        this.unreadLeaseEndsMs.delete(workerKey);
     }
 
     /** Records an incarnation of a worker: the runs of its earlier incarnations have ended. */
     noteIncarnation({ id, startedAtMs }: WorkerEntry): void {
-        for (const key of this.unreadUntilMs.keys()) {
+        for (const key of this.unreadLeaseEndsMs.keys()) {
             if (key.startsWith(`${id}/`) && Number(key.slice(id.length + 1)) < startedAtMs) {
-                this.unreadUntilMs.delete(key);
+                this.unreadLeaseEndsMs.delete(key);
             }
         }
     }
 
     /** Forgets workers whose leases have expired, and the jobs once no worker is left to read. */
     expire(nowMs: number): void {
-        for (const [key, untilMs] of this.unreadUntilMs) {
-            if (nowMs > untilMs) {
-                this.unreadUntilMs.delete(key);
+        for (const [key, leaseEndsMs] of this.unreadLeaseEndsMs) {
+            if (nowMs > leaseEndsMs + this.limits.stopMs) {
+                this.unreadLeaseEndsMs.delete(key);
             }
         }
-        if (this.unreadUntilMs.size === 0) {
+        if (this.unreadLeaseEndsMs.size === 0) {
             this.jobIds.clear();
         }
     }
--- a/packages/jobs/src/worker-fleet.ts
+++ b/packages/jobs/src/worker-fleet.ts
@@ -4,6 +4,7 @@
 /** The workers of a cell: the current incarnation of each id. */
 export class WorkerFleet {
     private readonly workersById = new Map<string, WorkerIncarnation>();
+    private frozenLeaseKeys: ReadonlySet<string> = new Set();
 
     private constructor() {}
 
@@ -44,10 +45,19 @@
             return { worker: existing, replaced: undefined };
         }
         const worker = WorkerIncarnation.create(entry);
+        worker.isLeaseFrozen = this.frozenLeaseKeys.has(worker.key);
         this.workersById.set(entry.id, worker);
         return { worker, replaced: existing };
     }
 
+    /** Sets the workers, by key, whose leases must not be extended, also if they register later. */
+    freezeLeases(keys: ReadonlySet<string>): void {
+        this.frozenLeaseKeys = keys;
+        for (const worker of this.workers) {
+            worker.isLeaseFrozen = keys.has(worker.key);
+        }
+    }
+
     remove(worker: WorkerIncarnation): void {
         if (this.workersById.get(worker.entry.id) === worker) {
             this.workersById.delete(worker.entry.id);
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -32,6 +32,8 @@
     isStartBlocked = false;
     /** Step whose next task gets the capacity that it needs here before tasks of other steps; undefined if none. */
     heldFor: Step | undefined;
+    /** Whether the next owner may rely on the end of the lease, so that it must not be extended. */
+    isLeaseFrozen = false;
     /** Whether the worker was taken for lost since its last answer: its lease ended or it was replaced. */
     isLost = false;
     /** Task on trial here; nothing else starts meanwhile. */
@@ -181,6 +183,9 @@
      * elsewhere by now, so the stop of such a start has to be confirmed first.
      */
     get mayExtendLease(): boolean {
+        if (this.isLeaseFrozen) {
+            return false;
+        }
         for (const [task, { run, isGivenUp, stopConfirmedAtMs }] of this.lateStarts) {
             if (isGivenUp && stopConfirmedAtMs === undefined && this.runs.get(task)?.number !== run.number) {
                 return false;
@@ -189,6 +194,11 @@
         return true;
     }
 
+    /** Whether the lease is over and nothing that was ordered can be running here. */
+    get isEnded(): boolean {
+        return this.isLost && this.runs.size === 0;
+    }
+
     /** Whether another task is on trial here. */
     hasTrialOfOther(task: Task): boolean {
         return this.trialTask !== undefined && this.trialTask !== task;
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -5,6 +5,8 @@
 import { JobState } from "../src/job-state.js";
 import { OrderKind } from "../src/order-kind.js";
 import { readProgress } from "../src/read-progress.js";
+import { maxLeaseDurationMs } from "../src/max-lease-duration-ms.js";
+import { cellLimits } from "./fixtures/cell-limits.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
 const cancelled: JobProgress = {
@@ -64,6 +66,47 @@
     },
 );
 
+// Guards against lasting tasks that wait for a whole lease after a change of owner, because of a worker that the previous
+// owner had not reached for seconds.
+t.test("inherited tasks wait for what is left of the lease of a silent worker", t => {
+    const harness = SchedulerHarness.create(2);
+    const { scheduler } = harness;
+    harness.inherit(harness.makeJob({}));
+    scheduler.expectInheritedWorkers(["w1/1", "silent/1"], cellLimits.leaseMs, new Map([["silent/1", 800]]));
+    harness.addWorker("w1");
+    harness.clock.advance(800 + cellLimits.stopMs);
+    t.same(harness.planStarts(), [], "its runs may be stopping");
+    t.strictSame([...scheduler.leases.silentMs], [["silent/1", 1]], "the next owner waits for it as well");
+    harness.clock.advance(1);
+    t.equal(harness.planStarts().length, 1);
+    t.equal(scheduler.leases.silentMs.size, 0);
+    t.end();
+});
+
+// Guards against a next owner that waits for workers of which nothing is left, or that does not wait for silent ones.
+t.test("a silent worker is reported with its remaining lease until nothing is left of it", t => {
+    const harness = SchedulerHarness.create();
+    const { scheduler } = harness;
+    scheduler.expectNoInheritedWorkers();
+    const worker = harness.addWorker("w1");
+    harness.submit({});
+    harness.planAndStartAll();
+    scheduler.noteLeaseExtension(worker);
+    t.equal(scheduler.leases.silentMs.size, 0, "it answers");
+    scheduler.noteUnreachable(worker);
+    harness.clock.advance(4_000);
+    const leaseMs = Math.ceil(maxLeaseDurationMs(cellLimits.leaseMs));
+    t.strictSame([...scheduler.leases.silentMs], [["w1/1", leaseMs - 4_000]]);
+    t.same(scheduler.workerKeysToRead, ["w1/1"]);
+    harness.clock.advance(leaseMs - 4_000 + cellLimits.stopMs + 1);
+    harness.planOrders();
+    t.equal(scheduler.leases.silentMs.size, 0);
+    t.same(scheduler.workerKeysToRead, [], "its lease is over");
+    harness.reportListing(worker, [], []);
+    t.same(scheduler.workerKeysToRead, ["w1/1"], "it answers again");
+    t.end();
+});
+
 // Guards against lasting tasks that are unavailable for seconds after two consecutive changes of owner: each change
 // restarted the wait for lost workers, with a longer lease than any owner had granted.
 t.test("inherited tasks wait no longer than the lease that previous owners granted", t => {
