Derive the number of cells of a small fleet while it registers

Cause: waits until the count of workers has not changed for 1.8 s. On the platform workers start within 3 to 4 s of each other, not within one heartbeat interval, so the layout was stored 6.1 s after the processes started (7.1 s on the grown sites), and the first jobs, which came after 5.9 s, were refused with 503; callers repeated them a second later.

Change: the number is also derived once the fleet has been watched for 1.8 s and cannot reach another number until the longest wait is over, even if workers register at twice the pace until then. The longest wait and the time without a change stay.

--- a/packages/dispatch/src/cell-count-proposal.ts
+++ b/packages/dispatch/src/cell-count-proposal.ts
@@ -1,15 +1,20 @@
 /** Workers per cell; more workers are divided over more cells. */
 const WorkersPerCell = 400;
-/** Workers register within one heartbeat interval of each other, about 1.5 s. */
+/** Time after which a count that has not changed is complete, and for which a fleet is watched at least. */
 const SettledAfterMs = 1_800;
 /** Time without any worker after which the system starts with one cell, so that it accepts jobs. */
 const NoWorkersMs = 10_000;
 /** Time after the first registration after which the fleet counts as complete although it still grows. */
 const MaxSettleMs = 6_000;
+/** Workers may register faster by this factor than on average until now: they need not start evenly. */
+const MaxPaceGrowth = 2;
+
+const cellsFor = (workerCount: number): number => Math.max(1, Math.round(workerCount / WorkersPerCell));
 
 /**
- * Derives the number of cells from the number of registered workers. The number is stored once and never changes, so it
- * is derived only from a fleet that has registered completely: VMs and workers start at the same time.
+ * Derives the number of cells from the number of registered workers. The number is stored once and never changes, but
+ * VMs and workers start at the same time, the workers within a few seconds of each other. So it is derived once the
+ * fleet has registered completely, or once the workers that may still register no longer change the number.
  */
 export class CellCountProposal {
     private workerCount = 0;
@@ -25,7 +30,7 @@
 
     /**
      * Records the number of workers at a monotonic time. Returns the number of cells; undefined while more workers
-     * are expected.
+     * are expected that may change it.
      */
     update(workerCount: number, nowMs: number): number | undefined {
         if (workerCount !== this.workerCount) {
@@ -37,8 +42,17 @@
             return nowMs - this.startedAtMs >= NoWorkersMs ? 1 : undefined;
         }
         this.firstSeenAtMs ??= nowMs;
+        const seenForMs = nowMs - this.firstSeenAtMs;
         const isSettled = nowMs - this.unchangedSinceMs >= SettledAfterMs;
-        const isOverdue = nowMs - this.firstSeenAtMs >= MaxSettleMs;
-        return isSettled || isOverdue ? Math.max(1, Math.round(workerCount / WorkersPerCell)) : undefined;
+        const isDecided =
+            seenForMs >= SettledAfterMs &&
+            cellsFor(this.largestFleet(workerCount, seenForMs)) === cellsFor(workerCount);
+        return isSettled || isDecided || seenForMs >= MaxSettleMs ? cellsFor(workerCount) : undefined;
+    }
+
+    /** Number of workers at the end of the longest wait if they register as fast as they may. */
+    private largestFleet(workerCount: number, seenForMs: number): number {
+        const remainingMs = Math.max(0, MaxSettleMs - seenForMs);
+        return workerCount + MaxPaceGrowth * (workerCount / seenForMs) * remainingMs;
     }
 }
