Count the lasting tasks that a new owner does not find running as overdue

Callers saw lasting tasks without a run for up to 11 s beside free capacity (LOST) during changes of owner in series.

Cause: each new owner began to count the wait of a task anew, so that the task waited for compatible images and for short tasks to be overdue, 2 s, once more after each change; while the runs of the previous owner were being read, the wait was not counted at all.

A lasting task of an inherited job counts as overdue from the change of owner on, unless it is found running: it has waited under the previous owner already, for a time that is not known.

The test failed before: the task waited for compatible images.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -19,6 +19,7 @@
 import { markMigrations } from "./mark-migrations.js";
 import { OrderResponses } from "./order-responses.js";
 import type { Order } from "./order.js";
+import { overdueAfterMs } from "./overdue-after-ms.js";
 import { paceOrders } from "./pace-orders.js";
 import { PermitPlanner } from "./permit-planner.js";
 import type { PermitRequest } from "./permit-request.js";
@@ -128,6 +129,7 @@
         leasesMs?: ReadonlyMap<string, number>,
     ): void {
         this.previousOwners.expectWorkers(keys, leaseMs, leasesMs);
+        this.countInheritedWaits();
     }
 
     /** Records that no owner of the cell has started anything before. */
@@ -293,6 +295,24 @@
         this.previousOwners.noteRead(worker.key);
     }
 
+    /**
+     * Counts the lasting tasks of inherited jobs as overdue: those that are not found running have waited under the
+     * previous owner already, for a time that is not known.
+     */
+    private countInheritedWaits(): void {
+        this.jobs.openDueOccurrences(this.clock.wallMs());
+        const nowMs = this.clock.nowMs();
+        for (const job of this.jobs.undecided) {
+            const isInherited = this.previousOwners.mayHaveRuns(job.spec.id);
+            for (const task of isInherited ? job.tasks() : []) {
+                if (task.step.spec.lasting) {
+                    task.readySinceMs ??= nowMs - overdueAfterMs;
+                    task.notRunningSinceMs ??= nowMs;
+                }
+            }
+        }
+    }
+
     private times(): { readonly nowMs: number; readonly wallMs: number } {
         return { nowMs: this.clock.nowMs(), wallMs: this.clock.wallMs() };
     }
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -107,6 +107,28 @@
     t.end();
 });
 
+// Guards against lasting tasks that are not started for many seconds during changes of owner in series: each owner began
+// to count their wait anew, and waited for compatible images first.
+t.test("a lasting task of an inherited job starts on any worker with capacity", t => {
+    const harness = SchedulerHarness.create(2);
+    const { scheduler } = harness;
+    scheduler.effects.restore({ headrooms: {}, pairs: { web: [["mix", 0, 1]], api: [["mix", 30, 1]] } });
+    const serving = { lasting: true, tailTargetMs: 50 };
+    const inherited = harness.makeJob({ ...serving, image: "api" });
+    harness.inherit(inherited);
+    scheduler.expectInheritedWorkers(["w1/1"], cellLimits.leaseMs, new Map());
+    const worker = harness.addUnreadWorker("w1");
+    const running = harness.makeJob({ ...serving, image: "web" });
+    harness.inherit(running);
+    const run = { number: 1, checkpoint: "", progressPercent: 100, gauge: 0 };
+    harness.reportListing(worker, [{ ...run, task: `${running.id}.0.0.0` }], []);
+    t.strictSame(
+        harness.planStarts().map(({ task }) => task.name),
+        [`${inherited.id}.0.0.0`],
+    );
+    t.end();
+});
+
 // Guards against lasting tasks that are unavailable for seconds after two consecutive changes of owner: each change
 // restarted the wait for lost workers, with a longer lease than any owner had granted.
 t.test("inherited tasks wait no longer than the lease that previous owners granted", t => {
