--- a/packages/jobs/src/preemption-candidates.ts
+++ b/packages/jobs/src/preemption-candidates.ts
@@ -34,6 +34,8 @@
     run.task.run === run &&
     !run.isStopRequested &&
     run.phase === RunPhase.Running &&
+    // It would have to wait for a trial before it starts again.
+    run.task.suspicion === 0 &&
     nowMs - run.startedAtMs >= minRunTimeMs &&
     allowsUnavailableTask(run);
 
--- a/packages/jobs/tests/preemption.test.ts
+++ b/packages/jobs/tests/preemption.test.ts
@@ -51,6 +51,19 @@
     t.end();
 });
 
+// Guards against a lasting task that is not started again for many seconds: it was suspected to crash its workers, and had
+// to wait for another trial after each short task that it made way for.
+t.test("a suspected lasting task does not make way", t => {
+    const { harness, stops, runs } = fullWorker([lasting(large, 4)]);
+    const suspects = runs.slice(0, -1);
+    suspects.forEach(({ task }) => (task.suspicion = 1));
+    harness.submit({});
+    stops();
+    harness.clock.advance(200);
+    t.same(stops(), [runs.at(-1)?.task.name], "the only one that is not suspected");
+    t.end();
+});
+
 // Guards against keeping capacity from lasting tasks in anticipation of short ones, which the rules forbid.
 t.test("load pattern: short tasks free capacity while lasting tasks wait", t => {
     const { harness, runs } = fullWorker([lasting(small, 7), {}, {}]);
