Forget lost workers whose starts without a response have expired

Cause: since a lost worker gets no stops of starts that were given up, and the loop that sends these stops is also the one that drops expired starts. A worker is forgotten only without such starts, so one that was gone for good with one of them stayed in the fleet of its owner: it got a heartbeat every 250 ms and counted as a worker for the limit of trials until the owner changed.

Expired starts are dropped for lost workers as well; only the stops wait for an answer.

The test failed before: the worker was still there 12 s after its start had been given up.

--- a/packages/jobs/src/stop-orders.ts
+++ b/packages/jobs/src/stop-orders.ts
@@ -59,6 +59,8 @@
         if (nowMs > start.expiresAtMs) {
             worker.removeLateStart(task);
         } else if (
+            // The deadline of the starts holds for a lost worker; it gets their stops once it answers.
+            !worker.isLost &&
             start.stopConfirmedAtMs === undefined &&
             worker.runs.get(task)?.number !== start.run.number &&
             nowMs - start.stopSentAtMs >= LateStartStopRetryDelayMs
@@ -91,8 +93,7 @@
         if (worker.orphanRuns.size > 0) {
             orders.push(...stopOrphanRuns(worker, nowMs));
         }
-        // The deadline of the starts holds for a lost worker; it gets their stops once it answers.
-        if (worker.lateStarts.size > 0 && !worker.isLost) {
+        if (worker.lateStarts.size > 0) {
             orders.push(...stopLateStarts(worker, nowMs));
         }
     }
--- a/packages/jobs/tests/leases.test.ts
+++ b/packages/jobs/tests/leases.test.ts
@@ -176,6 +176,22 @@
     });
 }
 
+// Guards against a worker that is gone for good but gets heartbeats until the owner changes: it was never forgotten,
+// because a start without a response to it was.
+t.test("a worker that is gone is forgotten once a start without a response cannot be carried out any more", t => {
+    const { harness, worker } = loseUnansweredStart(true);
+    const { scheduler } = harness;
+    scheduler.deregisterWorker("w1");
+    harness.clock.advance(LongestLeaseMs + 1_000);
+    harness.planAndStartAll();
+    t.equal(scheduler.fleet.get("w1"), worker, "it may answer and carry the start out");
+    harness.clock.advance(cellLimits.lateOrderMs + 1);
+    harness.planOrders();
+    harness.planOrders();
+    t.equal(scheduler.fleet.get("w1"), undefined);
+    t.end();
+});
+
 // Guards against a task that runs twice: its worker was cut off longer than a lease and answers again, while the start
 // may still be carried out. Nothing may extend the lease before the worker has confirmed the stop.
 t.test(
