Count inherited lasting tasks as overdue only if their step is open

Cause: counts all lasting tasks of inherited jobs as overdue from the change of owner on, also those of steps whose prerequisites are still running. When such a step opened a minute later, its tasks had waited for a minute by the owner's account: they went before all others and running lasting tasks made way for them at once, and `lasting-wait` reported 60 s.

Only tasks of open steps are counted.

The test failed before: the task had waited before its step was open.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -296,16 +296,15 @@
     }
 
     /**
-     * Counts the lasting tasks of inherited jobs as overdue: those that are not found running have waited under the
-     * previous owner already, for a time that is not known.
+     * Counts the lasting tasks of inherited jobs whose turn has come as overdue: those that are not found running have
+     * waited under the previous owner already, for a time that is not known.
      */
     private countInheritedWaits(): void {
         this.jobs.openDueOccurrences(this.clock.wallMs());
         const nowMs = this.clock.nowMs();
         for (const job of this.jobs.undecided) {
-            const isInherited = this.previousOwners.mayHaveRuns(job.spec.id);
-            for (const task of isInherited ? job.tasks() : []) {
-                if (task.step.spec.lasting) {
+            for (const step of this.previousOwners.mayHaveRuns(job.spec.id) ? job.openSteps() : []) {
+                for (const task of step.spec.lasting ? step.tasks : []) {
                     task.readySinceMs ??= nowMs - overdueAfterMs;
                     task.notRunningSinceMs ??= nowMs;
                 }
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -129,6 +129,30 @@
     t.end();
 });
 
+// Guards against running lasting tasks that make way at once for others whose turn has just come: a new owner counted
+// the wait of the latter from the change of owner on, although the step before theirs was still running.
+t.test("a lasting task of an inherited job does not wait before its step is open", t => {
+    const harness = SchedulerHarness.create(2);
+    const { scheduler } = harness;
+    const inherited = harness.makeJob({}, { lasting: true, after: [0] });
+    harness.inherit(inherited);
+    scheduler.expectInheritedWorkers(["w1/1"], cellLimits.leaseMs, new Map());
+    harness.addWorker("w1");
+    const [first] = harness.planAndStartAll();
+    harness.clock.advance(60_000);
+    const next = scheduler.jobs.get(inherited.id)?.findTask(0, 1, 0);
+    t.ok(first && next);
+    if (first !== undefined && next !== undefined) {
+        t.equal(next.readySinceMs, undefined);
+        harness.reportEnd(first, EndKind.Done);
+        scheduler.deregisterWorker("w1");
+        harness.planOrders();
+        t.equal(next.readySinceMs, harness.clock.nowMs(), "its wait begins");
+        t.same(scheduler.lastingWaits.take(), []);
+    }
+    t.end();
+});
+
 // Guards against lasting tasks that are unavailable for seconds after two consecutive changes of owner: each change
 // restarted the wait for lost workers, with a longer lease than any owner had granted.
 t.test("inherited tasks wait no longer than the lease that previous owners granted", t => {
