Bound the time of a planned stop's last roster write

The write was repeated until the store answered, while the process kept its ownership and sent no heartbeats: with a slow store, or one that refuses writes beyond the limit, the leases of all workers run down meanwhile, on top of the time that the next owner needs to take over.

The stop waits for 250 ms at most and then releases the cell. Nothing extends a lease after the halt, and a late write is refused once another owner has taken over, so both outcomes of the write are safe.

The test failed before: the stop did not end.

--- a/packages/dispatch/src/roster-writer.ts
+++ b/packages/dispatch/src/roster-writer.ts
@@ -2,9 +2,13 @@
 import { cellKeys } from "./cell-keys.js";
 import type { CommitLog } from "./commit-log.js";
 import type { EventLog } from "./event-log.js";
+import { resultWithin } from "./result-within.js";
 import { rosterCodec } from "./roster-codec.js";
 import type { Roster } from "./roster.js";
 
+/** Longest time that a planned stop waits for the last write, as nobody extends leases before the next owner does. */
+const FinalWriteMs = 250;
+
 /** Dependencies provided by the cell's owner. */
 interface RosterContext {
     readonly cell: number;
@@ -79,10 +83,13 @@
         );
     }
 
-    /** Writes how long the leases of silent workers last, if there are any, when nothing extends leases any more. */
+    /**
+     * Writes how long the leases of silent workers last, if there are any, when nothing extends leases any more. A write
+     * that the store does not answer in time may still be carried out, as long as no other owner has taken over.
+     */
     async writeFinal(): Promise<void> {
         if (this.context.scheduler.leases.silentMs.size > 0) {
-            await this.write();
+            await resultWithin(this.write(), FinalWriteMs);
         }
     }
 
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -168,6 +168,26 @@
     owner.halt();
 });
 
+// Guards against workers whose leases expire during a planned stop: nobody extends them while the final roster is written,
+// and the store may not answer.
+t.test("a planned stop does not wait for a store that leaves the final roster unanswered", async t => {
+    const store = ManualStore.create();
+    const owner = createOwner(store, ManualClock.create(1_000), SilentWorkerClient.create);
+    const roster = { lives: ["lost/1"], leaseMs: cellLimits.leaseMs, leasesMs: new Map(), epoch: 0 };
+    store.items = [{ key: "cells/0/roster", value: rosterCodec.encode(roster), revision: 1 }];
+    await owner.start(
+        () => [queueRule("queue")],
+        () => Promise.resolve([]),
+    );
+    const stopped = owner.stop();
+    await setTimeout(1);
+    while (store.transactions.length > 0 && !store.isNextWriteUnder("cells/0/roster")) {
+        await store.answerNext();
+    }
+    await stopped;
+    t.ok(store.isNextWriteUnder("cells/0/roster"), "it is not answered yet");
+});
+
 /** A store whose watches end with an error that no caller expects. */
 class FaultyStore extends ManualStore {
     static override create(): FaultyStore {
