Freeze the leases of silent workers only when the roster that names them is sent

Cause: since the leases of silent workers are frozen when the write of the roster is requested. The write waits for the commits before it, and while the store is down that is the whole outage: a worker that had missed one heartbeat and answered again got no extension of its lease, so its runs ended after 5 s at most although the roster that names it had never left the process.

The contents of the roster are now determined when its commit is its turn, just before it is sent. A roster that is sent and not answered still freezes them, as the store may hold it.

--- a/packages/dispatch/src/commit-log.ts
+++ b/packages/dispatch/src/commit-log.ts
@@ -45,9 +45,12 @@
         return new CommitLog(store, cell, record, revision, signal);
     }
 
-    /** Resolves when the batch is durable; retries while the store does not respond. */
-    commit(batch: Batch): Promise<Result<void, typeof LostOwnership>> {
-        const result = this.queue.then(() => this.commitNext(batch));
+    /**
+     * Resolves when the batch is durable; retries while the store does not respond. A function is called when the earlier
+     * commits are durable, just before its batch is sent for the first time.
+     */
+    commit(batch: Batch | (() => Batch)): Promise<Result<void, typeof LostOwnership>> {
+        const result = this.queue.then(() => this.commitNext(typeof batch === "function" ? batch() : batch));
         this.queue = result;
         return result;
     }
--- a/packages/dispatch/src/roster-writer.ts
+++ b/packages/dispatch/src/roster-writer.ts
@@ -18,6 +18,17 @@
     readonly log: EventLog;
 }
 
+/** A roster to write, and what it says. */
+interface RosterContents {
+    readonly roster: Roster;
+    /** Keys of the workers with a long lease. */
+    readonly longKeys: ReadonlySet<string>;
+    /** Keys of the workers that it names as silent. */
+    readonly silentKeys: ReadonlySet<string>;
+    /** Whether it lacks workers that the one before listed. */
+    readonly hasLost: boolean;
+}
+
 /**
  * Keeps the stored roster of a cell up to date with the workers that may hold runs. No task starts on a worker before a
  * roster that lists it is durable, so that the next owner knows which workers it has to read.
@@ -95,42 +106,61 @@
 
     /** Writes the roster; one write at a time. An error means that another owner has taken over. */
     async write(): ReturnType<CommitLog["commit"]> {
-        const { cell, epoch, scheduler, commits, log } = this.context;
-        const { longMs, silentMs } = scheduler.leases;
-        const roster = {
-            lives: scheduler.workerKeysToRead,
-            leaseMs: scheduler.maxGrantedLeaseMs,
-            leasesMs: new Map([...longMs, ...silentMs]),
-            epoch,
-        };
-        const writtenKeys = new Set(roster.lives);
-        const keptKeys = new Set([...this.listedKeys].filter(key => writtenKeys.has(key)));
-        const hasLost = keptKeys.size < this.listedKeys.size;
+        const { cell, commits, log } = this.context;
+        const sent: { contents?: RosterContents } = {};
         this.isWriting = true;
-        this.listedKeys = keptKeys;
-        this.setSilentKeys(new Set([...this.silentKeys, ...silentMs.keys()]));
-        const result = await commits.commit({
-            writes: [{ key: cellKeys.roster(cell), value: rosterCodec.encode(roster) }],
+        const result = await commits.commit(() => {
+            sent.contents = this.prepare();
+            return {
+                writes: [{ key: cellKeys.roster(cell), value: rosterCodec.encode(sent.contents.roster) }],
+            };
         });
         this.isWriting = false;
+        if (sent.contents === undefined) {
+            return result;
+        }
+        const { roster, longKeys, silentKeys, hasLost } = sent.contents;
         if (result.isOk()) {
-            this.listedKeys = writtenKeys;
-            this.longLeaseKeys = new Set(longMs.keys());
-            this.setSilentKeys(new Set(silentMs.keys()));
+            this.listedKeys = new Set(roster.lives);
+            this.longLeaseKeys = longKeys;
+            this.setSilentKeys(silentKeys);
             this.isFromPreviousOwner = false;
         }
         log.write("roster", {
             cell,
-            workers: writtenKeys.size,
+            workers: roster.lives.length,
             leaseMs: roster.leaseMs,
-            longLeases: longMs.size,
-            silent: silentMs.size,
+            longLeases: longKeys.size,
+            silent: silentKeys.size,
             hasLost,
             isDurable: result.isOk(),
         });
         return result;
     }
 
+    /** Returns what to write now. From here on the store may hold it. */
+    private prepare(): RosterContents {
+        const { epoch, scheduler } = this.context;
+        const { longMs, silentMs } = scheduler.leases;
+        const lives = scheduler.workerKeysToRead;
+        const keys = new Set(lives);
+        const keptKeys = new Set([...this.listedKeys].filter(key => keys.has(key)));
+        const hasLost = keptKeys.size < this.listedKeys.size;
+        this.listedKeys = keptKeys;
+        this.setSilentKeys(new Set([...this.silentKeys, ...silentMs.keys()]));
+        return {
+            roster: {
+                lives,
+                leaseMs: scheduler.maxGrantedLeaseMs,
+                leasesMs: new Map([...longMs, ...silentMs]),
+                epoch,
+            },
+            longKeys: new Set(longMs.keys()),
+            silentKeys: new Set(silentMs.keys()),
+            hasLost,
+        };
+    }
+
     private setSilentKeys(keys: ReadonlySet<string>): void {
         this.silentKeys = keys;
         this.context.scheduler.fleet.freezeLeases(keys);
