Name only workers that had the time to answer as silent in the roster

Cause: a plan writes the roster when a worker is not listed in it. Right after a change of owner that is the first worker to answer that the previous roster lacked, one that has started again for instance. All workers that had not answered yet were named as silent, so that for the time of two writes their leases were not extended and nothing started on them, when the leases had been running down since the previous owner was lost.

Such a write names no further workers as silent; the write once a second and the last one of a planned stop do. A worker that is not named counts with a whole lease, so leaving it out is safe.

The test failed before.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -215,7 +215,12 @@
         const startedAtMs = clock.nowMs();
         this.links.sync();
         if (this.roster.blockUnlistedWorkers()) {
-            runInBackground("roster", this.writeRoster(), this.context.log, this.context.onLost);
+            runInBackground(
+                "roster",
+                this.writeRoster({ addsSilent: false }),
+                this.context.log,
+                this.context.onLost,
+            );
         }
         const orders = this.scheduler.plan();
         this.loadReporter.recordPlan(startedAtMs);
@@ -228,8 +233,8 @@
         runInBackground("permits", requested, this.context.log);
     }
 
-    private async writeRoster(): Promise<void> {
-        const written = await this.roster.write();
+    private async writeRoster(options: { readonly addsSilent: boolean }): Promise<void> {
+        const written = await this.roster.write(options);
         if (written.isErr() && !this.abort.signal.aborted) {
             this.context.onLost("the log belongs to another owner");
         }
@@ -254,7 +259,7 @@
             await sleep(MaintenanceIntervalMs, this.abort.signal);
             this.loadReporter.report(this.scheduler.load, this.scheduler.lastingWaits.take());
             if (this.roster.isOutdated) {
-                await this.writeRoster();
+                await this.writeRoster({ addsSilent: true });
             }
         }
     }
--- a/packages/dispatch/src/roster-writer.ts
+++ b/packages/dispatch/src/roster-writer.ts
@@ -104,13 +104,17 @@
         }
     }
 
-    /** Writes the roster; one write at a time. An error means that another owner has taken over. */
-    async write(): ReturnType<CommitLog["commit"]> {
+    /**
+     * Writes the roster; one write at a time. An error means that another owner has taken over. Without `addsSilent`, only
+     * those silent workers are named that the stored roster may name already: the others may not have had the time to
+     * answer.
+     */
+    async write({ addsSilent } = { addsSilent: true }): ReturnType<CommitLog["commit"]> {
         const { cell, commits, log } = this.context;
         const sent: { contents?: RosterContents } = {};
         this.isWriting = true;
         const result = await commits.commit(() => {
-            sent.contents = this.prepare();
+            sent.contents = this.prepare(addsSilent);
             return {
                 writes: [{ key: cellKeys.roster(cell), value: rosterCodec.encode(sent.contents.roster) }],
             };
@@ -139,24 +143,25 @@
     }
 
     /** Returns what to write now. From here on the store may hold it. */
-    private prepare(): RosterContents {
+    private prepare(addsSilent: boolean): RosterContents {
         const { epoch, scheduler } = this.context;
         const { longMs, silentMs } = scheduler.leases;
+        const namedMs = new Map([...silentMs].filter(([key]) => addsSilent || this.silentKeys.has(key)));
         const lives = scheduler.workerKeysToRead;
         const keys = new Set(lives);
         const keptKeys = new Set([...this.listedKeys].filter(key => keys.has(key)));
         const hasLost = keptKeys.size < this.listedKeys.size;
         this.listedKeys = keptKeys;
-        this.setSilentKeys(new Set([...this.silentKeys, ...silentMs.keys()]));
+        this.setSilentKeys(new Set([...this.silentKeys, ...namedMs.keys()]));
         return {
             roster: {
                 lives,
                 leaseMs: scheduler.maxGrantedLeaseMs,
-                leasesMs: new Map([...longMs, ...silentMs]),
+                leasesMs: new Map([...longMs, ...namedMs]),
                 epoch,
             },
             longKeys: new Set(longMs.keys()),
-            silentKeys: new Set(silentMs.keys()),
+            silentKeys: new Set(namedMs.keys()),
             hasLost,
         };
     }
--- a/packages/dispatch/tests/roster-writer.test.ts
+++ b/packages/dispatch/tests/roster-writer.test.ts
@@ -151,6 +151,27 @@
     t.end();
 });
 
+// Guards against leases that no owner extends for the time of two writes after a change of owner: a new worker has to be
+// listed before the others had the time to answer, and these counted as silent.
+t.test("a roster for a new worker names no further workers as silent", async t => {
+    const { store, scheduler, writer } = createWriter();
+    writer.restore({ lives: [key], leaseMs, leasesMs: new Map(), epoch: 1 });
+    const unread = scheduler.registerWorker(oneWorker);
+    const added = scheduler.registerWorker({ ...oneWorker, id: "added" });
+    const { startedAtMs } = oneWorker;
+    scheduler.noteListing(added, { startedAtMs, running: [], ended: [], isPartial: false }, 1_000);
+    t.ok(writer.blockUnlistedWorkers());
+    const written = writer.write({ addsSilent: false });
+    await setImmediate();
+    leaseAfterListingMs(scheduler);
+    t.ok(unread.mayExtendLease);
+    await store.answerNext();
+    await written;
+    t.notOk(writer.blockUnlistedWorkers(), "nothing is left to write");
+    t.notOk(added.isStartBlocked || unread.isLeaseFrozen);
+    t.end();
+});
+
 // Guards against a next owner that waits for a whole lease of a worker that has been silent for seconds, and against a
 // write that costs each planned stop a call of the store.
 t.test("a planned stop stores the remaining leases of silent workers", async t => {
