--- a/packages/jobs/src/previous-owners.ts
+++ b/packages/jobs/src/previous-owners.ts
@@ -80,19 +80,19 @@
 
     /**
      * Longest time for which a lease that this owner did not grant may last on a worker that lists its runs now, by this
-     * process's clock. A worker that is not known from the previous owner may hold the longest one: a start that was sent
-     * to its earlier incarnation carries a deadline by that one's clock, which the worker shortens to its maximum.
+     * process's clock. From the listing on the worker refuses the calls of previous owners, so it is the longest lease at
+     * most. A worker that is not known from the previous owner may hold that one: a start that was sent to its earlier
+     * incarnation carries a deadline by that one's clock, which the worker shortens to its maximum.
      */
     leaseAtFirstListingMs(key: string): number {
         const grantedMs = maxLeaseDurationMs(this.grantedLeaseMs);
         if (this.isFirstOwner) {
             return grantedMs;
         }
+        const longestMs = maxLeaseDurationMs(this.limits.maxLeaseMs);
         const isKnown = this.knownLeases?.workerKeys.has(key) === true;
-        const longestMs = isKnown
-            ? this.knownLeases?.leasesMs.get(key)
-            : maxLeaseDurationMs(this.limits.maxLeaseMs);
-        return Math.max(grantedMs, longestMs ?? 0);
+        const storedMs = isKnown ? (this.knownLeases?.leasesMs.get(key) ?? 0) : longestMs;
+        return Math.max(grantedMs, Math.min(storedMs, longestMs));
     }
 
     /** Records that a worker has listed its runs or that this incarnation has ended. */
