Preempt no lasting task while its job cannot start

After a change of owner the jobs of the previous one wait until all of its workers are read, up to 5.3 s if one is gone.

Runs of a job that cannot start are no candidates for preemption and swaps. The test failed before: one made way before the workers were read.

--- a/packages/jobs/src/preempt-lasting-tasks.ts
+++ b/packages/jobs/src/preempt-lasting-tasks.ts
@@ -12,6 +12,15 @@
 /** Most lasting tasks that one plan preempts. */
 const MaxPreemptionsPerPlan = 6;
 
+/** What the preemptions of one plan depend on. */
+interface PreemptionContext {
+    readonly fleet: WorkerFleet;
+    readonly effects: NeighbourEffects;
+    readonly nowMs: number;
+    /** Whether the tasks of a job cannot start now. */
+    readonly isBlocked: (job: string) => boolean;
+}
+
 /** Finds a worker whose free or soon freed capacity is enough for a waiting task. */
 const findWorker = (
     fleet: WorkerFleet,
@@ -31,18 +40,14 @@
  * Marks lasting tasks to preempt for short tasks without capacity. Per processor and second a short task is worth
  * several times as much, and it ends soon. The capacity of one lasting task may serve several short tasks.
  */
-export const preemptLastingTasks = (
-    fleet: WorkerFleet,
-    waiting: readonly WaitingTask[],
-    effects: NeighbourEffects,
-    nowMs: number,
-): void => {
+export const preemptLastingTasks = (waiting: readonly WaitingTask[], context: PreemptionContext): void => {
+    const { fleet, nowMs } = context;
     const overdue = waiting.filter(({ task }) => nowMs - (task.readySinceMs ?? nowMs) >= PreemptionDelayMs);
     if (overdue.length === 0) {
         return;
     }
     const capacity = ProjectedCapacity.create(fleet.workers);
-    const candidates = PreemptionCandidates.create(fleet, effects, nowMs);
+    const candidates = PreemptionCandidates.create(context);
     let preemptions = 0;
     for (const waitingTask of overdue) {
         const { task, service } = waitingTask;
--- a/packages/jobs/src/preemption-candidates.ts
+++ b/packages/jobs/src/preemption-candidates.ts
@@ -29,7 +29,21 @@
     return unavailable.length < maxUnavailable;
 };
 
-const isPreemptible = (run: Run, nowMs: number, minRunTimeMs: number): boolean =>
+/** What the candidates of one plan depend on. */
+interface CandidateContext {
+    readonly fleet: WorkerFleet;
+    readonly effects: NeighbourEffects;
+    readonly nowMs: number;
+    /** Shortest time for which a candidate has run, in milliseconds. */
+    readonly minRunTimeMs?: number;
+    /** Whether the tasks of a job cannot start now. */
+    readonly isBlocked: (job: string) => boolean;
+}
+
+const isPreemptible = (
+    run: Run,
+    { nowMs, minRunTimeMs = DefaultMinRunTimeMs, isBlocked }: CandidateContext,
+): boolean =>
     run.task.step.spec.lasting &&
     run.task.run === run &&
     !run.isStopRequested &&
@@ -37,6 +51,7 @@
     // It would have to wait for a trial before it starts again.
     run.task.suspicion === 0 &&
     nowMs - run.startedAtMs >= minRunTimeMs &&
+    !isBlocked(run.task.step.occurrence.job.spec.id) &&
     allowsUnavailableTask(run);
 
 /** Preemptions of the run's job, per task of the step. */
@@ -58,16 +73,12 @@
         private readonly nowMs: number,
     ) {}
 
-    static create(
-        fleet: WorkerFleet,
-        effects: NeighbourEffects,
-        nowMs: number,
-        minRunTimeMs = DefaultMinRunTimeMs,
-    ): PreemptionCandidates {
+    static create(context: CandidateContext): PreemptionCandidates {
+        const { fleet, effects, nowMs } = context;
         const candidates: Candidate[] = [];
         for (const worker of fleet.workers) {
             for (const run of worker.runs.values()) {
-                if (isPreemptible(run, nowMs, minRunTimeMs)) {
+                if (isPreemptible(run, context)) {
                     candidates.push({
                         run,
                         isMisplaced: effects.compatibilityGainWithout(run) >= MinMisplacedGain,
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -113,8 +113,8 @@
             }
         }
         const { fleet, rules, effects } = this.context;
-        swapLastingTasks(fleet, overdue, this.held, rules, effects, nowMs);
-        preemptLastingTasks(fleet, waiting, effects, nowMs);
+        swapLastingTasks(overdue, { fleet, held: this.held, rules, effects, nowMs, isBlocked });
+        preemptLastingTasks(waiting, { fleet, effects, nowMs, isBlocked });
         return orders;
     }
 
--- a/packages/jobs/src/swap-lasting-tasks.ts
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -15,6 +15,17 @@
 /** Most lasting tasks that one plan preempts for others. */
 const MaxSwapsPerPlan = 2;
 
+/** What the swaps of one plan depend on. */
+interface SwapContext {
+    readonly fleet: WorkerFleet;
+    readonly held: HeldWorkers;
+    readonly rules: QueueRules;
+    readonly effects: NeighbourEffects;
+    readonly nowMs: number;
+    /** Whether the tasks of a job cannot start now. */
+    readonly isBlocked: (job: string) => boolean;
+}
+
 /** Priority of a task's queue; tasks of a queue without a rule go last. */
 const priorityOf = ({ step }: Task, rules: QueueRules): number =>
     rules.get(step.occurrence.job.spec.queue)?.priority ?? Infinity;
@@ -23,19 +34,13 @@
  * Preempts lasting tasks for others that have waited long and fit nowhere. Where lasting tasks request more than there
  * is, each of them is unavailable for some time instead of a few for good; those of more urgent queues do not make way.
  */
-export const swapLastingTasks = (
-    fleet: WorkerFleet,
-    overdue: readonly WaitingTask[],
-    held: HeldWorkers,
-    rules: QueueRules,
-    effects: NeighbourEffects,
-    nowMs: number,
-): void => {
+export const swapLastingTasks = (overdue: readonly WaitingTask[], context: SwapContext): void => {
+    const { held, rules, nowMs } = context;
     const starved = overdue.filter(({ task }) => isStarved(task, nowMs));
     if (starved.length === 0) {
         return;
     }
-    const candidates = PreemptionCandidates.create(fleet, effects, nowMs, MinRunTimeMs);
+    const candidates = PreemptionCandidates.create({ ...context, minRunTimeMs: MinRunTimeMs });
     const withoutCandidate = new Set<Step>();
     let swaps = 0;
     for (const { task, service } of starved) {
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -129,6 +129,34 @@
     t.end();
 });
 
+// Guards against lasting tasks without a run for seconds after a change of owner: they made way for jobs that were accepted
+// meanwhile, although none of their own job may start before all workers of the previous owner are read.
+t.test("no lasting task makes way while its job cannot start", t => {
+    const harness = SchedulerHarness.create(2);
+    const { scheduler } = harness;
+    const inherited = harness.makeJob({
+        lasting: true,
+        count: 4,
+        resources: Resources.create({ processors: 4, memoryMb: 100 }),
+    });
+    harness.inherit(inherited);
+    scheduler.expectInheritedWorkers(["w1/1", "lost/1"], cellLimits.leaseMs, new Map());
+    const worker = harness.addUnreadWorker("w1");
+    const run = { number: 1, checkpoint: "", progressPercent: 100, gauge: 0 };
+    const listing = [0, 1, 2, 3].map(index => ({ ...run, task: `${inherited.id}.0.0.${index}` }));
+    harness.reportListing(worker, listing, []);
+    harness.submit({});
+    const stopsAfter = (ms: number): number => {
+        harness.clock.advance(ms);
+        harness.reportListing(worker, listing, []);
+        return harness.planOrders().filter(({ kind }) => kind === OrderKind.Stop).length;
+    };
+    stopsAfter(0);
+    t.equal(stopsAfter(4_000), 0, "a worker is not read");
+    t.equal(stopsAfter(2_000), 1, "its lease is over");
+    t.end();
+});
+
 // Guards against running lasting tasks that make way at once for others whose turn has just come: a new owner counted
 // the wait of the latter from the change of owner on, although the step before theirs was still running.
 t.test("a lasting task of an inherited job does not wait before its step is open", t => {
