Count the wait of a lasting task since the last answer of its lost worker

The wait now counts from the last answer of the worker, after which the task may have had no run. The test failed before: the wait began with the end of the lease.

--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -1,6 +1,6 @@
 import { EndKind } from "./end-kind.js";
 import type { EndObserver } from "./end-observer.js";
-import type { EndReason } from "./end-reason.js";
+import { EndReason } from "./end-reason.js";
 import type { JobRegistry } from "./job-registry.js";
 import { JobState } from "./job-state.js";
 import type { QueueRules } from "./queue-rules.js";
@@ -70,6 +70,7 @@
         }
         if (isCurrent) {
             run.task.notRunningSinceMs ??= times.nowMs;
+            this.countWaitSinceLoss(run, end);
         }
         if (isCurrent || completesTask) {
             this.apply(run.task, run.worker, end, times);
@@ -78,6 +79,13 @@
         }
     }
 
+    /** A lasting task on a worker that fell silent may have had no run since the worker's last answer. */
+    private countWaitSinceLoss({ task, worker }: Run, end: RunEnd): void {
+        if (task.step.spec.lasting && end.reason === EndReason.LeaseOver && worker.hasListedRuns) {
+            task.readySinceMs = Math.min(task.readySinceMs ?? Infinity, worker.lastContactAtMs);
+        }
+    }
+
     /**
      * Marks a task done that has a later run by now, which is then stopped. The end of the earlier run is acknowledged, so
      * the task must not start once more if the later run does not end as done.
--- a/packages/jobs/tests/lost-worker.test.ts
+++ b/packages/jobs/tests/lost-worker.test.ts
@@ -75,6 +75,30 @@
     t.end();
 });
 
+// Guards against lasting tasks that wait for the lease of their lost worker, and then for as long again behind tasks that
+// made way a moment ago: their wait was counted from the end of the lease.
+t.test("a lasting task waits since the last answer of its lost worker", t => {
+    const harness = SchedulerHarness.create();
+    const { scheduler } = harness;
+    scheduler.expectNoInheritedWorkers();
+    const worker = harness.addWorker("w1");
+    const answeredAtMs = harness.clock.nowMs();
+    harness.submit({ lasting: true }, {});
+    const runs = harness.planAndStartAll();
+    t.equal(runs.length, 2);
+    harness.clock.advance(100);
+    scheduler.noteLeaseExtension(worker);
+    scheduler.noteUnreachable(worker);
+    harness.clock.advance(6_000);
+    harness.planOrders();
+    const waitsSinceMs = runs.map(({ task }) => [task.step.spec.lasting, task.readySinceMs]);
+    t.strictSame(waitsSinceMs, [
+        [true, answeredAtMs],
+        [false, harness.clock.nowMs()],
+    ]);
+    t.end();
+});
+
 // Guards against waiting for the lease of a worker that is known to have restarted.
 t.test("a new incarnation of a worker releases the tasks of the previous one at once", t => {
     const harness = SchedulerHarness.create();
