Hold a worker for a lasting task only if no other one can make way

Cause: for each lasting task that had waited for 2 s a worker was held, up to a quarter of the fleet, until short tasks had ended there. What is held stays unused for up to 2.5 s, and is counted by callers as capacity that waiting tasks do not get.

A worker is now held for the ends of short tasks only if the task has waited for 3.5 s and nothing can make way for it.

--- a/packages/jobs/src/held-workers.ts
+++ b/packages/jobs/src/held-workers.ts
@@ -27,8 +27,8 @@
 };
 
 /**
- * Holds workers for overdue lasting tasks. Capacity becomes free in pieces; if each piece went to the next task that
- * fits into it, a task that is larger than the pieces would never start.
+ * Holds workers for starved lasting tasks. Capacity becomes free in pieces; if each piece went to the next task that fits
+ * into it, a task that is larger than the pieces would never start.
  */
 export class HeldWorkers {
     private readonly holds = new Map<WorkerIncarnation, Hold>();
@@ -59,28 +59,27 @@
         this.holds.set(worker, { step, untilMs: nowMs + MaxHoldMs });
     }
 
-    /**
-     * Holds workers for the waiting tasks of one step until there is one for each of them, and releases those that tasks
-     * which started elsewhere no longer need. Returns the tasks for which there is none.
-     */
-    holdFor(waiting: readonly Task[], service: string, nowMs: number): readonly Task[] {
+    /** Releases the workers of a step that its waiting tasks no longer need. Returns the tasks for which none is held. */
+    withoutHold(waiting: readonly Task[]): readonly Task[] {
         const [task] = waiting;
         if (task === undefined) {
             return [];
         }
-        const { step } = task;
-        const holding = this.workersFor(step);
+        const holding = this.workersFor(task.step);
         holding.slice(waiting.length).forEach(worker => this.release(worker));
-        let heldCount = Math.min(holding.length, waiting.length);
-        while (heldCount < waiting.length && this.holds.size < this.fleet.size * MaxHeldShare) {
-            const worker = this.findWorker(task, service, nowMs);
-            if (worker === undefined) {
-                break;
-            }
-            this.hold(worker, step, nowMs);
-            heldCount++;
+        return waiting.slice(holding.length);
+    }
+
+    /** Holds the worker on which the ends of short runs free enough capacity for a task. Returns whether there is one. */
+    holdForEnds(task: Task, service: string, nowMs: number): boolean {
+        if (this.holds.size >= this.fleet.size * MaxHeldShare) {
+            return false;
+        }
+        const worker = this.findWorker(task, service, nowMs);
+        if (worker !== undefined) {
+            this.hold(worker, task.step, nowMs);
         }
-        return waiting.slice(heldCount);
+        return worker !== undefined;
     }
 
     private isUsable(worker: WorkerIncarnation): boolean {
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -97,7 +97,7 @@
                 }
                 // Fillers reserve no processors, so that neither a hold nor a swap brings them closer to a start.
                 const waitingLong = step.spec.filler ? [] : overdueTasks(step, nowMs);
-                const without = this.held.holdFor(waitingLong, service, nowMs);
+                const without = this.held.withoutHold(waitingLong);
                 overdue.push(...without.map(task => ({ task, service })));
             }
             this.collectWaiting(step, service, waiting, nowMs);
--- a/packages/jobs/src/swap-lasting-tasks.ts
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -56,7 +56,10 @@
             worker.heldFor === undefined && priorityOf(other, rules) >= priority;
         const run = candidates.takeFor(task, service, isAllowed);
         if (run === undefined) {
-            withoutCandidate.add(task.step);
+            // What is held stays unused until its short runs end, so a worker is held only if nothing can make way.
+            if (!held.holdForEnds(task, service, nowMs)) {
+                withoutCandidate.add(task.step);
+            }
         } else {
             preemptRun(run, nowMs);
             held.hold(run.worker, task.step, nowMs);
