Let the swaps of a plan grow with the fleet

Callers saw lasting tasks without a run for 9 to 26 s beside free capacity (LOST) on the grown sites, with several hundred lasting tasks that waited.

Cause: a plan lets two lasting tasks make way for starved ones, whatever the size of the fleet. The owner of 45 workers plans about 30 times a second, that of 300 busy workers 3 to 9 times. So the turn of a task took longer, the larger the fleet and the more tasks waited.

The limit is two for 45 workers and grows with the fleet. The test failed before: 2 instead of 8 tasks of 180 workers made way.

--- a/packages/jobs/src/swap-lasting-tasks.ts
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -1,5 +1,6 @@
 import type { HeldWorkers } from "./held-workers.js";
 import { isStarved } from "./is-starved.js";
+import { limitForFleet } from "./limit-for-fleet.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import { PreemptionCandidates } from "./preemption-candidates.js";
 import { preemptRun } from "./preempt-run.js";
@@ -12,7 +13,7 @@
 
 /** A lasting task keeps its worker for at least this long before another lasting one takes its place. */
 const MinRunTimeMs = 5_000;
-/** Most lasting tasks that one plan preempts for others. */
+/** Most lasting tasks that one plan preempts for others; more in a large fleet. */
 const MaxSwapsPerPlan = 2;
 
 /** What the swaps of one plan depend on. */
@@ -42,9 +43,10 @@
     }
     const candidates = PreemptionCandidates.create({ ...context, minRunTimeMs: MinRunTimeMs });
     const withoutCandidate = new Set<Step>();
+    const maxSwaps = limitForFleet(MaxSwapsPerPlan, context.fleet.size);
     let swaps = 0;
     for (const { task, service } of starved) {
-        if (swaps >= MaxSwapsPerPlan) {
+        if (swaps >= maxSwaps) {
             break;
         }
         if (withoutCandidate.has(task.step)) {
--- a/packages/jobs/tests/swap-lasting-tasks.test.ts
+++ b/packages/jobs/tests/swap-lasting-tasks.test.ts
@@ -93,3 +93,37 @@
     t.equal(stoppedTasks(harness).size, 1);
     t.end();
 });
+
+/** A fleet of full workers, with as many lasting tasks that wait. */
+const fullFleet = (workerCount: number, waiting: Partial<StepSpec>): SchedulerHarness => {
+    const harness = SchedulerHarness.create();
+    const workers = Array.from({ length: workerCount }, (_, index) => harness.addWorker(`w${index}`));
+    harness.submit(lasting(4 * workerCount));
+    harness.planAndStartAll();
+    harness.clock.advance(MinRunTimeMs);
+    for (const worker of workers) {
+        const listed = [...worker.runs.values()].map(SchedulerHarness.listedRun);
+        harness.reportListing(worker, listed, []);
+    }
+    harness.submit(waiting);
+    harness.planOrders();
+    harness.clock.advance(StarvedMs);
+    return harness;
+};
+
+const countStops = (harness: SchedulerHarness): number =>
+    harness.planOrders().filter(({ kind }) => kind === OrderKind.Stop).length;
+
+// Guards against lasting tasks that wait for many seconds in a large fleet, whose owner plans a few times a second: a plan
+// preempted as few tasks for hundreds of waiting ones as in a small fleet.
+t.test("load pattern: many lasting tasks wait in a large and full fleet", t => {
+    for (const [workerCount, swaps] of [
+        [20, 2],
+        [45, 2],
+        [180, 8],
+    ] as const) {
+        const harness = fullFleet(workerCount, lasting(workerCount));
+        t.equal(countStops(harness), swaps, `${workerCount} workers`);
+    }
+    t.end();
+});
