Let lasting tasks that a new owner found running make way for starved ones

A new owner counted the runs that it found as started at that time.

Such a run has run for a time that is not known; it counts as long enough for a swap, which needs a task that has waited for 3.5 s.

The test failed before: no task made way within 3.5 s.

--- a/packages/jobs/src/preemption-candidates.ts
+++ b/packages/jobs/src/preemption-candidates.ts
@@ -36,13 +36,15 @@
     readonly nowMs: number;
     /** Shortest time for which a candidate has run, in milliseconds. */
     readonly minRunTimeMs?: number;
+    /** Whether runs that a new owner found, which have run for an unknown time, count as having run for that long. */
+    readonly includesAdopted?: boolean;
     /** Whether the tasks of a job cannot start now. */
     readonly isBlocked: (job: string) => boolean;
 }
 
 const isPreemptible = (
     run: Run,
-    { nowMs, minRunTimeMs = DefaultMinRunTimeMs, isBlocked }: CandidateContext,
+    { nowMs, minRunTimeMs = DefaultMinRunTimeMs, includesAdopted = false, isBlocked }: CandidateContext,
 ): boolean =>
     run.task.step.spec.lasting &&
     run.task.run === run &&
@@ -50,7 +52,7 @@
     run.phase === RunPhase.Running &&
     // It would have to wait for a trial before it starts again.
     run.task.suspicion === 0 &&
-    nowMs - run.startedAtMs >= minRunTimeMs &&
+    ((includesAdopted && run.isAdopted) || nowMs - run.startedAtMs >= minRunTimeMs) &&
     !isBlocked(run.task.step.occurrence.job.spec.id) &&
     allowsUnavailableTask(run);
 
--- a/packages/jobs/src/swap-lasting-tasks.ts
+++ b/packages/jobs/src/swap-lasting-tasks.ts
@@ -41,7 +41,11 @@
     if (starved.length === 0) {
         return;
     }
-    const candidates = PreemptionCandidates.create({ ...context, minRunTimeMs: MinRunTimeMs });
+    const candidates = PreemptionCandidates.create({
+        ...context,
+        minRunTimeMs: MinRunTimeMs,
+        includesAdopted: true,
+    });
     const withoutCandidate = new Set<Step>();
     const maxSwaps = limitForFleet(MaxSwapsPerPlan, context.fleet.size);
     let swaps = 0;
--- a/packages/jobs/tests/swap-lasting-tasks.test.ts
+++ b/packages/jobs/tests/swap-lasting-tasks.test.ts
@@ -114,6 +114,25 @@
 const countStops = (harness: SchedulerHarness): number =>
     harness.planOrders().filter(({ kind }) => kind === OrderKind.Stop).length;
 
+// Guards against lasting tasks that wait for seconds after each change of owner: the new owner counted the runs that it
+// found from that time on, so that none of them had run for long enough to make way.
+t.test("lasting tasks that a new owner found running make way for others", t => {
+    const harness = SchedulerHarness.create(2);
+    const { scheduler } = harness;
+    const running = harness.makeJob(lasting(4));
+    harness.inherit(running);
+    harness.inherit(harness.makeJob(lasting(1)));
+    scheduler.expectInheritedWorkers(["w1/1"]);
+    const worker = harness.addUnreadWorker("w1");
+    const run = { number: 1, checkpoint: "", progressPercent: 100, gauge: 0 };
+    const listed = [0, 1, 2, 3].map(index => ({ ...run, task: `${running.id}.0.0.${index}` }));
+    harness.reportListing(worker, listed, []);
+    harness.planOrders();
+    harness.clock.advance(StarvedMs);
+    t.equal(stoppedTasks(harness).size, 1);
+    t.end();
+});
+
 // Guards against lasting tasks that wait for many seconds in a large fleet, whose owner plans a few times a second: a plan
 // preempted as few tasks for hundreds of waiting ones as in a small fleet.
 t.test("load pattern: many lasting tasks wait in a large and full fleet", t => {
