--- a/packages/dispatch/tests/lease-model-client.ts
+++ b/packages/dispatch/tests/lease-model-client.ts
@@ -17,17 +17,26 @@
     private constructor(
         private readonly worker: LeaseModelWorker,
         private readonly network: LeaseModelNetwork,
+        private readonly intendedStartMs: number | undefined,
     ) {
         super();
     }
 
-    static create(worker: LeaseModelWorker, network: LeaseModelNetwork): LeaseModelClient {
-        return new LeaseModelClient(worker, network);
+    /**
+     * `intendedStartMs` is the start of the incarnation for which orders are meant; if it is undefined, that of the one
+     * which is there when they are sent.
+     */
+    static create(
+        worker: LeaseModelWorker,
+        network: LeaseModelNetwork,
+        intendedStartMs?: number,
+    ): LeaseModelClient {
+        return new LeaseModelClient(worker, network, intendedStartMs);
     }
 
     override async start(run: Run, token: number, deadlineMs: number): Promise<StartOutcome> {
         const { worker } = this;
-        const { startedAtMs } = worker;
+        const startedAtMs = this.intendedStartMs ?? worker.startedAtMs;
         const workMs = Number(run.task.step.occurrence.job.spec.payload);
         let outcome: StartOutcome | undefined;
         const response = await this.network.call(worker, {
@@ -46,13 +55,23 @@
         return response ?? StartOutcome.Unknown;
     }
 
-    override async stop(task: string, number: number): Promise<Result<void, OrderFailure>> {
-        const response = await this.network.call(this.worker, {
+    override async stop(task: string, number: number, token: number): Promise<Result<void, OrderFailure>> {
+        const { worker } = this;
+        let isFenced = false;
+        const response = await this.network.call(worker, {
             timeoutMs: OrderTimeoutMs,
-            execute: nowMs => this.worker.stop(task, number, nowMs),
+            execute: nowMs => {
+                isFenced = !worker.admits(token);
+                if (!isFenced) {
+                    worker.stop(task, number, nowMs);
+                }
+            },
             respond: () => true,
         });
-        return response === undefined ? Err(OrderFailure.Unknown) : Ok(undefined);
+        if (response === undefined) {
+            return Err(OrderFailure.Unknown);
+        }
+        return isFenced ? Err(OrderFailure.Fenced) : Ok(undefined);
     }
 
     override pace(): Promise<Result<void, OrderFailure>> {
@@ -63,14 +82,18 @@
         const { worker } = this;
         const { startedAtMs } = worker;
         let untilMs = 0;
+        let isFenced = false;
         const response = await this.network.call<HeartbeatResponse>(worker, {
             timeoutMs: req.waitMs + HeartbeatSlackMs,
             execute: (nowMs, isLate) => {
                 // docs/questions.md: a late heartbeat is not carried out in a later incarnation.
                 if (!isLate || worker.startedAtMs === startedAtMs) {
-                    worker.heartbeat(req, nowMs);
+                    isFenced = !worker.admits(req.fencingToken);
+                    if (!isFenced) {
+                        worker.heartbeat(req, nowMs);
+                    }
                 }
-                untilMs = nowMs + req.waitMs;
+                untilMs = isFenced ? nowMs : nowMs + req.waitMs;
             },
             respond: nowMs => {
                 const listing = worker.listing(nowMs);
@@ -82,7 +105,10 @@
                       };
             },
         });
-        return response === undefined ? Err(OrderFailure.Unknown) : Ok(response);
+        if (response === undefined) {
+            return Err(OrderFailure.Unknown);
+        }
+        return isFenced ? Err(OrderFailure.Fenced) : Ok(response);
     }
 
     override close(): void {
--- a/packages/dispatch/tests/lease-model-worker.ts
+++ b/packages/dispatch/tests/lease-model-worker.ts
@@ -44,6 +44,7 @@
     private ends: ModelEnd[] = [];
     private sequence = 0;
     private leaseEndsAtMs = 0;
+    private fencingToken = 0;
     private readonly starts: number[];
 
     private constructor(
@@ -69,6 +70,7 @@
         this.ends = [];
         this.sequence = 0;
         this.leaseEndsAtMs = 0;
+        this.fencingToken = 0;
     }
 
     /** Begins the next incarnation, whose clock starts anew. */
@@ -87,8 +89,17 @@
         return Math.floor((nowMs - this.startedAtMs) * ClockRate);
     }
 
-    start({ deadlineMs, ...run }: ModelStart, nowMs: number): StartOutcome {
+    /** Whether a call with this token is carried out: the worker refuses those of earlier owners. */
+    admits(token: number): boolean {
+        this.fencingToken = Math.max(this.fencingToken, token);
+        return token === this.fencingToken;
+    }
+
+    start({ deadlineMs, token, ...run }: ModelStart, nowMs: number): StartOutcome {
         this.advance(nowMs);
+        if (!this.admits(token)) {
+            return StartOutcome.Fenced;
+        }
         if (this.runs.get(run.task)?.number === run.number) {
             return StartOutcome.Started;
         }
