Limit the leases that a stored roster may name

Cause: a damaged roster that decodes may name any lease.

Workers shorten leases to their maximum, so the granted lease counts as that at most, and a remaining one as a late order and a whole lease at most.

The test failed before: nothing was planned.

--- a/packages/jobs/src/previous-owners.ts
+++ b/packages/jobs/src/previous-owners.ts
@@ -51,12 +51,17 @@
         leasesMs?: ReadonlyMap<string, number>,
     ): void {
         const nowMs = this.clock.nowMs();
-        const durationMs = maxLeaseDurationMs(leaseMs);
+        const { maxLeaseMs, lateOrderMs } = this.limits;
+        // Workers shorten leases to their maximum, so a stored value above that says nothing.
+        const grantedMs = Math.min(leaseMs, maxLeaseMs);
+        const durationMs = maxLeaseDurationMs(grantedMs);
+        const longestMs = lateOrderMs + maxLeaseDurationMs(maxLeaseMs);
         for (const key of workerKeys) {
-            this.unreadLeaseEndsMs.set(key, nowMs + (leasesMs?.get(key) ?? durationMs));
+            const remainingMs = Math.min(leasesMs?.get(key) ?? durationMs, longestMs);
+            this.unreadLeaseEndsMs.set(key, nowMs + remainingMs);
         }
         this.knownLeases = leasesMs && { workerKeys: new Set(workerKeys), leasesMs };
-        this.grantedLeaseMs = workerKeys.length === 0 ? this.limits.leaseMs : leaseMs;
+        this.grantedLeaseMs = workerKeys.length === 0 ? this.limits.leaseMs : grantedMs;
     }
 
     addJob(id: string): void {
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -168,6 +168,31 @@
     t.end();
 });
 
+// Guards against inherited tasks that never start, because a damaged roster names a lease that no worker grants.
+t.test("inherited tasks wait no longer than any lease may last", t => {
+    const tables: [leaseMs: number, leasesMs: ReadonlyMap<string, number>, longestMs: number][] = [
+        [1e15, new Map(), maxLeaseDurationMs(cellLimits.maxLeaseMs)],
+        [
+            cellLimits.leaseMs,
+            new Map([["lost/1", 1e15]]),
+            cellLimits.lateOrderMs + maxLeaseDurationMs(cellLimits.maxLeaseMs),
+        ],
+    ];
+    for (const [leaseMs, leasesMs, longestMs] of tables) {
+        const harness = SchedulerHarness.create(2);
+        harness.inherit(harness.makeJob({}));
+        harness.scheduler.expectInheritedWorkers(["w1/1", "lost/1"], leaseMs, leasesMs);
+        const worker = harness.addWorker("w1");
+        harness.clock.advance(longestMs + cellLimits.stopMs);
+        t.same(harness.planStarts(), [], "the lease has not expired");
+        harness.clock.advance(1);
+        t.equal(harness.planStarts().length, 1);
+        t.ok(worker.leaseEndsAtMs - harness.clock.nowMs() < longestMs);
+        t.ok(harness.scheduler.maxGrantedLeaseMs <= cellLimits.maxLeaseMs);
+    }
+    t.end();
+});
+
 // Guards against waiting for a worker's previous incarnation, which no longer runs anything.
 t.test("a new incarnation of a worker ends the wait for its previous one", t => {
     const harness = SchedulerHarness.create(2);
