Let all processes learn the number of cells at the same time

Cause: until the number of cells was stored, a process looked for it every 0.45 s, and one that is far from the store only after 25 round trips, a second or more. Far processes refused jobs for up to 1.5 s after the number was stored.

Change: the layout is watched by the watcher of single values. The counts and their pace stay.

--- a/packages/dispatch/src/resolve-cell-count.ts
+++ b/packages/dispatch/src/resolve-cell-count.ts
@@ -3,8 +3,10 @@
 import { cellKeys } from "./cell-keys.js";
 import type { EventLog } from "./event-log.js";
 import type { MetadataStore } from "./metadata-store.js";
+import { runInBackground } from "./run-in-background.js";
 import { sleep } from "./sleep.js";
 import { storedRecords } from "./stored-records.js";
+import { ValueWatcher } from "./value-watcher.js";
 import type { WorkerPoller } from "./worker-poller.js";
 
 const RetryDelayMs = 150;
@@ -38,34 +40,44 @@
         expected: [{ key: cellKeys.layout, revision: 0 }],
         writes: [{ key: cellKeys.layout, value: JSON.stringify({ cells }) }],
     });
-    return committed.isOk() ? 0 : RetryDelayMs;
+    return committed.isOk() ? CountIntervalMs : RetryDelayMs;
+};
+
+/** Counts the workers until the number of cells is stored. */
+const proposeUntilStored = async (context: LayoutContext, signal: AbortSignal): Promise<void> => {
+    const proposal = CellCountProposal.create();
+    while (!signal.aborted) {
+        const stored = await context.store.get(cellKeys.layout);
+        const isAbsent = stored.isOk() && stored.value === undefined;
+        await sleep(isAbsent ? await propose(context, proposal) : RetryDelayMs, signal);
+    }
 };
 
 /**
  * Reads the number of cells from the store. At the first start of the system, derives it from the number of workers
  * and stores it. Undefined if the signal aborts.
+ *
+ * The number is watched, so that all processes learn it at the same time: the first cells then go to the processes that
+ * claim them soonest, which are large and near the store, and not to those that happened to count last.
  */
 export const resolveCellCount = async (
     context: LayoutContext,
     signal: AbortSignal,
 ): Promise<number | undefined> => {
-    const { store, log } = context;
-    const proposal = CellCountProposal.create();
-    while (!signal.aborted) {
-        const stored = await store.get(cellKeys.layout);
-        if (stored.isErr()) {
-            await sleep(RetryDelayMs, signal);
-        } else if (stored.value === undefined) {
-            await sleep(await propose(context, proposal), signal);
-        } else {
-            const cells = storedRecords.decodeCells(stored.value.value);
-            if (cells !== undefined) {
-                return cells;
-            }
+    const { store, clock, log } = context;
+    const found = new AbortController();
+    let cells: number | undefined;
+    const onValue = (value: string): void => {
+        cells = storedRecords.decodeCells(value);
+        if (cells === undefined) {
             // Another number would assign jobs to the wrong cells, so an operator has to repair the entry.
             log.write("entry-unreadable", { key: cellKeys.layout });
-            await sleep(RetryDelayMs, signal);
+        } else {
+            found.abort();
         }
-    }
-    return undefined;
+    };
+    const unresolved = AbortSignal.any([signal, found.signal]);
+    runInBackground("layout", proposeUntilStored(context, unresolved), log);
+    await ValueWatcher.create(store, cellKeys.layout, onValue, clock, log).run(unresolved);
+    return cells;
 };
