Ignore listings of workers that the fleet no longer holds

Cause: an owner forgets a worker that is not registered and holds no runs, but its link is closed only with the next plan. A listing that arrived in between was read on the forgotten record: runs of inherited tasks were adopted there.

Listings and late ends are read only for the worker that the fleet holds; the worker lists both again.

The test failed before: the run was stopped and the task had none.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -192,7 +192,11 @@
         worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, endsAtMs);
     }
 
+    /** A listing of a worker that has been forgotten or replaced is ignored: its runs belong to the current record. */
     noteListing(worker: WorkerIncarnation, listing: WorkerListing, sentAtMs: number): void {
+        if (!this.isCurrent(worker)) {
+            return;
+        }
         const nowMs = this.clock.nowMs();
         this.noteReachability(worker, true);
         this.suspicions.noteAlive(worker);
@@ -210,6 +214,9 @@
 
     /** Records ends from a response that came too late to show what runs on the worker. */
     noteEnds(worker: WorkerIncarnation, ends: readonly ListedEnd[]): void {
+        if (!this.isCurrent(worker)) {
+            return;
+        }
         this.listings.readEnds(worker, ends, this.times());
         worker.version++;
     }
@@ -246,6 +253,10 @@
         return computeCellLoad(this.jobs, this.fleet, this.previousOwners.unreadWorkers.size);
     }
 
+    private isCurrent(worker: WorkerIncarnation): boolean {
+        return this.fleet.get(worker.entry.id) === worker;
+    }
+
     /** The stored progress of the jobs tells the next owner which workers may be lost. */
     private noteReachability(worker: WorkerIncarnation, isReachable: boolean): void {
         if (worker.isReachable !== isReachable) {
--- a/packages/jobs/tests/worker-incarnations.test.ts
+++ b/packages/jobs/tests/worker-incarnations.test.ts
@@ -171,3 +171,23 @@
     t.same(harness.planStarts(), [], "w1 may still carry out its start");
     t.end();
 });
+
+// Guards against a task that never runs again: its run was adopted on the record of a worker that had been forgotten just
+// before its listing arrived, and was stopped as a second one on the record that replaced it.
+t.test("a listing of a worker that has been forgotten changes nothing", t => {
+    const harness = SchedulerHarness.create(2);
+    const spec = harness.makeJob({});
+    harness.inherit(spec);
+    harness.scheduler.expectInheritedWorkers(["w1/100"]);
+    const forgotten = harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    harness.scheduler.deregisterWorker("w1");
+    harness.planOrders();
+    t.equal(harness.scheduler.fleet.get("w1"), undefined);
+    const row = { task: `${spec.id}.0.0.0`, number: 1, checkpoint: "", progressPercent: 1, gauge: 0 };
+    harness.reportListing(forgotten, [row], []);
+    const worker = harness.addUnreadWorker("w1", { startedAtMs: OldStartMs });
+    harness.reportListing(worker, [row], []);
+    t.same(harness.planOrders(), [], "its run continues");
+    t.equal(harness.scheduler.jobs.get(spec.id)?.findTask(0, 0, 0)?.run?.worker, worker);
+    t.end();
+});
