--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -255,8 +255,8 @@
 
     /**
      * End of a lease that begins now, on the worker's clock; undefined while that clock is not known, and while the lease
-     * must not be extended. A reading older
-     * than a lease, which only a suspended process has, may be further ahead of a slow clock than leases are counted.
+     * must not be extended. A reading older than a lease, which only a suspended process has, may be further ahead of a
+     * slow clock than leases are counted.
      */
     private leaseDeadlineMs(): number | undefined {
         const { clock, leaseMs } = this.context;
