Reject calls to unusable addresses in place of throwing

JsonClient.call threw before it returned its promise if the address had no port, which a caller that handles only the rejection does not catch.

--- a/packages/core/src/json-client.ts
+++ b/packages/core/src/json-client.ts
@@ -40,12 +40,12 @@
 
     call(method: string, path: string, options: CallOptions): Promise<JsonResponse> {
         const text = options.body === undefined ? undefined : JSON.stringify(options.body);
-        const { host, port } = parseAddress(this.address);
         const headers = {
             ...options.headers,
             ...(text === undefined ? {} : { "content-type": "application/json" }),
         };
         return new Promise((resolve, reject) => {
+            const { host, port } = parseAddress(this.address);
             let receivedBytes = 0;
             const req = request({ host, port, method, path, headers, agent: this.agent }, res => {
                 const chunks: Buffer[] = [];
