Give a cell up when one of its plans throws

The plan ran in a timer callback without a handler, so that an unexpected error in it ended the process with all the callers that it served, and the next owner's after it. It now ends the ownership, as a failed loop does. The new test failed before: the TypeError was uncaught.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -163,8 +163,7 @@
      */
     registerWorker(entry: WorkerEntry): void {
         if (this.hasReadState) {
-            this.scheduler.registerWorker(entry);
-            this.links.sync();
+            this.links.ensureLink(this.scheduler.registerWorker(entry));
             this.schedulePlan();
         }
     }
@@ -205,7 +204,9 @@
             this.planTimer = setTimeout(() => {
                 this.planTimer = undefined;
                 this.loadReporter.recordTimer(dueAtMs);
-                this.plan();
+                // A plan that throws must not end the process, which also serves callers.
+                const planned = Promise.resolve().then(() => this.plan());
+                runInBackground("plan", planned, this.context.log, this.context.onLost);
             }, delayMs);
         }
     }
--- a/packages/dispatch/src/worker-links.ts
+++ b/packages/dispatch/src/worker-links.ts
@@ -55,6 +55,13 @@
         }
     }
 
+    /** Opens the link to a worker that has just registered; cheap for the many that have one. */
+    ensureLink(worker: WorkerIncarnation): void {
+        if (!this.links.has(worker)) {
+            this.sync();
+        }
+    }
+
     /** Sends an order; the link reports its outcome to the scheduler. */
     send(order: Order): void {
         const link = this.links.get(order.worker);
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -214,3 +214,22 @@
     t.strictSame(reasons, ["inputs failed unexpectedly"]);
     owner.halt();
 });
+
+// Guards against a process that ends, with all the callers that it serves, because a plan of one cell throws.
+t.test("an owner whose plan fails unexpectedly gives the cell up", async t => {
+    const reasons: string[] = [];
+    const clock = ManualClock.create(1_000);
+    const owner = createOwner(ManualStore.create(), clock, SilentWorkerClient.create, reason => {
+        reasons.push(reason);
+        owner.halt();
+    });
+    owner.scheduler.plan = (): never => {
+        throw new TypeError("unexpected");
+    };
+    await owner.start(
+        () => [queueRule("queue")],
+        () => Promise.resolve([oneWorker]),
+    );
+    await setTimeout(SeveralPlansMs);
+    t.strictSame(reasons, ["plan failed unexpectedly"]);
+});
