Start failed loops of a process again

An unexpected error in the loop that reads the configuration, the owners or the registrations ended this loop only: the process stayed ready and went on with what it had read last.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -20,6 +20,7 @@
 import { resolveCellCount } from "./resolve-cell-count.js";
 import { RouteTable } from "./route-table.js";
 import { runInBackground } from "./run-in-background.js";
+import { runUntilAborted } from "./run-until-aborted.js";
 import type { StoredOwner } from "./stored-owner.js";
 import type { StoreChange } from "./store-change.js";
 import type { StoredItem } from "./stored-item.js";
@@ -98,11 +99,7 @@
         const { configs, settings, store, clock, log, metrics } = this.context;
         const { signal } = this.abort;
         const peerAddress = await this.peerServer.listen(settings.peerAddress);
-        runInBackground(
-            "configuration",
-            configs.run(signal, config => this.applyConfig(config)),
-            log,
-        );
+        this.runLoop("configuration", () => configs.run(signal, config => this.applyConfig(config)));
         const count = await resolveCellCount({ ...this.context, workers: this.workers }, signal);
         if (count === undefined) {
             return;
@@ -117,8 +114,8 @@
             clock,
             log,
         );
-        runInBackground("owners", owners.run(signal), log);
-        runInBackground("workers", this.workers.run(signal), log);
+        this.runLoop("owners", () => owners.run(signal));
+        this.runLoop("workers", () => this.workers.run(signal));
     }
 
     /** Releases the owned cells; requests are served until `close`. */
@@ -133,6 +130,11 @@
         await this.peerServer.close();
     }
 
+    private runLoop(operation: string, loop: () => Promise<void>): void {
+        const { log } = this.context;
+        runInBackground(operation, runUntilAborted(operation, loop, this.abort.signal, log), log);
+    }
+
     private createCandidate(cell: number, address: string): CellCandidate {
         const { settings } = this.context;
         return CellCandidate.create({
