Let heartbeats give way to the lateness of the owner's thread

On the large site heartbeats are half of the owner's calls, and the urgent class waits for its thread. The pause between two heartbeats to a worker, 90 ms so far, is now twice the mean lateness of the thread, at most 600 ms.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
+import { describeError } from "@samphireward/core/describe-error";
 import type { CellLimits } from "@samphireward/jobs/cell-limits";
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import type { QueueRule } from "@samphireward/jobs/queue-rule";
@@ -8,6 +9,7 @@
 import type { CommitLog } from "./commit-log.js";
 import { EndReporter } from "./end-reporter.js";
 import type { EventLog } from "./event-log.js";
+import { HeartbeatPause } from "./heartbeat-pause.js";
 import { JobIntake } from "./job-intake.js";
 import { LoadReporter } from "./load-reporter.js";
 import type { MetadataStore } from "./metadata-store.js";
@@ -59,6 +61,7 @@
     private readonly roster: RosterWriter;
     private readonly writer: ProgressWriter;
     private readonly planDelay = PlanDelay.create();
+    private readonly heartbeatPause = HeartbeatPause.create();
     private planTimer: NodeJS.Timeout | undefined;
     private hasReadState = false;
 
@@ -69,6 +72,7 @@
         this.links = WorkerLinks.create({
             ...context,
             scheduler: this.scheduler,
+            heartbeatPause: this.heartbeatPause,
             listener: {
                 onChange: () => this.schedulePlan(),
                 onFenced: fenced => context.onLost(`fenced by worker ${fenced.entry.id}`),
@@ -204,13 +208,21 @@
             this.planTimer = setTimeout(() => {
                 this.planTimer = undefined;
                 this.loadReporter.recordTimer(dueAtMs);
-                // A plan that throws must not end the process, which also serves callers.
-                const planned = Promise.resolve().then(() => this.plan());
-                runInBackground("plan", planned, this.context.log, this.context.onLost);
+                this.planOrGiveUp();
             }, delayMs);
         }
     }
 
+    /** A plan that throws must not end the process, which also serves callers. */
+    private planOrGiveUp(): void {
+        try {
+            this.plan();
+        } catch (err) {
+            this.context.log.write("background-failed", { operation: "plan", reason: describeError(err) });
+            this.context.onLost("plan failed unexpectedly");
+        }
+    }
+
     private plan(): void {
         const { clock } = this.context;
         const startedAtMs = clock.nowMs();
@@ -247,6 +259,7 @@
             const dueAtMs = this.context.clock.nowMs() + PlanIntervalMs;
             await sleep(PlanIntervalMs, this.abort.signal);
             this.loadReporter.recordTimer(dueAtMs);
+            this.heartbeatPause.record(this.context.clock.nowMs() - dueAtMs);
             this.schedulePlan();
         }
     }
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -8,6 +8,7 @@
 import { Err } from "ts-results-es";
 import type { EventLog } from "./event-log.js";
 import { HeartbeatOutcome } from "./heartbeat-outcome.js";
+import type { HeartbeatPause } from "./heartbeat-pause.js";
 import type { HeartbeatResponse } from "./heartbeat-response.js";
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
@@ -23,8 +24,6 @@
 const HeartbeatWaitMs = 1_400;
 /** The same for workers with fillers beside serving tasks, whose tail latency determines the pace of the fillers. */
 const ServingHeartbeatWaitMs = 600;
-/** Pause between two heartbeats, so that one response reports ends in quick succession. */
-const HeartbeatPauseMs = 90;
 /** Time beyond the wait that was asked for, after which a worker without a response counts as unreachable. */
 const HeartbeatSlackMs = 800;
 const RetryDelayMs = 250;
@@ -40,6 +39,7 @@
     readonly metrics: Metrics;
     readonly fencingToken: number;
     readonly leaseMs: number;
+    readonly heartbeatPause: HeartbeatPause;
     readonly listener: LinkListener;
 }
 
@@ -66,7 +66,8 @@
     async run(): Promise<void> {
         while (!this.abort.signal.aborted) {
             const hasResponse = await this.sendHeartbeat();
-            await sleep(hasResponse ? HeartbeatPauseMs : RetryDelayMs, this.abort.signal);
+            const pauseMs = hasResponse ? this.context.heartbeatPause.nextMs : RetryDelayMs;
+            await sleep(pauseMs, this.abort.signal);
         }
     }
 
--- a/packages/dispatch/src/worker-links.ts
+++ b/packages/dispatch/src/worker-links.ts
@@ -5,6 +5,7 @@
 import { OrderKind } from "@samphireward/jobs/order-kind";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
 import type { EventLog } from "./event-log.js";
+import type { HeartbeatPause } from "./heartbeat-pause.js";
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
 import { runInBackground } from "./run-in-background.js";
@@ -21,6 +22,7 @@
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly limits: CellLimits;
+    readonly heartbeatPause: HeartbeatPause;
     readonly listener: LinkListener;
 }
 
--- a/packages/dispatch/tests/lease-model.ts
+++ b/packages/dispatch/tests/lease-model.ts
@@ -6,6 +6,7 @@
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
+import { HeartbeatPause } from "../src/heartbeat-pause.js";
 import { Metrics } from "../src/metrics.js";
 import { unstoredTrials } from "@samphireward/jobs/unstored-trials";
 import { WorkerLinks } from "../src/worker-links.js";
@@ -70,6 +71,7 @@
             log: NullLog.create(),
             metrics: Metrics.create(),
             limits: cellLimits,
+            heartbeatPause: HeartbeatPause.create(),
             listener: { onChange: () => (this.needsPlan = true), onFenced: () => undefined },
         });
     }
--- a/packages/dispatch/tests/record-heartbeat.test.ts
+++ b/packages/dispatch/tests/record-heartbeat.test.ts
@@ -4,6 +4,7 @@
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import t from "tap";
+import { HeartbeatPause } from "../src/heartbeat-pause.js";
 import type { HeartbeatResponse } from "../src/heartbeat-response.js";
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
@@ -35,6 +36,7 @@
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
+        heartbeatPause: HeartbeatPause.create(),
         listener: { onChange: () => undefined, onFenced: () => undefined },
     });
     const ended = link.run();
--- a/packages/dispatch/tests/stop-log.test.ts
+++ b/packages/dispatch/tests/stop-log.test.ts
@@ -4,6 +4,7 @@
 import { StopReason } from "@samphireward/jobs/stop-reason";
 import { Err, Ok } from "ts-results-es";
 import t from "tap";
+import { HeartbeatPause } from "../src/heartbeat-pause.js";
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
 import { StopLog } from "../src/stop-log.js";
@@ -130,6 +131,7 @@
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
+        heartbeatPause: HeartbeatPause.create(),
         listener: { onChange: () => undefined, onFenced: () => undefined },
     });
     for (let attempt = 0; attempt < 3; attempt++) {
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -9,6 +9,7 @@
 import type { WorkerListing } from "@samphireward/jobs/worker-listing";
 import { Err, Ok } from "ts-results-es";
 import t from "tap";
+import { HeartbeatPause } from "../src/heartbeat-pause.js";
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
 import { StopLog } from "../src/stop-log.js";
@@ -42,6 +43,7 @@
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
+        heartbeatPause: HeartbeatPause.create(),
         listener: { onChange: () => undefined, onFenced: () => undefined },
     });
     void link.run();
--- a/packages/dispatch/tests/worker-links.test.ts
+++ b/packages/dispatch/tests/worker-links.test.ts
@@ -4,6 +4,7 @@
 import { OrderKind } from "@samphireward/jobs/order-kind";
 import { StopReason } from "@samphireward/jobs/stop-reason";
 import t from "tap";
+import { HeartbeatPause } from "../src/heartbeat-pause.js";
 import { Metrics } from "../src/metrics.js";
 import { WorkerLinks } from "../src/worker-links.js";
 import { oneTaskJob } from "./one-task-job.js";
@@ -25,6 +26,7 @@
         log,
         metrics: Metrics.create(),
         limits: cellLimits,
+        heartbeatPause: HeartbeatPause.create(),
         listener: { onChange: () => undefined, onFenced: () => undefined },
     });
     links.sync();
