Compare the images of a worker only if its lasting tasks have several

A task cannot stand out on a worker that serves one image. The result is the same. The new test failed before with 8 comparisons.

--- a/packages/jobs/src/preemption-candidates.ts
+++ b/packages/jobs/src/preemption-candidates.ts
@@ -2,6 +2,7 @@
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import { RunPhase } from "./run-phase.js";
 import type { Run } from "./run.js";
+import { servingImages } from "./serving-images.js";
 import type { Task } from "./task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
@@ -79,12 +80,13 @@
         const { fleet, effects, nowMs } = context;
         const candidates: Candidate[] = [];
         for (const worker of fleet.workers) {
+            // Most workers serve one image, from which no task can stand out.
+            const mayHaveMisplaced = servingImages(worker).size > 1;
             for (const run of worker.runs.values()) {
                 if (isPreemptible(run, context)) {
-                    candidates.push({
-                        run,
-                        isMisplaced: effects.compatibilityGainWithout(run) >= MinMisplacedGain,
-                    });
+                    const isMisplaced =
+                        mayHaveMisplaced && effects.compatibilityGainWithout(run) >= MinMisplacedGain;
+                    candidates.push({ run, isMisplaced });
                 }
             }
         }
--- a/packages/jobs/tests/preemption.test.ts
+++ b/packages/jobs/tests/preemption.test.ts
@@ -123,3 +123,22 @@
     t.equal(stops().length, 1);
     t.end();
 });
+
+// Guards against plans that compare the images of a worker again for each of its lasting tasks, of which a fleet runs
+// thousands, whenever a short task waits.
+t.test("load pattern: short tasks wait beside workers whose lasting tasks have one image", t => {
+    const serving = { ...lasting(small, 8), image: "one", tailTargetMs: 50 };
+    const { harness, stops } = fullWorker([serving]);
+    const { effects } = harness.scheduler;
+    const comparisons = t.capture(
+        effects,
+        "compatibilityGainWithout",
+        effects.compatibilityGainWithout.bind(effects),
+    );
+    harness.submit({});
+    stops();
+    harness.clock.advance(200);
+    t.equal(stops().length, 1, "one is preempted");
+    t.equal(comparisons().length, 0, "no comparisons");
+    t.end();
+});
