Count the delay of a plan from the last plan in place of the change

A change waited for twice the duration of the last plan, up to 60 ms, also if that plan had ended long before; on a late thread the timer then missed a turn of the loop as well. The time since the last plan counts now, and the share of plans stays limited to a third of the thread. The new test fails on the former class, which has no time of the last plan.

--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -203,8 +203,9 @@
 
     private schedulePlan(): void {
         if (this.planTimer === undefined && this.hasReadState && !this.abort.signal.aborted) {
-            const delayMs = this.planDelay.nextMs;
-            const dueAtMs = this.context.clock.nowMs() + delayMs;
+            const nowMs = this.context.clock.nowMs();
+            const delayMs = this.planDelay.from(nowMs);
+            const dueAtMs = nowMs + delayMs;
             this.planTimer = setTimeout(() => {
                 this.planTimer = undefined;
                 this.loadReporter.recordTimer(dueAtMs);
@@ -238,7 +239,8 @@
         const orders = this.scheduler.plan();
         this.loadReporter.recordPlan(startedAtMs);
         // Without the time to send the orders, of which there are as many with fewer plans.
-        this.planDelay.record(clock.nowMs() - startedAtMs);
+        const endedAtMs = clock.nowMs();
+        this.planDelay.record(endedAtMs - startedAtMs, endedAtMs);
         for (const order of orders) {
             this.links.send(order);
         }
--- a/packages/dispatch/tests/plan-delay.test.ts
+++ b/packages/dispatch/tests/plan-delay.test.ts
@@ -14,7 +14,7 @@
 // Guards against plans that take the whole thread, and against a delay that grows with the duration without limit.
 t.test("the delay of the next plan is twice the duration of the last one, within limits", t => {
     const delay = PlanDelay.create();
-    t.equal(delay.nextMs, 6, "before the first plan");
+    t.equal(delay.from(0), 6, "before the first plan");
     for (const [tookMs, expectedMs] of [
         [0, 6],
         [2, 6],
@@ -23,8 +23,23 @@
         [500, 60],
         [1, 6],
     ] as const) {
-        delay.record(tookMs);
-        t.equal(delay.nextMs, expectedMs, `after a plan of ${tookMs} ms`);
+        delay.record(tookMs, 1_000);
+        t.equal(delay.from(1_000), expectedMs, `after a plan of ${tookMs} ms`);
+    }
+    t.end();
+});
+
+// Guards against urgent tasks that wait for the delay after a long plan although that plan ended long before they came.
+t.test("the time since the last plan counts as delay", t => {
+    const delay = PlanDelay.create();
+    delay.record(25, 1_000);
+    for (const [changedAfterMs, expectedMs] of [
+        [0, 50],
+        [20, 30],
+        [45, 6],
+        [500, 6],
+    ] as const) {
+        t.equal(delay.from(1_000 + changedAfterMs), expectedMs, `${changedAfterMs} ms after the plan`);
     }
     t.end();
 });
