Model an owner that goes on beside the next one

The model of owners gets a disruption in which the owner loses the store and goes on while the next one has the cell, for up to 8 s.

--- a/packages/dispatch/tests/owner-model.test.ts
+++ b/packages/dispatch/tests/owner-model.test.ts
@@ -90,9 +90,10 @@
     numRuns: number,
     defects: Parameters<typeof OwnerModel.create>[1],
     seed = Seed,
+    disrupted = schedules,
 ): Promise<fc.RunDetails<[OwnerSchedule]>> =>
     fc.check(
-        fc.asyncProperty(schedules, async schedule => {
+        fc.asyncProperty(disrupted, async schedule => {
             const violations = await OwnerModel.create(schedule, defects).run();
             return violations.length === 0 || Promise.reject(new Error(violations.join("; ")));
         }) as fc.IAsyncProperty<[OwnerSchedule]>,
@@ -106,6 +107,27 @@
     t.notOk(result.failed, fc.defaultReportMessage(result) ?? "");
 });
 
+const overlaps: fc.Arbitrary<OwnerSchedule> = fc.record({
+    seed: fc.nat(1_000_000),
+    faultRate: fc.constantFrom(0.000_5, 0.005, 0.03),
+    disruptions: fc.array(
+        fc.record({
+            kind: fc.constant("overlap" as const),
+            worker: fc.nat(2),
+            atMs: tens(3_000, 22_000),
+            durationMs: tens(100, 8_000),
+        }),
+        { minLength: 1, maxLength: 3 },
+    ),
+});
+
+// Guards against a hand-over around which two owners act: an owner that has lost the store, or was paused, goes on with
+// its orders and heartbeats while the next one has the cell.
+t.test("no task runs twice while an owner goes on beside the next one", async t => {
+    const result = await check(ScheduleCount, {}, Number(process.env["FAULT_SEED"] ?? Seed), overlaps);
+    t.notOk(result.failed, fc.defaultReportMessage(result) ?? "");
+});
+
 // Guards against a checker that detects nothing.
 t.test("the checker detects a roster by which leases end too early", async t => {
     const result = await check(DefectScheduleCount, { endsLeases: true });
--- a/packages/dispatch/tests/owner-model.ts
+++ b/packages/dispatch/tests/owner-model.ts
@@ -9,6 +9,7 @@
 import { cellKeys } from "../src/cell-keys.js";
 import { CellOwner } from "../src/cell-owner.js";
 import { CommitLog } from "../src/commit-log.js";
+import { CutOffStore } from "./cut-off-store.js";
 import { jobCodec } from "../src/job-codec.js";
 import { Metrics } from "../src/metrics.js";
 import { rosterCodec } from "../src/roster-codec.js";
@@ -36,6 +37,13 @@
 const LongestTaskMs = 7_000;
 const PollIntervalMs = 700;
 
+/** An owner of the cell, and its access to the store. */
+interface ModelOwner {
+    readonly cell: CellOwner;
+    readonly abort: AbortController;
+    readonly store: CutOffStore;
+}
+
 /** Deliberate defects, which the checker has to detect. */
 interface OwnerDefects {
     /** Each owner finds a roster by which the leases of all workers are over. */
@@ -60,7 +68,7 @@
     private readonly restarted = new Map<object, string>();
     private readonly doneEnds = new Map<string, { hasLapsed: boolean }[]>();
     private readonly handled = new Set<OwnerDisruption>();
-    private owner: { readonly cell: CellOwner; readonly abort: AbortController } | undefined;
+    private owner: ModelOwner | undefined;
     private claimAtMs = 0;
     private jobCount = 0;
 
@@ -159,8 +167,9 @@
     }
 
     private startOwner(): void {
-        const { store, clock } = this;
-        const { epoch, revision } = store.claim(Cell);
+        const { clock } = this;
+        const { epoch, revision } = this.store.claim(Cell);
+        const store = CutOffStore.create(this.store);
         if (this.defects.endsLeases === true) {
             this.endStoredLeases(epoch);
         }
@@ -182,9 +191,11 @@
                 if (this.owner?.abort === abort) {
                     this.report(`the owner gives up: ${reason}`);
                 }
+                cell.halt();
+                abort.abort();
             },
         });
-        this.owner = { cell, abort };
+        this.owner = { cell, abort, store };
         const started = cell.start(
             () => [queueRule("queue")],
             () => Promise.resolve(this.registrations()),
@@ -266,13 +277,32 @@
         });
         for (const disruption of this.schedule.disruptions) {
             const { kind, atMs, durationMs } = disruption;
-            if ((kind === "kill" || kind === "stop") && atMs <= this.nowMs && !this.handled.has(disruption)) {
+            const isDue = atMs <= this.nowMs && !this.handled.has(disruption);
+            if (isDue && (kind === "kill" || kind === "stop")) {
                 this.handled.add(disruption);
                 this.replaceOwner(kind === "stop", durationMs);
+            } else if (isDue && kind === "overlap") {
+                this.handled.add(disruption);
+                this.overlapOwners(durationMs);
             }
         }
     }
 
+    /** The owner loses the store and goes on for that time at most, while the next one has claimed the cell. */
+    private overlapOwners(durationMs: number): void {
+        const { owner } = this;
+        if (owner?.cell.isReady !== true) {
+            return;
+        }
+        owner.store.isCut = true;
+        this.owner = undefined;
+        this.claimAtMs = this.nowMs;
+        setTimeout(() => {
+            owner.cell.halt();
+            owner.abort.abort();
+        }, durationMs);
+    }
+
     /** The next owner claims the cell `delayMs` after this one has released it or has been killed. */
     private replaceOwner(isPlanned: boolean, delayMs: number): void {
         const { owner } = this;
