Take no registrations of an earlier time for current ones

Registrations are read only while a process owns a cell. When it took a cell over and that read failed, its owner began with the list of the last time, so that tasks were sent to workers that had left since: each such start gets no answer and its task waits for a lease. The owner now begins without workers and gets them with the next read, 150 ms later. The same holds for a read that a later one has overtaken.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -147,8 +147,8 @@
             limits: settings.limits,
             readRules: () => this.routes.config?.routes.map(route => route.rule) ?? [],
             readWorkers: async () => {
-                await this.workers.refresh();
-                return [...this.workers.entries].filter(entry => this.belongsToCell(entry, cell));
+                const entries = await this.workers.readCurrent();
+                return entries.filter(entry => this.belongsToCell(entry, cell));
             },
             processors: settings.processors,
             otherCellCount: () =>
--- a/packages/dispatch/src/worker-poller.ts
+++ b/packages/dispatch/src/worker-poller.ts
@@ -42,6 +42,14 @@
         return this.known.values();
     }
 
+    /**
+     * Reads the registrations now; none if they cannot be read, and the next read reports them. Those read before may be of
+     * a time at which this process needed them last, so that workers which have left since would be used again.
+     */
+    async readCurrent(): Promise<readonly WorkerEntry[]> {
+        return (await this.refresh()) ? [...this.known.values()] : [];
+    }
+
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             const isSuccessful = this.isNeeded() ? await this.refresh() : true;
@@ -49,7 +57,7 @@
         }
     }
 
-    /** Reads the registrations now. Returns whether they could be read. */
+    /** Reads the registrations now. Returns whether they could be read, and no later read has begun. */
     async refresh(): Promise<boolean> {
         const readNumber = ++this.readCount;
         const entries = await this.source.read();
@@ -57,9 +65,10 @@
             this.log.write("workers-unread", { failure: entries.error, known: this.known.size });
             return false;
         }
-        if (readNumber === this.readCount) {
-            this.replace(entries.value);
+        if (readNumber !== this.readCount) {
+            return false;
         }
+        this.replace(entries.value);
         return true;
     }
 
