--- a/packages/dispatch/tests/owner-model.ts
+++ b/packages/dispatch/tests/owner-model.ts
@@ -191,8 +191,10 @@
                 if (this.owner?.abort === abort) {
                     this.report(`the owner gives up: ${reason}`);
                 }
-                cell.halt();
-                abort.abort();
+                if (store.isCut) {
+                    cell.halt();
+                    abort.abort();
+                }
             },
         });
         this.owner = { cell, abort, store };
