--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -11,12 +11,12 @@
 const step = fields => ({ count: 1, cpu: 1000, memory_request_mb: 512, estimated_ms: 1_000, ...fields });
 
 /**
- * Two processes and five workers. In each round the owner's process is partitioned from the store, and one worker loses
- * the path to the other process. That worker runs one long task and, from time to time, a short one.
+ * Four processes and five workers. In each round the owner's process is partitioned from the store, and one worker loses
+ * the path to the process that takes the cell over. That worker runs one long task and, from time to time, a short one.
  */
 const play = async ({ record, hasTrouble, install }) => {
     const made = await install({
-        nodeCount: 2,
+        nodeCount: 4,
         workers: [1, 2, 3, 4, 5].map(number => ({
             id: `i-worker-${number}`,
             labels: [number === 1 ? "b" : "a", `r1-${number === 1 ? 1 : 2}`],
@@ -75,7 +75,7 @@
             }, StoreCutMs);
             setTimeout(() => {
                 first.treat = (_call, { fencing_token: fence = 0 }) => (fence > epoch ? "lost" : "serve");
-                record.write("worker-cut-from-other-process", { worker: first.id });
+                record.write("worker-cut-from-next-owner", { worker: first.id });
             }, WorkerCutDelayMs);
             setTimeout(() => {
                 first.treat = () => "serve";
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -2,6 +2,7 @@
 
 const AnswerMs = 4;
 const PageItems = 500;
+const MaxEntries = 32;
 const LeaseCheckMs = 20;
 const HistoryMs = 20_000;
 
@@ -165,7 +166,7 @@
     }
 
     transact({ expected = [], writes = [], remove = [] }) {
-        if (expected.length + writes.length + remove.length > 32 + expected.length) {
+        if (expected.length + writes.length + remove.length > MaxEntries) {
             return { status: 400, body: {} };
         }
         if ([...writes.map(({ key }) => key), ...remove].some(key => /^(op|servers)\//.test(key))) {
