--- a/review/standins/system.mjs
+++ b/review/standins/system.mjs
@@ -14,15 +14,21 @@
     return /^run = "(.*)"$/m.exec(text)[1].split(" ");
 };
 
-const freePort = host =>
-    new Promise((resolve, reject) => {
-        const server = createServer();
-        server.on("error", reject);
-        server.listen(0, host, () => {
-            const { port } = server.address();
-            server.close(() => resolve(port));
-        });
-    });
+/** Finds free ports of an address; all are bound at the same time, so that they differ. */
+const freePorts = async (host, count) => {
+    const servers = Array.from({ length: count }, () => createServer());
+    const ports = await Promise.all(
+        servers.map(
+            server =>
+                new Promise((resolve, reject) => {
+                    server.on("error", reject);
+                    server.listen(0, host, () => resolve(server.address().port));
+                }),
+        ),
+    );
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return ports;
+};
 
 /** The processes of the system, each on a loopback address of its own, with the bounds of the small sites. */
 export class SystemUnderTest {
@@ -37,7 +43,7 @@
     async start(index, storeAddress) {
         const host = `127.0.0.${10 + index}`;
         const name = `front_end-zone-a-${index}`;
-        const [front, ready, internal] = [await freePort(host), await freePort(host), await freePort(host)];
+        const [front, ready, internal] = await freePorts(host, 3);
         const settings = {
             node: name,
             role: "dispatcher",
