Compare all resources of a step that found no worker

Cause: a plan remembers each step that found no worker by its processors and memory, and skips later steps that ask for as much or more. A step that lacked an accelerator was remembered by its processors alone. The same shortcut acted in three more places: a serving step that lacked compatible images stood for steps without images, a suspected task whose worker is kept for its trial was skipped with its step, and a task that cannot run beside its earlier run ended the search for its whole step and then stood for other steps.

Change: the comparison covers processors, memory and accelerators; serving steps are not remembered, steps with a trial are not skipped, and a step counts as out of room only if no worker has room for another task of it.

--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -50,6 +50,13 @@
     readonly service: string;
 }
 
+/** The starts of a step's tasks in one pass. */
+interface StepStarts {
+    readonly orders: readonly Order[];
+    /** Whether no worker could take one more task of the step that is not suspected. */
+    readonly isOutOfRoom: boolean;
+}
+
 /** Longest time that an overdue task of the step has waited; undefined if none is overdue. */
 const longestOverdueMs = (step: Step, nowMs: number): number | undefined => {
     const [first] = overdueTasks(step, nowMs);
@@ -91,8 +98,9 @@
             if (step.spec.gang) {
                 orders.push(...this.startGang(step, service, nowMs));
             } else {
-                orders.push(...this.startTasks(step, service, nowMs));
-                if (step.tasks.some(task => task.suspicion === 0 && isReady(task, nowMs))) {
+                const starts = this.startTasks(step, service, nowMs);
+                orders.push(...starts.orders);
+                if (starts.isOutOfRoom) {
                     unplaceable.add(step, service);
                 }
                 // Fillers reserve no processors, so that neither a hold nor a swap brings them closer to a start.
@@ -109,7 +117,8 @@
         for (const { step, service } of ranked) {
             if (!step.spec.gang && mayRelaxFit(step, nowMs)) {
                 const maxStarts = step.spec.filler ? 1 : step.spec.count;
-                orders.push(...this.startTasks(step, service, nowMs, { requiresGoodFit: false, maxStarts }));
+                const options = { requiresGoodFit: false, maxStarts };
+                orders.push(...this.startTasks(step, service, nowMs, options).orders);
             }
         }
         const { fleet, rules, effects } = this.context;
@@ -150,7 +159,7 @@
         service: string,
         nowMs: number,
         { requiresGoodFit, maxStarts } = { requiresGoodFit: true, maxStarts: Infinity },
-    ): Order[] {
+    ): StepStarts {
         const orders: Order[] = [];
         const ready = step.tasks.filter(task => isReady(task, nowMs));
         ready.forEach(task => (task.readySinceMs ??= nowMs));
@@ -158,7 +167,7 @@
             ready.sort((x, y) => (x.readySinceMs ?? nowMs) - (y.readySinceMs ?? nowMs));
         }
         if (ready.length === 0) {
-            return [];
+            return { orders, isOutOfRoom: false };
         }
         const ranking = this.rankWorkers(step, service, nowMs, requiresGoodFit);
         for (const task of ready) {
@@ -170,12 +179,13 @@
                 continue;
             }
             const worker = ranking.choose(task);
-            if (worker === undefined) {
-                break;
+            if (worker !== undefined) {
+                orders.push(this.startOn(task, worker, this.nextRunNumber(task), nowMs));
+            } else if (!ranking.hasRoom) {
+                return { orders, isOutOfRoom: true };
             }
-            orders.push(this.startOn(task, worker, this.nextRunNumber(task), nowMs));
         }
-        return orders;
+        return { orders, isOutOfRoom: false };
     }
 
     /** Starts a suspected task if its trial is stored; otherwise prepares its trial. */
@@ -184,7 +194,7 @@
         return worker === undefined ? [] : [this.startOn(task, worker, this.nextRunNumber(task), nowMs)];
     }
 
-    /** Collects short tasks that found no worker; lasting tasks may be preempted for them. */
+    /** Collects short tasks that found no worker; lasting tasks may be preempted for them */
     private collectWaiting(step: Step, service: string, waiting: WaitingTask[], nowMs: number): void {
         if (step.spec.lasting || step.spec.filler || step.spec.gang) {
             return;
--- a/packages/jobs/src/unplaceable-steps.ts
+++ b/packages/jobs/src/unplaceable-steps.ts
@@ -1,3 +1,4 @@
+import type { Resources } from "@samphireward/core/resources";
 import type { Step } from "./step.js";
 
 /** What a step that found no worker asked for. */
@@ -5,8 +6,7 @@
     readonly service: string;
     readonly image: string;
     readonly filler: boolean;
-    readonly processors: number;
-    readonly memoryMb: number;
+    readonly resources: Resources;
 }
 
 /** Steps that found no worker in this plan; steps that ask for as much or more need not be tried. */
@@ -25,24 +25,26 @@
             permits !== undefined ||
             spec.requiredLabel !== undefined ||
             spec.maxPerWorker !== undefined ||
+            // Serving tasks wait for compatible images beside room.
+            spec.tailTargetMs > 0 ||
             spec.lasting ||
             spec.sameRack;
         if (!isRestricted) {
-            const { processors, memoryMb } = spec.resources;
-            this.steps.push({ service, image: spec.image, filler: spec.filler, processors, memoryMb });
+            const { image, filler, resources } = spec;
+            this.steps.push({ service, image, filler, resources });
         }
     }
 
-    covers({ spec }: Step, service: string): boolean {
+    covers({ spec, tasks }: Step, service: string): boolean {
         return this.steps.some(
             other =>
                 other.service === service &&
                 other.filler === spec.filler &&
                 (!spec.filler || other.image === spec.image) &&
                 !spec.lasting &&
-                spec.resources.accelerators === 0 &&
-                spec.resources.processors >= other.processors &&
-                spec.resources.memoryMb >= other.memoryMb,
+                // A task on trial has a worker on which no other task may start.
+                tasks.every(task => task.trial === undefined) &&
+                other.resources.fitsIn(spec.resources),
         );
     }
 }
--- a/packages/jobs/src/worker-ranking.ts
+++ b/packages/jobs/src/worker-ranking.ts
@@ -184,6 +184,11 @@
         return best;
     }
 
+    /** Whether a worker that `choose` does not return for some tasks of the step could take others. */
+    get hasRoom(): boolean {
+        return this.ranked.some(({ worker, score }) => score > -Infinity && worker.trialTask === undefined);
+    }
+
     private rackToPrefer(): string | undefined {
         const { step } = this.context;
         return step.spec.sameRack ? rackOfStep(step) : undefined;
