Preempt only for tasks that a worker is large enough for

Cause: one plan preempts lasting tasks for the first 64 short tasks without a worker. A step that no worker can ever run, with 64 tasks or more and a high rank, took all of these places in each plan, so that no lasting task made way for the short ones behind it.

Change: tasks that fit no worker of the service, whatever runs there, are not among them.

Result: the test of this load in unplaceable-steps.test.ts stops no lasting task before the change, and one after it.

--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -194,9 +194,9 @@
         return worker === undefined ? [] : [this.startOn(task, worker, this.nextRunNumber(task), nowMs)];
     }
 
-    /** Collects short tasks that found no worker; lasting tasks may be preempted for them */
+    /** Collects short tasks that found no worker; lasting tasks may be preempted for them if that can make room. */
     private collectWaiting(step: Step, service: string, waiting: WaitingTask[], nowMs: number): void {
-        if (step.spec.lasting || step.spec.filler || step.spec.gang) {
+        if (step.spec.lasting || step.spec.filler || step.spec.gang || !this.fitsAnyWorker(step, service)) {
             return;
         }
         for (const task of step.tasks) {
@@ -208,6 +208,16 @@
         }
     }
 
+    /** Whether a worker is large enough for a task of the step, whatever runs there. */
+    private fitsAnyWorker({ reservation }: Step, service: string): boolean {
+        for (const { entry } of this.context.fleet.workers) {
+            if (entry.service === service && reservation.fitsIn(entry.capacity)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Starts all members with the same run number, or none of them. */
     private startGang(step: Step, service: string, nowMs: number): Order[] {
         if (step.tasks.some(task => !isReady(task, nowMs))) {
--- a/packages/jobs/tests/unplaceable-steps.test.ts
+++ b/packages/jobs/tests/unplaceable-steps.test.ts
@@ -1,5 +1,6 @@
 import { Resources } from "@samphireward/core/resources";
 import t from "tap";
+import { OrderKind } from "../src/order-kind.js";
 import type { StepSpec } from "../src/step-spec.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -78,6 +79,28 @@
     t.end();
 });
 
+// Guards against tasks that wait although lasting ones could make way, because tasks that no worker can ever run take
+// all of the places among those for which one plan preempts.
+t.test("load pattern: a large step that can never run, and short tasks on a full fleet", t => {
+    const harness = SchedulerHarness.create();
+    const worker = harness.addWorker("w1");
+    harness.submit({ lasting: true, resources: processors(4), count: 4 });
+    const runs = harness.planAndStartAll();
+    harness.clock.advance(10_000);
+    harness.reportListing(
+        worker,
+        runs.map(run => ({ ...SchedulerHarness.listedRun(run), progressPercent: 100 })),
+        [],
+    );
+    harness.submit({ resources: processors(1, 1), count: 100, estimatedMs: 100 });
+    harness.submit({ resources: processors(1) });
+    harness.planOrders();
+    harness.clock.advance(200);
+    const stops = harness.planOrders().filter(order => order.kind === OrderKind.Stop);
+    t.equal(stops.length, 1);
+    t.end();
+});
+
 // Guards against a step whose other tasks wait because the first one still has a run that is being stopped on the only
 // worker with room, and against later steps that wait with it.
 t.test("a task that cannot run beside its earlier run keeps no other task from starting", t => {
