Count an owner's leases from the last proof of its ownership

An owner that loses the store goes on extending leases, by design, so that running work survives an outage. The next owner counts one lease from its own takeover. While it does not reach a worker, nothing ends the extensions there until another worker refuses the previous owner's token, up to 1.4 s later.

Change: a lease that an owner grants begins when the owner last knew that no other process had taken over: at the last successful renewal of its lease in the store, by the time at which the renewal was sent. None ends later than the lease that the next owner counts from its claim, so nobody waits longer than before. While renewals fail, the owner asks the other processes, which register under members/ with a lease of 30 s, renewed each 10 s. One that reads the store for the answer proves that there is no other owner, or names it. If none reaches the store but most processes answer, the store counts as away for all, and the work goes on. Without a proof for 2.5 s an owner extends no lease and starts nothing, which also stops a process that resumes after a pause.

Weighed: telling the previous owner of the takeover (needs a path between the two), orders that others carry to workers (needs a path from them), and a longer wait of the next owner (costs lasting tasks after each loss of a rack).

--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -13,6 +13,7 @@
 import { rankOfCell } from "./rank-of-cell.js";
 import { runInBackground } from "./run-in-background.js";
 import type { StoredOwner } from "./stored-owner.js";
+import type { TakeoverChecker } from "./takeover-checker.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
 /** Upper bound of the random part of the delay, so that equal processes do not claim at the same moment. */
@@ -27,6 +28,7 @@
     readonly node: string;
     readonly instanceId: string;
     readonly address: string;
+    readonly takeovers: TakeoverChecker;
     readonly store: MetadataStore;
     readonly clock: Clock;
     readonly log: EventLog;
@@ -67,6 +69,11 @@
         return this.owned !== undefined || this.isClaiming;
     }
 
+    /** Epoch under which this process owns the cell; undefined if it does not. */
+    get ownedEpoch(): number | undefined {
+        return this.owned?.lease.epoch;
+    }
+
     /** The owner recorded in the store. */
     get ownerRecord(): OwnerRecord | undefined {
         return this.record?.owner;
@@ -168,6 +175,7 @@
             ...this.context,
             epoch: lease.epoch,
             commits: lease.commits,
+            proof: lease.proof,
             onLost,
         });
         this.owned = { lease, owner };
--- a/packages/dispatch/src/cell-keys.ts
+++ b/packages/dispatch/src/cell-keys.ts
@@ -3,6 +3,9 @@
     /** Owner of the cell; attached to the owner's lease. */
     owner: (cell: number): string => `owners/${cell}`,
     ownerPrefix: "owners/",
+    /** Processes of the system; each key is attached to a lease of its process. */
+    memberPrefix: "members/",
+    member: (node: string): string => `members/${node}`,
     /** Epoch and sequence number of the last commit; each commit expects its revision. */
     log: (cell: number): string => `cells/${cell}/log`,
     /** Workers that may hold runs of the cell. */
--- a/packages/dispatch/src/cell-lease.ts
+++ b/packages/dispatch/src/cell-lease.ts
@@ -7,15 +7,20 @@
 import type { LogRecord } from "./log-record.js";
 import { LostOwnership } from "./lost-ownership.js";
 import type { MetadataStore } from "./metadata-store.js";
+import { OwnershipProof } from "./ownership-proof.js";
 import type { OwnerRecord } from "./owner-record.js";
 import { sleep } from "./sleep.js";
 import { StoreFailure } from "./store-failure.js";
 import type { StoredItem } from "./stored-item.js";
 import { storedRecords } from "./stored-records.js";
+import { TakeoverCheckResult } from "./takeover-check-result.js";
+import type { TakeoverChecker } from "./takeover-checker.js";
 
 /** Time to live of an owner's lease in the store. */
 const OwnerLeaseTtlMs = 2_000;
 const RenewIntervalMs = 500;
+/** Pause between two checks with the other processes while renewals fail. */
+const CheckIntervalMs = 300;
 
 /** Dependencies and the identity under which a cell is acquired. */
 interface LeaseContext {
@@ -26,6 +31,7 @@
     readonly node: string;
     readonly instanceId: string;
     readonly address: string;
+    readonly takeovers: TakeoverChecker;
 }
 
 /**
@@ -33,11 +39,15 @@
  * expects.
  */
 export class CellLease {
+    /** Whether the last renewal failed. */
+    private isStoreLost = false;
+
     private constructor(
         private readonly context: LeaseContext,
         private leaseId: string,
         readonly epoch: number,
         readonly commits: CommitLog,
+        readonly proof: OwnershipProof,
         private readonly abort: AbortController,
     ) {}
 
@@ -61,6 +71,7 @@
         const previousEpoch = storedLog.value === undefined ? 0 : highestEpoch(storedLog.value, context);
         const record: LogRecord = { epoch: previousEpoch + 1, sequence: 0 };
         const ownerValue = encodeOwner(context, record.epoch);
+        const sentAtMs = context.clock.nowMs();
         const committed = await store.commit({
             expected: [
                 { key, revision: storedLog.value?.revision ?? 0 },
@@ -78,7 +89,8 @@
         }
         const abort = new AbortController();
         const commits = CommitLog.create(store, cell, record, revision, abort.signal);
-        return Ok(new CellLease(context, granted.value, record.epoch, commits, abort));
+        const proof = OwnershipProof.create(sentAtMs);
+        return Ok(new CellLease(context, granted.value, record.epoch, commits, proof, abort));
     }
 
     /**
@@ -86,18 +98,48 @@
      * taken over.
      */
     async keepAlive(onLost: (reason: string) => void): Promise<void> {
+        await Promise.all([this.renewUntilStopped(onLost), this.checkUntilStopped(onLost)]);
+    }
+
+    private async renewUntilStopped(onLost: (reason: string) => void): Promise<void> {
         while (!this.abort.signal.aborted) {
             await sleep(RenewIntervalMs, this.abort.signal);
             if (this.abort.signal.aborted) {
                 return;
             }
-            const renewed = await this.context.store.renewLease(this.leaseId);
-            if (renewed.isErr() && renewed.error === StoreFailure.LeaseEnded) {
-                const restored = await this.restoreOwnerKey();
-                if (restored.isErr() && restored.error === LostOwnership) {
-                    onLost("the lease ended and another process owns the cell");
-                    return;
-                }
+            const sentAtMs = this.context.clock.nowMs();
+            const renewed = await this.renew();
+            this.isStoreLost = renewed.isErr();
+            if (renewed.isOk()) {
+                this.proof.note(sentAtMs);
+            } else if (renewed.error === LostOwnership) {
+                onLost("the lease ended and another process owns the cell");
+                return;
+            }
+        }
+    }
+
+    private async renew(): Promise<Result<void, typeof LostOwnership | StoreFailure>> {
+        const renewed = await this.context.store.renewLease(this.leaseId);
+        const hasEnded = renewed.isErr() && renewed.error === StoreFailure.LeaseEnded;
+        return hasEnded ? this.restoreOwnerKey() : renewed;
+    }
+
+    /** Asks the other processes for another owner while renewals fail. */
+    private async checkUntilStopped(onLost: (reason: string) => void): Promise<void> {
+        const { takeovers, clock, cell } = this.context;
+        while (!this.abort.signal.aborted) {
+            await sleep(CheckIntervalMs, this.abort.signal);
+            if (!this.isStoreLost || this.abort.signal.aborted) {
+                continue;
+            }
+            const sentAtMs = clock.nowMs();
+            const result = await takeovers.check(cell, this.epoch);
+            if (result === TakeoverCheckResult.StillOwner) {
+                this.proof.note(sentAtMs);
+            } else if (result === TakeoverCheckResult.Superseded) {
+                onLost("another process knows a newer owner");
+                return;
             }
         }
     }
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -14,6 +14,7 @@
 import { LoadReporter } from "./load-reporter.js";
 import type { MetadataStore } from "./metadata-store.js";
 import type { Metrics } from "./metrics.js";
+import type { OwnershipProof } from "./ownership-proof.js";
 import { PermitRequester } from "./permit-requester.js";
 import type { PermitSource } from "./permit-source.js";
 import { PlanDelay } from "./plan-delay.js";
@@ -37,6 +38,7 @@
     readonly epoch: number;
     readonly store: MetadataStore;
     readonly commits: CommitLog;
+    readonly proof: Pick<OwnershipProof, "provenAtMs">;
     readonly createWorkerClient: WorkerClientFactory;
     readonly permits: PermitSource;
     readonly clock: Clock;
--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -5,13 +5,19 @@
 import { ResultCode } from "@samphireward/core/result-code";
 import type { CellDirectory } from "./cell-directory.js";
 import type { CellOwner } from "./cell-owner.js";
+import type { EpochReporter } from "./epoch-reporter.js";
 import type { EventLog } from "./event-log.js";
 import { isObject } from "./is-object.js";
 import { jobCodec } from "./job-codec.js";
 import type { JobWriter } from "./job-writer.js";
 
 /** Creates the server for calls between processes of the system, most of which concern cells that this process owns. */
-export const createPeerServer = (cells: CellDirectory, writer: JobWriter, log: EventLog): JsonServer => {
+export const createPeerServer = (
+    cells: CellDirectory,
+    writer: JobWriter,
+    epochs: EpochReporter,
+    log: EventLog,
+): JsonServer => {
     const ownerOf = (req: JsonRequest): CellOwner => {
         const owner = cells.get(Number(req.params["cell"]))?.owner;
         if (owner === undefined) {
@@ -39,6 +45,10 @@
             status: 200,
             body: { waiting: ownerOf(req).scheduler.jobs.countUnstarted(req.params["queue"] ?? "") },
         }))
+        .on("GET", "/cells/:cell/epoch", async req => ({
+            status: 200,
+            body: await epochs.report(Number(req.params["cell"])),
+        }))
         .on("POST", "/cells/:cell/jobs/:id/cancelled", req => {
             ownerOf(req).jobCancelled(req.params["id"] ?? "");
             return { status: 200, body: {} };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,10 +8,13 @@
 import { cellForKey } from "./cell-for-key.js";
 import type { ConfigSource } from "./config-source.js";
 import { createPeerServer } from "./create-peer-server.js";
+import { EpochReporter } from "./epoch-reporter.js";
 import type { EventLog } from "./event-log.js";
 import type { DispatchSettings } from "./dispatch-settings.js";
 import { JobGateway } from "./job-gateway.js";
 import { JobWriter } from "./job-writer.js";
+import { MemberList } from "./member-list.js";
+import { MemberRegistration } from "./member-registration.js";
 import type { MetadataStore } from "./metadata-store.js";
 import type { Metrics } from "./metrics.js";
 import type { OperatorConfig } from "./operator-config.js";
@@ -25,6 +28,7 @@
 import type { StoreChange } from "./store-change.js";
 import type { StoredItem } from "./stored-item.js";
 import { storedRecords } from "./stored-records.js";
+import { TakeoverChecker } from "./takeover-checker.js";
 import { PrefixWatcher } from "./prefix-watcher.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 import { WorkerPoller } from "./worker-poller.js";
@@ -55,16 +59,22 @@
     private readonly abort = new AbortController();
     private readonly peers = PeerClient.create();
     private readonly peerServer: JsonServer;
+    private readonly members: MemberList;
+    private readonly takeovers: TakeoverChecker;
+    private registration: MemberRegistration | undefined;
     private readonly workers: WorkerPoller;
     private readonly instanceId = randomUUID();
     private isDraining = false;
     private areOwnersRead = false;
 
     private constructor(private readonly context: DispatcherContext) {
-        const { store, clock, log } = context;
+        const { store, clock, log, settings } = context;
         const writer = JobWriter.create(store, clock);
         this.gateway = JobGateway.create(this.cells, store, writer, this.peers, clock, log);
-        this.peerServer = createPeerServer(this.cells, writer, log);
+        this.peerServer = createPeerServer(this.cells, writer, EpochReporter.create(this.cells, store), log);
+        const isOwner = (): boolean => this.cells.all.some(cell => cell.isClaimed);
+        this.members = MemberList.create(store, settings.node, isOwner, clock, log);
+        this.takeovers = TakeoverChecker.create(this.members, this.peers);
         this.workers = WorkerPoller.create(
             context.workers,
             {
@@ -99,6 +109,9 @@
         const { configs, settings, store, clock, log, metrics } = this.context;
         const { signal } = this.abort;
         const peerAddress = await this.peerServer.listen(settings.peerAddress);
+        const registration = MemberRegistration.create(store, settings.node, { address: peerAddress }, log);
+        this.registration = registration;
+        this.runLoop("registration", () => registration.run(signal));
         this.runLoop("configuration", () => configs.run(signal, config => this.applyConfig(config)));
         const count = await resolveCellCount({ ...this.context, workers: this.workers }, signal);
         if (count === undefined) {
@@ -116,12 +129,13 @@
         );
         this.runLoop("owners", () => owners.run(signal));
         this.runLoop("workers", () => this.workers.run(signal));
+        this.runLoop("members", () => this.members.run(signal));
     }
 
     /** Releases the owned cells; requests are served until `close`. */
     async drain(): Promise<void> {
         this.isDraining = true;
-        await Promise.all(this.cells.all.map(cell => cell.stop()));
+        await Promise.all([...this.cells.all.map(cell => cell.stop()), this.registration?.remove()]);
     }
 
     async close(): Promise<void> {
@@ -144,6 +158,7 @@
             node: settings.node,
             instanceId: this.instanceId,
             address,
+            takeovers: this.takeovers,
             limits: settings.limits,
             readRules: () => this.routes.config?.routes.map(route => route.rule) ?? [],
             readWorkers: async () => {
--- a/packages/dispatch/src/peer-client.ts
+++ b/packages/dispatch/src/peer-client.ts
@@ -1,5 +1,6 @@
 import { JsonClient } from "@samphireward/core/json-client";
 import type { JobStatus } from "@samphireward/jobs/job-status";
+import type { EpochReport } from "./epoch-report.js";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 
@@ -50,6 +51,15 @@
         return response.map(() => undefined);
     }
 
+    /** Asks which epoch the owner of a cell has. */
+    async epochReport(address: string, cell: number): Promise<Result<EpochReport, string>> {
+        const response = await this.call(address, "GET", `/cells/${cell}/epoch`);
+        return response.map(body => {
+            const { epoch, isCurrent = false } = body as Partial<EpochReport>;
+            return { epoch, isCurrent };
+        });
+    }
+
     /** Asks another process to store a job, on behalf of one that does not reach the store. */
     async accept(address: string, cell: number, id: string, text: string): Promise<Result<string, string>> {
         const path = `/cells/${cell}/jobs/${encodeURIComponent(id)}/accept`;
--- a/packages/dispatch/src/stored-records.ts
+++ b/packages/dispatch/src/stored-records.ts
@@ -1,6 +1,7 @@
 import type { EffectsSnapshot } from "@samphireward/jobs/effects-snapshot";
 import { isObject } from "./is-object.js";
 import type { LogRecord } from "./log-record.js";
+import type { MemberRecord } from "./member-record.js";
 import type { OwnerRecord } from "./owner-record.js";
 import { parseFields } from "./parse-fields.js";
 
@@ -22,6 +23,11 @@
     return isNonNegativeInteger(epoch) && isNonNegativeInteger(sequence) ? { epoch, sequence } : undefined;
 };
 
+const decodeMember = (text: string): MemberRecord | undefined => {
+    const { address } = parseFields(text);
+    return isString(address) ? { address } : undefined;
+};
+
 const decodeCells = (text: string): number | undefined => {
     const { cells } = parseFields(text);
     return isNonNegativeInteger(cells) && cells > 0 ? cells : undefined;
@@ -50,4 +56,10 @@
 };
 
 /** Decoders of small stored values. Malformed values and values of other versions decode to undefined. */
-export const storedRecords = { decodeOwner, decodeLog, decodeCells, decodeEffects } as const;
+export const storedRecords = {
+    decodeOwner,
+    decodeLog,
+    decodeMember,
+    decodeCells,
+    decodeEffects,
+} as const;
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -13,6 +13,7 @@
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
 import { OrderFailure } from "./order-failure.js";
+import type { OwnershipProof } from "./ownership-proof.js";
 import { recordHeartbeat } from "./record-heartbeat.js";
 import { resultWithin } from "./result-within.js";
 import { runInBackground } from "./run-in-background.js";
@@ -27,6 +28,8 @@
 /** Time beyond the wait that was asked for, after which a worker without a response counts as unreachable. */
 const HeartbeatSlackMs = 800;
 const RetryDelayMs = 250;
+/** An owner whose last proof of its ownership is older extends no leases and starts nothing. */
+const MaxProofAgeMs = 2_500;
 
 type HeartbeatResult = Awaited<ReturnType<WorkerClient["heartbeat"]>>;
 
@@ -39,6 +42,7 @@
     readonly metrics: Metrics;
     readonly fencingToken: number;
     readonly leaseMs: number;
+    readonly proof: Pick<OwnershipProof, "provenAtMs">;
     readonly heartbeatPause: HeartbeatPause;
     readonly listener: LinkListener;
 }
@@ -255,16 +259,19 @@
     }
 
     /**
-     * End of a lease that begins now, on the worker's clock; undefined while that clock is not known, and while the lease
-     * must not be extended. A reading older than a lease, which only a suspended process has, may be further ahead of a
-     * slow clock than leases are counted.
+     * End of a lease, on the worker's clock, that begins when this process was last known to own the cell; undefined while
+     * that clock is not known, and while the lease must not be extended. A reading older than a lease, which only a
+     * suspended process has, may be further ahead of a slow clock than leases are counted.
      */
     private leaseDeadlineMs(): number | undefined {
-        const { clock, leaseMs } = this.context;
+        const { clock, leaseMs, proof } = this.context;
         const nowMs = clock.nowMs();
         if (this.clockOffsetMs === undefined || nowMs - this.clockReadAtMs > leaseMs) {
             return undefined;
         }
-        return this.worker.mayExtendLease ? Math.floor(nowMs + this.clockOffsetMs + leaseMs) : undefined;
+        if (nowMs - proof.provenAtMs > MaxProofAgeMs || !this.worker.mayExtendLease) {
+            return undefined;
+        }
+        return Math.floor(proof.provenAtMs + this.clockOffsetMs + leaseMs);
     }
 }
--- a/packages/dispatch/src/worker-links.ts
+++ b/packages/dispatch/src/worker-links.ts
@@ -8,6 +8,7 @@
 import type { HeartbeatPause } from "./heartbeat-pause.js";
 import type { LinkListener } from "./link-listener.js";
 import type { Metrics } from "./metrics.js";
+import type { OwnershipProof } from "./ownership-proof.js";
 import { runInBackground } from "./run-in-background.js";
 import { StopLog } from "./stop-log.js";
 import { WorkerLink } from "./worker-link.js";
@@ -18,6 +19,7 @@
     readonly epoch: number;
     readonly scheduler: CellScheduler;
     readonly createWorkerClient: WorkerClientFactory;
+    readonly proof: Pick<OwnershipProof, "provenAtMs">;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -16,6 +16,7 @@
 import { WorkerClient } from "../src/worker-client.js";
 import type { WorkerClientFactory } from "../src/worker-client-factory.js";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
+import { certainOwnership } from "./certain-ownership.js";
 import { ManualStore } from "./manual-store.js";
 import { NullLog } from "./null-log.js";
 import { NoPermits } from "./no-permits.js";
@@ -85,6 +86,7 @@
         store,
         commits: CommitLog.create(store, 0, { epoch: 1, sequence: 0 }, 1, new AbortController().signal),
         createWorkerClient,
+        proof: certainOwnership(clock),
         permits: NoPermits.create(),
         clock,
         log: NullLog.create(),
--- a/packages/dispatch/tests/create-peer-server.test.ts
+++ b/packages/dispatch/tests/create-peer-server.test.ts
@@ -4,6 +4,7 @@
 import type { CellCandidate } from "../src/cell-candidate.js";
 import { CellDirectory } from "../src/cell-directory.js";
 import { createPeerServer } from "../src/create-peer-server.js";
+import { EpochReporter } from "../src/epoch-reporter.js";
 import { jobCodec } from "../src/job-codec.js";
 import { JobWriter } from "../src/job-writer.js";
 import { ManualStore } from "./manual-store.js";
@@ -38,7 +39,8 @@
     cells.set([faultyCell as unknown as CellCandidate]);
     const store = ManualStore.create();
     const log = RecordingLog.create();
-    const server = createPeerServer(cells, JobWriter.create(store, ManualClock.create(1_000)), log);
+    const writer = JobWriter.create(store, ManualClock.create(1_000));
+    const server = createPeerServer(cells, writer, EpochReporter.create(cells, store), log);
     const client = JsonClient.create(await server.listen("127.0.0.1:0"));
     for (const [path, body] of invalid) {
         const call = client.call("POST", path, { body, timeoutMs });
--- a/packages/dispatch/tests/lease-model-client.ts
+++ b/packages/dispatch/tests/lease-model-client.ts
@@ -5,7 +5,9 @@
 import type { HeartbeatRequest } from "../src/heartbeat-request.js";
 import type { HeartbeatResponse } from "../src/heartbeat-response.js";
 import { OrderFailure } from "../src/order-failure.js";
+import { sleep } from "../src/sleep.js";
 import { WorkerClient } from "../src/worker-client.js";
+import type { LeaseModelCall } from "./lease-model-call.js";
 import type { LeaseModelNetwork } from "./lease-model-network.js";
 import type { LeaseModelWorker } from "./lease-model-worker.js";
 
@@ -18,20 +20,22 @@
         private readonly worker: LeaseModelWorker,
         private readonly network: LeaseModelNetwork,
         private readonly intendedStartMs: number | undefined,
+        private readonly isCutOff: () => boolean,
     ) {
         super();
     }
 
     /**
      * `intendedStartMs` is the start of the incarnation for which orders are meant; if it is undefined, that of the one
-     * which is there when they are sent.
+     * which is there when they are sent. `isCutOff` tells whether this owner alone has no path to the worker.
      */
     static create(
         worker: LeaseModelWorker,
         network: LeaseModelNetwork,
         intendedStartMs?: number,
+        isCutOff = (): boolean => false,
     ): LeaseModelClient {
-        return new LeaseModelClient(worker, network, intendedStartMs);
+        return new LeaseModelClient(worker, network, intendedStartMs, isCutOff);
     }
 
     override async start(run: Run, token: number, deadlineMs: number): Promise<StartOutcome> {
@@ -39,7 +43,7 @@
         const startedAtMs = this.intendedStartMs ?? worker.startedAtMs;
         const workMs = Number(run.task.step.occurrence.job.spec.payload);
         let outcome: StartOutcome | undefined;
-        const response = await this.network.call(worker, {
+        const response = await this.call({
             timeoutMs: OrderTimeoutMs,
             execute: (nowMs, isLate) => {
                 // A late start that runs in a later incarnation before a stop has arrived there is a known gap of the
@@ -58,7 +62,7 @@
     override async stop(task: string, number: number, token: number): Promise<Result<void, OrderFailure>> {
         const { worker } = this;
         let isFenced = false;
-        const response = await this.network.call(worker, {
+        const response = await this.call({
             timeoutMs: OrderTimeoutMs,
             execute: nowMs => {
                 isFenced = !worker.admits(token);
@@ -83,7 +87,7 @@
         const { startedAtMs } = worker;
         let untilMs = 0;
         let isFenced = false;
-        const response = await this.network.call<HeartbeatResponse>(worker, {
+        const response = await this.call<HeartbeatResponse>({
             timeoutMs: req.waitMs + HeartbeatSlackMs,
             execute: (nowMs, isLate) => {
                 // docs/questions.md: a late heartbeat is not carried out in a later incarnation.
@@ -114,4 +118,13 @@
     override close(): void {
         return;
     }
+
+    /** Carries a call to the worker, unless this owner is cut off from it when the call is sent. */
+    private async call<T>(call: LeaseModelCall<T>): Promise<T | undefined> {
+        if (this.isCutOff()) {
+            await sleep(call.timeoutMs);
+            return undefined;
+        }
+        return this.network.call(this.worker, call);
+    }
 }
--- a/packages/dispatch/tests/lease-model-network.ts
+++ b/packages/dispatch/tests/lease-model-network.ts
@@ -1,4 +1,5 @@
 import type { SeededRandom } from "@samphireward/core/seeded-random";
+import type { LeaseModelCall } from "./lease-model-call.js";
 import type { LeaseModelWorker } from "./lease-model-worker.js";
 
 const LatencyMs = 40;
@@ -10,15 +11,6 @@
 /** Share of the calls to a worker that is down whose connection is refused. */
 const RefusedShare = 0.5;
 
-/** A call to a worker of the model. */
-interface ModelCall<T> {
-    readonly timeoutMs: number;
-    /** Carries the call out at the worker; `isLate` if it is carried out after its caller has given up. */
-    readonly execute: (nowMs: number, isLate: boolean) => void;
-    /** The response at a time of the model; undefined while the worker still waits. */
-    readonly respond: (nowMs: number) => T | undefined;
-}
-
 /** Carries calls to workers with random delays and losses. */
 export class LeaseModelNetwork {
     private nowMs = 0;
@@ -44,7 +36,10 @@
     }
 
     /** Resolves to undefined if no response arrives in time. */
-    call<T>(worker: LeaseModelWorker, { timeoutMs, execute, respond }: ModelCall<T>): Promise<T | undefined> {
+    call<T>(
+        worker: LeaseModelWorker,
+        { timeoutMs, execute, respond }: LeaseModelCall<T>,
+    ): Promise<T | undefined> {
         return new Promise(resolve => {
             const timer = setTimeout(() => resolve(undefined), timeoutMs);
             const draw = this.random.next() / this.faultRate;
--- a/packages/dispatch/tests/lease-model.ts
+++ b/packages/dispatch/tests/lease-model.ts
@@ -10,6 +10,7 @@
 import { Metrics } from "../src/metrics.js";
 import { unstoredTrials } from "@samphireward/jobs/unstored-trials";
 import { WorkerLinks } from "../src/worker-links.js";
+import { certainOwnership } from "./certain-ownership.js";
 import type { LeaseDisruption } from "./lease-disruption.js";
 import { LeaseModelClient } from "./lease-model-client.js";
 import { LeaseModelNetwork } from "./lease-model-network.js";
@@ -67,6 +68,7 @@
             epoch: 1,
             scheduler: this.scheduler,
             createWorkerClient: ({ id }) => LeaseModelClient.create(this.workerOf(id), this.network),
+            proof: certainOwnership(this.clock),
             clock: this.clock,
             log: NullLog.create(),
             metrics: Metrics.create(),
--- a/packages/dispatch/tests/owner-model.test.ts
+++ b/packages/dispatch/tests/owner-model.test.ts
@@ -128,6 +128,58 @@
     t.notOk(result.failed, fc.defaultReportMessage(result) ?? "");
 });
 
+/** The next owner has no path to some workers, for different times, while the previous one goes on reaching them. */
+const partialOverlaps: fc.Arbitrary<OwnerSchedule> = fc.record({
+    seed: fc.nat(1_000_000),
+    faultRate: fc.constantFrom(0.000_5, 0.005),
+    disruptions: fc
+        .record({
+            atMs: tens(3_000, 16_000),
+            overlapMs: tens(3_000, 9_000),
+            cutsMs: fc.array(fc.option(tens(3_000, 9_000), { freq: 4 }), { minLength: 3, maxLength: 3 }),
+        })
+        .map(({ atMs, overlapMs, cutsMs }): OwnerDisruption[] => [
+            { kind: "overlap", worker: 0, atMs, durationMs: overlapMs },
+            ...cutsMs.flatMap((cutMs, worker) =>
+                cutMs === null ? [] : [{ kind: "cut-from-next" as const, worker, atMs, durationMs: cutMs }],
+            ),
+        ]),
+});
+
+// Guards against a lease that a previous owner, cut off from the store, extends beyond the time for which the next one
+// waits, on a worker that only the previous one reaches.
+t.test("no task runs twice while only the previous owner reaches a worker", async t => {
+    const result = await check(ScheduleCount, {}, Number(process.env["FAULT_SEED"] ?? Seed), partialOverlaps);
+    t.notOk(result.failed, fc.defaultReportMessage(result) ?? "");
+});
+
+/** The next owner reaches one worker just before the leases of the others end. */
+const lateContact: fc.Arbitrary<OwnerSchedule> = fc.record({
+    seed: fc.nat(1_000_000),
+    faultRate: fc.constant(0.000_5),
+    disruptions: fc
+        .record({ atMs: tens(5_000, 16_000), cutMs: tens(2_500, 3_800) })
+        .map(({ atMs, cutMs }): OwnerDisruption[] => [
+            { kind: "overlap", worker: 0, atMs, durationMs: 9_000 },
+            { kind: "cut-from-next", worker: 0, atMs, durationMs: cutMs },
+            { kind: "cut-from-next", worker: 1, atMs, durationMs: 9_000 },
+            { kind: "cut-from-next", worker: 2, atMs, durationMs: 9_000 },
+        ]),
+});
+
+const previousOwnerDefects = [
+    { defect: "extendsWithoutProof", disrupted: lateContact },
+    { defect: "seesLaterJobs", disrupted: partialOverlaps },
+] as const;
+
+// Guards against a checker that detects nothing.
+for (const { defect, disrupted } of previousOwnerDefects) {
+    t.test(`the checker detects a previous owner that ${defect}`, async t => {
+        const result = await check(DefectScheduleCount, { [defect]: true }, Seed, disrupted);
+        t.ok(result.failed);
+    });
+}
+
 // Guards against a checker that detects nothing.
 t.test("the checker detects a roster by which leases end too early", async t => {
     const result = await check(DefectScheduleCount, { endsLeases: true });
--- a/packages/dispatch/tests/owner-model.ts
+++ b/packages/dispatch/tests/owner-model.ts
@@ -12,6 +12,7 @@
 import { CutOffStore } from "./cut-off-store.js";
 import { jobCodec } from "../src/job-codec.js";
 import { Metrics } from "../src/metrics.js";
+import { OwnershipProof } from "../src/ownership-proof.js";
 import { rosterCodec } from "../src/roster-codec.js";
 import { runInBackground } from "../src/run-in-background.js";
 import { LeaseModelClient } from "./lease-model-client.js";
@@ -36,18 +37,24 @@
 const TasksPerJob = 4;
 const LongestTaskMs = 7_000;
 const PollIntervalMs = 700;
+const CheckIntervalMs = 500;
 
 /** An owner of the cell, and its access to the store. */
 interface ModelOwner {
     readonly cell: CellOwner;
     readonly abort: AbortController;
     readonly store: CutOffStore;
+    readonly proof: OwnershipProof;
 }
 
 /** Deliberate defects, which the checker has to detect. */
 interface OwnerDefects {
     /** Each owner finds a roster by which the leases of all workers are over. */
     readonly endsLeases?: boolean;
+    /** An owner that is cut off from the store goes on as if it knew that there is no other owner. */
+    readonly extendsWithoutProof?: boolean;
+    /** It sees the jobs that are stored after a takeover. */
+    readonly seesLaterJobs?: boolean;
 }
 
 /**
@@ -69,6 +76,8 @@
     private readonly doneEnds = new Map<string, { hasLapsed: boolean }[]>();
     private readonly handled = new Set<OwnerDisruption>();
     private owner: ModelOwner | undefined;
+    /** An owner that goes on although the next one has claimed the cell. */
+    private previousOwner: ModelOwner | undefined;
     private claimAtMs = 0;
     private jobCount = 0;
 
@@ -161,6 +170,7 @@
             this.submitJob();
         }
         this.reportJobs();
+        this.proveOwnership();
         if (this.nowMs % PollIntervalMs === 0) {
             this.registrations().forEach(entry => this.owner?.cell.registerWorker(entry));
         }
@@ -174,6 +184,8 @@
             this.endStoredLeases(epoch);
         }
         const abort = new AbortController();
+        const proof = OwnershipProof.create(clock.nowMs());
+        const isCutOff = (id: string): boolean => this.isCutFromNextOwner(id) && this.owner?.cell === cell;
         const cell = CellOwner.create({
             cell: Cell,
             cellCount: () => 1,
@@ -181,7 +193,8 @@
             store,
             commits: CommitLog.create(store, Cell, { epoch, sequence: 0 }, revision, abort.signal),
             createWorkerClient: ({ id, startedAtMs }) =>
-                LeaseModelClient.create(this.workerOf(id), this.network, startedAtMs - 1),
+                LeaseModelClient.create(this.workerOf(id), this.network, startedAtMs - 1, () => isCutOff(id)),
+            proof,
             permits: NoPermits.create(),
             clock,
             log: NullLog.create(),
@@ -197,7 +210,7 @@
                 }
             },
         });
-        this.owner = { cell, abort, store };
+        this.owner = { cell, abort, store, proof };
         const started = cell.start(
             () => [queueRule("queue")],
             () => Promise.resolve(this.registrations()),
@@ -215,6 +228,19 @@
         }
     }
 
+    /**
+     * Checks, as renewals and the other processes do, that there is no other owner. An owner that is cut off from the store
+     * gets the last responses just after the next one has claimed the cell.
+     */
+    private proveOwnership(): void {
+        if (this.nowMs % CheckIntervalMs === 0) {
+            this.owner?.proof.note(this.clock.nowMs());
+        }
+        if (this.defects.extendsWithoutProof === true) {
+            this.previousOwner?.proof.note(this.clock.nowMs());
+        }
+    }
+
     private endOwner(): void {
         this.owner?.cell.halt();
         this.owner?.abort.abort();
@@ -250,12 +276,27 @@
     /** What the owner's watch of the store would report. */
     private reportJobs(): void {
         const cell = this.owner?.cell;
+        this.reportJobsTo(cell);
+        if (this.defects.seesLaterJobs === true) {
+            this.reportJobsTo(this.previousOwner?.cell);
+        }
+    }
+
+    private reportJobsTo(cell: CellOwner | undefined): void {
         if (cell?.isReady === true) {
             const ids = this.jobIds().filter(id => cell.scheduler.jobs.get(id) === undefined);
             ids.forEach(id => cell.jobAccepted(this.store.item(cellKeys.job(Cell, id))?.value ?? ""));
         }
     }
 
+    /** Whether the owner that has claimed the cell last has no path to a worker, although others have one. */
+    private isCutFromNextOwner(id: string): boolean {
+        return this.isDisrupted(
+            "cut-from-next",
+            this.workers.findIndex(worker => worker.id === id),
+        );
+    }
+
     private isDisrupted(kind: OwnerDisruption["kind"], worker?: number): boolean {
         return this.schedule.disruptions.some(
             each =>
@@ -297,11 +338,13 @@
             return;
         }
         owner.store.isCut = true;
+        this.previousOwner = owner;
         this.owner = undefined;
         this.claimAtMs = this.nowMs;
         setTimeout(() => {
             owner.cell.halt();
             owner.abort.abort();
+            this.previousOwner = this.previousOwner === owner ? undefined : this.previousOwner;
         }, durationMs);
     }
 
--- a/packages/dispatch/tests/plan-delay.test.ts
+++ b/packages/dispatch/tests/plan-delay.test.ts
@@ -7,6 +7,7 @@
 import { CommitLog } from "../src/commit-log.js";
 import { Metrics } from "../src/metrics.js";
 import { PlanDelay } from "../src/plan-delay.js";
+import { certainOwnership } from "./certain-ownership.js";
 import { ManualStore } from "./manual-store.js";
 import { NoPermits } from "./no-permits.js";
 import { NullLog } from "./null-log.js";
@@ -60,6 +61,7 @@
             throw new Error("expected no worker");
         },
         permits: NoPermits.create(),
+        proof: certainOwnership(clock),
         clock,
         log: NullLog.create(),
         metrics: Metrics.create(),
--- a/packages/dispatch/tests/record-heartbeat.test.ts
+++ b/packages/dispatch/tests/record-heartbeat.test.ts
@@ -10,6 +10,7 @@
 import { OrderFailure } from "../src/order-failure.js";
 import { StopLog } from "../src/stop-log.js";
 import { WorkerLink } from "../src/worker-link.js";
+import { certainOwnership } from "./certain-ownership.js";
 import { NullLog } from "./null-log.js";
 import { oneWorker } from "./one-worker.js";
 import { ScriptedWorkerClient } from "./scripted-worker-client.js";
@@ -36,6 +37,7 @@
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
+        proof: certainOwnership(clock),
         heartbeatPause: HeartbeatPause.create(),
         listener: { onChange: () => undefined, onFenced: () => undefined },
     });
--- a/packages/dispatch/tests/run-twice.test.ts
+++ b/packages/dispatch/tests/run-twice.test.ts
@@ -15,6 +15,7 @@
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
 import { WorkerClient } from "../src/worker-client.js";
+import { certainOwnership } from "./certain-ownership.js";
 import { ManualStore } from "./manual-store.js";
 import { NoPermits } from "./no-permits.js";
 import { oneTaskJob } from "./one-task-job.js";
@@ -95,6 +96,7 @@
         commits: CommitLog.create(store, 0, { epoch: 1, sequence: 0 }, 1, new AbortController().signal),
         createWorkerClient: ({ id }) => clients.get(id) ?? CutOffClient.create(),
         permits: NoPermits.create(),
+        proof: certainOwnership(clock),
         clock,
         log,
         metrics: Metrics.create(),
--- a/packages/dispatch/tests/stop-log.test.ts
+++ b/packages/dispatch/tests/stop-log.test.ts
@@ -10,6 +10,7 @@
 import { StopLog } from "../src/stop-log.js";
 import type { StopResult } from "../src/stop-result.js";
 import { WorkerLink } from "../src/worker-link.js";
+import { certainOwnership } from "./certain-ownership.js";
 import { oneTaskJob } from "./one-task-job.js";
 import { oneWorker } from "./one-worker.js";
 import { RecordingLog } from "./recording-log.js";
@@ -131,6 +132,7 @@
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
+        proof: certainOwnership(clock),
         heartbeatPause: HeartbeatPause.create(),
         listener: { onChange: () => undefined, onFenced: () => undefined },
     });
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -12,8 +12,10 @@
 import { HeartbeatPause } from "../src/heartbeat-pause.js";
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
+import { OwnershipProof } from "../src/ownership-proof.js";
 import { StopLog } from "../src/stop-log.js";
 import { WorkerLink } from "../src/worker-link.js";
+import { certainOwnership } from "./certain-ownership.js";
 import { ManualWorkerClient } from "./manual-worker-client.js";
 import { NullLog } from "./null-log.js";
 import { oneTaskJob } from "./one-task-job.js";
@@ -22,7 +24,9 @@
 const StartedAtMs = 200;
 
 /** A cell with one worker and the link to it, whose first heartbeat is not answered yet. */
-const createLink = (): {
+const createLink = (
+    proof?: OwnershipProof,
+): {
     readonly clock: ManualClock;
     readonly scheduler: CellScheduler;
     readonly worker: WorkerIncarnation;
@@ -43,6 +47,7 @@
         metrics,
         fencingToken: 1,
         leaseMs: cellLimits.leaseMs,
+        proof: proof ?? certainOwnership(clock),
         heartbeatPause: HeartbeatPause.create(),
         listener: { onChange: () => undefined, onFenced: () => undefined },
     });
@@ -162,3 +167,25 @@
     t.equal(client.heartbeats.at(-1)?.deadlineMs, 58_800 + cellLimits.leaseMs);
     link.close();
 });
+
+// Guards against a previous owner that extends a lease beyond the time for which the next owner waits: it counts leases
+// from its claim, so none may begin later than the last proof that there was no claim.
+t.test("a lease begins when the owner last knew that there was no other", async t => {
+    const proof = OwnershipProof.create(1_000);
+    const { clock, client, link } = createLink(proof);
+    const clockMs = 50_000;
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs }));
+    clock.advance(2_000);
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: clockMs + 2_000 }));
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, clockMs + cellLimits.leaseMs);
+    clock.advance(1_000);
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: clockMs + 3_000 }));
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, undefined, "the proof is too old");
+    proof.note(4_000);
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: clockMs + 3_000 }));
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, clockMs + 3_000 + cellLimits.leaseMs);
+    link.close();
+});
--- a/packages/dispatch/tests/worker-links.test.ts
+++ b/packages/dispatch/tests/worker-links.test.ts
@@ -7,6 +7,7 @@
 import { HeartbeatPause } from "../src/heartbeat-pause.js";
 import { Metrics } from "../src/metrics.js";
 import { WorkerLinks } from "../src/worker-links.js";
+import { certainOwnership } from "./certain-ownership.js";
 import { oneTaskJob } from "./one-task-job.js";
 import { oneWorker } from "./one-worker.js";
 import { RecordingLog } from "./recording-log.js";
@@ -22,6 +23,7 @@
         epoch: 1,
         scheduler,
         createWorkerClient: () => ScriptedWorkerClient.create({ clock }),
+        proof: certainOwnership(clock),
         clock,
         log,
         metrics: Metrics.create(),
