Report no job to an owner that was replaced before the job was stored

What callers saw: whole jobs that ran twice around a hand-over, in both forms of TWICE (two runs at once, and a start after an end that was noted). A new owner holds back the tasks of the jobs that it read at its takeover, until each worker of the roster is read or its lease is over, but starts jobs that arrive later at once. The previous owner, which had not learned of the takeover yet, saw these jobs as well: through its watch of the jobs, or because its own process accepted them, and started them on workers that the new owner had not reached.

Cause: two watches, one of owners and one of jobs, are not ordered, and a job that the owner's own process accepted passed by both.

Change: the transaction of a takeover writes the epoch among the inputs of the cell, so that the one watch of jobs and cancellations reports it before each job that follows. An owner that sees a higher epoch there gives the cell up and takes no later job. It learns of its own callers' jobs by the same watch. No call to the store is added.

--- a/packages/dispatch/src/cell-input-watcher.ts
+++ b/packages/dispatch/src/cell-input-watcher.ts
@@ -4,12 +4,15 @@
 import type { EventLog } from "./event-log.js";
 import { itemsUnderPrefix } from "./items-under-prefix.js";
 import type { MetadataStore } from "./metadata-store.js";
+import { storedRecords } from "./stored-records.js";
 import type { StoredItem } from "./stored-item.js";
 import { PrefixWatcher } from "./prefix-watcher.js";
 
 /** Source of the input and the callbacks that receive it. */
 interface InputContext {
     readonly cell: number;
+    /** Epoch of the owner that watches. */
+    readonly epoch: number;
     readonly store: MetadataStore;
     readonly clock: Clock;
     readonly log: EventLog;
@@ -18,10 +21,14 @@
     readonly onJob: (text: string) => void;
     /** Called with the id of each cancelled job that has no end state yet. */
     readonly onCancellation: (id: string) => void;
+    /** Called with the epoch of an owner that has taken over; the jobs that were stored after that are not reported. */
+    readonly onTakeover: (epoch: number) => void;
 }
 
 /** Watches the jobs and cancellations that any process stores for a cell. */
 export class CellInputWatcher {
+    private isSuperseded = false;
+
     private constructor(private readonly context: InputContext) {}
 
     static create(context: InputContext): CellInputWatcher {
@@ -50,6 +57,10 @@
 
     /** Handles jobs first: a cancellation that was read together with its job would otherwise find no job to cancel. */
     private handleItems(items: readonly StoredItem[]): void {
+        this.handleTakeover(items);
+        if (this.isSuperseded) {
+            return;
+        }
         const { cell, jobs, onJob, onCancellation } = this.context;
         for (const { id, value } of itemsUnderPrefix(items, cellKeys.job(cell, ""))) {
             if (jobs.get(id) === undefined) {
@@ -62,4 +73,14 @@
             }
         }
     }
+
+    private handleTakeover(items: readonly StoredItem[]): void {
+        const { cell, epoch, onTakeover } = this.context;
+        const item = items.find(({ key }) => key === cellKeys.takeover(cell));
+        const newest = item === undefined ? undefined : storedRecords.decodeTakeover(item.value);
+        if (newest !== undefined && newest > epoch && !this.isSuperseded) {
+            this.isSuperseded = true;
+            onTakeover(newest);
+        }
+    }
 }
--- a/packages/dispatch/src/cell-keys.ts
+++ b/packages/dispatch/src/cell-keys.ts
@@ -12,10 +12,12 @@
     roster: (cell: number): string => `cells/${cell}/roster`,
     /** Interference between images, as estimated by the owner. */
     effects: (cell: number): string => `cells/${cell}/effects`,
-    /** Jobs and cancellations that callers submitted. */
+    /** Jobs and cancellations that callers submitted, and the last takeover. */
     inputPrefix: (cell: number): string => `cells/${cell}/in/`,
     job: (cell: number, id: string): string => `cells/${cell}/in/job/${id}`,
     cancellation: (cell: number, id: string): string => `cells/${cell}/in/cancel/${id}`,
+    /** Epoch of the owner, among the inputs: a watch of these reports a takeover before each job that follows it. */
+    takeover: (cell: number): string => `cells/${cell}/in/takeover`,
     progressPrefix: (cell: number): string => `cells/${cell}/progress/`,
     progress: (cell: number, id: string): string => `cells/${cell}/progress/${id}`,
     /** Number of cells, fixed when the system first starts. */
--- a/packages/dispatch/src/cell-lease.ts
+++ b/packages/dispatch/src/cell-lease.ts
@@ -80,6 +80,7 @@
             writes: [
                 { key, value: JSON.stringify(record) },
                 { key: cellKeys.owner(cell), value: ownerValue, leaseId: granted.value },
+                { key: cellKeys.takeover(cell), value: JSON.stringify({ epoch: record.epoch }) },
             ],
         });
         const revision =
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -130,6 +130,7 @@
             jobs: this.scheduler.jobs,
             onJob: text => this.jobAccepted(text),
             onCancellation: id => this.jobCancelled(id),
+            onTakeover: newer => this.context.onLost(`epoch ${newer} has taken over`),
         });
         const { signal } = this.abort;
         const { onLost } = this.context;
--- a/packages/dispatch/src/job-gateway.ts
+++ b/packages/dispatch/src/job-gateway.ts
@@ -50,9 +50,6 @@
             const other = await this.acceptThroughOwner(cell, spec.id, text);
             outcome = other === SubmitOutcome.NotAccepted ? outcome : other;
         }
-        if (outcome === SubmitOutcome.Accepted) {
-            this.cells.get(cell)?.owner?.jobAccepted(text);
-        }
         return outcome;
     }
 
--- a/packages/dispatch/src/stored-records.ts
+++ b/packages/dispatch/src/stored-records.ts
@@ -23,6 +23,12 @@
     return isNonNegativeInteger(epoch) && isNonNegativeInteger(sequence) ? { epoch, sequence } : undefined;
 };
 
+/** Decodes the epoch of a takeover. */
+const decodeTakeover = (text: string): number | undefined => {
+    const { epoch } = parseFields(text);
+    return isNonNegativeInteger(epoch) ? epoch : undefined;
+};
+
 const decodeMember = (text: string): MemberRecord | undefined => {
     const { address } = parseFields(text);
     return isString(address) ? { address } : undefined;
@@ -59,6 +65,7 @@
 export const storedRecords = {
     decodeOwner,
     decodeLog,
+    decodeTakeover,
     decodeMember,
     decodeCells,
     decodeEffects,
--- a/packages/dispatch/tests/cell-lease.test.ts
+++ b/packages/dispatch/tests/cell-lease.test.ts
@@ -74,6 +74,18 @@
 t.beforeEach(() => mock.timers.enable({ apis: ["setTimeout"] }));
 t.afterEach(() => mock.timers.reset());
 
+// Guards against a previous owner that cannot tell the jobs which were stored before a takeover from later ones.
+t.test("a takeover writes its epoch among the cell's inputs", async t => {
+    const harness = LeaseHarness.create();
+    const lease = await harness.acquire();
+    const writes = harness.store.transactions[0]?.writes;
+    t.match(
+        writes?.find(({ key }) => key === "cells/0/in/takeover"),
+        { value: '{"epoch":1}' },
+    );
+    lease.stop();
+});
+
 // Guards against leases that are counted from the response to a renewal: the next owner may have taken over between the
 // renewal and its response.
 t.test("a renewal proves the ownership as of its request", async t => {
