--- a/packages/dispatch/tests/load-reporter.test.ts
+++ b/packages/dispatch/tests/load-reporter.test.ts
@@ -11,6 +11,8 @@
     waitingLasting: 0,
     waitingFillers: 0,
     waitingOthers: 0,
+    waitingSuspected: 0,
+    trials: 0,
     workers: 5,
     reachable: 3,
     unread: 0,
--- a/packages/jobs/src/cell-load.ts
+++ b/packages/jobs/src/cell-load.ts
@@ -6,6 +6,10 @@
     readonly waitingLasting: number;
     readonly waitingFillers: number;
     readonly waitingOthers: number;
+    /** Those of them that are suspected to crash their workers, of which few start at a time. */
+    readonly waitingSuspected: number;
+    /** Trials of suspected tasks, with or without a run. */
+    readonly trials: number;
     readonly workers: number;
     readonly reachable: number;
     /** Workers of a previous owner that have not listed their runs yet. */
--- a/packages/jobs/src/compute-cell-load.ts
+++ b/packages/jobs/src/compute-cell-load.ts
@@ -1,13 +1,13 @@
 import type { CellLoad } from "./cell-load.js";
 import type { JobRegistry } from "./job-registry.js";
 import type { Step } from "./step.js";
+import type { Task } from "./task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
+const isWaiting = (task: Task): boolean => !task.isDone && task.run === undefined;
+
 const waitingTasks = (steps: readonly Step[]): number =>
-    steps.reduce(
-        (sum, step) => sum + step.tasks.filter(task => !task.isDone && task.run === undefined).length,
-        0,
-    );
+    steps.reduce((sum, step) => sum + step.tasks.filter(isWaiting).length, 0);
 
 /** Computes the load totals of a cell. */
 export const computeCellLoad = (registry: JobRegistry, fleet: WorkerFleet, unread: number): CellLoad => {
@@ -22,6 +22,10 @@
         waitingLasting: waitingTasks(lasting),
         waitingFillers: waitingTasks(fillers),
         waitingOthers: waitingTasks(others),
+        waitingSuspected: steps
+            .flatMap(({ tasks }) => tasks)
+            .filter(task => isWaiting(task) && task.suspicion > 0).length,
+        trials: [...fleet.workers].filter(({ trialTask }) => trialTask !== undefined).length,
         workers: fleet.size,
         reachable: reachable.length,
         unread,
