Try more suspected tasks at a time while few trials lose their worker

Half of the workers crash every 6 s for reasons of their own. Each wave makes the tasks that had just started there suspected, and a suspected task starts only in a trial, one for six workers at a time: about 4 a second on 45 workers, fewer than were added. At the end of the traffic 694 tasks waited for a trial, with 122 runs on 45 workers.

Change: the share of trials that lose their worker is tracked. While it is below a quarter, one trial for two workers is open. It begins at a half, so that nothing changes before seven trials have ended well, and a few lost workers bring the lower limit back.

--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -60,6 +60,9 @@
     finish(run: Run, end: RunEnd, times: EndTimes): void {
         const isCurrent = run.task.run === run;
         const completesTask = end.kind === EndKind.Done && run.task.run === undefined;
+        if (isCurrent && end.kind !== EndKind.Stopped && run.confirmedAtMs > 0) {
+            this.trials.noteOutcome(run.task, end.kind === EndKind.Lapsed);
+        }
         if (run.confirmedAtMs === 0 && (end.kind === EndKind.Lapsed || end.kind === EndKind.Stopped)) {
             this.withdraw(run);
         } else {
--- a/packages/jobs/src/trials.ts
+++ b/packages/jobs/src/trials.ts
@@ -7,6 +7,12 @@
 
 /** One trial at a time for this many workers, as each may cost a worker and what else runs there. */
 const WorkersPerTrial = 6;
+/** The same while few trials end with the loss of their worker, so that the suspected tasks are probably innocent. */
+const WorkersPerTrialIfSafe = 2;
+/** Share of trials with the loss of their worker below which trials count as safe, and the weight of a new one in it. */
+const SafeLossShare = 0.25;
+const OutcomeWeight = 0.1;
+const InitialLossShare = 0.5;
 
 const isOver = (task: Task, fleet: WorkerFleet): boolean => {
     const { run, trial } = task;
@@ -24,6 +30,7 @@
 /** The open trials of a cell. */
 export class Trials {
     private readonly tasks = new Set<Task>();
+    private lossShare = InitialLossShare;
 
     private constructor(
         private readonly jobs: JobRegistry,
@@ -36,7 +43,15 @@
 
     /** Whether so many more trials may be opened. A gang may exceed the limit if no other trial is open. */
     hasRoomFor(count: number): boolean {
-        return this.tasks.size === 0 || (this.tasks.size + count) * WorkersPerTrial <= this.fleet.size;
+        const perTrial = this.lossShare < SafeLossShare ? WorkersPerTrialIfSafe : WorkersPerTrial;
+        return this.tasks.size === 0 || (this.tasks.size + count) * perTrial <= this.fleet.size;
+    }
+
+    /** Records whether the worker of a trial was lost; to be called before the trial is closed. */
+    noteOutcome({ trial }: Task, isWorkerLost: boolean): void {
+        if (trial !== undefined) {
+            this.lossShare += (Number(isWorkerLost) - this.lossShare) * OutcomeWeight;
+        }
     }
 
     isOnRack(rack: string): boolean {
@@ -64,6 +79,9 @@
     closeFinished(): void {
         for (const task of [...this.tasks]) {
             if (isOver(task, this.fleet)) {
+                if (task.run?.phase === RunPhase.Running) {
+                    this.noteOutcome(task, task.run.worker.isLost);
+                }
                 this.close(task);
             }
         }
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -329,3 +329,26 @@
     t.equal(run?.task.suspicion, 0);
     t.end();
 });
+
+// Guards against innocent tasks that wait for minutes beside free workers because few of them are tried at a time.
+t.test("load pattern: many innocent tasks are suspected after workers have crashed again and again", t => {
+    const harness = SchedulerHarness.create();
+    const workers = Array.from({ length: 12 }, (_, index) => addWorker(harness, `w${index}`));
+    const spec = harness.submit({ count: 60 });
+    for (const task of harness.scheduler.jobs.get(spec.id)?.tasks() ?? []) {
+        task.suspicion = 1;
+    }
+    const openTrials = (): number => workers.filter(({ trialTask }) => trialTask !== undefined).length;
+    harness.planAndStartAll();
+    t.equal(openTrials(), 2, "nothing is known of them");
+    for (let round = 0; round < 6; round++) {
+        harness.clock.advance(500);
+        heartbeat(harness, ...workers);
+        for (const run of workers.flatMap(worker => [...worker.runs.values()])) {
+            harness.reportEnd(run, EndKind.Done);
+        }
+        harness.planAndStartAll();
+    }
+    t.equal(openTrials(), 6, "their workers have survived them");
+    t.end();
+});
