Recognize the loss of most of a cell although jobs connect its workers

Cause: a loss counts as that of a group, which excuses the tasks that ran there, by the other losses at the same time that share no job with it. Where jobs have tasks on many workers, nearly all losses share some job, so that half of the workers of a cell could be lost at once without being recognized, and innocent tasks stayed suspected.

Change: one job has caused a loss at most, so only the losses that share the job which explains most of them are left out.

--- a/packages/jobs/src/explain-loss.ts
+++ b/packages/jobs/src/explain-loss.ts
@@ -21,18 +21,25 @@
     readonly isDoubtful: boolean;
 }
 
-/** Losses at the same time as this one that no common job and no trial explains. */
+/**
+ * Losses at the same time as this one that no trial and not the same job explains. One job has caused this loss at most, so
+ * those are left out that share the job which explains most of them.
+ */
 const independentLosses = (loss: WorkerLoss, losses: readonly WorkerLoss[]): readonly WorkerLoss[] => {
-    const { jobs } = loss;
-    return losses.filter(
+    const atSameTime = losses.filter(
         other =>
             other !== loss &&
             !other.hasTrial &&
             !other.worker.entry.isDraining &&
             other.worker.entry.address !== loss.worker.entry.address &&
-            Math.abs(other.lostAtMs - loss.lostAtMs) < SameTimeMs &&
-            ![...other.jobs].some(job => jobs.has(job)),
+            Math.abs(other.lostAtMs - loss.lostAtMs) < SameTimeMs,
     );
+    let independent: readonly WorkerLoss[] = atSameTime;
+    for (const job of loss.jobs) {
+        const withoutJob = atSameTime.filter(other => !other.jobs.has(job));
+        independent = withoutJob.length < independent.length ? withoutJob : independent;
+    }
+    return independent;
 };
 
 const countAddresses = (workers: readonly WorkerIncarnation[]): number =>
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -330,6 +330,42 @@
     t.end();
 });
 
+// Guards against tasks that stay suspected although half of the cell was lost at once: jobs of several tasks connect each
+// lost worker with others, but no single job explains them all.
+t.test("a loss of most of the cell excuses tasks whose jobs connect all of its workers", t => {
+    const harness = SchedulerHarness.create();
+    const names = ["w1", "w2", "w3", "w4"];
+    const workers = names.map(name =>
+        harness.addWorker(name, {
+            address: `${name}:1`,
+            rack: `r-${name}`,
+            startedAtMs: ++bornMs,
+            labels: [name],
+        }),
+    );
+    workers.forEach(worker => harness.scheduler.noteLeaseExtension(worker));
+    names.forEach((first, index) => {
+        names.slice(index + 1).forEach(second => {
+            harness.submit({ requiredLabel: first }, { requiredLabel: second });
+        });
+    });
+    const tasks = harness.planAndStartAll().map(({ task }) => task);
+    t.equal(tasks.length, 12);
+    lose(harness, ...workers);
+    harness.planOrders();
+    t.ok(
+        tasks.every(({ suspicion }) => suspicion === 1),
+        "nothing is judged yet",
+    );
+    harness.clock.advance(UnprovenMs);
+    harness.planOrders();
+    t.same(
+        tasks.map(({ suspicion }) => suspicion),
+        tasks.map(() => 0),
+    );
+    t.end();
+});
+
 // Guards against innocent tasks that wait for minutes beside free workers because few of them are tried at a time.
 t.test("load pattern: many innocent tasks are suspected after workers have crashed again and again", t => {
     const harness = SchedulerHarness.create();
