--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -180,7 +180,7 @@
         this.schedulePlan();
     }
 
-    /** Adds a job that was just accepted; the watch reports it as well. */
+    /** Adds a job that the watch of the inputs has reported. */
     jobAccepted(text: string): void {
         this.intake.accept(text);
         this.schedulePlan();
