--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -152,7 +152,8 @@
             limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, file_descriptors: 4_100 },
             bounds: this.bounds,
             orders: "call",
-            platform: { address: this.store.address, form: "kv" },
+            ...(this.adviceAddress === undefined ? {} : { advice: this.adviceAddress }),
+            platform: { address: this.storeAddressOf?.(index) ?? this.store.address, form: "kv" },
         };
         writeFileSync(path, JSON.stringify(settings));
         const process_ = { name, front, ready, path, log: [], hasEnded: false };
--- a/review/standins-2/worker.mjs
+++ b/review/standins-2/worker.mjs
@@ -212,7 +212,7 @@
         } else {
             answer = { status: 404 };
         }
-        if (!this.isUp || res.destroyed) {
+        if (answer.status === 0 || !this.isUp || res.destroyed) {
             return;
         }
         const { status, ...fields } = answer;
