--- a/packages/dispatch/src/job-codec.ts
+++ b/packages/dispatch/src/job-codec.ts
@@ -77,6 +77,7 @@
     endState: optional(value => endStates.has(value)),
     endedAtMs: isNumber,
     hasStarted: isBoolean,
+    isStartConfirmed: optional(isBoolean),
     nextOccurrence: isNaturalNumber,
     open: isListOf(
         hasFields({
--- a/packages/dispatch/src/job-gateway.ts
+++ b/packages/dispatch/src/job-gateway.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
+import { hasStarted } from "@samphireward/jobs/has-started";
 import { JobState } from "@samphireward/jobs/job-state";
 import type { JobStatus } from "@samphireward/jobs/job-status";
 import type { JobSpec } from "@samphireward/jobs/job-spec";
@@ -146,9 +147,10 @@
         }
         const storedProgress =
             progress.value === undefined ? undefined : jobCodec.decodeProgress(progress.value.value);
-        const { endState, endReason, hasStarted = false } = storedProgress ?? {};
+        const { endState, endReason } = storedProgress ?? {};
+        const isRunning = storedProgress !== undefined && hasStarted(storedProgress);
         return Ok({
-            state: endState ?? (hasStarted ? JobState.Running : JobState.Queued),
+            state: endState ?? (isRunning ? JobState.Running : JobState.Queued),
             ...(endReason === undefined ? {} : { reason: endReason }),
         });
     }
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -9,7 +9,10 @@
     /** Why the job ended as failed; absent for other ends, and in the progress of older versions. */
     readonly endReason?: JobEndReason | undefined;
     readonly endedAtMs: number;
+    /** Whether a task has started. Earlier builds also set it for starts that no worker has confirmed. */
     readonly hasStarted: boolean;
+    /** Set by this build where `hasStarted` is true and nothing else here shows it. */
+    readonly isStartConfirmed?: boolean;
     /** Occurrences below this number have been opened; those that are not in `open` are done. */
     readonly nextOccurrence: number;
     readonly open: readonly OccurrenceProgress[];
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -19,6 +19,7 @@
     endReason: JobEndReason | undefined;
     /** Wall-clock time at which the job ended, in milliseconds since 1970. */
     endedAtMs = 0;
+    /** Whether a worker has begun one of its tasks, as far as workers have said so. */
     hasStarted = false;
     /** Number of times that a lasting task of the job was preempted. */
     preemptionCount = 0;
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -85,6 +85,7 @@
         const newestRun = worker.runs.get(end.task);
         const run = newestRun?.number === end.number ? newestRun : undefined;
         const task = run?.task ?? this.jobs.findListedTask(end.task);
+        task?.noteStarted();
         this.reportIfIgnored(worker, listedEnd, task, run);
         if (run !== undefined) {
             this.results.finish(run, end, times);
@@ -124,6 +125,7 @@
     private readRunning(worker: WorkerIncarnation, listedRun: ListedRun, times: ListingTimes): boolean {
         const existing = worker.runs.get(listedRun.task);
         if (existing !== undefined) {
+            existing.task.noteStarted();
             if (existing.number === listedRun.number) {
                 this.confirm(existing, listedRun, times);
             }
@@ -146,7 +148,6 @@
             task.run = run;
             task.lastRun = listedRun.number;
             task.readySinceMs = undefined;
-            task.step.occurrence.job.hasStarted = true;
         } else {
             run.stopReason = StopReason.NotCurrent;
         }
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -29,6 +29,9 @@
 
     recordStart(run: Run, outcome: StartOutcome): void {
         const nowMs = this.clock.nowMs();
+        if (outcome === StartOutcome.Started) {
+            run.task.noteStarted();
+        }
         if (run.worker.runs.get(run.task.name) !== run) {
             return;
         }
--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -1,3 +1,4 @@
+import { hasStarted } from "./has-started.js";
 import type { Job } from "./job.js";
 import type { JobProgress } from "./job-progress.js";
 import type { StepProgress } from "./step-progress.js";
@@ -9,7 +10,7 @@
     job.storedEndState = progress.endState;
     job.endReason = progress.endReason;
     job.endedAtMs = progress.endedAtMs;
-    job.hasStarted = progress.hasStarted;
+    job.hasStarted = hasStarted(progress);
     job.nextOccurrence = progress.nextOccurrence;
     job.nextDueOccurrence = progress.nextOccurrence;
     for (const { number, steps } of progress.open) {
--- a/packages/jobs/src/run.ts
+++ b/packages/jobs/src/run.ts
@@ -56,6 +56,7 @@
         if (this.phase !== RunPhase.Running) {
             this.phase = RunPhase.Running;
             this.confirmedAtMs = nowMs;
+            this.task.noteStarted();
             if (this.task.run === this) {
                 this.task.notRunningSinceMs = undefined;
             }
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -273,7 +273,6 @@
         task.run = run;
         task.lastRun = number;
         task.readySinceMs = undefined;
-        task.step.occurrence.job.hasStarted = true;
         worker.add(run);
         return { kind: OrderKind.Start, worker, run };
     }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -66,6 +66,11 @@
         this.lateStartEndsMs?.delete(workerId);
     }
 
+    /** Records that a worker has begun a run of the task. */
+    noteStarted(): void {
+        this.step.occurrence.job.hasStarted = true;
+    }
+
     markDone(): void {
         if (!this.done) {
             this.done = true;
