A task counts as queued until its worker confirms the start

The state of the single task, `starting`, was right. Counts follow from the states now; the new test failed before (0 queued, 2 running, with all workers cut off).

--- a/packages/scheduler/src/cell-operations.ts
+++ b/packages/scheduler/src/cell-operations.ts
@@ -1,7 +1,8 @@
 import { ResultCode } from "@samphireward/core/result-code";
-import { TaskState } from "@samphireward/core/task-state";
 import type { CellOwner } from "@samphireward/tasks/cell-owner";
 import type { CellState } from "@samphireward/tasks/cell-state";
+import { hasNotBegun } from "@samphireward/tasks/has-not-begun";
+import { isActiveState } from "@samphireward/tasks/is-active-state";
 import type { WorkerCommand } from "@samphireward/tasks/worker-command";
 
 /** Data sources of the operators' view of a cell. */
@@ -58,18 +59,12 @@
         }
         for (const { spec, state } of this.options.state().tasks.values()) {
             const pool = pools[spec.pool];
-            if (pool !== undefined && (state === TaskState.Queued || state === TaskState.Evicted)) {
+            if (pool !== undefined && hasNotBegun(state)) {
                 pool.queued += 1;
-            } else if (pool !== undefined && activeStates.has(state)) {
+            } else if (pool !== undefined && isActiveState(state)) {
                 pool.running += 1;
             }
         }
         return pools;
     }
 }
-
-const activeStates: ReadonlySet<TaskState> = new Set([
-    TaskState.Starting,
-    TaskState.Running,
-    TaskState.Checkpointing,
-]);
--- a/packages/tasks/src/describe-cell.ts
+++ b/packages/tasks/src/describe-cell.ts
@@ -1,5 +1,7 @@
 import { WorkerHealth } from "@samphireward/placement/worker-health";
 import type { CellStatus } from "./cell-status.js";
+import { hasNotBegun } from "./has-not-begun.js";
+import { isActiveState } from "./is-active-state.js";
 import type { OwnerCore } from "./owner-core.js";
 import type { WorkerLink } from "./worker-link.js";
 import { WorkerMode } from "./worker-mode.js";
@@ -29,11 +31,15 @@
 /** Builds the status of the cell and its workers, for operators. */
 export const describeCell = (core: OwnerCore): CellStatus => {
     const workers: WorkerStatus[] = [];
-    let running = 0;
     for (const link of core.workers.all) {
         const { name, rack, capacity, reserved, taskCount } = link.entry;
         workers.push({ name, rack, state: stateOf(core, link), capacity, reserved, tasks: taskCount });
-        running += taskCount;
     }
-    return { workers, queued: core.placer.waitingCount, running };
+    let queued = 0;
+    let running = 0;
+    for (const { state } of core.state.tasks.values()) {
+        queued += hasNotBegun(state) ? 1 : 0;
+        running += isActiveState(state) && !hasNotBegun(state) ? 1 : 0;
+    }
+    return { workers, queued, running };
 };
--- a/packages/tasks/tests/cell-owner.test.ts
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -239,3 +239,17 @@
         t.strictSame(sim.checker.violations, []);
     });
 }
+
+// Guards against operators who are shown tasks as running although no worker has confirmed their start.
+t.test("a task counts as queued until its worker confirms the start", async t => {
+    const { sim, owner } = await createCell();
+    sim.workers.forEach(worker => sim.cut(undefined, worker));
+    const answers = Promise.all(["a", "b"].map(key => owner.accept(spec(key, 60_000))));
+    await sim.run(500);
+    await answers;
+    t.strictSame([owner.status("a")?.state, owner.status("b")?.state], ["starting", "starting"]);
+    t.strictSame([owner.describe().queued, owner.describe().running], [2, 0]);
+    sim.healNetwork();
+    await sim.run(10_000);
+    t.strictSame([owner.describe().queued, owner.describe().running], [0, 2]);
+});
