--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from "./metrics.js";
 import type { OwnerRecord } from "./owner-record.js";
 import type { PermitSource } from "./permit-source.js";
+import { ownerLeaseTtlMs } from "./owner-lease-ttl-ms.js";
 import { rankOfCell } from "./rank-of-cell.js";
 import { runInBackground } from "./run-in-background.js";
 import type { StoredOwner } from "./stored-owner.js";
@@ -19,6 +20,12 @@
 /** Upper bound of the random part of the delay, so that equal processes do not claim at the same moment. */
 const MaxClaimJitterMs = 40;
 const RetryDelayMs = 150;
+/**
+ * A process that starts again owns its cell at once. It may have started tasks just before on workers that had started
+ * again unnoticed, whose leases last longer than was counted, so it waits as long as another process would have waited for
+ * the end of the owner's lease.
+ */
+const RestartWaitMs = ownerLeaseTtlMs;
 
 /** Dependencies and identity of a candidate. */
 interface CandidateContext {
@@ -110,11 +117,17 @@
         }
     }
 
+    /**
+     * Whether the owner key names this node. While it does not own the cell, an earlier process of the node has written
+     * that, or a claim whose response was lost.
+     */
+    private get isOwnRecord(): boolean {
+        return this.ownerRecord?.node === this.context.node;
+    }
+
     private scheduleClaim(): void {
         clearTimeout(this.claimTimer);
-        // A record that names this node while it does not own the cell was written by an earlier process of the node,
-        // or by a claim whose response was lost.
-        const isOwnRecord = this.ownerRecord?.node === this.context.node;
+        const { isOwnRecord } = this;
         if (this.isStopped || this.isClaiming || this.owned !== undefined) {
             return;
         }
@@ -143,6 +156,7 @@
     private async claim(): Promise<void> {
         const { log, cell } = this.context;
         this.isClaiming = true;
+        const followsOwnProcess = this.isOwnRecord;
         const lease = await CellLease.create(this.context, this.record?.revision ?? 0);
         this.isClaiming = false;
         if (lease.isErr()) {
@@ -155,10 +169,10 @@
             this.claimTimer = setTimeout(() => this.scheduleClaim(), RetryDelayMs);
             return;
         }
-        await this.startOwner(lease.value);
+        await this.startOwner(lease.value, followsOwnProcess ? RestartWaitMs : 0);
     }
 
-    private async startOwner(lease: CellLease): Promise<void> {
+    private async startOwner(lease: CellLease, extraWaitMs: number): Promise<void> {
         const { readRules, readWorkers, cell, log, metrics } = this.context;
         if (this.isStopped) {
             await lease.release();
@@ -176,6 +190,7 @@
             epoch: lease.epoch,
             commits: lease.commits,
             proof: lease.proof,
+            extraWaitMs,
             onLost,
         });
         this.owned = { lease, owner };
--- a/packages/dispatch/src/cell-lease.ts
+++ b/packages/dispatch/src/cell-lease.ts
@@ -7,6 +7,7 @@
 import type { LogRecord } from "./log-record.js";
 import { LostOwnership } from "./lost-ownership.js";
 import type { MetadataStore } from "./metadata-store.js";
+import { ownerLeaseTtlMs } from "./owner-lease-ttl-ms.js";
 import { OwnershipProof } from "./ownership-proof.js";
 import type { OwnerRecord } from "./owner-record.js";
 import { sleep } from "./sleep.js";
@@ -16,8 +17,6 @@
 import { TakeoverCheckResult } from "./takeover-check-result.js";
 import type { TakeoverChecker } from "./takeover-checker.js";
 
-/** Time to live of an owner's lease in the store. */
-const OwnerLeaseTtlMs = 2_000;
 const RenewIntervalMs = 500;
 /** Pause between two checks with the other processes while renewals fail. */
 const CheckIntervalMs = 300;
@@ -61,7 +60,7 @@
     ): Promise<Result<CellLease | undefined, StoreFailure>> {
         const { store, cell } = context;
         const key = cellKeys.log(cell);
-        const [granted, storedLog] = await Promise.all([store.grantLease(OwnerLeaseTtlMs), store.get(key)]);
+        const [granted, storedLog] = await Promise.all([store.grantLease(ownerLeaseTtlMs), store.get(key)]);
         if (granted.isErr()) {
             return granted;
         }
@@ -157,7 +156,7 @@
 
     private async restoreOwnerKey(): Promise<Result<void, typeof LostOwnership | StoreFailure>> {
         const { store, cell, log } = this.context;
-        const granted = await store.grantLease(OwnerLeaseTtlMs);
+        const granted = await store.grantLease(ownerLeaseTtlMs);
         if (granted.isErr()) {
             return granted;
         }
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -45,6 +45,8 @@
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly limits: CellLimits;
+    /** Time, in milliseconds, by which silent workers of the previous owner are waited for beyond their lease; 0 if absent. */
+    readonly extraWaitMs?: number;
     /** Called when another owner has taken over, and when a loop of this one failed unexpectedly. */
     readonly onLost: (reason: string) => void;
 }
@@ -201,7 +203,7 @@
         state.cancelled
             .filter(id => scheduler.jobs.get(id)?.endState === undefined)
             .forEach(id => this.jobCancelled(id));
-        this.roster.restore(state.roster);
+        this.roster.restore(state.roster, this.context.extraWaitMs);
     }
 
     private schedulePlan(): void {
--- a/packages/dispatch/src/end-reporter.ts
+++ b/packages/dispatch/src/end-reporter.ts
@@ -58,20 +58,24 @@
         log.write("task-suspected", { task: task.name, worker, reason, points: task.suspicion, epoch });
     }
 
-    /** Fields that show on what the owner based an end that the worker did not list. */
+    /** Fields that show on what the owner based an end after which the task may start again. */
     private evidence(worker: WorkerIncarnation, end: RunEnd): Readonly<Record<string, number | undefined>> {
         const nowMs = this.context.clock.nowMs();
+        const bornMs = worker.entry.startedAtMs;
         switch (end.reason) {
             case EndReason.LeaseOver:
                 return {
+                    bornMs,
                     lastContactAgoMs: Math.round(nowMs - worker.lastContactAtMs),
                     leaseEndedAgoMs: Math.round(nowMs - worker.leaseEndsAtMs),
                 };
             case EndReason.Restarted:
-                return { bornMs: worker.entry.startedAtMs, newBornMs: end.restartedAtMs };
+                return { bornMs, newBornMs: end.restartedAtMs };
             case EndReason.Listed:
             case EndReason.Missing:
-                return {};
+                return end.kind === EndKind.Done
+                    ? {}
+                    : { bornMs, leaseLeftMs: Math.round(worker.leaseEndsAtMs - nowMs) };
         }
     }
 }
--- a/packages/dispatch/src/roster-writer.ts
+++ b/packages/dispatch/src/roster-writer.ts
@@ -50,8 +50,11 @@
         return new RosterWriter(context);
     }
 
-    /** Takes over the roster of the previous owner; undefined if no owner has started anything yet. */
-    restore(roster: Roster | undefined): void {
+    /**
+     * Takes over the roster of the previous owner; undefined if no owner has started anything yet. Its silent workers are
+     * waited for by `extraWaitMs` more than the lease that was granted.
+     */
+    restore(roster: Roster | undefined, extraWaitMs = 0): void {
         const { scheduler, epoch } = this.context;
         if (roster === undefined) {
             scheduler.expectNoInheritedWorkers();
@@ -59,7 +62,7 @@
         }
         // An owner in between, which has not written the roster, has renewed leases.
         const leasesMs = roster.epoch === epoch - 1 ? roster.leasesMs : undefined;
-        scheduler.expectInheritedWorkers(roster.lives, roster.leaseMs, leasesMs);
+        scheduler.expectInheritedWorkers(roster.lives, roster.leaseMs, leasesMs, extraWaitMs);
         this.listedKeys = new Set(roster.lives);
         this.isFromPreviousOwner = true;
     }
--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellScheduler } from "@samphireward/jobs/cell-scheduler";
+import { maxLeaseDurationMs } from "@samphireward/jobs/max-lease-duration-ms";
 import type { Run } from "@samphireward/jobs/run";
 import { RunPhase } from "@samphireward/jobs/run-phase";
 import { StartOutcome } from "@samphireward/jobs/start-outcome";
@@ -89,7 +90,10 @@
         }
         const sentAtMs = clock.nowMs();
         scheduler.noteLeaseExtension(this.worker);
-        const outcome = await this.client.start(run, fencingToken, deadlineMs);
+        const { outcome, clockMs } = await this.client.start(run, fencingToken, deadlineMs);
+        if (clockMs !== undefined) {
+            this.noteClock(clockMs, deadlineMs);
+        }
         scheduler.responses.recordStart(run, outcome);
         metrics.starts.inc({ outcome });
         metrics.startSeconds.observe((clock.nowMs() - sentAtMs) / 1_000);
@@ -97,6 +101,7 @@
             task: run.task.name,
             run: run.number,
             worker: this.worker.entry.id,
+            bornMs: this.worker.entry.startedAtMs,
             outcome,
             epoch: fencingToken,
             tookMs: Math.round(clock.nowMs() - sentAtMs),
@@ -108,6 +113,21 @@
         }
     }
 
+    /**
+     * Counts the lease that a start has left. The clock of an incarnation that this link does not know is behind, so that
+     * the deadline is far ahead there; nothing is sent by the known clock then, until a heartbeat shows the incarnation.
+     */
+    private noteClock(clockMs: number, deadlineMs: number): void {
+        const { scheduler, leaseMs, log } = this.context;
+        const leaseLeftMs = deadlineMs - clockMs;
+        scheduler.noteLeaseLeft(this.worker, leaseLeftMs);
+        if (leaseLeftMs > maxLeaseDurationMs(leaseMs)) {
+            this.clockOffsetMs = undefined;
+            const { id, startedAtMs: bornMs } = this.worker.entry;
+            log.write("worker-clock-behind", { worker: id, bornMs, leaseLeftMs, leaseMs });
+        }
+    }
+
     async stop(task: string, number: number, reason: StopReason): Promise<void> {
         const { scheduler, fencingToken, stopLog, metrics } = this.context;
         const result = await this.client.stop(task, number, fencingToken);
--- a/packages/dispatch/tests/cell-owner.test.ts
+++ b/packages/dispatch/tests/cell-owner.test.ts
@@ -13,6 +13,7 @@
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
 import { rosterCodec } from "../src/roster-codec.js";
+import type { StartResponse } from "../src/start-response.js";
 import { WorkerClient } from "../src/worker-client.js";
 import type { WorkerClientFactory } from "../src/worker-client-factory.js";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
@@ -33,9 +34,9 @@
         return new SilentWorkerClient();
     }
 
-    override start(): Promise<StartOutcome> {
+    override start(): Promise<StartResponse> {
         this.starts += 1;
-        return Promise.resolve(StartOutcome.Unknown);
+        return Promise.resolve({ outcome: StartOutcome.Unknown });
     }
 
     override stop(): Promise<Result<void, OrderFailure>> {
--- a/packages/dispatch/tests/end-reporter.test.ts
+++ b/packages/dispatch/tests/end-reporter.test.ts
@@ -24,6 +24,7 @@
             reason: "lease-over",
             failures: 0,
             epoch: 1,
+            bornMs: worker.entry.startedAtMs,
             lastContactAgoMs: 7_000,
             leaseEndedAgoMs: Math.round(leaseEndedAgoMs),
         },
@@ -55,7 +56,7 @@
     cell.startAll();
     cell.reportListing(worker, [{ sequence: 1, task, number: 2, kind: "done", checkpoint: "" }]);
     t.match(cell.lines("end", "end-ignored"), [
-        { event: "end", run: 1, how: "lapsed", reason: "missing" },
+        { event: "end", run: 1, how: "lapsed", reason: "missing", bornMs: worker.entry.startedAtMs },
         { event: "end", run: 2, how: "done", reason: "listed" },
     ]);
     const text = await cell.metrics.text();
--- a/packages/dispatch/tests/lease-model-client.ts
+++ b/packages/dispatch/tests/lease-model-client.ts
@@ -6,6 +6,7 @@
 import type { HeartbeatResponse } from "../src/heartbeat-response.js";
 import { OrderFailure } from "../src/order-failure.js";
 import { sleep } from "../src/sleep.js";
+import type { StartResponse } from "../src/start-response.js";
 import { WorkerClient } from "../src/worker-client.js";
 import type { LeaseModelCall } from "./lease-model-call.js";
 import type { LeaseModelNetwork } from "./lease-model-network.js";
@@ -38,12 +39,12 @@
         return new LeaseModelClient(worker, network, intendedStartMs, isCutOff);
     }
 
-    override async start(run: Run, token: number, deadlineMs: number): Promise<StartOutcome> {
+    override async start(run: Run, token: number, deadlineMs: number): Promise<StartResponse> {
         const { worker } = this;
         const startedAtMs = this.intendedStartMs ?? worker.startedAtMs;
         const workMs = Number(run.task.step.occurrence.job.spec.payload);
         let outcome: StartOutcome | undefined;
-        const response = await this.call({
+        const response = await this.call<StartResponse>({
             timeoutMs: OrderTimeoutMs,
             execute: (nowMs, isLate) => {
                 // A late start that runs in a later incarnation before a stop has arrived there is a known gap of the
@@ -54,9 +55,9 @@
                     outcome = worker.start({ ...order, endsAtMs: nowMs + workMs }, nowMs);
                 }
             },
-            respond: () => outcome,
+            respond: nowMs => outcome && { outcome, clockMs: worker.clockMs(nowMs) },
         });
-        return response ?? StartOutcome.Unknown;
+        return response ?? { outcome: StartOutcome.Unknown };
     }
 
     override async stop(task: string, number: number, token: number): Promise<Result<void, OrderFailure>> {
--- a/packages/dispatch/tests/manual-worker-client.ts
+++ b/packages/dispatch/tests/manual-worker-client.ts
@@ -5,6 +5,7 @@
 import type { HeartbeatRequest } from "../src/heartbeat-request.js";
 import type { HeartbeatResponse } from "../src/heartbeat-response.js";
 import type { OrderFailure } from "../src/order-failure.js";
+import type { StartResponse } from "../src/start-response.js";
 import { WorkerClient } from "../src/worker-client.js";
 
 /** A worker client whose heartbeats are answered by the test and whose orders succeed at once. */
@@ -12,6 +13,8 @@
     readonly heartbeats: HeartbeatRequest[] = [];
     /** Deadline of each start. */
     readonly startDeadlinesMs: number[] = [];
+    /** Clock in the response to each start; none if it is undefined. */
+    startClockMs: number | undefined;
     private answer: (result: Result<HeartbeatResponse, OrderFailure>) => void = () => undefined;
 
     static create(): ManualWorkerClient {
@@ -24,9 +27,9 @@
         await new Promise(resolve => setImmediate(resolve));
     }
 
-    override start(_run: Run, _fencingToken: number, deadlineMs: number): Promise<StartOutcome> {
+    override start(_run: Run, _fencingToken: number, deadlineMs: number): Promise<StartResponse> {
         this.startDeadlinesMs.push(deadlineMs);
-        return Promise.resolve(StartOutcome.Started);
+        return Promise.resolve({ outcome: StartOutcome.Started, clockMs: this.startClockMs });
     }
 
     override stop(): Promise<Result<void, OrderFailure>> {
--- a/packages/dispatch/tests/run-twice.test.ts
+++ b/packages/dispatch/tests/run-twice.test.ts
@@ -14,6 +14,7 @@
 import { jobCodec } from "../src/job-codec.js";
 import { Metrics } from "../src/metrics.js";
 import { OrderFailure } from "../src/order-failure.js";
+import type { StartResponse } from "../src/start-response.js";
 import { WorkerClient } from "../src/worker-client.js";
 import { certainOwnership } from "./certain-ownership.js";
 import { ManualStore } from "./manual-store.js";
@@ -49,9 +50,9 @@
         }
     }
 
-    override start(run: Run): Promise<StartOutcome> {
+    override start(run: Run): Promise<StartResponse> {
         this.run = run.number;
-        return Promise.resolve(StartOutcome.Started);
+        return Promise.resolve({ outcome: StartOutcome.Started });
     }
 
     override stop(): Promise<Result<void, OrderFailure>> {
--- a/packages/dispatch/tests/scripted-worker-client.ts
+++ b/packages/dispatch/tests/scripted-worker-client.ts
@@ -4,6 +4,7 @@
 import { Err } from "ts-results-es";
 import type { HeartbeatResponse } from "../src/heartbeat-response.js";
 import { OrderFailure } from "../src/order-failure.js";
+import type { StartResponse } from "../src/start-response.js";
 import { WorkerClient } from "../src/worker-client.js";
 
 /** What a scripted worker answers. */
@@ -29,8 +30,8 @@
         return new ScriptedWorkerClient(script);
     }
 
-    override start(): Promise<StartOutcome> {
-        return Promise.resolve(StartOutcome.Unknown);
+    override start(): Promise<StartResponse> {
+        return Promise.resolve({ outcome: StartOutcome.Unknown });
     }
 
     override stop(): Promise<Result<void, OrderFailure>> {
--- a/packages/dispatch/tests/worker-link.test.ts
+++ b/packages/dispatch/tests/worker-link.test.ts
@@ -3,6 +3,7 @@
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { queueRule } from "@samphireward/jobs/fixtures/queue-rule";
+import { maxLeaseDurationMs } from "@samphireward/jobs/max-lease-duration-ms";
 import { OrderKind } from "@samphireward/jobs/order-kind";
 import { StopReason } from "@samphireward/jobs/stop-reason";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
@@ -64,6 +65,54 @@
     }
 };
 
+// Guards against a second run of a task beside one in the next incarnation of its worker, of which the owner has not learned:
+// the deadline by the clock of the incarnation before is far ahead there, so that the lease lasts longer than was counted.
+t.test("a start that another incarnation has answered counts the longest lease", async t => {
+    const clockMs = 500_000;
+    const cases: readonly [startClockMs: number, leaseMs: number][] = [
+        [clockMs, cellLimits.leaseMs],
+        [30, cellLimits.maxLeaseMs],
+    ];
+    for (const [startClockMs, leaseMs] of cases) {
+        const { clock, scheduler, worker, client, link } = createLink();
+        scheduler.expectNoInheritedWorkers();
+        await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs }));
+        client.startClockMs = startClockMs;
+        scheduler.addJob(oneTaskJob);
+        const orders = scheduler.plan();
+        const [order] = orders;
+        t.equal(order?.kind, OrderKind.Start);
+        if (order?.kind === OrderKind.Start) {
+            await link.start(order.run);
+        }
+        scheduler.noteUnreachable(worker);
+        clock.advance(maxLeaseDurationMs(leaseMs) + cellLimits.stopMs);
+        scheduler.plan();
+        t.equal(worker.runs.size, 1, "the run may still be there");
+        clock.advance(1);
+        scheduler.plan();
+        t.equal(worker.runs.size, 0, "its lease is over");
+        link.close();
+    }
+});
+
+// Guards against a lease that calls go on extending by the clock of an incarnation that is gone.
+t.test("nothing is sent by the known clock once a start has shown another one", async t => {
+    const { scheduler, client, link } = createLink();
+    await client.answerHeartbeat(Ok({ listing: emptyListing, clockMs: 500_000 }));
+    client.startClockMs = 30;
+    scheduler.addJob({ ...oneTaskJob, steps: oneTaskJob.steps.map(step => ({ ...step, count: 2 })) });
+    for (const order of scheduler.plan()) {
+        if (order.kind === OrderKind.Start) {
+            await link.start(order.run);
+        }
+    }
+    t.equal(client.startDeadlinesMs.length, 1);
+    await nextHeartbeat(client);
+    t.equal(client.heartbeats.at(-1)?.deadlineMs, undefined);
+    link.close();
+});
+
 // Guards against tasks that run twice, or that nobody starts again: a listing of an older incarnation neither ends the
 // runs of the newer one nor shows that they go on.
 t.test("a worker that lists an older incarnation counts as unreachable", async t => {
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -121,14 +121,15 @@
     /**
      * Sets the workers of previous owners, by key, the longest lease that these owners granted, and the remaining leases
      * that differ from that, by key, if they are known. Tasks that may run on such a worker are not started elsewhere until
-     * the worker has listed its runs or the lease has expired.
+     * the worker has listed its runs or the lease has expired, `extraWaitMs` later where no remaining lease is known.
      */
     expectInheritedWorkers(
         keys: readonly string[],
         leaseMs?: number,
         leasesMs?: ReadonlyMap<string, number>,
+        extraWaitMs = 0,
     ): void {
-        this.previousOwners.expectWorkers(keys, leaseMs, leasesMs);
+        this.previousOwners.expectWorkers(keys, leaseMs, leasesMs, extraWaitMs);
         this.countInheritedWaits();
     }
 
@@ -192,6 +193,15 @@
         worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, endsAtMs);
     }
 
+    /**
+     * Records what a call has left of the worker's lease, by the clock in its response. That is more than was counted
+     * before the call if the worker has started again since its clock was read: its clock has begun anew.
+     */
+    noteLeaseLeft(worker: WorkerIncarnation, leaseLeftMs: number): void {
+        const durationMs = maxLeaseDurationMs(Math.min(leaseLeftMs, this.limits.maxLeaseMs));
+        worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, this.clock.nowMs() + durationMs);
+    }
+
     /** A listing of a worker that has been forgotten or replaced is ignored: its runs belong to the current record. */
     noteListing(worker: WorkerIncarnation, listing: WorkerListing, sentAtMs: number): void {
         if (!this.isCurrent(worker)) {
@@ -303,7 +313,6 @@
         for (const run of [...worker.runs.values()]) {
             this.results.lapse(run, EndReason.Restarted, this.times(), restartedAtMs);
         }
-        this.previousOwners.noteRead(worker.key);
     }
 
     /**
--- a/packages/jobs/src/previous-owners.ts
+++ b/packages/jobs/src/previous-owners.ts
@@ -2,6 +2,7 @@
 import type { CellLimits } from "./cell-limits.js";
 import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import type { WorkerEntry } from "./worker-entry.js";
+import { workerKey } from "./worker-key.js";
 
 /** Keys of the workers of the previous owner, and the remaining leases that differ from granted ones, by key. */
 interface KnownLeases {
@@ -43,21 +44,24 @@
 
     /**
      * Sets their workers, by key (`id/start time`), and the longest lease that they granted, in milliseconds. `leasesMs`
-     * are the remaining leases that differ from that, by key; undefined if they are not known.
+     * are the remaining leases that differ from that, by key; undefined if they are not known. A worker without one may
+     * have started again and got a longer lease than was granted, so it is waited for by `extraWaitMs` more, up to the
+     * longest lease.
      */
     expectWorkers(
         workerKeys: readonly string[],
         leaseMs = this.limits.maxLeaseMs,
         leasesMs?: ReadonlyMap<string, number>,
+        extraWaitMs = 0,
     ): void {
         const nowMs = this.clock.nowMs();
         const { maxLeaseMs, lateOrderMs } = this.limits;
         // Workers shorten leases to their maximum, so a stored value above that says nothing.
         const grantedMs = Math.min(leaseMs, maxLeaseMs);
-        const durationMs = maxLeaseDurationMs(grantedMs);
+        const waitMs = Math.min(maxLeaseDurationMs(grantedMs) + extraWaitMs, maxLeaseDurationMs(maxLeaseMs));
         const longestMs = lateOrderMs + maxLeaseDurationMs(maxLeaseMs);
         for (const key of workerKeys) {
-            const remainingMs = Math.min(leasesMs?.get(key) ?? durationMs, longestMs);
+            const remainingMs = Math.min(leasesMs?.get(key) ?? waitMs, longestMs);
             this.unreadLeaseEndsMs.set(key, nowMs + remainingMs);
         }
         this.knownLeases = leasesMs && { workerKeys: new Set(workerKeys), leasesMs };
@@ -105,11 +109,17 @@
         this.unreadLeaseEndsMs.delete(workerKey);
     }
 
-    /** Records an incarnation of a worker: the runs of its earlier incarnations have ended. */
-    noteIncarnation({ id, startedAtMs }: WorkerEntry): void {
-        for (const key of this.unreadLeaseEndsMs.keys()) {
+    /**
+     * Records an incarnation of a worker, which has to list its runs in place of an earlier one, whose runs have ended. The
+     * previous owner may have started runs there without knowing of it, by deadlines that are far ahead on its new clock.
+     */
+    noteIncarnation(entry: WorkerEntry): void {
+        const { id, startedAtMs } = entry;
+        for (const key of [...this.unreadLeaseEndsMs.keys()]) {
             if (key.startsWith(`${id}/`) && Number(key.slice(id.length + 1)) < startedAtMs) {
                 this.unreadLeaseEndsMs.delete(key);
+                const longestMs = maxLeaseDurationMs(this.limits.maxLeaseMs);
+                this.unreadLeaseEndsMs.set(workerKey(entry), this.clock.nowMs() + longestMs);
             }
         }
     }
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -5,6 +5,7 @@
 import type { Task } from "./task.js";
 import type { OrphanRun } from "./orphan-run.js";
 import type { WorkerEntry } from "./worker-entry.js";
+import { workerKey } from "./worker-key.js";
 
 /** Capacity freed by a serving task is kept for compatible serving images for this long. */
 const SameImagesOnlyMs = 1_200;
@@ -74,7 +75,7 @@
     readonly key: string;
 
     private constructor(public entry: WorkerEntry) {
-        this.key = `${entry.id}/${entry.startedAtMs}`;
+        this.key = workerKey(entry);
     }
 
     static create(entry: WorkerEntry): WorkerIncarnation {
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -268,7 +268,9 @@
         next.inherit(spec, readProgress(job));
         next.scheduler.expectInheritedWorkers([worker.key]);
         addWorker(next, "w2");
-        next.addUnreadWorker("w1", { ...worker.entry, startedAtMs: ++bornMs });
+        const restarted = next.addUnreadWorker("w1", { ...worker.entry, startedAtMs: ++bornMs });
+        t.same(next.planStarts(), [], "the previous owner may have started the task there again");
+        next.reportListing(restarted, [], []);
         t.equal(startOne(next)?.task.suspicion, 1);
     }
     t.end();
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -318,6 +318,65 @@
     t.end();
 });
 
+// Guards against a second run of a task beside one that the previous owner started in the next incarnation of a worker, of
+// which it had not learned: the next owner took the end of the earlier incarnation for the end of all runs there.
+t.test("a run in an incarnation that the previous owner did not know is adopted, not started again", t => {
+    for (const isKnownBefore of [false, true]) {
+        const harness = SchedulerHarness.create(2);
+        const spec = harness.makeJob({});
+        harness.inherit(spec);
+        harness.scheduler.expectInheritedWorkers(["w1/1"], cellLimits.leaseMs, new Map());
+        harness.addWorker("w2");
+        if (isKnownBefore) {
+            harness.addUnreadWorker("w1");
+        }
+        const worker = harness.addUnreadWorker("w1", { startedAtMs: 2 });
+        t.same(harness.planStarts(), [], "it has not been read");
+        t.same(harness.scheduler.workerKeysToRead, ["w2/1", "w1/2"], "the next owner has to read it as well");
+        const run = { number: 1, checkpoint: "", progressPercent: 1, gauge: 0 };
+        harness.reportListing(worker, [{ ...run, task: `${spec.id}.0.0.0` }], []);
+        t.same(harness.planStarts(), []);
+        t.equal(worker.runs.size, 1);
+    }
+    t.end();
+});
+
+// Guards against a second run of a task beside one in a life of its worker that the previous owner did not know, which is
+// silent: the lease there may be the longest one. The wait is bounded, so that lasting tasks are not kept from running.
+t.test("silent workers are waited for longer after a restart of the owner's process", t => {
+    const cases: readonly [extraWaitMs: number, waitMs: number][] = [
+        [0, maxLeaseDurationMs(cellLimits.leaseMs)],
+        [700, maxLeaseDurationMs(cellLimits.leaseMs) + 700],
+        [60_000, maxLeaseDurationMs(cellLimits.maxLeaseMs)],
+    ];
+    for (const [extraWaitMs, waitMs] of cases) {
+        const harness = SchedulerHarness.create(2);
+        harness.inherit(harness.makeJob({}));
+        const { scheduler } = harness;
+        scheduler.expectInheritedWorkers(["w1/1"], cellLimits.leaseMs, new Map(), extraWaitMs);
+        harness.addWorker("w2");
+        harness.clock.advance(waitMs + cellLimits.stopMs);
+        t.same(harness.planStarts(), [], `${extraWaitMs} ms`);
+        harness.clock.advance(1);
+        t.equal(harness.planStarts().length, 1);
+    }
+    t.end();
+});
+
+// Guards against inherited tasks that never start, because a worker that has started again does not answer.
+t.test("the wait for a worker that has started again ends with the longest lease", t => {
+    const harness = SchedulerHarness.create(2);
+    harness.inherit(harness.makeJob({}));
+    harness.scheduler.expectInheritedWorkers(["w1/1"], cellLimits.leaseMs, new Map());
+    harness.addWorker("w2");
+    harness.addUnreadWorker("w1", { startedAtMs: 2 });
+    harness.clock.advance(maxLeaseDurationMs(cellLimits.maxLeaseMs) + cellLimits.stopMs);
+    t.same(harness.planStarts(), []);
+    harness.clock.advance(1);
+    t.equal(harness.planStarts().length, 1);
+    t.end();
+});
+
 // Guards against a second run of a task that still runs in a worker's newest incarnation: a registration that was read
 // before the restart ended the wait for that incarnation.
 t.test("a registration of an older incarnation does not end the wait for a newer one", t => {
@@ -327,7 +386,9 @@
     harness.addWorker("w2");
     harness.addUnreadWorker("w1", { startedAtMs: 100 });
     t.same(harness.planStarts(), []);
-    harness.addUnreadWorker("w1", { startedAtMs: 300 });
-    t.equal(harness.planStarts().length, 1, "a newer one ends it");
+    const worker = harness.addUnreadWorker("w1", { startedAtMs: 300 });
+    t.same(harness.planStarts(), [], "a newer one may have runs that the previous owner started there");
+    harness.reportListing(worker, [], []);
+    t.equal(harness.planStarts().length, 1, "its listing ends the wait");
     t.end();
 });
