--- a/packages/dispatch/src/progress-writer.ts
+++ b/packages/dispatch/src/progress-writer.ts
@@ -107,9 +107,16 @@
         }
     }
 
+    /** Effects that are too large for a value, by the length of the images' names, are left to the next owner to learn. */
     private async writeEffects(): Promise<void> {
-        const value = JSON.stringify(this.context.scheduler.effects.snapshot());
-        await this.commit([{ key: cellKeys.effects(this.context.cell), value }]);
+        const { cell, scheduler, log } = this.context;
+        const value = JSON.stringify(scheduler.effects.snapshot());
+        const bytes = Buffer.byteLength(value);
+        if (bytes > MaxValueBytes) {
+            log.write("effects-omitted", { cell, bytes });
+            return;
+        }
+        await this.commit([{ key: cellKeys.effects(cell), value }]);
     }
 
     /**
--- a/packages/dispatch/tests/progress-writer.test.ts
+++ b/packages/dispatch/tests/progress-writer.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from "@samphireward/core/manual-clock";
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { EndKind } from "@samphireward/jobs/end-kind";
+import { hasStarted } from "@samphireward/jobs/has-started";
 import { JobState } from "@samphireward/jobs/job-state";
 import type { ListedEnd } from "@samphireward/jobs/listed-end";
 import type { WorkerIncarnation } from "@samphireward/jobs/worker-incarnation";
@@ -13,6 +14,7 @@
 import { Metrics } from "../src/metrics.js";
 import { ProgressWriter } from "../src/progress-writer.js";
 import { StoreFailure } from "../src/store-failure.js";
+import { withoutCheckpoints } from "../src/without-checkpoints.js";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { plainStep } from "@samphireward/jobs/fixtures/plain-step";
 import { ManualStore } from "./manual-store.js";
@@ -281,3 +283,39 @@
     await store.answerNext();
     await flushed;
 });
+
+// Guards against a cell that commits nothing any more: the store refuses a value that is too large, and the owner repeats the
+// transaction for good, with all later commits behind it.
+t.test("learned effects that are too large for a value are not written", async t => {
+    const store = ManualStore.create();
+    const cell = endedJob();
+    const writer = createWriter(store, cell, []);
+    const pairs = Array.from({ length: 600 }, (_, index) => [`${index}`.padStart(2_000, "i"), 1, 1] as const);
+    cell.scheduler.effects.restore({ headrooms: {}, pairs: { web: pairs } });
+    const flushed = writer.flush();
+    await new Promise(resolve => setImmediate(resolve));
+    await store.answerNext();
+    await flushed;
+    const keys = store.transactions.flatMap(({ writes }) => writes.map(({ key }) => key));
+    t.strictSame(keys, ["cells/0/log", `cells/0/progress/${id}`]);
+});
+
+// Guards against a job that counts as waiting again, because all that showed its start was a checkpoint that was left out.
+t.test("progress without checkpoints shows that the job has started", t => {
+    const progress = withoutCheckpoints({
+        endState: undefined,
+        endedAtMs: 0,
+        hasStarted: true,
+        nextOccurrence: 1,
+        open: [
+            {
+                number: 0,
+                steps: [
+                    { doneBits: "0", marks: [{ index: 0, failedRuns: [], lastRun: 1, checkpoint: "c" }] },
+                ],
+            },
+        ],
+    });
+    t.ok(hasStarted(progress));
+    t.end();
+});
--- a/packages/jobs/src/neighbour-effects.ts
+++ b/packages/jobs/src/neighbour-effects.ts
@@ -35,6 +35,8 @@
 const PlacementHorizonMs = 800;
 /** Upper bound of the expected ratio of tail latency to target; beyond it the task is overloaded anyway. */
 const MaxTailRatio = 4;
+/** Largest number of serving images whose mean headroom is kept, for the size of the stored value. */
+const MaxImages = 1_000;
 /** Weight of a step's mean headroom in the moving average of its image. */
 const ImageMeanWeight = 0.02;
 
@@ -76,7 +78,7 @@
     }
 
     restore(snapshot: EffectsSnapshot): void {
-        Object.entries(snapshot.headrooms).forEach(([image, value]) => this.headrooms.set(image, value));
+        Object.entries(snapshot.headrooms).forEach(([image, value]) => this.setHeadroom(image, value));
         this.pairs.restore(snapshot.pairs);
     }
 
@@ -201,7 +203,17 @@
         this.pairs.correct(image, shares, -innovation, totalVariance);
         forecast.correct(innovation, totalVariance, elapsedMs);
         const previousMean = this.headrooms.get(image) ?? forecast.mean;
-        this.headrooms.set(image, previousMean + (forecast.mean - previousMean) * ImageMeanWeight);
+        this.setHeadroom(image, previousMean + (forecast.mean - previousMean) * ImageMeanWeight);
+    }
+
+    /** Keeps the images that were set last. */
+    private setHeadroom(image: string, headroom: number): void {
+        this.headrooms.delete(image);
+        this.headrooms.set(image, headroom);
+        const [oldest] = this.headrooms.size > MaxImages ? this.headrooms.keys() : [];
+        if (oldest !== undefined) {
+            this.headrooms.delete(oldest);
+        }
     }
 
     private forecastOf(run: Run, nowMs: number): HeadroomForecast {
--- a/packages/jobs/src/pair-effects.ts
+++ b/packages/jobs/src/pair-effects.ts
@@ -4,10 +4,22 @@
 const InitialEffect = 3;
 const InitialVariance = 64;
 
+/**
+ * Largest number of estimates. Jobs may name any number of images, and the estimates are stored in one value of the store,
+ * which takes 1 MiB: this many with images that are named by a digest take about half of that.
+ */
+const MaxPairs = 4_000;
+/** Number of estimates that are kept when there are more. */
+const KeptPairs = 3_000;
+
 /** Estimate for one pair of serving image and filler image. */
 interface PairEstimate {
+    readonly serving: string;
+    readonly filler: string;
     effect: number;
     variance: number;
+    /** Number of the last correction; the lower, the longer ago. */
+    correction: number;
 }
 
 /**
@@ -17,7 +29,9 @@
 export class PairEffects {
     private readonly estimates = new Map<string, Map<string, PairEstimate>>();
 
-    private readonly fillers = new Set<string>();
+    private fillers = new Set<string>();
+    private pairCount = 0;
+    private corrections = 0;
 
     private constructor() {}
 
@@ -59,6 +73,10 @@
             const gain = (pair.variance * share) / totalVariance;
             pair.effect = Math.max(0, pair.effect + gain * innovation);
             pair.variance *= 1 - gain * share;
+            pair.correction = ++this.corrections;
+        }
+        if (this.pairCount > MaxPairs) {
+            this.forgetOldest();
         }
     }
 
@@ -101,6 +119,9 @@
                 Object.assign(this.pair(serving, filler), { effect, variance });
             }
         }
+        if (this.pairCount > MaxPairs) {
+            this.forgetOldest();
+        }
     }
 
     private pair(serving: string, filler: string): PairEstimate {
@@ -112,9 +133,23 @@
         let pair = pairs.get(filler);
         if (pair === undefined) {
             this.fillers.add(filler);
-            pair = { effect: InitialEffect, variance: InitialVariance };
+            pair = { serving, filler, effect: InitialEffect, variance: InitialVariance, correction: 0 };
             pairs.set(filler, pair);
+            this.pairCount++;
         }
         return pair;
     }
+
+    /** Forgets the estimates that were corrected longest ago. */
+    private forgetOldest(): void {
+        const all = [...this.estimates.values()].flatMap(pairs => [...pairs.values()]);
+        const kept = all.sort((a, b) => b.correction - a.correction).slice(0, KeptPairs);
+        this.estimates.clear();
+        for (const pair of kept) {
+            const pairs = this.estimates.get(pair.serving) ?? new Map<string, PairEstimate>();
+            this.estimates.set(pair.serving, pairs.set(pair.filler, pair));
+        }
+        this.fillers = new Set(kept.map(({ filler }) => filler));
+        this.pairCount = kept.length;
+    }
 }
--- a/packages/jobs/tests/pair-effects.test.ts
+++ b/packages/jobs/tests/pair-effects.test.ts
@@ -51,3 +51,23 @@
     t.ok(effects.compatibleShare(new Set(["web", "api"])) <= effects.compatibleShare(new Set(["web"])));
     t.end();
 });
+
+// Guards against estimates that grow with the number of images until the store refuses their value, and every later commit
+// of the cell with it.
+t.test("the estimates that were corrected last are kept, up to a bounded number", t => {
+    const effects = PairEffects.create();
+    const correct = (filler: string): void => effects.correct("web", new Map([[filler, 0.5]]), 1, 16.25);
+    const digest = (index: number): string => `sha256:${index.toString(16).padStart(64, "0")}`;
+    for (let index = 0; index < 20_000; index++) {
+        correct(digest(index));
+        if (index % 500 === 0) {
+            correct("common");
+        }
+    }
+    const pairs = effects.snapshot()["web"] ?? [];
+    t.ok(pairs.length > 2_000 && pairs.length <= 4_000, `${pairs.length} pairs`);
+    t.ok(JSON.stringify(effects.snapshot()).length < 500_000);
+    const kept = new Set(pairs.map(([filler]) => filler));
+    t.ok(kept.has(digest(19_999)) && kept.has("common") && !kept.has(digest(0)));
+    t.end();
+});
