--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -101,6 +101,7 @@
 
     setQueues(rules: readonly QueueRule[]): void {
         this.rules.replace(rules);
+        this.results.applyAttemptLimits(this.clock.wallMs());
     }
 
     /** Adds a job that was accepted by this owner. A later plan opens the tasks for which there is no room now. */
@@ -115,6 +116,7 @@
             this.previousOwners.addJob(spec.id);
             this.inheritedTrials.addJob(job);
             this.jobs.closeDoneOccurrences(job, this.clock.wallMs());
+            this.results.applyAttemptLimitTo(job, this.clock.wallMs());
         }
     }
 
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -1,6 +1,7 @@
 import { EndKind } from "./end-kind.js";
 import type { EndObserver } from "./end-observer.js";
 import { EndReason } from "./end-reason.js";
+import type { Job } from "./job.js";
 import type { JobRegistry } from "./job-registry.js";
 import { JobState } from "./job-state.js";
 import type { QueueRules } from "./queue-rules.js";
@@ -138,8 +139,29 @@
         this.jobs.markChanged(job);
         const members = step.spec.gang ? step.tasks : [task];
         members.forEach(member => member.failedRuns.add(number));
+        this.applyAttemptLimit(task, wallMs);
+    }
+
+    /**
+     * Ends the jobs whose tasks have failed as often as the rules in force allow. Failures are counted while a queue has no
+     * rule as well, because its route is away or no configuration has been read.
+     */
+    applyAttemptLimits(wallMs: number): void {
+        for (const job of this.jobs.undecided) {
+            this.applyAttemptLimitTo(job, wallMs);
+        }
+    }
+
+    applyAttemptLimitTo(job: Job, wallMs: number): void {
+        for (const task of job.tasks()) {
+            this.applyAttemptLimit(task, wallMs);
+        }
+    }
+
+    private applyAttemptLimit(task: Task, wallMs: number): void {
+        const { job } = task.step.occurrence;
         const limit = this.rules.get(job.spec.queue)?.maxAttempts;
-        if (limit !== undefined && task.failedRuns.size >= limit) {
+        if (limit !== undefined && !task.isDone && task.failedRuns.size >= limit) {
             this.jobs.setEndState(job, JobState.Failed, wallMs);
         }
     }
--- a/packages/jobs/tests/order.test.ts
+++ b/packages/jobs/tests/order.test.ts
@@ -1,7 +1,10 @@
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
 import { JobState } from "../src/job-state.js";
+import type { QueueRule } from "../src/queue-rule.js";
+import { readProgress } from "../src/read-progress.js";
 import type { StepSpec } from "../src/step-spec.js";
+import { queueRule } from "./fixtures/queue-rule.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
 // Guards against starting work that is already late before work that can still meet its target.
@@ -91,6 +94,33 @@
     t.end();
 });
 
+// Guards against one start more than a queue allows: a failure that was counted while the route was away, before the first
+// configuration was read, or under a higher limit was never compared with the limit again.
+t.test("the attempts of a task are compared with the limit again when the rules change", t => {
+    const rule = queueRule("queue");
+    const otherRules: readonly (readonly QueueRule[])[] = [[], [{ ...rule, maxAttempts: 3 }]];
+    for (const rules of otherRules) {
+        const harness = SchedulerHarness.create();
+        ["w1", "w2", "w3"].forEach(id => harness.addWorker(id));
+        const spec = harness.submit({});
+        harness.planAndStartAll().forEach(run => harness.reportEnd(run, EndKind.Failed));
+        harness.clock.advance(5_000);
+        const runs = harness.planAndStartAll();
+        harness.scheduler.setQueues(rules);
+        runs.forEach(run => harness.reportEnd(run, EndKind.Failed));
+        harness.clock.advance(5_000);
+        t.equal(harness.scheduler.jobs.get(spec.id)?.endState, undefined);
+        const job = harness.scheduler.jobs.get(spec.id);
+        const next = SchedulerHarness.create(2);
+        next.inherit(spec, job && readProgress(job));
+        t.equal(next.scheduler.jobs.get(spec.id)?.endState, JobState.Failed, "the next owner has the rule");
+        harness.scheduler.setQueues([rule]);
+        t.equal(job?.endState, JobState.Failed);
+        t.same(harness.planStarts(), []);
+    }
+    t.end();
+});
+
 // Guards against more tasks of a step on one worker than its job allows, and against workers without its label.
 t.test("anti-affinity and required labels restrict the choice of workers", t => {
     const harness = SchedulerHarness.create();
