--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -161,7 +161,7 @@
         trackSpeed(run, listedRun, times.nowMs);
         run.gauge = listedRun.gauge;
         if (listedRun.checkpoint !== "" && run.task.run === run) {
-            run.task.checkpoint = listedRun.checkpoint;
+            run.task.setCheckpoint(listedRun.checkpoint);
         }
     }
 
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -112,7 +112,7 @@
     apply(task: Task, worker: WorkerIncarnation, end: RunEnd, times: EndTimes): void {
         const { job } = task.step.occurrence;
         if (end.checkpoint !== "") {
-            task.checkpoint = end.checkpoint;
+            task.setCheckpoint(end.checkpoint);
         }
         if (end.kind === EndKind.Done) {
             worker.consecutiveFailures = 0;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -71,6 +71,14 @@
         this.step.occurrence.job.hasStarted = true;
     }
 
+    /** Sets the latest checkpoint. That of any member of a gang is valid for all, and all have to start with the same one. */
+    setCheckpoint(checkpoint: string): void {
+        const { spec, tasks } = this.step;
+        for (const task of spec.gang ? tasks : [this]) {
+            task.checkpoint = checkpoint;
+        }
+    }
+
     markDone(): void {
         if (!this.done) {
             this.done = true;
--- a/packages/jobs/tests/order.test.ts
+++ b/packages/jobs/tests/order.test.ts
@@ -1,9 +1,13 @@
+import { Resources } from "@samphireward/core/resources";
 import t from "tap";
 import { EndKind } from "../src/end-kind.js";
+import type { JobProgress } from "../src/job-progress.js";
 import { JobState } from "../src/job-state.js";
 import type { QueueRule } from "../src/queue-rule.js";
 import { readProgress } from "../src/read-progress.js";
+import type { Run } from "../src/run.js";
 import type { StepSpec } from "../src/step-spec.js";
+import type { WorkerIncarnation } from "../src/worker-incarnation.js";
 import { queueRule } from "./fixtures/queue-rule.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -150,6 +154,46 @@
     t.end();
 });
 
+// Guards against a gang that never comes together again after a crash: each member started with the checkpoint of its own last
+// run, and workers refuse members with different ones.
+t.test("the members of a gang start with the same checkpoint", t => {
+    const harness = SchedulerHarness.create();
+    const [first, second] = ["w1", "w2"].map(id => harness.addWorker(id));
+    const large = Resources.create({ processors: 10, memoryMb: 100 });
+    const spec = harness.submit({ count: 2, gang: true, checkpoints: true, resources: large });
+    const runs = harness.planAndStartAll();
+    const runOn = (worker: WorkerIncarnation | undefined): Run | undefined =>
+        runs.find(run => run.worker === worker);
+    const lost = runOn(first);
+    const broken = runOn(second);
+    t.ok(lost && broken && second);
+    if (lost === undefined || broken === undefined || second === undefined) {
+        t.end();
+        return;
+    }
+    harness.clock.advance(1);
+    harness.reportListing(lost.worker, [{ ...SchedulerHarness.listedRun(lost), checkpoint: "1" }], []);
+    harness.reportEnd(broken, EndKind.GangBroken, "2");
+    harness.addWorker("w1", { startedAtMs: 2 });
+    const job = harness.scheduler.jobs.get(spec.id);
+    t.strictSame(
+        [...(job?.tasks() ?? [])].map(({ checkpoint }) => checkpoint),
+        ["2", "2"],
+    );
+    const stored = job && readProgress(job);
+    const differing = JSON.parse(
+        JSON.stringify(stored).replace('"checkpoint":"2"', '"checkpoint":"1"'),
+    ) as JobProgress;
+    const next = SchedulerHarness.create(2);
+    next.inherit(spec, differing);
+    t.equal(
+        new Set([...(next.scheduler.jobs.get(spec.id)?.tasks() ?? [])].map(({ checkpoint }) => checkpoint))
+            .size,
+        1,
+    );
+    t.end();
+});
+
 // Guards against starts on a worker that is about to leave, and against a scheduled job that starts early.
 t.test("draining workers get no tasks, and occurrences start when they are due", t => {
     const harness = SchedulerHarness.create();
