--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -341,7 +341,7 @@
     t.end();
 });
 
-// Guards against a second run of a task beside one in a life of its worker that the previous owner did not know, which is
+// Guards against a second run of a task beside one in an incarnation of its worker that the previous owner did not know, which is
 // silent: the lease there may be the longest one. The wait is bounded, so that lasting tasks are not kept from running.
 t.test("silent workers are waited for longer after a restart of the owner's process", t => {
     const cases: readonly [extraWaitMs: number, waitMs: number][] = [
