Different checkpoints of a gang are made equal when it starts, not when its progress is read

The members are made equal at their common start now, so the stored text stays as it was until then.

The test of the gang checks the starts of the next owner, as strict as before.

--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -33,11 +33,4 @@
             failedRuns.forEach(number => task.failedRuns.add(number));
         }
     }
-    // An earlier build may have stored different ones for the members of a gang.
-    const checkpoint = step.spec.gang
-        ? step.tasks.find(task => task.checkpoint !== "")?.checkpoint
-        : undefined;
-    if (checkpoint !== undefined) {
-        step.tasks[0]?.setCheckpoint(checkpoint);
-    }
 };
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -224,6 +224,9 @@
             return [];
         }
         const number = Math.max(...step.tasks.map(task => this.nextRunNumber(task)));
+        // An earlier build may have stored different ones for the members.
+        const checkpointed = step.tasks.find(({ checkpoint }) => checkpoint !== "");
+        checkpointed?.setCheckpoint(checkpointed.checkpoint);
         const orders: Order[] = [];
         const requiresGoodFit = longestWaitMs(step, nowMs) < GangWaitMs;
         const { trialPlanner } = this.context;
