One piece of code counts the tasks of a cell, and one counts a lease

Tasks were sorted into queued and running in two places; countTasks serves both. A call's lease and what its response shows to be left of it were recorded by two methods alike; one serves both. Two tests build the key of an incarnation with workerKey.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -120,7 +120,7 @@
     private noteClock(clockMs: number, deadlineMs: number): void {
         const { scheduler, leaseMs, log } = this.context;
         const leaseLeftMs = deadlineMs - clockMs;
-        scheduler.noteLeaseLeft(this.worker, leaseLeftMs);
+        scheduler.noteLeaseExtension(this.worker, leaseLeftMs);
         if (leaseLeftMs > maxLeaseDurationMs(leaseMs)) {
             this.clockOffsetMs = undefined;
             const { id, startedAtMs: bornMs } = this.worker.entry;
--- a/packages/dispatch/tests/roster-writer.test.ts
+++ b/packages/dispatch/tests/roster-writer.test.ts
@@ -3,6 +3,7 @@
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { maxLeaseDurationMs } from "@samphireward/jobs/max-lease-duration-ms";
+import { workerKey } from "@samphireward/jobs/worker-key";
 import t from "tap";
 import { CommitLog } from "../src/commit-log.js";
 import { rosterCodec } from "../src/roster-codec.js";
@@ -45,7 +46,7 @@
     return worker.leaseEndsAtMs - 1_000;
 };
 
-const key = `${oneWorker.id}/${oneWorker.startedAtMs}`;
+const key = workerKey(oneWorker);
 const { leaseMs } = cellLimits;
 
 // Guards against a new owner that relies on leases which an owner in between has extended, and against lasting tasks that
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -189,18 +189,13 @@
         }
     }
 
-    /** Records a call that extends the worker's lease; to be called before the call is sent. */
-    noteLeaseExtension(worker: WorkerIncarnation): void {
-        const endsAtMs = this.clock.nowMs() + maxLeaseDurationMs(this.limits.leaseMs);
-        worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, endsAtMs);
-    }
-
     /**
-     * Records what a call has left of the worker's lease, by the clock in its response. That is more than was counted
-     * before the call if the worker has started again since its clock was read: its clock has begun anew.
+     * Records a call that extends the worker's lease; to be called before the call is sent, and with what it has left of
+     * the lease when the clock in its response is known. That is more than was counted if the worker has started again since
+     * its clock was read: its clock has begun anew. Workers shorten a lease to their maximum.
      */
-    noteLeaseLeft(worker: WorkerIncarnation, leaseLeftMs: number): void {
-        const durationMs = maxLeaseDurationMs(Math.min(leaseLeftMs, this.limits.maxLeaseMs));
+    noteLeaseExtension(worker: WorkerIncarnation, leaseMs = this.limits.leaseMs): void {
+        const durationMs = maxLeaseDurationMs(Math.min(leaseMs, this.limits.maxLeaseMs));
         worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, this.clock.nowMs() + durationMs);
     }
 
--- a/packages/jobs/tests/crash-model-worker.ts
+++ b/packages/jobs/tests/crash-model-worker.ts
@@ -2,6 +2,7 @@
 import { EndKind } from "../src/end-kind.js";
 import type { ListedEnd } from "../src/listed-end.js";
 import type { WorkerEntry } from "../src/worker-entry.js";
+import { workerKey } from "../src/worker-key.js";
 import type { WorkerListing } from "../src/worker-listing.js";
 
 const Processors = 8;
@@ -41,7 +42,7 @@
     }
 
     get key(): string {
-        return `${this.entry.id}/${this.entry.startedAtMs}`;
+        return workerKey(this.entry);
     }
 
     answers(nowMs: number): boolean {
--- a/packages/scheduler/src/cell-operations.ts
+++ b/packages/scheduler/src/cell-operations.ts
@@ -1,8 +1,8 @@
 import { ResultCode } from "@samphireward/core/result-code";
 import type { CellOwner } from "@samphireward/tasks/cell-owner";
 import type { CellState } from "@samphireward/tasks/cell-state";
-import { hasNotBegun } from "@samphireward/tasks/has-not-begun";
-import { isActiveState } from "@samphireward/tasks/is-active-state";
+import { countTasks } from "@samphireward/tasks/count-tasks";
+import type { TaskCounts } from "@samphireward/tasks/task-counts";
 import type { WorkerCommand } from "@samphireward/tasks/worker-command";
 
 /** Data sources of the operators' view of a cell. */
@@ -15,13 +15,11 @@
 }
 
 /** Task counts of one pool in the operators' API. */
-interface PoolSummary {
-    queued: number;
-    running: number;
-    finished: number;
-    failed: number;
-    evictions: number;
-    waitHistogram: string;
+interface PoolSummary extends TaskCounts {
+    readonly finished: number;
+    readonly failed: number;
+    readonly evictions: number;
+    readonly waitHistogram: string;
 }
 
 /** Worker commands and status of one cell for operators (docs/admin-api.md). */
@@ -46,25 +44,17 @@
     /** `queued` and `running` are current counts; the other figures count since this owner took over the cell. */
     private describePools(): Record<string, PoolSummary> {
         const pools: Record<string, PoolSummary> = {};
+        const counts = countTasks(this.options.state().tasks.values());
         for (const [name, statistics] of this.options.cellOwner.statistics) {
             const { finished, failed, evictions, wait } = statistics;
             pools[name] = {
-                queued: 0,
-                running: 0,
+                ...(counts.get(name) ?? { queued: 0, running: 0 }),
                 finished,
                 failed,
                 evictions,
                 waitHistogram: wait.encode(),
             };
         }
-        for (const { spec, state } of this.options.state().tasks.values()) {
-            const pool = pools[spec.pool];
-            if (pool !== undefined && hasNotBegun(state)) {
-                pool.queued += 1;
-            } else if (pool !== undefined && isActiveState(state)) {
-                pool.running += 1;
-            }
-        }
         return pools;
     }
 }
--- a/packages/tasks/src/describe-cell.ts
+++ b/packages/tasks/src/describe-cell.ts
@@ -1,7 +1,6 @@
 import { WorkerHealth } from "@samphireward/placement/worker-health";
 import type { CellStatus } from "./cell-status.js";
-import { hasNotBegun } from "./has-not-begun.js";
-import { isActiveState } from "./is-active-state.js";
+import { countTasks } from "./count-tasks.js";
 import type { OwnerCore } from "./owner-core.js";
 import type { WorkerLink } from "./worker-link.js";
 import { WorkerMode } from "./worker-mode.js";
@@ -37,9 +36,9 @@
     }
     let queued = 0;
     let running = 0;
-    for (const { state } of core.state.tasks.values()) {
-        queued += hasNotBegun(state) ? 1 : 0;
-        running += isActiveState(state) && !hasNotBegun(state) ? 1 : 0;
+    for (const counts of countTasks(core.state.tasks.values()).values()) {
+        queued += counts.queued;
+        running += counts.running;
     }
     return { workers, queued, running };
 };
