Evacuation of a data centre: no starts there, and running work moves away

Nothing read the operators' requests op/evacuate/ZONE, so tasks went on starting in a data centre that is being emptied. The owner of a cell now watches them where the settings give a bound, starts nothing there, and moves lasting tasks and long runs with checkpoints while another data centre has capacity. The states are stored for operators.

--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -5,6 +5,7 @@
 import { CellLease } from "./cell-lease.js";
 import { CellOwner } from "./cell-owner.js";
 import { claimDelayMs } from "./claim-delay-ms.js";
+import type { EvacuationSource } from "./evacuation-source.js";
 import type { EventLog } from "./event-log.js";
 import type { MetadataStore } from "./metadata-store.js";
 import type { Metrics } from "./metrics.js";
@@ -43,6 +44,7 @@
     readonly limits: CellLimits;
     readonly createWorkerClient: WorkerClientFactory;
     readonly permits: PermitSource;
+    readonly evacuations?: EvacuationSource | undefined;
     readonly readRules: () => readonly QueueRule[];
     readonly readWorkers: () => Promise<Iterable<WorkerEntry>>;
     readonly roundTripMs: () => number;
--- a/packages/dispatch/src/cell-keys.ts
+++ b/packages/dispatch/src/cell-keys.ts
@@ -12,6 +12,8 @@
     roster: (cell: number): string => `cells/${cell}/roster`,
     /** Interference between images, as estimated by the owner. */
     effects: (cell: number): string => `cells/${cell}/effects`,
+    /** States of the evacuations of data centres, for operators. */
+    evacuations: (cell: number): string => `cells/${cell}/evacuations`,
     /** Jobs and cancellations that callers submitted, and the last takeover. */
     inputPrefix: (cell: number): string => `cells/${cell}/in/`,
     job: (cell: number, id: string): string => `cells/${cell}/in/job/${id}`,
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -8,6 +8,8 @@
 import type { CellState } from "./cell-state.js";
 import type { CommitLog } from "./commit-log.js";
 import { EndReporter } from "./end-reporter.js";
+import { EvacuationMonitor } from "./evacuation-monitor.js";
+import type { EvacuationSource } from "./evacuation-source.js";
 import type { EventLog } from "./event-log.js";
 import { HeartbeatPause } from "./heartbeat-pause.js";
 import { JobIntake } from "./job-intake.js";
@@ -41,6 +43,8 @@
     readonly proof: Pick<OwnershipProof, "provenAtMs">;
     readonly createWorkerClient: WorkerClientFactory;
     readonly permits: PermitSource;
+    /** Absent if data centres are not evacuated on this deployment. */
+    readonly evacuations?: EvacuationSource | undefined;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
@@ -62,6 +66,7 @@
     private readonly links: WorkerLinks;
     private readonly loadReporter: LoadReporter;
     private readonly permits: PermitRequester;
+    private readonly evacuations: EvacuationMonitor | undefined;
     private readonly roster: RosterWriter;
     private readonly writer: ProgressWriter;
     private readonly planDelay = PlanDelay.create();
@@ -86,6 +91,15 @@
         this.permits = PermitRequester.create({ ...context, scheduler: this.scheduler });
         this.writer = ProgressWriter.create({ ...context, scheduler: this.scheduler });
         this.roster = RosterWriter.create({ ...context, scheduler: this.scheduler });
+        const { evacuations: source } = context;
+        this.evacuations =
+            source &&
+            EvacuationMonitor.create({
+                ...context,
+                source,
+                scheduler: this.scheduler,
+                onChange: () => this.schedulePlan(),
+            });
     }
 
     static create(context: OwnerContext): CellOwner {
@@ -108,6 +122,8 @@
         const [state, entries] = await Promise.all([
             readCellState(store, cell, log, this.abort.signal),
             readWorkers(),
+            // A start before the evacuations are known could be in a data centre that has been emptied.
+            this.evacuations?.start(this.abort.signal),
         ]);
         if (state === undefined || this.abort.signal.aborted) {
             return;
@@ -160,6 +176,7 @@
         clearTimeout(this.planTimer);
         this.links.close();
         this.loadReporter.close();
+        this.evacuations?.close();
     }
 
     setQueues(rules: readonly QueueRule[]): void {
@@ -279,6 +296,7 @@
         while (!this.abort.signal.aborted) {
             await sleep(MaintenanceIntervalMs, this.abort.signal);
             this.loadReporter.report(this.scheduler.load, this.scheduler.lastingWaits.take());
+            this.evacuations?.report();
             if (this.roster.isOutdated) {
                 await this.writeRoster({ addsSilent: true });
             }
--- a/packages/dispatch/src/dispatch-settings.ts
+++ b/packages/dispatch/src/dispatch-settings.ts
@@ -11,4 +11,9 @@
     /** Cores that the process may use. */
     readonly processors: number;
     readonly limits: CellLimits;
+    /**
+     * Longest time, in milliseconds, after which a request to evacuate a data centre has to be in force; absent if there are
+     * no such requests.
+     */
+    readonly evacuationMs?: number | undefined;
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -9,6 +9,7 @@
 import type { ConfigSource } from "./config-source.js";
 import { createPeerServer } from "./create-peer-server.js";
 import { EpochReporter } from "./epoch-reporter.js";
+import type { EvacuationSource } from "./evacuation-source.js";
 import type { EventLog } from "./event-log.js";
 import type { DispatchSettings } from "./dispatch-settings.js";
 import { JobGateway } from "./job-gateway.js";
@@ -45,6 +46,8 @@
     readonly workers: WorkerSource;
     readonly createWorkerClient: WorkerClientFactory;
     readonly permits: PermitSource;
+    /** Absent if data centres are not evacuated on this deployment. */
+    readonly evacuations?: EvacuationSource | undefined;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -89,6 +89,12 @@
         "Longest lateness of a timer of a cell's owner in the last second",
         ["cell"],
     );
+    /** Runs that are left in a data centre that is being evacuated. */
+    readonly evacuatingRuns = this.gauge(
+        "evacuating_runs",
+        "Runs that are left in a data centre that is being evacuated",
+        ["cell", "data_centre"],
+    );
     /** Reported waits of lasting tasks. */
     readonly lastingWaits = this.counter(
         "lasting_waits_total",
--- a/packages/jobs/src/accepts-starts.ts
+++ b/packages/jobs/src/accepts-starts.ts
@@ -6,6 +6,7 @@
     return (
         entry.service === service &&
         !entry.isDraining &&
+        !worker.isEvacuated &&
         worker.isRegistered &&
         worker.isReachable &&
         worker.hasListedRuns &&
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -4,6 +4,8 @@
 import type { CellLoad } from "./cell-load.js";
 import { CrashSuspicions } from "./crash-suspicions.js";
 import { PreviousOwners } from "./previous-owners.js";
+import type { EvacuationProgress } from "./evacuation-progress.js";
+import { evacuationProgressOf } from "./evacuation-progress-of.js";
 import type { EndObserver } from "./end-observer.js";
 import { EndReason } from "./end-reason.js";
 import { InheritedTrials } from "./inherited-trials.js";
@@ -16,6 +18,7 @@
 import { ListingReader } from "./listing-reader.js";
 import { maxLeaseDurationMs } from "./max-lease-duration-ms.js";
 import { NeighbourEffects } from "./neighbour-effects.js";
+import { markEvacuations } from "./mark-evacuations.js";
 import { markMigrations } from "./mark-migrations.js";
 import { OrderResponses } from "./order-responses.js";
 import type { Order } from "./order.js";
@@ -104,6 +107,16 @@
         this.results.applyAttemptLimits(this.clock.wallMs());
     }
 
+    /** Sets the data centres in which nothing starts from now on, and from which running work moves away. */
+    setEvacuated(dataCentres: ReadonlySet<string>): void {
+        this.fleet.setEvacuated(dataCentres);
+    }
+
+    /** What is left in the data centres that are being evacuated. */
+    get evacuations(): readonly EvacuationProgress[] {
+        return evacuationProgressOf(this.fleet, this.previousOwners.unreadWorkers.size);
+    }
+
     /** Adds a job that was accepted by this owner. A later plan opens the tasks for which there is no room now. */
     addJob(spec: JobSpec): void {
         this.jobs.add(spec).openDueOccurrences(this.clock.wallMs());
@@ -240,7 +253,9 @@
         this.jobs.openDueOccurrences(this.clock.wallMs());
         markMigrations(this.fleet, this.rules, this.effects, nowMs);
         // Starts are planned before stops: planning them marks the lasting tasks to preempt.
-        const starts = this.planner.plan(nowMs, job => this.previousOwners.mayHaveRuns(job));
+        const isBlocked = (job: string): boolean => this.previousOwners.mayHaveRuns(job);
+        const starts = this.planner.plan(nowMs, isBlocked);
+        markEvacuations({ fleet: this.fleet, rules: this.rules, nowMs, isBlocked });
         planPace(this.fleet, this.effects, nowMs);
         return [...stopOrders(this.fleet, nowMs), ...paceOrders(this.fleet), ...starts];
     }
--- a/packages/jobs/src/preemption-candidates.ts
+++ b/packages/jobs/src/preemption-candidates.ts
@@ -1,3 +1,4 @@
+import { allowsUnavailableTask } from "./allows-unavailable-task.js";
 import { isSuitable } from "./is-suitable.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import { RunPhase } from "./run-phase.js";
@@ -17,19 +18,6 @@
     readonly isMisplaced: boolean;
 }
 
-/** Whether the run's step allows one more of its tasks to be unavailable. */
-const allowsUnavailableTask = (run: Run): boolean => {
-    const { step } = run.task;
-    const { maxUnavailable } = step.spec;
-    if (maxUnavailable === undefined) {
-        return true;
-    }
-    const unavailable = step.tasks.filter(
-        ({ run: other }) => other === undefined || other.isStopRequested || other.progressPercent < 100,
-    );
-    return unavailable.length < maxUnavailable;
-};
-
 /** What the candidates of one plan depend on. */
 interface CandidateContext {
     readonly fleet: WorkerFleet;
@@ -55,7 +43,7 @@
     run.task.suspicion === 0 &&
     ((includesAdopted && run.isAdopted) || nowMs - run.startedAtMs >= minRunTimeMs) &&
     !isBlocked(run.task.step.occurrence.job.spec.id) &&
-    allowsUnavailableTask(run);
+    allowsUnavailableTask(run.task.step);
 
 /** Preemptions of the run's job, per task of the step. */
 const preemptionsPerTask = (run: Run): number =>
@@ -98,7 +86,7 @@
         const found = this.candidates.find(
             ({ run }) =>
                 isAllowed(run) &&
-                allowsUnavailableTask(run) &&
+                allowsUnavailableTask(run.task.step) &&
                 run.worker
                     .reservedFromOthers(task.step)
                     .minus(run.reservation)
--- a/packages/jobs/src/stop-reason.ts
+++ b/packages/jobs/src/stop-reason.ts
@@ -10,6 +10,8 @@
     Preempted: "makes-way",
     /** It is expected to finish sooner on another worker. */
     Migrated: "moves",
+    /** Its data centre is evacuated, and another one has capacity for it. */
+    Evacuated: "evacuated",
     /** It belongs to no task of an open job. */
     Orphan: "stray",
     /** Its start was sent to a previous incarnation of the worker, got no response and may still be carried out. */
--- a/packages/jobs/src/worker-fleet.ts
+++ b/packages/jobs/src/worker-fleet.ts
@@ -5,6 +5,7 @@
 export class WorkerFleet {
     private readonly workersById = new Map<string, WorkerIncarnation>();
     private frozenLeaseKeys: ReadonlySet<string> = new Set();
+    private evacuated: ReadonlySet<string> = new Set();
 
     private constructor() {}
 
@@ -38,6 +39,7 @@
         if (existing !== undefined && existing.entry.startedAtMs === entry.startedAtMs) {
             existing.entry = entry;
             existing.isRegistered = true;
+            existing.isEvacuated = this.evacuated.has(entry.zone);
             return { worker: existing, replaced: undefined };
         }
         if (existing !== undefined && existing.entry.startedAtMs > entry.startedAtMs) {
@@ -46,6 +48,7 @@
         }
         const worker = WorkerIncarnation.create(entry);
         worker.isLeaseFrozen = this.frozenLeaseKeys.has(worker.key);
+        worker.isEvacuated = this.evacuated.has(entry.zone);
         this.workersById.set(entry.id, worker);
         return { worker, replaced: existing };
     }
@@ -58,6 +61,19 @@
         }
     }
 
+    /** The data centres that are being evacuated. */
+    get evacuatedDataCentres(): ReadonlySet<string> {
+        return this.evacuated;
+    }
+
+    /** Sets the data centres in which nothing starts, also on workers that register later. */
+    setEvacuated(dataCentres: ReadonlySet<string>): void {
+        this.evacuated = dataCentres;
+        for (const worker of this.workers) {
+            worker.isEvacuated = dataCentres.has(worker.entry.zone);
+        }
+    }
+
     remove(worker: WorkerIncarnation): void {
         if (this.workersById.get(worker.entry.id) === worker) {
             this.workersById.delete(worker.entry.id);
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -31,6 +31,8 @@
     hasListedRuns = false;
     /** Whether starts are blocked because the stored roster, by which a next owner finds workers, lacks this one. */
     isStartBlocked = false;
+    /** Whether the operators evacuate its data centre, so that nothing starts here. */
+    isEvacuated = false;
     /** Step whose next task gets the capacity that it needs here before tasks of other steps; undefined if none. */
     heldFor: Step | undefined;
     /** Whether the next owner may rely on the end of the lease, so that it must not be extended. */
