--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -255,7 +255,8 @@
         // Starts are planned before stops: planning them marks the lasting tasks to preempt.
         const isBlocked = (job: string): boolean => this.previousOwners.mayHaveRuns(job);
         const starts = this.planner.plan(nowMs, isBlocked);
-        markEvacuations({ fleet: this.fleet, rules: this.rules, nowMs, isBlocked });
+        const { jobs, fleet, rules, effects } = this;
+        markEvacuations({ jobs, fleet, rules, effects, nowMs, isBlocked });
         planPace(this.fleet, this.effects, nowMs);
         return [...stopOrders(this.fleet, nowMs), ...paceOrders(this.fleet), ...starts];
     }
--- a/packages/jobs/src/mark-evacuations.ts
+++ b/packages/jobs/src/mark-evacuations.ts
@@ -1,6 +1,9 @@
+import { acceptsStarts } from "./accepts-starts.js";
 import { allowsUnavailableTask } from "./allows-unavailable-task.js";
-import { isSuitable } from "./is-suitable.js";
+import { isReady } from "./is-ready.js";
+import type { JobRegistry } from "./job-registry.js";
 import { limitForFleet } from "./limit-for-fleet.js";
+import type { NeighbourEffects } from "./neighbour-effects.js";
 import { ProjectedCapacity } from "./projected-capacity.js";
 import type { QueueRules } from "./queue-rules.js";
 import { RunPhase } from "./run-phase.js";
@@ -10,11 +13,14 @@
 import { unavailableTasks } from "./unavailable-tasks.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
+import { WorkerRanking } from "./worker-ranking.js";
 
 /** What the marks of one plan depend on. */
 interface EvacuationContext {
+    readonly jobs: JobRegistry;
     readonly fleet: WorkerFleet;
     readonly rules: QueueRules;
+    readonly effects: NeighbourEffects;
     readonly nowMs: number;
     /** Whether the tasks of a job cannot start now. */
     readonly isBlocked: (job: string) => boolean;
@@ -26,8 +32,25 @@
 const MaxUnavailableShare = 0.25;
 /** Most moves of one plan; more in a large fleet. Each costs the owner a stop and a start beside its other calls. */
 const MaxMovesPerPlan = 1;
+/** Share of the processors outside the evacuated data centres that moves leave free for new work. */
+const MinFreeShare = 0.1;
 const MinSpeed = 0.02;
 
+/** Whether a task that reserves processors waits for a worker. */
+const hasWaitingTasks = ({ jobs, isBlocked, nowMs }: EvacuationContext): boolean => {
+    for (const job of jobs.undecided) {
+        if (isBlocked(job.spec.id)) {
+            continue;
+        }
+        for (const step of job.openSteps()) {
+            if (!step.spec.filler && step.tasks.some(task => isReady(task, nowMs))) {
+                return true;
+            }
+        }
+    }
+    return false;
+};
+
 /** Expected time until a short run ends where it is, in milliseconds. */
 const remainingMs = ({ progressPercent, task, worker }: Run): number =>
     ((1 - progressPercent / 100) * task.step.spec.estimatedMs) / Math.max(worker.speed, MinSpeed);
@@ -69,9 +92,20 @@
     private readonly capacity: ProjectedCapacity;
     /** Steps that have found no place in this plan. */
     private readonly withoutPlace = new Set<Step>();
+    /** Processors outside the evacuated data centres that moves may still take. */
+    private processorsLeft: number;
 
     private constructor(private readonly context: EvacuationContext) {
-        this.capacity = ProjectedCapacity.create(context.fleet.workers);
+        const { fleet } = context;
+        this.capacity = ProjectedCapacity.create(fleet.workers);
+        this.processorsLeft = 0;
+        for (const worker of fleet.workers) {
+            if (acceptsStarts(worker, worker.entry.service)) {
+                const { capacity } = worker.entry;
+                const free = capacity.processors - worker.reservedOrPending.processors;
+                this.processorsLeft += free - MinFreeShare * capacity.processors;
+            }
+        }
     }
 
     static create(context: EvacuationContext): Places {
@@ -80,6 +114,10 @@
 
     /** Sets capacity aside for all runs of a group. Returns false, and sets nothing aside, if one of them has no place. */
     reserve(group: readonly Run[]): boolean {
+        const needed = group.reduce((sum, { reservation }) => sum + reservation.processors, 0);
+        if (needed > this.processorsLeft) {
+            return false;
+        }
         const taken: { readonly worker: WorkerIncarnation; readonly run: Run }[] = [];
         for (const run of group) {
             const worker = this.findWorker(run);
@@ -91,25 +129,22 @@
             this.capacity.reserve(worker, run.reservation);
             taken.push({ worker, run });
         }
+        this.processorsLeft -= needed;
         return true;
     }
 
     private findWorker({ task, reservation }: Run): WorkerIncarnation | undefined {
-        const { fleet, rules, nowMs } = this.context;
-        const rule = rules.get(task.step.occurrence.job.spec.queue);
-        if (rule === undefined || this.withoutPlace.has(task.step)) {
+        const { fleet, rules, effects, nowMs } = this.context;
+        const { step } = task;
+        const rule = rules.get(step.occurrence.job.spec.queue);
+        if (rule === undefined || this.withoutPlace.has(step)) {
             return undefined;
         }
-        for (const worker of fleet.workers) {
-            if (
-                this.capacity.fits(worker, reservation) &&
-                isSuitable(worker, task, rule.service, nowMs) &&
-                worker.trialTask === undefined
-            ) {
-                return worker;
-            }
-        }
-        return undefined;
+        const workers = [...fleet.workers].filter(worker => this.capacity.fits(worker, reservation));
+        const { service } = rule;
+        return WorkerRanking.create({ workers, step, service, effects, nowMs, requiresGoodFit: true }).choose(
+            task,
+        );
     }
 }
 
@@ -130,12 +165,12 @@
 
 /**
  * Marks runs in evacuated data centres that move to others: lasting tasks, and short ones that can continue from a
- * checkpoint and would not end soon. A run is marked only if another data centre has capacity for it that no waiting
- * task takes, so this is called after the starts of the plan have been decided.
+ * checkpoint and would not end soon. A run is marked only while no task waits and another data centre has capacity to
+ * spare: a moved task that finds none would wait, and preempt others in turn. Called after the starts of the plan.
  */
 export const markEvacuations = (context: EvacuationContext): void => {
     const { fleet } = context;
-    if (fleet.evacuatedDataCentres.size === 0) {
+    if (fleet.evacuatedDataCentres.size === 0 || hasWaitingTasks(context)) {
         return;
     }
     const maxMoves = limitForFleet(MaxMovesPerPlan, fleet.size);
--- a/packages/jobs/tests/evacuation.test.ts
+++ b/packages/jobs/tests/evacuation.test.ts
@@ -135,6 +135,15 @@
     t.end();
 });
 
+// Guards against moves that take the capacity of waiting work: the moved tasks would wait as well, and preempt others.
+t.test("load pattern: work waits while a data centre is evacuated", t => {
+    const { harness } = setUp(lasting);
+    evacuate(harness, evacuated);
+    harness.submit({ requiredLabel: "none has it" });
+    t.same(movedTasks(harness), []);
+    t.end();
+});
+
 // Guards against a gang of which a part is stopped: the others would lose their work since the last checkpoint.
 t.test("the members of a gang move together, or not at all", t => {
     const gang = {
