An owner that stops leaves the stored states of evacuations as they are

The maintenance loop reports once more after it was aborted. The monitor had forgotten its evacuations by then and stored `{}`, so that operators saw no evacuation until the next owner had written. A closed monitor now reports nothing, also when a read of the stored states is answered late. start() with an aborted signal returns at once instead of never.

--- a/packages/dispatch/src/evacuation-monitor.ts
+++ b/packages/dispatch/src/evacuation-monitor.ts
@@ -39,6 +39,7 @@
     /** The stored value; undefined if it is not known. */
     private stored: string | undefined;
     private isWriting = false;
+    private isClosed = false;
 
     private constructor(private readonly context: MonitorContext) {}
 
@@ -49,6 +50,9 @@
     /** Starts to watch the requests. Resolves once they have been read, or when the signal aborts. */
     start(signal: AbortSignal): Promise<void> {
         const { source, log, onLost } = this.context;
+        if (signal.aborted) {
+            return Promise.resolve();
+        }
         return new Promise(resolve => {
             signal.addEventListener("abort", () => resolve(), { once: true });
             const watching = source.run(signal, dataCentres => {
@@ -62,6 +66,9 @@
     /** Reports the progress if it has changed; to be called regularly. */
     report(): void {
         const { scheduler, metrics, cell, clock, log } = this.context;
+        if (this.isClosed) {
+            return;
+        }
         if (this.evacuations.size > 0) {
             const nowMs = clock.nowMs();
             for (const { dataCentre, runs, isComplete } of scheduler.evacuations) {
@@ -78,8 +85,9 @@
         runInBackground("evacuation-state", this.storeStates(), log);
     }
 
-    /** Removes the cell's gauges, which only its owner has. */
+    /** Removes the cell's gauges, which only its owner has, and reports no more: the stored states stay as they are. */
     close(): void {
+        this.isClosed = true;
         for (const dataCentre of this.evacuations.keys()) {
             this.removeGauge(dataCentre);
         }
@@ -121,7 +129,7 @@
         try {
             this.stored ??= await this.readStored();
             const value = this.encode();
-            if (this.stored !== undefined && this.stored !== value) {
+            if (!this.isClosed && this.stored !== undefined && this.stored !== value) {
                 const { commits, cell } = this.context;
                 // An error means that another owner has taken over, which reports the states from now on.
                 const written = await commits.commit({
--- a/packages/dispatch/tests/evacuation-monitor.test.ts
+++ b/packages/dispatch/tests/evacuation-monitor.test.ts
@@ -118,3 +118,27 @@
     t.same(store.transactions, []);
     t.same(log.lines, []);
 });
+
+// Guards against operators who see no evacuation in the store because the owner that reported it has stopped.
+t.test("an owner that stops leaves the stored states as they are", async t => {
+    const key = cellKeys.evacuations(0);
+    const { source, monitor, store, signal } = setUp([
+        { key, value: '{"herning-a":"running"}', revision: 1 },
+    ]);
+    const started = monitor.start(signal);
+    source.set("herning-a");
+    await started;
+    monitor.report();
+    monitor.close();
+    await settled();
+    monitor.report();
+    await settled();
+    t.same(store.transactions, []);
+});
+
+// Guards against a take-over that never ends because its owner was stopped before it began to read the requests.
+t.test("an owner that has been stopped does not wait for the requests", async t => {
+    const { monitor } = setUp();
+    await monitor.start(AbortSignal.abort());
+    t.pass("it has returned");
+});
