Moves out of a data centre depend only on workers that their tasks could use, and ask for permits

Three causes kept a data centre from ever becoming empty, or stopped tasks for capacity that does not exist: - Any waiting task held back all moves: one with a label that only the evacuated data centre has, one that is larger than every worker, or one of another service. Now only tasks count that a worker outside could take, for each service, and the free tenth is counted for each service as well. - Permits were requested for waiting tasks only, so a run that needs one never found a place. A run that could move now asks for a permit, after the waiting tasks. - After a take-over the steps of runs that were found on their workers did not know that they need permits, so they were stopped for workers on which they may not run. The unavailable tasks of a lasting step are counted once for each step and plan; it took time by the square of its tasks.

The test of waiting work used a task that no worker could take; it now waits for capacity, and the former case has its own test with the opposite result.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -37,6 +37,7 @@
 import { TrialPlanner } from "./trial-planner.js";
 import { Trials } from "./trials.js";
 import { updatePaceBudgetFactor } from "./update-pace-budget-factor.js";
+import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerEntry } from "./worker-entry.js";
 import { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
@@ -63,6 +64,8 @@
     private readonly planner: StartPlanner;
     private readonly permits = PermitPlanner.create(this.fleet);
     private readonly previousOwners: PreviousOwners;
+    /** Tasks in evacuated data centres that need a permit to move, according to the last plan. */
+    private movesWithoutPermit: readonly WaitingTask[] = [];
 
     private constructor(
         epoch: number,
@@ -256,14 +259,15 @@
         const isBlocked = (job: string): boolean => this.previousOwners.mayHaveRuns(job);
         const starts = this.planner.plan(nowMs, isBlocked);
         const { jobs, fleet, rules, effects } = this;
-        markEvacuations({ jobs, fleet, rules, effects, nowMs, isBlocked });
+        this.movesWithoutPermit = markEvacuations({ jobs, fleet, rules, effects, nowMs, isBlocked });
         planPace(this.fleet, this.effects, nowMs);
         return [...stopOrders(this.fleet, nowMs), ...paceOrders(this.fleet), ...starts];
     }
 
-    /** Next request to the permit service, according to the last plan; undefined if there is none now. */
+    /** Next request to the permit service, according to the last plan, for waiting tasks first; undefined if none is due. */
     nextPermitRequest(): PermitRequest | undefined {
-        return this.permits.next(this.planner.tasksWithoutPermit, this.clock.nowMs());
+        const waiting = [...this.planner.tasksWithoutPermit, ...this.movesWithoutPermit];
+        return this.permits.next(waiting, this.clock.nowMs());
     }
 
     /** `tickets` by worker id, undefined if the service did not answer. `untilMs` is a monotonic time. */
--- a/packages/jobs/src/mark-evacuations.ts
+++ b/packages/jobs/src/mark-evacuations.ts
@@ -1,6 +1,4 @@
 import { acceptsStarts } from "./accepts-starts.js";
-import { allowsUnavailableTask } from "./allows-unavailable-task.js";
-import { isReady } from "./is-ready.js";
 import type { JobRegistry } from "./job-registry.js";
 import { limitForFleet } from "./limit-for-fleet.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
@@ -8,9 +6,11 @@
 import type { QueueRules } from "./queue-rules.js";
 import { RunPhase } from "./run-phase.js";
 import type { Run } from "./run.js";
+import { servicesWithWaitingTasks } from "./services-with-waiting-tasks.js";
 import type { Step } from "./step.js";
 import { StopReason } from "./stop-reason.js";
 import { unavailableTasks } from "./unavailable-tasks.js";
+import type { WaitingTask } from "./waiting-task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 import { WorkerRanking } from "./worker-ranking.js";
@@ -36,21 +36,6 @@
 const MinFreeShare = 0.1;
 const MinSpeed = 0.02;
 
-/** Whether a task that reserves processors waits for a worker. */
-const hasWaitingTasks = ({ jobs, isBlocked, nowMs }: EvacuationContext): boolean => {
-    for (const job of jobs.undecided) {
-        if (isBlocked(job.spec.id)) {
-            continue;
-        }
-        for (const step of job.openSteps()) {
-            if (!step.spec.filler && step.tasks.some(task => isReady(task, nowMs))) {
-                return true;
-            }
-        }
-    }
-    return false;
-};
-
 /** Expected time until a short run ends where it is, in milliseconds. */
 const remainingMs = ({ progressPercent, task, worker }: Run): number =>
     ((1 - progressPercent / 100) * task.step.spec.estimatedMs) / Math.max(worker.speed, MinSpeed);
@@ -76,34 +61,64 @@
     return spec.lasting || (spec.checkpoints && remainingMs(run) > LeaveToEndMs);
 };
 
-/** Whether a lasting step keeps enough of its tasks at work without one more of them. */
-const staysAvailable = (step: Step): boolean => {
-    const { gang, count, maxUnavailable } = step.spec;
-    if (gang) {
-        // All members stop together.
-        return maxUnavailable === undefined || maxUnavailable >= count;
+/** Unavailable tasks of lasting steps, counted once for each step while none of its tasks is marked. */
+class Availability {
+    private readonly unavailable = new Map<Step, number>();
+
+    private constructor() {}
+
+    static create(): Availability {
+        return new Availability();
+    }
+
+    /** Share of the step's tasks that are unavailable, 0 to 1. */
+    unavailableShare(step: Step): number {
+        return this.count(step) / step.spec.count;
+    }
+
+    /** Whether a lasting step keeps enough of its tasks at work without one more of them. */
+    allowsMove(step: Step): boolean {
+        const { gang, count, maxUnavailable = Infinity } = step.spec;
+        if (gang) {
+            // All members stop together.
+            return maxUnavailable >= count;
+        }
+        const maxMoving = Math.max(1, Math.floor(count * MaxUnavailableShare));
+        return this.count(step) < Math.min(maxMoving, maxUnavailable);
     }
-    const maxMoving = Math.max(1, Math.floor(count * MaxUnavailableShare));
-    return allowsUnavailableTask(step) && unavailableTasks(step) < maxMoving;
-};
+
+    /** To be called after a task of the step was marked. */
+    noteMove(step: Step): void {
+        this.unavailable.delete(step);
+    }
+
+    private count(step: Step): number {
+        const count = this.unavailable.get(step) ?? unavailableTasks(step);
+        this.unavailable.set(step, count);
+        return count;
+    }
+}
 
 /** Finds and sets aside capacity outside the evacuated data centres. */
 class Places {
+    /** A task of each step that has found no place because its step has no permit for a worker with capacity. */
+    readonly withoutPermit: WaitingTask[] = [];
     private readonly capacity: ProjectedCapacity;
     /** Steps that have found no place in this plan. */
     private readonly withoutPlace = new Set<Step>();
-    /** Processors outside the evacuated data centres that moves may still take. */
-    private processorsLeft: number;
+    /** Processors outside the evacuated data centres that moves may still take, by service. */
+    private readonly processorsLeft = new Map<string, number>();
 
     private constructor(private readonly context: EvacuationContext) {
         const { fleet } = context;
         this.capacity = ProjectedCapacity.create(fleet.workers);
-        this.processorsLeft = 0;
+        const waiting = servicesWithWaitingTasks(context);
         for (const worker of fleet.workers) {
-            if (acceptsStarts(worker, worker.entry.service)) {
-                const { capacity } = worker.entry;
+            const { service, capacity } = worker.entry;
+            if (!waiting.has(service) && acceptsStarts(worker, service)) {
                 const free = capacity.processors - worker.reservedOrPending.processors;
-                this.processorsLeft += free - MinFreeShare * capacity.processors;
+                const left = free - MinFreeShare * capacity.processors;
+                this.processorsLeft.set(service, (this.processorsLeft.get(service) ?? 0) + left);
             }
         }
     }
@@ -112,36 +127,44 @@
         return new Places(context);
     }
 
-    /** Sets capacity aside for all runs of a group. Returns false, and sets nothing aside, if one of them has no place. */
-    reserve(group: readonly Run[]): boolean {
+    /** Whether a move of the step's tasks may still find a place. */
+    mayReserveFor(step: Step): boolean {
+        return !this.withoutPlace.has(step);
+    }
+
+    /** Sets capacity aside for all runs of a group of a step. Returns false, and sets nothing aside, if one of them has no place. */
+    reserve(step: Step, group: readonly Run[]): boolean {
+        const rule = this.context.rules.get(step.occurrence.job.spec.queue);
+        const left = rule && this.processorsLeft.get(rule.service);
         const needed = group.reduce((sum, { reservation }) => sum + reservation.processors, 0);
-        if (needed > this.processorsLeft) {
+        if (rule === undefined || left === undefined || needed > left) {
+            this.withoutPlace.add(step);
             return false;
         }
+        // Runs that were found on their workers have had no permits in this process.
+        step.setNeedsPermits(rule.needsPermits);
         const taken: { readonly worker: WorkerIncarnation; readonly run: Run }[] = [];
         for (const run of group) {
-            const worker = this.findWorker(run);
+            const worker = this.findWorker(run, rule.service);
             if (worker === undefined) {
-                this.withoutPlace.add(run.task.step);
+                this.withoutPlace.add(step);
+                if (step.permits !== undefined) {
+                    this.withoutPermit.push({ task: run.task, service: rule.service });
+                }
                 taken.forEach(each => this.capacity.release(each.worker, each.run.reservation));
                 return false;
             }
             this.capacity.reserve(worker, run.reservation);
             taken.push({ worker, run });
         }
-        this.processorsLeft -= needed;
+        this.processorsLeft.set(rule.service, left - needed);
         return true;
     }
 
-    private findWorker({ task, reservation }: Run): WorkerIncarnation | undefined {
-        const { fleet, rules, effects, nowMs } = this.context;
+    private findWorker({ task, reservation }: Run, service: string): WorkerIncarnation | undefined {
+        const { fleet, effects, nowMs } = this.context;
         const { step } = task;
-        const rule = rules.get(step.occurrence.job.spec.queue);
-        if (rule === undefined || this.withoutPlace.has(step)) {
-            return undefined;
-        }
         const workers = [...fleet.workers].filter(worker => this.capacity.fits(worker, reservation));
-        const { service } = rule;
         return WorkerRanking.create({ workers, step, service, effects, nowMs, requiresGoodFit: true }).choose(
             task,
         );
@@ -149,13 +172,13 @@
 }
 
 /** The runs to move, those that lose least first: short ones with checkpoints, then tasks of the most available steps. */
-const findCandidates = ({ fleet, isBlocked }: EvacuationContext): Run[] => {
+const findCandidates = ({ fleet, isBlocked }: EvacuationContext, availability: Availability): Run[] => {
     const candidates: { readonly run: Run; readonly unavailable: number }[] = [];
     for (const worker of fleet.workers) {
         for (const run of worker.isEvacuated ? worker.runs.values() : []) {
             const { step } = run.task;
             if (isSettled(run) && isWorthMoving(run) && !isBlocked(step.occurrence.job.spec.id)) {
-                const unavailable = step.spec.lasting ? unavailableTasks(step) / step.spec.count : -1;
+                const unavailable = step.spec.lasting ? availability.unavailableShare(step) : -1;
                 candidates.push({ run, unavailable });
             }
         }
@@ -165,28 +188,39 @@
 
 /**
  * Marks runs in evacuated data centres that move to others: lasting tasks, and short ones that can continue from a
- * checkpoint and would not end soon. A run is marked only while no task waits and another data centre has capacity to
- * spare: a moved task that finds none would wait, and preempt others in turn. Called after the starts of the plan.
+ * checkpoint and would not end soon. A run is marked only while no task of its service waits for capacity and another data
+ * centre has capacity to spare: a moved task that finds none would wait, and preempt others in turn. Called after the
+ * starts of the plan. Returns tasks that could move if their steps had a permit for another worker, one for each step.
  */
-export const markEvacuations = (context: EvacuationContext): void => {
+export const markEvacuations = (context: EvacuationContext): readonly WaitingTask[] => {
     const { fleet } = context;
-    if (fleet.evacuatedDataCentres.size === 0 || hasWaitingTasks(context)) {
-        return;
+    if (fleet.evacuatedDataCentres.size === 0) {
+        return [];
     }
     const maxMoves = limitForFleet(MaxMovesPerPlan, fleet.size);
+    const availability = Availability.create();
+    const candidates = findCandidates(context, availability);
+    if (candidates.length === 0) {
+        return [];
+    }
     const places = Places.create(context);
     let moves = 0;
-    for (const run of findCandidates(context)) {
+    for (const run of candidates) {
+        const { step } = run.task;
         if (moves >= maxMoves) {
-            return;
+            break;
         }
-        const { step } = run.task;
-        const group = groupOf(run);
         // A member of a gang that was marked before has marked all others.
-        const mayMove = !run.isStopRequested && group.every(isSettled);
-        if (mayMove && (!step.spec.lasting || staysAvailable(step)) && places.reserve(group)) {
+        if (run.isStopRequested || !places.mayReserveFor(step)) {
+            continue;
+        }
+        const group = groupOf(run);
+        const mayMove = group.every(isSettled) && (!step.spec.lasting || availability.allowsMove(step));
+        if (mayMove && places.reserve(step, group)) {
             group.forEach(member => (member.stopReason = StopReason.Evacuated));
+            availability.noteMove(step);
             moves += group.length;
         }
     }
+    return places.withoutPermit;
 };
--- a/packages/jobs/tests/evacuation.test.ts
+++ b/packages/jobs/tests/evacuation.test.ts
@@ -7,6 +7,7 @@
 import type { StepSpec } from "../src/step-spec.js";
 import { StopReason } from "../src/stop-reason.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
+import { queueRule } from "./fixtures/queue-rule.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
 const evacuated = "herning-a";
@@ -137,13 +138,108 @@
 
 // Guards against moves that take the capacity of waiting work: the moved tasks would wait as well, and preempt others.
 t.test("load pattern: work waits while a data centre is evacuated", t => {
-    const { harness } = setUp(lasting);
+    const { harness, staying } = setUp(lasting);
+    harness.submit({ resources: Resources.create({ processors: 1 }) });
+    t.equal(harness.planAndStartAll()[0]?.worker, staying);
     evacuate(harness, evacuated);
-    harness.submit({ requiredLabel: "none has it" });
+    harness.submit({ resources: wholeWorker });
     t.same(movedTasks(harness), []);
     t.end();
 });
 
+const unplaceableSteps: { name: string; step: Partial<StepSpec> }[] = [
+    {
+        name: "needs a label that only the evacuated data centre has",
+        step: { requiredLabel: "leaving only" },
+    },
+    { name: "is larger than any worker", step: { resources: Resources.create({ processors: 17 }) } },
+];
+
+// Guards against a data centre that is never emptied because of a task that no worker outside it could take anyway.
+for (const { name, step } of unplaceableSteps) {
+    t.test(`load pattern: the only waiting task ${name}`, t => {
+        const { harness } = setUp(lasting);
+        evacuate(harness, evacuated);
+        harness.submit(step);
+        t.equal(movedTasks(harness).length, 1);
+        t.end();
+    });
+}
+
+// Guards against moves that are held back by, or counted against, workers that their tasks cannot use.
+t.test("load pattern: the workers of another service are full, and work waits for them", t => {
+    const harness = SchedulerHarness.create();
+    harness.scheduler.setQueues([queueRule("queue"), { ...queueRule("other"), service: "other" }]);
+    const leaving = harness.addWorker("leaving", { zone: evacuated });
+    harness.submit(lasting);
+    harness.planAndStartAll();
+    listAll(harness, leaving);
+    for (let index = 0; index < 20; index++) {
+        harness.addWorker(`full-${index}`, { zone: other, service: "other" });
+    }
+    const spec = harness.makeJob({ resources: wholeWorker, count: 21 });
+    harness.scheduler.addJob({ ...spec, queue: "other" });
+    harness.planAndStartAll();
+    harness.addWorker("staying", { zone: other });
+    evacuate(harness, evacuated);
+    t.equal(movedTasks(harness).length, 1);
+    t.end();
+});
+
+/** Answers the next request to the permit service: these workers may run the step for some time. */
+const permit = (harness: SchedulerHarness, ...workers: string[]): string[] => {
+    const req = harness.scheduler.nextPermitRequest();
+    if (req !== undefined) {
+        const tickets = new Map(workers.map(id => [id, `ticket ${id}`]));
+        harness.scheduler.notePermits(req, tickets, harness.clock.nowMs() + 3_000);
+    }
+    return req?.workers.map(({ entry }) => entry.id) ?? [];
+};
+
+// Guards against tasks that stay in the data centre for good because permits were requested for waiting tasks only, and
+// against tasks that are stopped although they may run nowhere else.
+for (const permitted of [true, false]) {
+    t.test(
+        `a task that needs a permit moves only where it has one: ${permitted ? "granted" : "denied"}`,
+        t => {
+            const harness = SchedulerHarness.create();
+            harness.requirePermits();
+            const leaving = harness.addWorker("leaving", { zone: evacuated });
+            harness.submit({ lasting: true });
+            harness.planOrders();
+            permit(harness, "leaving");
+            harness.planAndStartAll();
+            listAll(harness, leaving);
+            harness.addWorker("staying", { zone: other });
+            harness.clock.advance(5_000);
+            evacuate(harness, evacuated);
+            t.same(movedTasks(harness), [], "no permit yet");
+            t.same(permit(harness, ...(permitted ? ["staying"] : [])), ["staying"]);
+            t.equal(movedTasks(harness).length, permitted ? 1 : 0);
+            t.same(permit(harness), [], "no further request");
+            t.end();
+        },
+    );
+}
+
+// Guards against a task of a previous owner that is stopped for a worker on which it turns out to have no permit.
+t.test("a task that was found on its worker waits for a permit before it moves", t => {
+    const harness = SchedulerHarness.create(2);
+    harness.requirePermits();
+    const spec = harness.makeJob({ lasting: true });
+    harness.inherit(spec);
+    harness.scheduler.expectInheritedWorkers(["leaving/1"]);
+    evacuate(harness, evacuated);
+    const leaving = harness.addUnreadWorker("leaving", { zone: evacuated });
+    harness.addWorker("staying", { zone: other });
+    const task = `${spec.id}.0.0.0`;
+    harness.reportListing(leaving, [{ task, number: 1, checkpoint: "", progressPercent: 100, gauge: 0 }], []);
+    t.same(movedTasks(harness), []);
+    t.same(permit(harness, "staying"), ["staying"]);
+    t.same(movedTasks(harness), [task]);
+    t.end();
+});
+
 // Guards against a gang of which a part is stopped: the others would lose their work since the last checkpoint.
 t.test("the members of a gang move together, or not at all", t => {
     const gang = {
