The model of owners evacuates data centres

Nothing tested an owner that is killed while a data centre is being emptied, together with lost calls and restarted workers. The model now evacuates the data centres of its workers, checks each start order, and moves runs out; a deliberate defect shows that it detects an owner which does not read the requests.

--- a/packages/dispatch/tests/lease-model-client.ts
+++ b/packages/dispatch/tests/lease-model-client.ts
@@ -22,24 +22,28 @@
         private readonly network: LeaseModelNetwork,
         private readonly intendedStartMs: number | undefined,
         private readonly isCutOff: () => boolean,
+        private readonly onStart: (run: Run) => void,
     ) {
         super();
     }
 
     /**
      * `intendedStartMs` is the start of the incarnation for which orders are meant; if it is undefined, that of the one
-     * which is there when they are sent. `isCutOff` tells whether this owner alone has no path to the worker.
+     * which is there when they are sent. `isCutOff` tells whether this owner alone has no path to the worker; `onStart` is
+     * called when a start is ordered.
      */
     static create(
         worker: LeaseModelWorker,
         network: LeaseModelNetwork,
         intendedStartMs?: number,
         isCutOff = (): boolean => false,
+        onStart: (run: Run) => void = () => undefined,
     ): LeaseModelClient {
-        return new LeaseModelClient(worker, network, intendedStartMs, isCutOff);
+        return new LeaseModelClient(worker, network, intendedStartMs, isCutOff, onStart);
     }
 
     override async start(run: Run, token: number, deadlineMs: number): Promise<StartResponse> {
+        this.onStart(run);
         const { worker } = this;
         const startedAtMs = this.intendedStartMs ?? worker.startedAtMs;
         const workMs = Number(run.task.step.occurrence.job.spec.payload);
--- a/packages/dispatch/tests/owner-disruption.ts
+++ b/packages/dispatch/tests/owner-disruption.ts
@@ -13,7 +13,9 @@
         | "store-down"
         | "kill"
         | "stop"
-        | "overlap";
+        | "overlap"
+        /** The data centre of the worker is evacuated. */
+        | "evacuate";
     readonly worker: number;
     readonly atMs: number;
     readonly durationMs: number;
--- a/packages/dispatch/tests/owner-model-store.ts
+++ b/packages/dispatch/tests/owner-model-store.ts
@@ -40,6 +40,12 @@
         return this.revision;
     }
 
+    remove(key: string): void {
+        if (this.items.delete(key)) {
+            this.revision++;
+        }
+    }
+
     item(key: string): StoredItem | undefined {
         return this.items.get(key);
     }
--- a/packages/dispatch/tests/owner-model.test.ts
+++ b/packages/dispatch/tests/owner-model.test.ts
@@ -167,6 +167,47 @@
         ]),
 });
 
+/** Data centres are evacuated, sometimes several at once, while owners and workers are lost. */
+const evacuations: fc.Arbitrary<OwnerSchedule> = fc.record({
+    seed: fc.nat(1_000_000),
+    faultRate: fc.constantFrom(0.000_5, 0.005, 0.03),
+    disruptions: fc
+        .tuple(
+            fc.array(
+                fc.record({
+                    kind: fc.constant("evacuate" as const),
+                    worker: fc.nat(2),
+                    atMs: tens(500, 24_000),
+                    durationMs: tens(200, 20_000),
+                }),
+                { minLength: 1, maxLength: 4 },
+            ),
+            fc.array(
+                fc.record({
+                    kind: fc.constantFrom("cut", "restart", "kill", "kill", "stop", "overlap"),
+                    worker: fc.nat(2),
+                    atMs: tens(500, 24_000),
+                    durationMs: tens(200, 5_000),
+                }),
+                { maxLength: 6 },
+            ),
+        )
+        .map(lists => lists.flat()),
+});
+
+// Guards against a task that runs twice or never again when its run is moved out of a data centre, and against starts there
+// by an owner that has not learned of the request from the one before, which was killed.
+t.test("data centres are evacuated while owners are killed and workers restart", async t => {
+    const result = await check(ScheduleCount, {}, Number(process.env["FAULT_SEED"] ?? Seed), evacuations);
+    t.notOk(result.failed, fc.defaultReportMessage(result) ?? "");
+});
+
+// Guards against a checker that detects nothing.
+t.test("the checker detects an owner that does not read the requests to evacuate", async t => {
+    const result = await check(DefectScheduleCount, { ignoresEvacuations: true }, Seed, evacuations);
+    t.ok(result.failed);
+});
+
 const previousOwnerDefects = [
     { defect: "extendsWithoutProof", disrupted: lateContact },
     { defect: "seesLaterJobs", disrupted: partialOverlaps },
--- a/packages/dispatch/tests/owner-model.ts
+++ b/packages/dispatch/tests/owner-model.ts
@@ -18,6 +18,7 @@
 import { LeaseModelClient } from "./lease-model-client.js";
 import { LeaseModelNetwork } from "./lease-model-network.js";
 import { LeaseModelWorker } from "./lease-model-worker.js";
+import { ModelEvacuations } from "./model-evacuations.js";
 import { NoPermits } from "./no-permits.js";
 import { NullLog } from "./null-log.js";
 import { oneTaskJob } from "./one-task-job.js";
@@ -38,6 +39,10 @@
 const LongestTaskMs = 7_000;
 const PollIntervalMs = 700;
 const CheckIntervalMs = 500;
+/** Longest time after a request to evacuate a data centre for which starts may still be ordered there. */
+const EvacuationMs = 5_000;
+/** Estimate with which runs have so much left that they move out of an evacuated data centre. */
+const MovableTaskMs = 20_000;
 
 /** An owner of the cell, and its access to the store. */
 interface ModelOwner {
@@ -55,11 +60,14 @@
     readonly extendsWithoutProof?: boolean;
     /** It sees the jobs that are stored after a takeover. */
     readonly seesLaterJobs?: boolean;
+    /** Each owner but the first one does not read the requests to evacuate data centres. */
+    readonly ignoresEvacuations?: boolean;
 }
 
 /**
  * Runs owners of one cell, one after the other, against workers with slow clocks and a store, over calls that are slow,
- * lost or carried out late, and checks at the workers that no task runs twice and no worker is over its capacity.
+ * lost or carried out late, and checks at the workers that no task runs twice and no worker is over its capacity. Each
+ * worker is in a data centre of its own, named after it, and no start is ordered there while it is evacuated.
  */
 export class OwnerModel {
     readonly violations: string[] = [];
@@ -79,6 +87,8 @@
     /** An owner that goes on although the next one has claimed the cell. */
     private previousOwner: ModelOwner | undefined;
     private claimAtMs = 0;
+    /** Since when data centres are evacuated. */
+    private readonly evacuatedSinceMs = new Map<string, number>();
     private jobCount = 0;
 
     private constructor(
@@ -154,6 +164,25 @@
         this.doneEnds.get(task)?.forEach(end => this.restarted.set(end, task));
     }
 
+    private checkOrder(id: string, task: string): void {
+        const sinceMs = this.evacuatedSinceMs.get(id);
+        if (sinceMs !== undefined && this.nowMs - sinceMs > EvacuationMs) {
+            this.report(`${task} is started on ${id}, which is evacuated`);
+        }
+    }
+
+    private updateEvacuations(): void {
+        this.workers.forEach(({ id }, index) => {
+            if (!this.isDisrupted("evacuate", index)) {
+                this.evacuatedSinceMs.delete(id);
+                this.store.remove(ModelEvacuations.keyOf(id));
+            } else if (!this.evacuatedSinceMs.has(id)) {
+                this.evacuatedSinceMs.set(id, this.nowMs);
+                this.store.put(ModelEvacuations.keyOf(id), "{}");
+            }
+        });
+    }
+
     private async tick(): Promise<void> {
         this.nowMs += TickMs;
         this.applyDisruptions();
@@ -193,9 +222,18 @@
             store,
             commits: CommitLog.create(store, Cell, { epoch, sequence: 0 }, revision, abort.signal),
             createWorkerClient: ({ id, startedAtMs }) =>
-                LeaseModelClient.create(this.workerOf(id), this.network, startedAtMs - 1, () => isCutOff(id)),
+                LeaseModelClient.create(
+                    this.workerOf(id),
+                    this.network,
+                    startedAtMs - 1,
+                    () => isCutOff(id),
+                    run => this.checkOrder(id, run.task.name),
+                ),
             proof,
             permits: NoPermits.create(),
+            evacuations: this.hasEvacuations
+                ? ModelEvacuations.create(store, this.defects.ignoresEvacuations === true && epoch > 1)
+                : undefined,
             clock,
             log: NullLog.create(),
             metrics: Metrics.create(),
@@ -252,6 +290,7 @@
         return this.workers.map(worker => ({
             ...oneWorker,
             id: worker.id,
+            zone: worker.id,
             startedAtMs: worker.startedAtAsOf(this.nowMs - staleMs) + 1,
         }));
     }
@@ -260,7 +299,8 @@
         const id = (++this.jobCount).toString(16).padStart(16, "0");
         const [step] = oneTaskJob.steps;
         if (step !== undefined) {
-            const steps = [{ ...step, count: TasksPerJob }];
+            const movable = this.hasEvacuations ? { checkpoints: true, estimatedMs: MovableTaskMs } : {};
+            const steps = [{ ...step, ...movable, count: TasksPerJob }];
             const payload = `${Math.ceil(this.random.next() * LongestTaskMs)}`;
             const text = jobCodec.encodeJob({
                 ...oneTaskJob,
@@ -297,6 +337,10 @@
         );
     }
 
+    private get hasEvacuations(): boolean {
+        return this.schedule.disruptions.some(({ kind }) => kind === "evacuate");
+    }
+
     private isDisrupted(kind: OwnerDisruption["kind"], worker?: number): boolean {
         return this.schedule.disruptions.some(
             each =>
@@ -308,6 +352,7 @@
     }
 
     private applyDisruptions(): void {
+        this.updateEvacuations();
         this.store.isDown = this.isDisrupted("store-down");
         this.workers.forEach((worker, index) => {
             this.network.setCut(worker, this.isDisrupted("cut", index));
