--- a/packages/jobs/tests/evacuation.test.ts
+++ b/packages/jobs/tests/evacuation.test.ts
@@ -353,3 +353,87 @@
     t.ok(leaving.runs.size >= 7);
     t.end();
 });
+
+// Guards against a task that runs twice, or never again, because its data centre is taken back before its stop is answered.
+t.test("a data centre is taken back in the middle of a stop", t => {
+    const { harness, leaving, runs } = setUp({ lasting: true });
+    const [run] = runs;
+    if (run === undefined) {
+        throw new Error("Expected a run");
+    }
+    evacuate(harness, evacuated);
+    t.same(movedTasks(harness), [run.task.name]);
+    evacuate(harness);
+    harness.clock.advance(600);
+    t.match(harness.planOrders(), [{ kind: OrderKind.Stop, task: run.task.name }], "the stop is repeated");
+    t.equal(leaving.runs.size, 1, "the task does not start before the run has ended");
+    harness.reportEnd(run, EndKind.Stopped);
+    t.same(
+        harness.planAndStartAll().map(({ task }) => task),
+        [run.task],
+    );
+    t.same(harness.planOrders(), []);
+    t.end();
+});
+
+// Guards against moves from one evacuated data centre into another, and against a state of one that hides the other's.
+t.test("two data centres are evacuated at once", t => {
+    const { harness, leaving, staying } = setUp(lasting);
+    evacuate(harness, evacuated, other);
+    t.same(movedTasks(harness), []);
+    t.same(harness.scheduler.evacuations, [
+        { dataCentre: evacuated, runs: 8, isComplete: false },
+        { dataCentre: other, runs: 0, isComplete: true },
+    ]);
+    const third = harness.addWorker("third", { zone: "herning-c" });
+    const [moved] = movedTasks(harness);
+    const run = [...leaving.runs.values()].find(({ task }) => task.name === moved);
+    if (run === undefined) {
+        throw new Error("Expected a moved run");
+    }
+    harness.reportEnd(run, EndKind.Stopped);
+    t.same(
+        harness.planAndStartAll().map(({ worker }) => worker),
+        [third],
+    );
+    t.equal(staying.runs.size, 0);
+    t.end();
+});
+
+// Guards against a data centre that is reported as empty while a worker there may still carry out a start.
+t.test("a start may be carried out late on a worker that does not answer", t => {
+    const { harness, leaving, staying } = setUp();
+    staying.isRegistered = false;
+    harness.submit({});
+    const [run] = harness.planStarts();
+    staying.isRegistered = true;
+    if (run === undefined) {
+        throw new Error("Expected a start in the data centre");
+    }
+    harness.scheduler.responses.recordStart(run, StartOutcome.Unknown);
+    harness.scheduler.noteUnreachable(leaving);
+    evacuate(harness, evacuated);
+    harness.clock.advance(8_000);
+    harness.planOrders();
+    t.same(harness.scheduler.evacuations, [{ dataCentre: evacuated, runs: 1, isComplete: false }]);
+    harness.reportListing(leaving, [SchedulerHarness.listedRun(run)], []);
+    t.match(harness.planOrders(), [{ kind: OrderKind.Stop, worker: { key: leaving.key } }]);
+    t.equal(harness.scheduler.evacuations[0]?.isComplete, false, "it has been carried out");
+    t.end();
+});
+
+// Guards against a worker that keeps the state of the data centre in which it was before.
+t.test("a worker that moves to another data centre follows the requests for that one", t => {
+    const { harness, leaving, staying } = setUp(lasting);
+    evacuate(harness, evacuated);
+    harness.scheduler.registerWorker({ ...leaving.entry, zone: other });
+    t.same(movedTasks(harness), []);
+    t.same(harness.scheduler.evacuations, [{ dataCentre: evacuated, runs: 0, isComplete: true }]);
+    harness.scheduler.registerWorker({ ...staying.entry, zone: evacuated });
+    harness.submit({});
+    t.same(
+        harness.planAndStartAll().map(({ worker }) => worker),
+        [leaving],
+    );
+    t.end();
+});
