--- a/packages/dispatch/src/dispatch-settings.ts
+++ b/packages/dispatch/src/dispatch-settings.ts
@@ -13,7 +13,7 @@
     readonly limits: CellLimits;
     /**
      * Longest time, in milliseconds, after which a request to evacuate a data centre has to be in force; absent if there are
-     * no such requests.
+     * no such requests. Only its presence has an effect: a request is read within 2 s whatever the value is.
      */
     readonly evacuationMs?: number | undefined;
 }
