The owner of a cell explains where a job would be placed

Operators could not ask where a job would go before it was sent, and why a worker was ruled out. CellScheduler.explainPlacement answers with the predicates and the ranking of the planner, over a job that is built apart from the registry. Any process takes the question at POST /explain of its internal address and forwards it to the owner (POST /cells/:cell/explain). Values of NeighbourEffects that a question computes are not cached, since the next plan would use them.

--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -10,12 +10,14 @@
 import { isObject } from "./is-object.js";
 import { jobCodec } from "./job-codec.js";
 import type { JobWriter } from "./job-writer.js";
+import type { PlacementExplainer } from "./placement-explainer.js";
 
 /** Creates the server for calls between processes of the system, most of which concern cells that this process owns. */
 export const createPeerServer = (
     cells: CellDirectory,
     writer: JobWriter,
     epochs: EpochReporter,
+    explainer: PlacementExplainer,
     log: EventLog,
 ): JsonServer => {
     const ownerOf = (req: JsonRequest): CellOwner => {
@@ -49,6 +51,10 @@
             status: 200,
             body: await epochs.report(Number(req.params["cell"])),
         }))
+        .on("POST", "/cells/:cell/explain", req =>
+            explainer.answerAsOwner(Number(req.params["cell"]), req.body),
+        )
+        .on("POST", "/explain", req => explainer.answer(req.body))
         .on("POST", "/cells/:cell/jobs/:id/cancelled", req => {
             ownerOf(req).jobCancelled(req.params["id"] ?? "");
             return { status: 200, body: {} };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import { cellForKey } from "./cell-for-key.js";
 import type { ConfigSource } from "./config-source.js";
 import { createPeerServer } from "./create-peer-server.js";
+import type { DecodeSubmission } from "./decode-submission.js";
 import { EpochReporter } from "./epoch-reporter.js";
 import type { EvacuationSource } from "./evacuation-source.js";
 import type { EventLog } from "./event-log.js";
@@ -21,6 +22,7 @@
 import type { OperatorConfig } from "./operator-config.js";
 import { PeerClient } from "./peer-client.js";
 import type { PermitSource } from "./permit-source.js";
+import { PlacementExplainer } from "./placement-explainer.js";
 import { resolveCellCount } from "./resolve-cell-count.js";
 import { RouteTable } from "./route-table.js";
 import { runInBackground } from "./run-in-background.js";
@@ -46,6 +48,8 @@
     readonly workers: WorkerSource;
     readonly createWorkerClient: WorkerClientFactory;
     readonly permits: PermitSource;
+    /** Decodes the body of callers, for questions where a job would be placed. */
+    readonly decodeSubmission: DecodeSubmission;
     /** Absent if data centres are not evacuated on this deployment. */
     readonly evacuations?: EvacuationSource | undefined;
     readonly clock: Clock;
@@ -74,7 +78,14 @@
         const { store, clock, log, settings } = context;
         const writer = JobWriter.create(store, clock);
         this.gateway = JobGateway.create(this.cells, store, writer, this.peers, clock, log);
-        this.peerServer = createPeerServer(this.cells, writer, EpochReporter.create(this.cells, store), log);
+        const explainer = PlacementExplainer.create({
+            ...context,
+            cells: this.cells,
+            peers: this.peers,
+            maxBodyBytes: () => this.routes.config?.maxBodyBytes,
+        });
+        const epochs = EpochReporter.create(this.cells, store);
+        this.peerServer = createPeerServer(this.cells, writer, epochs, explainer, log);
         const isOwner = (): boolean => this.cells.all.some(cell => cell.isClaimed);
         this.members = MemberList.create(store, settings.node, isOwner, clock, log);
         this.takeovers = TakeoverChecker.create(this.members, this.peers);
--- a/packages/dispatch/src/peer-client.ts
+++ b/packages/dispatch/src/peer-client.ts
@@ -1,6 +1,8 @@
 import { JsonClient } from "@samphireward/core/json-client";
+import type { JsonResponse } from "@samphireward/core/json-response";
 import type { JobStatus } from "@samphireward/jobs/job-status";
 import type { EpochReport } from "./epoch-report.js";
+import type { PlacementQuestion } from "./placement-question.js";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 
@@ -8,6 +10,8 @@
 const PeerTimeoutMs = 500;
 /** Time-out of a call in which another process writes to the store on behalf of this one. */
 const PeerAcceptTimeoutMs = 1_500;
+/** Time-out of a question to a busy owner: longer than a plan, and far below the time-out of the command that asks. */
+const PeerExplainTimeoutMs = 2_000;
 
 /** Calls the processes that own cells. A peer that does not respond yields an error, never an empty response. */
 export class PeerClient {
@@ -67,6 +71,15 @@
         return response.map(body => (body as { readonly outcome: string }).outcome);
     }
 
+    /** Asks the owner of a cell where a job would be placed. Returns its answer, also a refusal. */
+    explain(
+        address: string,
+        cell: number,
+        question: PlacementQuestion,
+    ): Promise<Result<JsonResponse, string>> {
+        return this.send(address, "POST", `/cells/${cell}/explain`, question, PeerExplainTimeoutMs);
+    }
+
     close(): void {
         this.clients.forEach(client => client.close());
     }
@@ -78,14 +91,26 @@
         body?: unknown,
         timeoutMs: number = PeerTimeoutMs,
     ): Promise<Result<unknown, string>> {
+        const response = await this.send(address, method, path, body, timeoutMs);
+        return response.andThen(({ status, body: result }) =>
+            status === 200 ? Ok(result) : Err(`status ${status}`),
+        );
+    }
+
+    private async send(
+        address: string,
+        method: string,
+        path: string,
+        body?: unknown,
+        timeoutMs: number = PeerTimeoutMs,
+    ): Promise<Result<JsonResponse, string>> {
         let client = this.clients.get(address);
         if (client === undefined) {
             client = JsonClient.create(address);
             this.clients.set(address, client);
         }
         try {
-            const response = await client.call(method, path, { body, timeoutMs });
-            return response.status === 200 ? Ok(response.body) : Err(`status ${response.status}`);
+            return Ok(await client.call(method, path, { body, timeoutMs }));
         } catch (err) {
             return Err(err instanceof Error ? err.message : String(err));
         }
--- a/packages/dispatch/tests/create-peer-server.test.ts
+++ b/packages/dispatch/tests/create-peer-server.test.ts
@@ -1,12 +1,15 @@
 import { JsonClient } from "@samphireward/core/json-client";
 import { ManualClock } from "@samphireward/core/manual-clock";
 import t from "tap";
+import { Err } from "ts-results-es";
 import type { CellCandidate } from "../src/cell-candidate.js";
 import { CellDirectory } from "../src/cell-directory.js";
 import { createPeerServer } from "../src/create-peer-server.js";
 import { EpochReporter } from "../src/epoch-reporter.js";
 import { jobCodec } from "../src/job-codec.js";
 import { JobWriter } from "../src/job-writer.js";
+import { PeerClient } from "../src/peer-client.js";
+import { PlacementExplainer } from "../src/placement-explainer.js";
 import { ManualStore } from "./manual-store.js";
 import { oneTaskJob } from "./one-task-job.js";
 import { RecordingLog } from "./recording-log.js";
@@ -40,7 +43,14 @@
     const store = ManualStore.create();
     const log = RecordingLog.create();
     const writer = JobWriter.create(store, ManualClock.create(1_000));
-    const server = createPeerServer(cells, writer, EpochReporter.create(cells, store), log);
+    const explainer = PlacementExplainer.create({
+        cells,
+        peers: PeerClient.create(),
+        clock: ManualClock.create(1_000),
+        decodeSubmission: () => Err("no job"),
+        maxBodyBytes: () => 1_000,
+    });
+    const server = createPeerServer(cells, writer, EpochReporter.create(cells, store), explainer, log);
     const client = JsonClient.create(await server.listen("127.0.0.1:0"));
     for (const [path, body] of invalid) {
         const call = client.call("POST", path, { body, timeoutMs });
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -8,6 +8,7 @@
 import { evacuationProgressOf } from "./evacuation-progress-of.js";
 import type { EndObserver } from "./end-observer.js";
 import { EndReason } from "./end-reason.js";
+import { explainPlacement } from "./explain-placement.js";
 import { InheritedTrials } from "./inherited-trials.js";
 import { JobRegistry } from "./job-registry.js";
 import type { JobProgress } from "./job-progress.js";
@@ -27,6 +28,7 @@
 import { PermitPlanner } from "./permit-planner.js";
 import type { PermitRequest } from "./permit-request.js";
 import { planPace } from "./plan-pace.js";
+import type { PlacementExplanation } from "./placement-explanation.js";
 import type { QueueRule } from "./queue-rule.js";
 import { QueueRules } from "./queue-rules.js";
 import { computeCellLoad } from "./compute-cell-load.js";
@@ -261,6 +263,16 @@
         return [...stopOrders(this.fleet, nowMs), ...paceOrders(this.fleet), ...starts];
     }
 
+    /** Explains where a job would be placed if it were accepted now; undefined if its queue is unknown. Changes nothing. */
+    explainPlacement(spec: JobSpec): PlacementExplanation | undefined {
+        const { jobs, fleet, rules, effects, clock, previousOwners } = this;
+        const isBlocked = (job: string): boolean => previousOwners.mayHaveRuns(job);
+        const times = { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+        return effects.readOnly(() =>
+            explainPlacement(spec, { jobs, fleet, rules, effects, isBlocked, ...times }),
+        );
+    }
+
     /** Next request to the permit service, according to the last plan; undefined if there is none now. */
     nextPermitRequest(): PermitRequest | undefined {
         return this.permits.next(this.planner.tasksWithoutPermit, this.clock.nowMs());
--- /dev/null
+++ b/packages/jobs/src/explanation-context.ts
@@ -0,0 +1,17 @@
+import type { JobRegistry } from "./job-registry.js";
+import type { NeighbourEffects } from "./neighbour-effects.js";
+import type { QueueRules } from "./queue-rules.js";
+import type { WorkerFleet } from "./worker-fleet.js";
+
+/** The state of a cell that an explanation reads, and the time for which it is made. */
+export interface ExplanationContext {
+    readonly jobs: JobRegistry;
+    readonly fleet: WorkerFleet;
+    readonly rules: QueueRules;
+    readonly effects: NeighbourEffects;
+    /** Whether runs of the job that are not known yet may exist, so that none of its tasks start. */
+    readonly isBlocked: (job: string) => boolean;
+    /** Monotonic time. */
+    readonly nowMs: number;
+    readonly wallMs: number;
+}
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -10,6 +10,7 @@
 import { parseTaskName } from "./parse-task-name.js";
 import { restoreProgress } from "./restore-progress.js";
 import type { Task } from "./task.js";
+import { taskCount } from "./task-count.js";
 
 /** The jobs of a cell, and which of them changed since they were last written to the store. */
 export class JobRegistry {
@@ -41,6 +42,11 @@
         return job;
     }
 
+    /** Whether the first occurrence of a job that is not known yet could be opened now. */
+    hasRoomFor(spec: JobSpec): boolean {
+        return this.openTasks.mayAdd(spec.queue, taskCount(spec));
+    }
+
     get(id: string): JobType | undefined {
         return this.jobs.get(id);
     }
--- a/packages/jobs/src/neighbour-effects.ts
+++ b/packages/jobs/src/neighbour-effects.ts
@@ -61,6 +61,7 @@
     /** Mean headroom by serving image, for steps without a forecast of their own. */
     private readonly headrooms = new Map<string, number>();
     private readonly allowances = new WeakMap<WorkerIncarnation, Allowance>();
+    private isReadOnly = false;
 
     private constructor() {}
 
@@ -146,13 +147,25 @@
             : this.pairs.compatibleShare(others) - this.pairs.compatibleShare(images);
     }
 
+    /** Reads without caching: a value that was cached between two plans would replace that of the next plan. */
+    readOnly<T>(read: () => T): T {
+        this.isReadOnly = true;
+        try {
+            return read();
+        } finally {
+            this.isReadOnly = false;
+        }
+    }
+
     private allowanceOf(worker: WorkerIncarnation, nowMs: number): Allowance {
         const cached = this.allowances.get(worker);
         if (cached?.version === worker.version) {
             return cached;
         }
         const allowance = { version: worker.version, headrooms: this.unusedHeadrooms(worker, nowMs) };
-        this.allowances.set(worker, allowance);
+        if (!this.isReadOnly) {
+            this.allowances.set(worker, allowance);
+        }
         return allowance;
     }
 
