samphireward-ctl explain shows where a job or a task would go, and why

The operators' command could explain only work that was accepted (why). The owner of a cell on the product's own path now previews a placement with the queue, the quotas and the WorkerChooser of its rounds (POST /v1/tasks/explain, AttachRequest.explain), and the command asks either path and prints text or JSON.

--- a/packages/ctl/src/all-commands.ts
+++ b/packages/ctl/src/all-commands.ts
@@ -5,6 +5,7 @@
 import { CheckCommand } from "./commands/check.js";
 import { ConfigHistoryCommand } from "./commands/config-history.js";
 import { ConfigShowCommand } from "./commands/config-show.js";
+import { ExplainCommand } from "./commands/explain.js";
 import { HealthCommand } from "./commands/health.js";
 import { MembersCommand } from "./commands/members.js";
 import { StatusCommand } from "./commands/status.js";
@@ -22,6 +23,7 @@
     CellsCommand.create(),
     HealthCommand.create(),
     SubmitCommand.create(),
+    ExplainCommand.create(),
     StatusCommand.create(),
     WhyCommand.create(),
     CancelCommand.create(),
--- a/packages/entry/src/admin-api.ts
+++ b/packages/entry/src/admin-api.ts
@@ -13,6 +13,7 @@
 import { mergePoolMetrics } from "./merge-pool-metrics.js";
 import type { RouteMetrics } from "./route-metrics.js";
 import type { TaskGateway } from "./task-gateway.js";
+import { TaskExplainer } from "./task-explainer.js";
 import { taskStatusJson } from "./task-status-json.js";
 
 const CellCallTimeoutMs = 2_000;
@@ -58,6 +59,11 @@
     /** Registers the endpoints on a server. */
     static mount(server: JsonServer, dependencies: AdminDependencies): void {
         const api = new AdminApi(dependencies);
+        const { runtime, connectors } = dependencies;
+        const explainer = TaskExplainer.create({
+            tables: () => runtime.config.applied?.tables,
+            streamTo: cell => connectors.streamTo(cell),
+        });
         server
             .on("GET", "/v1/health", () => api.health())
             .on("GET", "/v1/config", () => api.readConfig())
@@ -68,6 +74,7 @@
             .on("GET", "/v1/members", () => api.members())
             .on("GET", "/v1/cells", async () => okResponse({ cells: await api.cells() }))
             .on("GET", "/v1/tasks/:key", req => api.readTask(req))
+            .on("POST", "/v1/tasks/explain", req => explainer.answer(req.body))
             .on("POST", "/v1/tasks/cancel", req => api.cancelTasks(req))
             .on("POST", "/v1/workers/:name/:command", req => api.sendWorkerCommand(req))
             .on("GET", "/v1/metrics", () => api.metrics());
--- a/packages/entry/src/task-api.ts
+++ b/packages/entry/src/task-api.ts
@@ -1,58 +1,15 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CodedError } from "@samphireward/core/coded-error";
 import type { Pool } from "@samphireward/core/pool";
-import { Resources } from "@samphireward/core/resources";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { Route } from "@samphireward/core/route";
 import type { Tables } from "@samphireward/core/tables";
-import type { TaskSpec } from "@samphireward/core/task-spec";
 import type { TaskReply } from "@samphireward/protocol/gen/samphireward_pb";
-import { makeFormatterStandardSchemaV1 } from "effect/SchemaIssue";
-import * as SchemaParser from "effect/SchemaParser";
+import { parseSubmission } from "./parse-submission.js";
 import { readLimitedBody } from "./read-limited-body.js";
 import { sendWithCode } from "./send-with-code.js";
 import type { TaskGateway } from "./task-gateway.js";
 import { taskStatusJson } from "./task-status-json.js";
-import { TaskSubmissionSchema } from "./task-submission-schema.js";
-
-const DefaultExpectedRunMs = 60_000;
-const decodeSubmission = SchemaParser.decodeUnknownResult(TaskSubmissionSchema, {
-    onExcessProperty: "error",
-    errors: "all",
-});
-const formatIssue = makeFormatterStandardSchemaV1();
-
-const parseSubmission = (pool: Pool, text: string): TaskSpec => {
-    let json: unknown;
-    try {
-        json = JSON.parse(text);
-    } catch {
-        throw CodedError.create(ResultCode.BadRequest, "The body is not valid JSON");
-    }
-    const decoded = decodeSubmission(json);
-    if (decoded._tag === "Failure") {
-        const issues = formatIssue(decoded.failure).issues;
-        const message = issues
-            .map(issue => `${(issue.path ?? []).map(String).join(".")}: ${issue.message}`)
-            .join("; ");
-        throw CodedError.create(ResultCode.BadRequest, message);
-    }
-    const { key, resources, expectedRunMs, payload } = decoded.success;
-    const requestedResources = resources ?? pool.taskDefault;
-    if (requestedResources === undefined) {
-        throw CodedError.create(
-            ResultCode.BadRequest,
-            "resources: expected, because the pool has no taskDefault",
-        );
-    }
-    return {
-        key,
-        pool: pool.name,
-        resources: Resources.create(requestedResources),
-        expectedRunMs: expectedRunMs ?? DefaultExpectedRunMs,
-        payload: payload ?? "",
-    };
-};
 
 /** Reads the task key that follows the route's path; empty without one. */
 const parseKey = (req: IncomingMessage, route: Route): string => {
--- a/packages/placement/src/indexed-heap.ts
+++ b/packages/placement/src/indexed-heap.ts
@@ -17,6 +17,11 @@
         return this.items[0];
     }
 
+    /** The items in the order of the heap's array. */
+    values(): Iterable<T> {
+        return this.items.values();
+    }
+
     get(key: string): T | undefined {
         const position = this.positions.get(key);
         return position === undefined ? undefined : this.items[position];
--- a/packages/placement/src/task-queue.ts
+++ b/packages/placement/src/task-queue.ts
@@ -102,6 +102,19 @@
         }
     }
 
+    /** All queued tasks, in no particular order. */
+    *values(): Generator<QueuedTask> {
+        for (const { tasks } of this.subQueues.values()) {
+            yield* tasks.values();
+        }
+    }
+
+    /** The task that has to start before a new one of its kind; undefined if the new one would be the first. */
+    firstLike(task: QueuedTask): QueuedTask | undefined {
+        const first = this.subQueues.get(subQueueName(task))?.tasks.peek();
+        return first !== undefined && isQueuedBefore(first, task) ? first : undefined;
+    }
+
     /** The oldest task of each sub-queue that may start now, in queue order. */
     candidates(nowMs: number): QueuedTask[] {
         const heads: QueuedTask[] = [];
--- a/packages/scheduler/src/cell-operations.ts
+++ b/packages/scheduler/src/cell-operations.ts
@@ -1,9 +1,12 @@
+import type { CodedError } from "@samphireward/core/coded-error";
 import { ResultCode } from "@samphireward/core/result-code";
+import type { TaskSpec } from "@samphireward/core/task-spec";
 import type { CellOwner } from "@samphireward/tasks/cell-owner";
 import type { CellState } from "@samphireward/tasks/cell-state";
 import { countTasks } from "@samphireward/tasks/count-tasks";
 import type { TaskCounts } from "@samphireward/tasks/task-counts";
 import type { WorkerCommand } from "@samphireward/tasks/worker-command";
+import type { Result } from "ts-results-es";
 
 /** Data sources of the operators' view of a cell. */
 interface CellOperationsOptions {
@@ -36,6 +39,12 @@
         return result.isOk() ? ResultCode.Answered : result.error.code;
     }
 
+    /** Explains where a task would be placed if it were accepted now. */
+    explain(spec: TaskSpec): Result<unknown, CodedError> {
+        const { cell, cellOwner } = this.options;
+        return cellOwner.explain(spec).map(explanation => ({ cell, ...explanation }));
+    }
+
     describe(): unknown {
         const { cell, owner, epoch, cellOwner } = this.options;
         return { cell, owner, epoch, ...cellOwner.describe(), pools: this.describePools() };
--- a/packages/scheduler/src/cell-session.ts
+++ b/packages/scheduler/src/cell-session.ts
@@ -4,12 +4,14 @@
 import type { ProcessLogger } from "@samphireward/core/process-logger";
 import { Resources } from "@samphireward/core/resources";
 import { ResultCode } from "@samphireward/core/result-code";
+import type { TaskSpec } from "@samphireward/core/task-spec";
 import { runInBackground } from "@samphireward/core/run-in-background";
 import type {
     AttachRequest,
     AttachResponse,
     Hello,
     TaskReplySchema,
+    TaskSubmission,
 } from "@samphireward/protocol/gen/samphireward_pb";
 import { AttachResponseSchema } from "@samphireward/protocol/gen/samphireward_pb";
 import { MessageQueue } from "@samphireward/protocol/message-queue";
@@ -30,6 +32,14 @@
     readonly log: ProcessLogger;
 }
 
+const toTaskSpec = ({ key, pool, resources, expectedRunMs, payload }: TaskSubmission): TaskSpec => ({
+    key,
+    pool,
+    resources: Resources.create(resources ?? {}),
+    expectedRunMs,
+    payload,
+});
+
 /** Session of one entry process that is attached to a cell: handles its messages in order and answers them. */
 export class CellSession {
     private readonly outgoing = MessageQueue.create<AttachResponse>();
@@ -75,17 +85,13 @@
                 this.options.allocator.release(this.entry);
                 return;
             case "submit": {
-                const { requestId, key, pool, resources, expectedRunMs, payload } = body.value;
-                const spec = {
-                    key,
-                    pool,
-                    resources: Resources.create(resources ?? {}),
-                    expectedRunMs,
-                    payload,
-                };
-                runInBackground("submit", this.reply(requestId, this.options.owner.accept(spec)), log);
+                const accepted = this.options.owner.accept(toTaskSpec(body.value));
+                runInBackground("submit", this.reply(body.value.requestId, accepted), log);
                 return;
             }
+            case "explain":
+                this.explain(body.value);
+                return;
             case "cancel":
                 runInBackground(
                     "cancel",
@@ -123,6 +129,15 @@
         }
     }
 
+    private explain(submission: TaskSubmission): void {
+        const { requestId } = submission;
+        const explained = this.options.operations.explain(toTaskSpec(submission));
+        const { code, value } = explained.isOk()
+            ? { code: ResultCode.Answered, value: explained.value }
+            : { code: explained.error.code, value: { message: explained.error.message } };
+        this.send({ case: "cell", value: { requestId, code, json: JSON.stringify(value) } });
+    }
+
     private lookup(requestId: number, key: string): void {
         const status = this.options.owner.status(key);
         if (status === undefined) {
--- a/packages/tasks/src/cell-owner.ts
+++ b/packages/tasks/src/cell-owner.ts
@@ -12,6 +12,8 @@
 import { OwnerCore } from "./owner-core.js";
 import type { OwnerOptions } from "./owner-options.js";
 import type { OwnerTables } from "./owner-tables.js";
+import { TaskExplainer } from "./task-explainer.js";
+import type { TaskExplanation } from "./task-explanation.js";
 import type { TaskAnswer } from "./task-answer.js";
 import type { TaskStatus } from "./task-status.js";
 import type { PoolStatistics } from "./pool-statistics.js";
@@ -29,7 +31,11 @@
  * one sequential process; `tick` performs the work that has become due.
  */
 export class CellOwner {
-    private constructor(private readonly core: OwnerCore) {}
+    private readonly explainer: TaskExplainer;
+
+    private constructor(private readonly core: OwnerCore) {
+        this.explainer = TaskExplainer.create(core);
+    }
 
     static create(options: OwnerOptions): CellOwner {
         return new CellOwner(OwnerCore.create(options));
@@ -104,6 +110,11 @@
         return task && describeTask(this.core, task);
     }
 
+    /** Explains where a task would be placed if it were accepted now, without accepting it; changes nothing. */
+    explain(spec: TaskSpec): Result<TaskExplanation, CodedError> {
+        return this.explainer.explain(spec, () => this.findRefusal(spec));
+    }
+
     /** Applies the VM directory's list of the cell's workers. */
     updateWorkers(workers: readonly WorkerInfo[]): void {
         this.core.workers.update(workers);
--- a/packages/tasks/src/owner-core.ts
+++ b/packages/tasks/src/owner-core.ts
@@ -179,6 +179,18 @@
         }
     }
 
+    /** Reads the workers as the next round would find them, and leaves their flags as the last round has set them. */
+    readWorkers<T>(read: () => T): T {
+        const entries = [...this.workers.all].map(({ entry }) => entry);
+        const flags = entries.map(({ open, isWithdrawn }) => ({ open, isWithdrawn }));
+        try {
+            this.openEntries();
+            return read();
+        } finally {
+            entries.forEach((entry, index) => Object.assign(entry, flags[index]));
+        }
+    }
+
     private openEntries(): readonly WorkerEntry[] {
         const open: WorkerEntry[] = [];
         for (const link of this.workers.all) {
--- a/packages/tasks/src/placer.ts
+++ b/packages/tasks/src/placer.ts
@@ -10,6 +10,8 @@
 import { isSuspect } from "./is-suspect.js";
 import { isWaitingState } from "./is-waiting-state.js";
 import type { OwnerTables } from "./owner-tables.js";
+import type { PlacementPreview } from "./placement-preview.js";
+import { previewPlacement } from "./preview-placement.js";
 import type { TaskRecord } from "./task-record.js";
 import type { WorkerEntry } from "./worker-entry.js";
 import { WorkerChooser } from "./worker-chooser.js";
@@ -111,6 +113,17 @@
         }
     }
 
+    /** How the next round would treat a task that was accepted now; changes nothing. */
+    preview(task: TaskRecord, nowMs: number): PlacementPreview {
+        const { queue, quotas, chooser, cell } = this;
+        return previewPlacement(
+            this.toQueued(task),
+            task,
+            { queue, quotas, chooser, task: cell.task },
+            nowMs,
+        );
+    }
+
     private remove(key: string): void {
         this.queue.remove(key);
         this.reasons.delete(key);
