The explanation of a task leaves out ends that it cannot have

The text of samphireward-ctl explain said of a task on the product's own path that the end of its job cannot be foreseen, though it has no job.

--- a/packages/ctl/src/format-explanation.ts
+++ b/packages/ctl/src/format-explanation.ts
@@ -4,8 +4,20 @@
 
 const MsPerSecond = 1_000;
 
-const formatExpected = (timeMs: number | undefined): string =>
-    timeMs === undefined ? "cannot be foreseen" : formatTime(timeMs);
+const describeTimes = (response: ExplanationResponse): string[] => {
+    const { expectedStartMs, expectedTaskEndMs, expectedJobEndMs } = response;
+    const start = expectedStartMs === undefined ? "cannot be foreseen" : formatTime(expectedStartMs);
+    // Lasting tasks have no end, and a task of the product's own path belongs to no job.
+    return [
+        `expected start: ${start}`,
+        ...(expectedTaskEndMs === undefined
+            ? []
+            : [`expected end of the task: ${formatTime(expectedTaskEndMs)}`]),
+        ...(expectedJobEndMs === undefined
+            ? []
+            : [`expected end of the job: ${formatTime(expectedJobEndMs)}`]),
+    ];
+};
 
 const describeAhead = ({ ahead }: ExplanationResponse): string[] => {
     const { steps, tasks, processorMs, waitingSteps, startableSteps, isPartial } = ahead;
@@ -47,8 +59,6 @@
                       `${worker.freeProcessors} cores free`,
                   ].join(", "),
               ]),
-        `expected start: ${formatExpected(response.expectedStartMs)}`,
-        `expected end of the task: ${formatExpected(response.expectedTaskEndMs)}`,
-        `expected end of the job: ${formatExpected(response.expectedJobEndMs)}`,
+        ...describeTimes(response),
     ].join("\n");
 };
--- a/packages/ctl/tests/commands/commands.test.ts
+++ b/packages/ctl/tests/commands/commands.test.ts
@@ -298,7 +298,7 @@
         responses: { "POST /v1/tasks/explain": okResponse(waitingExplanation) },
         exitCode: 0,
         json: waitingExplanation,
-        text: /^k1 \(cell herning-b\/0\): waits\nreason: no open worker.*\n.*\nrank: 1 of 1 .*in part\)[^]*start: cannot be foreseen/,
+        text: /^k1 \(cell herning-b\/0\): waits\nreason: no open worker.*\n.*\nrank: 1 of 1 .*in part\)[^]*start: cannot be foreseen\n$/,
     },
     ...explainFailures.map(([status, code, message]) => ({
         args: explainJob,
