A test shows that a question does not fix the forecasts of the next plan

NeighbourEffects caches the headroom of a worker by its version. Without readOnly a question would store a value that the next plan then uses, though it was made for an earlier time; the comparison of plans did not show that. The test compares the allowed speed of a filler 300 ms later with and without a question.

--- a/packages/jobs/tests/explain-placement.test.ts
+++ b/packages/jobs/tests/explain-placement.test.ts
@@ -211,3 +211,30 @@
     t.match(permitted, { outcome: PlacementOutcome.Waits, reason: /permit service/ });
     t.end();
 });
+
+// Guards against a forecast of a serving task that is kept from the time of a question, and decides in the next plan where
+// a filler starts.
+t.test("a question does not fix what the next plan forecasts", t => {
+    const filler = { filler: true, image: "fill", resources: resources(2) };
+    const speeds = [true, false].map(explains => {
+        const harness = SchedulerHarness.create();
+        const worker = harness.addWorker("w1");
+        harness.submit({ lasting: true, tailTargetMs: 50, image: "serve", resources: resources(4) });
+        const [run] = harness.planAndStartAll();
+        t.ok(run);
+        // The tail latency rises, so that the forecast depends on the time at which it is made.
+        for (let gauge = 20; run !== undefined && gauge <= 34; gauge += 2) {
+            harness.clock.advance(500);
+            harness.reportListing(worker, [{ ...SchedulerHarness.listedRun(run), gauge }], []);
+        }
+        if (explains) {
+            t.ok(harness.scheduler.explainPlacement(harness.makeJob(filler)));
+        }
+        harness.clock.advance(300);
+        const spec = { ...harness.makeJob(filler).steps[0] } as StepSpec;
+        return harness.scheduler.effects.allowedSpeed(worker, spec, harness.clock.nowMs());
+    });
+    t.equal(speeds[0], speeds[1]);
+    t.ok(Number(speeds[0]) > 0 && Number(speeds[0]) < 1, `${speeds[0]}`);
+    t.end();
+});
