Speculative copies of slow tasks of steps that allow them

Cause: a step with `speculative` was accepted, but each task ran once at a time, so that a task on a slow worker held up its step.

Change: a task may have a second run, the copy. CopyPlanner starts copies after all waiting tasks were placed, where assessStraggler expects them to end clearly earlier, on capacity that no waiting task can use, within bounds on processors and wasted work. The copy counts as a current run of its task where ends, listings, responses, stops and crashes are judged; migration, evacuation and preemption leave tasks with a copy alone.

--- a/packages/dispatch/src/end-reporter.ts
+++ b/packages/dispatch/src/end-reporter.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "@samphireward/core/clock";
+import { CopyOutcome } from "@samphireward/jobs/copy-outcome";
 import { EndKind } from "@samphireward/jobs/end-kind";
 import type { EndObserver } from "@samphireward/jobs/end-observer";
 import { EndReason } from "@samphireward/jobs/end-reason";
 import type { IgnoredEnd } from "@samphireward/jobs/ignored-end";
+import type { Run } from "@samphireward/jobs/run";
 import type { RunEnd } from "@samphireward/jobs/run-end";
 import type { SuspicionChange } from "@samphireward/jobs/suspicion-change";
 import type { Task } from "@samphireward/jobs/task";
@@ -10,6 +12,8 @@
 import type { EventLog } from "./event-log.js";
 import type { Metrics } from "./metrics.js";
 
+const MillisecondsPerSecond = 1_000;
+
 /** Dependencies provided by the cell's owner. */
 interface ReporterContext {
     readonly epoch: number;
@@ -58,6 +62,18 @@
         log.write("task-suspected", { task: task.name, worker, reason, points: task.suspicion, epoch });
     }
 
+    onCopy(copy: Run, outcome: CopyOutcome): void {
+        const { epoch, clock, log, metrics } = this.context;
+        const { task, number: run, worker, startedAtMs } = copy;
+        const tookMs = outcome === CopyOutcome.Started ? undefined : Math.round(clock.nowMs() - startedAtMs);
+        metrics.copies.inc({ outcome });
+        log.write("copy", { task: task.name, run, worker: worker.entry.id, outcome, tookMs, epoch });
+    }
+
+    onCopyWaste(processorMs: number): void {
+        this.context.metrics.copyWastedProcessorSeconds.inc(processorMs / MillisecondsPerSecond);
+    }
+
     /** Fields that show on what the owner based an end after which the task may start again. */
     private evidence(worker: WorkerIncarnation, end: RunEnd): Readonly<Record<string, number | undefined>> {
         const nowMs = this.context.clock.nowMs();
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -52,6 +52,14 @@
         "Changes of the suspicion that a task crashes its workers, by reason",
         ["reason"],
     );
+    /** Speculative copies that were started or found, and how they ended. */
+    readonly copies = this.counter("copies_total", "Speculative copies of tasks, by outcome", ["outcome"]);
+    /** Processor time of runs whose task was done by another run, or of copies that did not end as done. */
+    readonly copyWastedProcessorSeconds = this.counter(
+        "copy_wasted_processor_seconds_total",
+        "Reserved processor time of copies that were of no use, and of originals that a copy overtook",
+        [],
+    );
     /** Stored jobs that an owner did not take up, by why. */
     readonly jobsSetAside = this.counter(
         "jobs_set_aside_total",
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -2,6 +2,8 @@
 import type { CellLeases } from "./cell-leases.js";
 import type { CellLimits } from "./cell-limits.js";
 import type { CellLoad } from "./cell-load.js";
+import { CopyPlanner } from "./copy-planner.js";
+import { CopyRuns } from "./copy-runs.js";
 import { CrashSuspicions } from "./crash-suspicions.js";
 import { PreviousOwners } from "./previous-owners.js";
 import type { EvacuationProgress } from "./evacuation-progress.js";
@@ -71,13 +73,15 @@
         observer: EndObserver,
     ) {
         this.previousOwners = PreviousOwners.create(clock, limits);
-        this.results = RunResults.create(this.jobs, this.rules, this.trials, observer);
+        const copies = CopyRuns.create(observer);
+        this.results = RunResults.create(this.jobs, this.rules, this.trials, observer, copies);
         this.suspicions = CrashSuspicions.create(this.jobs, this.fleet, observer);
         this.responses = OrderResponses.create(clock, limits, this.results);
         this.listings = ListingReader.create(this.jobs, this.results, this.suspicions, observer);
         const { jobs, fleet, rules, effects, results, trials, suspicions } = this;
         this.inheritedTrials = InheritedTrials.create({ jobs, fleet, trials, suspicions });
         const trialPlanner = TrialPlanner.create({ fleet, effects, trials, suspicions });
+        const copyPlanner = CopyPlanner.create({ epoch, jobs, fleet, rules, effects, copies });
         this.planner = StartPlanner.create({
             epoch,
             clock,
@@ -87,6 +91,7 @@
             effects,
             results,
             trialPlanner,
+            copyPlanner,
         });
         const unreadWorkersFor = (job: string): number =>
             this.previousOwners.mayHaveRuns(job) ? this.previousOwners.unreadWorkers.size : 0;
--- a/packages/jobs/src/crash-suspicions.ts
+++ b/packages/jobs/src/crash-suspicions.ts
@@ -76,7 +76,9 @@
     noteListed(run: Run, nowMs: number): void {
         const { task } = run;
         const hasSurvived =
-            run.phase === RunPhase.Running && nowMs - run.confirmedAtMs >= settledRunMs && task.run === run;
+            run.phase === RunPhase.Running &&
+            nowMs - run.confirmedAtMs >= settledRunMs &&
+            task.isCurrent(run);
         if (task.suspicion > 0 && hasSurvived) {
             this.change(task, -task.suspicion, run.worker.key, SuspicionChange.Survived);
         }
--- a/packages/jobs/src/end-observer.ts
+++ b/packages/jobs/src/end-observer.ts
@@ -1,4 +1,6 @@
+import type { CopyOutcome } from "./copy-outcome.js";
 import type { IgnoredEnd } from "./ignored-end.js";
+import type { Run } from "./run.js";
 import type { RunEnd } from "./run-end.js";
 import type { SuspicionChange } from "./suspicion-change.js";
 import type { Task } from "./task.js";
@@ -10,6 +12,10 @@
     readonly onApplied?: (task: Task, worker: WorkerIncarnation, end: RunEnd) => void;
     /** Called for each listed end that is not the end of its task's current run. */
     readonly onIgnored?: (worker: WorkerIncarnation, end: IgnoredEnd) => void;
+    /** Called for each start of a speculative copy, and when it is known how it has ended. */
+    readonly onCopy?: (copy: Run, outcome: CopyOutcome) => void;
+    /** Called for each run whose work was wasted because of a copy, with the processor time that it had reserved. */
+    readonly onCopyWaste?: (processorMs: number) => void;
     /** Called for each change of the suspicion that a task crashes its workers; `workerKey` is the worker concerned. */
     readonly onSuspicion?: (task: Task, workerKey: string, change: SuspicionChange) => void;
 }
--- a/packages/jobs/src/find-ignore-reason.ts
+++ b/packages/jobs/src/find-ignore-reason.ts
@@ -30,8 +30,9 @@
     if (task === undefined) {
         return findForMissingTask(jobs, end.task);
     }
-    if (run !== undefined && task.run === run) {
-        return undefined;
+    if (run !== undefined && task.isCurrent(run)) {
+        // The other run of a speculative task has ended as done before.
+        return task.isDone && task.step.spec.speculative ? IgnoreReason.TaskDone : undefined;
     }
     if (task.isDone) {
         return IgnoreReason.TaskDone;
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -15,6 +15,7 @@
 export class JobRegistry {
     private readonly jobs = new Map<string, Job>();
     private readonly undecidedJobs = new Set<Job>();
+    private readonly speculativeJobs = new Set<Job>();
     private readonly openTasks = OpenTasks.create();
     private changed = new Set<Job>();
 
@@ -37,6 +38,9 @@
         this.jobs.set(spec.id, job);
         if (job.endState === undefined) {
             this.undecidedJobs.add(job);
+            if (spec.steps.some(step => step.speculative)) {
+                this.speculativeJobs.add(job);
+            }
         }
         return job;
     }
@@ -50,6 +54,11 @@
         return this.undecidedJobs;
     }
 
+    /** Jobs without a final state that have a step whose tasks may have speculative copies. */
+    get undecidedSpeculative(): ReadonlySet<JobType> {
+        return this.speculativeJobs;
+    }
+
     get undecidedCount(): number {
         return this.undecidedJobs.size;
     }
@@ -103,6 +112,7 @@
             job.endedAtMs = wallMs;
             job.closeAll();
             this.undecidedJobs.delete(job);
+            this.speculativeJobs.delete(job);
             this.markChanged(job);
         }
     }
--- a/packages/jobs/src/listing-reader.ts
+++ b/packages/jobs/src/listing-reader.ts
@@ -145,9 +145,11 @@
         worker.add(run);
         const isWanted = task.run === undefined && !task.isDone && listedRun.number >= task.lastRun;
         if (isWanted) {
-            task.run = run;
+            task.setRun(run);
             task.lastRun = listedRun.number;
             task.readySinceMs = undefined;
+        } else if (this.mayAdoptBeside(task)) {
+            this.adoptBeside(task, run);
         } else {
             run.stopReason = StopReason.NotCurrent;
         }
@@ -160,11 +162,29 @@
         this.suspicions.noteListed(run, times.nowMs);
         trackSpeed(run, listedRun, times.nowMs);
         run.gauge = listedRun.gauge;
-        if (listedRun.checkpoint !== "" && run.task.run === run) {
+        if (listedRun.checkpoint !== "" && run.task.isCurrent(run) && run.task.takesCheckpointOf(run)) {
             run.task.setCheckpoint(listedRun.checkpoint);
         }
     }
 
+    /** Whether a task may have one more run than those known, whatever its number. */
+    private mayAdoptBeside({ step, isDone, copy }: Task): boolean {
+        const { speculative, gang, lasting, filler } = step.spec;
+        return speculative && !gang && !lasting && !filler && !isDone && copy === undefined;
+    }
+
+    /** Adopts one of two runs that a previous owner left of a speculative task; the workers are read in any order. */
+    private adoptBeside(task: Task, run: Run): void {
+        task.lastRun = Math.max(task.lastRun, run.number);
+        if (task.run === undefined) {
+            task.setRun(run);
+            task.readySinceMs = undefined;
+        } else {
+            task.copy = run;
+            this.results.copies.adopt(run);
+        }
+    }
+
     /** Releases runs that are absent from a listing requested after their start or their stop was confirmed. */
     private releaseMissing(
         worker: WorkerIncarnation,
--- a/packages/jobs/src/mark-migrations.ts
+++ b/packages/jobs/src/mark-migrations.ts
@@ -43,6 +43,7 @@
         run.phase === RunPhase.Running &&
         !run.isStopRequested &&
         run.task.run === run &&
+        run.task.copy === undefined &&
         run.worker.isReachable &&
         run.worker.pacePercentFor(spec.image) < LowPacePercent;
     run.lowPaceSinceMs = hasLowPace ? (run.lowPaceSinceMs ?? nowMs) : undefined;
@@ -59,6 +60,7 @@
         run.phase === RunPhase.Running &&
         !run.isStopRequested &&
         task.run === run &&
+        task.copy === undefined &&
         worker.isReachable;
     if (!canMigrate || !isSlowWorker(worker, nowMs)) {
         return false;
--- a/packages/jobs/src/order-responses.ts
+++ b/packages/jobs/src/order-responses.ts
@@ -107,6 +107,11 @@
     }
 
     private handleRefusal(run: Run, outcome: StartOutcome, nowMs: number): void {
+        const isCopy = run.task.copy === run;
+        if (isCopy) {
+            // The refusal does not delay the task itself, whose original may end at any time.
+            run.task.copyNotBeforeMs = nowMs + WorkerBackoffMs;
+        }
         this.results.withdraw(run);
         if (outcome === StartOutcome.RunNumberUsed) {
             run.task.lastRun += 1;
@@ -117,7 +122,9 @@
             return;
         }
         run.worker.avoidUntilMs = Math.max(run.worker.avoidUntilMs, nowMs + WorkerBackoffMs);
-        run.task.notBeforeMs =
-            nowMs + (outcome === StartOutcome.Invalid ? WorkerBackoffMs : TaskRetryDelayMs);
+        if (!isCopy) {
+            run.task.notBeforeMs =
+                nowMs + (outcome === StartOutcome.Invalid ? WorkerBackoffMs : TaskRetryDelayMs);
+        }
     }
 }
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -1,3 +1,4 @@
+import type { CopyRuns } from "./copy-runs.js";
 import { EndKind } from "./end-kind.js";
 import type { EndObserver } from "./end-observer.js";
 import { EndReason } from "./end-reason.js";
@@ -30,17 +31,26 @@
         private readonly rules: QueueRules,
         private readonly trials: Trials,
         private readonly observer: EndObserver,
+        /** The speculative copies of the cell. */
+        readonly copies: CopyRuns,
     ) {}
 
-    static create(jobs: JobRegistry, rules: QueueRules, trials: Trials, observer: EndObserver): RunResults {
-        return new RunResults(jobs, rules, trials, observer);
+    static create(
+        jobs: JobRegistry,
+        rules: QueueRules,
+        trials: Trials,
+        observer: EndObserver,
+        copies: CopyRuns,
+    ): RunResults {
+        return new RunResults(jobs, rules, trials, observer, copies);
     }
 
     /** Removes a run that has not started from its worker. The task has waited since before that start. */
     withdraw(run: Run): void {
-        const isCurrent = run.task.run === run;
+        const wasRun = run.task.run === run;
         this.release(run);
-        if (isCurrent) {
+        this.copies.withdraw(run);
+        if (wasRun && run.task.run === undefined) {
             run.task.readySinceMs = run.waitedSinceMs;
         }
     }
@@ -49,9 +59,9 @@
     private release(run: Run): void {
         run.worker.remove(run);
         if (run.task.run === run) {
-            run.task.run = undefined;
             this.trials.close(run.task);
         }
+        run.task.detach(run);
     }
 
     /**
@@ -59,7 +69,7 @@
      * any of its runs.
      */
     finish(run: Run, end: RunEnd, times: EndTimes): void {
-        const isCurrent = run.task.run === run;
+        const isCurrent = run.task.isCurrent(run);
         const completesTask = end.kind === EndKind.Done && run.task.run === undefined;
         if (isCurrent && end.kind !== EndKind.Stopped && run.confirmedAtMs > 0) {
             this.trials.noteOutcome(run.task, end.kind === EndKind.Lapsed);
@@ -76,8 +86,12 @@
             run.task.notRunningSinceMs ??= times.nowMs;
             this.countWaitSinceLoss(run, end);
         }
+        if (run.task.step.spec.speculative) {
+            this.copies.noteEnd(run, end, times.nowMs);
+        }
         if (isCurrent || completesTask) {
-            this.apply(run.task, run.worker, end, times);
+            const keepsCheckpoint = !isCurrent || run.task.takesCheckpointOf(run);
+            this.apply(run.task, run.worker, keepsCheckpoint ? end : { ...end, checkpoint: "" }, times);
         } else if (end.kind === EndKind.Done) {
             this.completeByEarlierRun(run.task, times.wallMs);
         }
--- a/packages/jobs/src/run.ts
+++ b/packages/jobs/src/run.ts
@@ -17,6 +17,8 @@
     isListed = false;
     /** Whether a previous owner ordered the start, so that `startedAtMs` is the time at which this owner found the run. */
     isAdopted = false;
+    /** Whether it was started or found as a speculative copy, also if it has become the task's only run. */
+    isCopy = false;
     /** Reason to stop this run; undefined if none was set. */
     stopReason: StopReason | undefined;
     /** Monotonic time of the last stop order; 0 if none was sent. */
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "@samphireward/core/clock";
 import { CapacityIndex } from "./capacity-index.js";
+import type { CopyPlanner } from "./copy-planner.js";
 import { isReady } from "./is-ready.js";
 import type { JobRegistry } from "./job-registry.js";
 import { HeldWorkers } from "./held-workers.js";
+import { nextRunNumber } from "./next-run-number.js";
 import { longestWaitMs } from "./longest-wait-ms.js";
 import { mayRelaxFit } from "./may-relax-fit.js";
 import { overdueTasks } from "./overdue-tasks.js";
@@ -12,7 +14,7 @@
 import { OrderKind } from "./order-kind.js";
 import type { Order } from "./order.js";
 import type { QueueRules } from "./queue-rules.js";
-import { Run } from "./run.js";
+import { startRun } from "./start-run.js";
 import type { RunResults } from "./run-results.js";
 import type { Step } from "./step.js";
 import { StepRank } from "./step-rank.js";
@@ -24,8 +26,6 @@
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 import { WorkerRanking } from "./worker-ranking.js";
 
-/** Run numbers reserved per epoch and task, so that numbers increase across owners even if a start was not stored. */
-const RunNumbersPerEpoch = 1_000;
 /** Most short tasks for which one plan tries to preempt lasting ones. */
 const MaxWaitingShortTasks = 64;
 
@@ -42,6 +42,7 @@
     readonly effects: NeighbourEffects;
     readonly results: RunResults;
     readonly trialPlanner: TrialPlanner;
+    readonly copyPlanner: CopyPlanner;
 }
 
 /** An open step with a ready task, and the service whose workers may run it. */
@@ -121,10 +122,11 @@
                 orders.push(...this.startTasks(step, service, nowMs, options).orders);
             }
         }
-        const { fleet, rules, effects } = this.context;
+        const { fleet, rules, effects, copyPlanner } = this.context;
+        const copies = copyPlanner.plan(nowMs, isBlocked);
         swapLastingTasks(overdue, { fleet, held: this.held, rules, effects, nowMs, isBlocked });
         preemptLastingTasks(waiting, { fleet, effects, nowMs, isBlocked });
-        return orders;
+        return copies.length === 0 ? orders : [...orders, ...copies];
     }
 
     private overdueSteps(ranked: readonly RankedStep[], nowMs: number): Set<Step> {
@@ -259,7 +261,7 @@
     }
 
     private nextRunNumber(task: Task): number {
-        return Math.max(task.lastRun + 1, (this.context.epoch - 1) * RunNumbersPerEpoch + 1);
+        return nextRunNumber(task, this.context.epoch);
     }
 
     private startOn(task: Task, worker: WorkerIncarnation, number: number, nowMs: number): Order {
@@ -267,16 +269,13 @@
             // Forces a new pace plan for the worker that includes this filler.
             worker.pacePlannedAtMs = -Infinity;
         }
-        const run = Run.create(task, worker, number, nowMs);
+        const run = startRun(task, worker, number, nowMs);
         run.waitedSinceMs = task.readySinceMs;
-        run.ticket = task.step.permits?.ticketFor(worker, nowMs);
         if (worker.heldFor === task.step) {
             this.held.release(worker);
         }
-        task.run = run;
-        task.lastRun = number;
+        task.setRun(run);
         task.readySinceMs = undefined;
-        worker.add(run);
         return { kind: OrderKind.Start, worker, run };
     }
 }
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -17,6 +17,8 @@
     criticalPathMs = 0;
     /** Mean speed of its tasks relative to their estimate; undefined before the first reading. */
     meanRelativeSpeed: number | undefined;
+    /** Durations of the runs of a speculative step that ended as done, in milliseconds; those of adopted runs are left out. */
+    readonly doneDurationsMs: number[] = [];
     /** Permits of the step; undefined if it needs none. */
     permits: StepPermits | undefined;
     /** Number of tasks that are not done. */
--- a/packages/jobs/src/stop-orders.ts
+++ b/packages/jobs/src/stop-orders.ts
@@ -27,7 +27,7 @@
     if (run.stopReason !== undefined) {
         return run.stopReason;
     }
-    if (task.run !== run) {
+    if (!task.isCurrent(run)) {
         return StopReason.NotCurrent;
     }
     return run.phase === RunPhase.Unknown ? StopReason.NoAnswer : undefined;
--- a/packages/jobs/src/stop-reason.ts
+++ b/packages/jobs/src/stop-reason.ts
@@ -12,6 +12,8 @@
     Migrated: "moves",
     /** Its data centre is evacuated, and another one has capacity for it. */
     Evacuated: "evacuated",
+    /** It is a speculative copy that is expected to end after its original. */
+    Behind: "copy-behind",
     /** It belongs to no task of an open job. */
     Orphan: "stray",
     /** Its start was sent to a previous incarnation of the worker, got no response and may still be carried out. */
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -13,6 +13,12 @@
     checkpoint = "";
     /** The current run; it may be one whose start got no response. */
     run: Run | undefined;
+    /** A speculative copy that runs beside `run`; undefined if there is none, and always if `run` is undefined. */
+    copy: Run | undefined;
+    /** Whether this owner knows of a copy of the task that has run, so that it gets no further one. */
+    hasBeenCopied = false;
+    /** Monotonic time before which no copy of the task is started. */
+    copyNotBeforeMs = 0;
     /** Ids of the workers on which a run failed. */
     readonly failedWorkerIds = new Set<string>();
     /** Monotonic time since which the task has been ready without a worker; undefined if it is not. */
@@ -31,6 +37,8 @@
     trial: Trial | undefined;
     /** Key of a worker, stored by a previous owner, whose loss would count against the task; until it is known. */
     inheritedWorkerKey: string | undefined;
+    /** Progress of the run of a speculative step that wrote the latest checkpoint, in percent. */
+    private checkpointPercent = 0;
     /** Ends of the waits for late starts, in monotonic time, by worker id; undefined if there was none. */
     private lateStartEndsMs: Map<string, number> | undefined;
 
@@ -66,6 +74,27 @@
         this.lateStartEndsMs?.delete(workerId);
     }
 
+    /** Whether a run is the current one or its copy. */
+    isCurrent(run: Run): boolean {
+        return this.run === run || this.copy === run;
+    }
+
+    /** Makes a run the current one. Its checkpoints count whatever an earlier run had reached. */
+    setRun(run: Run): void {
+        this.run = run;
+        this.checkpointPercent = 0;
+    }
+
+    /** Detaches a run that has ended. The copy of a task without a run becomes its run. */
+    detach(run: Run): void {
+        if (this.copy === run) {
+            this.copy = undefined;
+        } else if (this.run === run) {
+            this.run = this.copy;
+            this.copy = undefined;
+        }
+    }
+
     /** Records that a worker has begun a run of the task. */
     noteStarted(): void {
         this.step.occurrence.job.hasStarted = true;
@@ -79,6 +108,18 @@
         }
     }
 
+    /** Whether the checkpoint of a current run replaces the latest one, which the other run may have written further on. */
+    takesCheckpointOf(run: Run): boolean {
+        if (!this.step.spec.speculative) {
+            return true;
+        }
+        if (run.progressPercent < this.checkpointPercent) {
+            return false;
+        }
+        this.checkpointPercent = run.progressPercent;
+        return true;
+    }
+
     markDone(): void {
         if (!this.done) {
             this.done = true;
--- a/packages/jobs/src/worker-loss.ts
+++ b/packages/jobs/src/worker-loss.ts
@@ -8,7 +8,7 @@
 
 /** Whether the run may have been there when its worker was lost, and the task is still wanted. */
 const isInvolved = (run: Run): boolean =>
-    run.task.run === run &&
+    run.task.isCurrent(run) &&
     !run.task.isDone &&
     run.stopConfirmedAtMs === 0 &&
     run.task.step.occurrence.job.endState === undefined;
