Tests of copies, bounded search for slow runs, and copies that make room

Cause: the search for slow runs took 0.2 ms of each plan of 378 workers, and a copy kept capacity for which a task waits.

--- a/packages/jobs/src/assess-straggler.ts
+++ b/packages/jobs/src/assess-straggler.ts
@@ -10,12 +10,12 @@
     readonly estimatedMs: number;
     /** Mean speed of the step's tasks relative to the estimate; undefined before the first reading. */
     readonly meanRelativeSpeed: number | undefined;
-    /** Median duration of the siblings that ended as done, in milliseconds; undefined if this owner saw none. */
+    /** Median duration of the tasks that ended as done, in milliseconds; undefined if this owner saw none. */
     readonly medianDoneMs: number | undefined;
     /** Siblings that have ended as done. */
     readonly siblingsDone: number;
-    /** Progress of each sibling that runs, in percent. */
-    readonly siblingsProgress: readonly number[];
+    /** Progress of each task of the step that runs, the run itself included, in percent. */
+    readonly runningProgress: readonly number[];
 }
 
 /** What a copy is expected to take and to gain. */
@@ -41,13 +41,9 @@
 /** Share of the siblings that have started which have to be done or further along; otherwise the step is slow as a whole. */
 const MinAheadShare = 0.5;
 
-const isBehindSiblings = ({
-    siblingsDone,
-    siblingsProgress,
-    progressPercent,
-}: StragglerReadings): boolean => {
-    const ahead = siblingsProgress.filter(percent => percent >= progressPercent + AheadPercent).length;
-    const started = siblingsDone + siblingsProgress.length;
+const isBehindSiblings = ({ siblingsDone, runningProgress, progressPercent }: StragglerReadings): boolean => {
+    const ahead = runningProgress.filter(percent => percent >= progressPercent + AheadPercent).length;
+    const started = siblingsDone + runningProgress.length - 1;
     return started > 0 && siblingsDone + ahead >= started * MinAheadShare;
 };
 
@@ -62,7 +58,7 @@
 export const assessStraggler = (readings: StragglerReadings): Straggler | undefined => {
     const { elapsedMs, progressPercent, checkpoints, estimatedMs, meanRelativeSpeed, medianDoneMs } =
         readings;
-    if (elapsedMs < MinElapsedMs || progressPercent >= 100 || !isBehindSiblings(readings)) {
+    if (elapsedMs < MinElapsedMs || progressPercent >= 100) {
         return undefined;
     }
     const speed = meanRelativeSpeed !== undefined && meanRelativeSpeed > 0 ? meanRelativeSpeed : undefined;
@@ -72,7 +68,8 @@
     }
     const leftMs = remainingMs(readings, usualMs);
     const copyMs = CopyStartMs + usualMs * (checkpoints ? 1 - progressPercent / 100 : 1);
-    const isSlow = elapsedMs + leftMs >= usualMs * SlowRatio;
     const gainMs = leftMs - copyMs;
-    return isSlow && leftMs >= copyMs * MinGainRatio && gainMs >= MinGainMs ? { copyMs, gainMs } : undefined;
+    const isSlow = elapsedMs + leftMs >= usualMs * SlowRatio;
+    const endsEarlier = leftMs >= copyMs * MinGainRatio && gainMs >= MinGainMs;
+    return isSlow && endsEarlier && isBehindSiblings(readings) ? { copyMs, gainMs } : undefined;
 };
--- a/packages/jobs/src/copy-candidates.ts
+++ b/packages/jobs/src/copy-candidates.ts
@@ -25,9 +25,6 @@
     readonly gainMs: number;
 }
 
-const median = (values: readonly number[]): number | undefined =>
-    [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)];
-
 const mayHaveCopies = ({ spec }: Step): boolean =>
     spec.speculative && !spec.lasting && !spec.gang && !spec.filler && spec.count > 1;
 
@@ -51,7 +48,8 @@
         }
     }
     const siblingsDone = step.spec.count - step.remainingTasks;
-    const medianDoneMs = median(step.doneDurationsMs);
+    const runningProgress = running.map(({ progressPercent }) => progressPercent);
+    const medianDoneMs = step.doneDurationsMs[Math.floor(step.doneDurationsMs.length / 2)];
     const { checkpoints, estimatedMs } = step.spec;
     const { meanRelativeSpeed } = step;
     const candidates: CopyCandidate[] = [];
@@ -67,7 +65,7 @@
             meanRelativeSpeed,
             medianDoneMs,
             siblingsDone,
-            siblingsProgress: running.filter(other => other !== run).map(other => other.progressPercent),
+            runningProgress,
         });
         if (straggler !== undefined) {
             candidates.push({ original: run, service, ...straggler });
--- a/packages/jobs/src/copy-planner.ts
+++ b/packages/jobs/src/copy-planner.ts
@@ -1,28 +1,22 @@
-import { CapacityIndex } from "./capacity-index.js";
+import type { CapacityIndex } from "./capacity-index.js";
+import { chooseCopyWorker } from "./choose-copy-worker.js";
 import { CopyBudget } from "./copy-budget.js";
 import { copyCandidates } from "./copy-candidates.js";
 import type { CopyRuns } from "./copy-runs.js";
 import { isCopyBehind } from "./is-copy-behind.js";
-import { isOpenToStep } from "./is-open-to-step.js";
 import { isReady } from "./is-ready.js";
-import { isSlowWorker } from "./is-slow-worker.js";
-import { isSuitable } from "./is-suitable.js";
 import type { JobRegistry } from "./job-registry.js";
 import { limitForFleet } from "./limit-for-fleet.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import { nextRunNumber } from "./next-run-number.js";
 import type { Order } from "./order.js";
 import { OrderKind } from "./order-kind.js";
-import { ProjectedCapacity } from "./projected-capacity.js";
+import { preemptCopies } from "./preempt-copies.js";
 import type { QueueRules } from "./queue-rules.js";
-import type { Run } from "./run.js";
+import type { RankedStep } from "./ranked-step.js";
 import { startRun } from "./start-run.js";
 import { StopReason } from "./stop-reason.js";
-import type { Task } from "./task.js";
-import { waitingSteps } from "./waiting-steps.js";
 import type { WorkerFleet } from "./worker-fleet.js";
-import type { WorkerIncarnation } from "./worker-incarnation.js";
-import { WorkerRanking } from "./worker-ranking.js";
 
 /** Dependencies of the planner. */
 interface CopyContext {
@@ -34,17 +28,22 @@
     readonly copies: CopyRuns;
 }
 
-/** Time between two searches for slow runs; progress is listed no more often. */
-const SearchIntervalMs = 350;
-/** Most copies of one plan; more in a large fleet. */
-const MaxCopiesPerPlan = 1;
+/** State of a plan in which all ready tasks have been placed as far as there is room. */
+interface PlanState {
+    /** The steps that had ready tasks when the plan began. */
+    readonly ranked: readonly RankedStep[];
+    readonly capacity: CapacityIndex;
+    readonly nowMs: number;
+    /** Whether the tasks of a job cannot start now. */
+    readonly isBlocked: (job: string) => boolean;
+}
+
+/** Time between two searches for slow runs; few workers list their progress more often. */
+const SearchIntervalMs = 500;
+/** Most copies that are started after one search; more in a large fleet. */
+const MaxCopiesPerSearch = 1;
 /** With more waiting steps than this the cell is full, and no copy is started. */
 const MaxWaitingSteps = 16;
-/** Most waiting tasks for which one plan stops copies. */
-const MaxTasksToMakeRoomFor = 16;
-
-type WaitingSteps = ReturnType<typeof waitingSteps>;
-type CopyCandidate = ReturnType<typeof copyCandidates>[number];
 
 /** Decides which tasks of speculative steps get a copy, and which copies are stopped again. */
 export class CopyPlanner {
@@ -56,19 +55,21 @@
         return new CopyPlanner(context);
     }
 
-    /**
-     * Returns the starts of copies; to be called after all waiting tasks were placed. Jobs for which `isBlocked` returns
-     * true get none. Copies whose capacity a waiting task can use are marked to be stopped.
-     */
-    plan(nowMs: number, isBlocked: (job: string) => boolean): Order[] {
-        const { jobs, rules, copies, fleet } = this.context;
+    /** Returns the starts of copies, and marks copies to be stopped whose capacity a waiting task can use. */
+    plan({ ranked, capacity, nowMs, isBlocked }: PlanState): Order[] {
+        const { jobs, fleet, rules, copies } = this.context;
         if (jobs.undecidedSpeculative.size === 0) {
             return [];
         }
-        if (copies.openCount > 0) {
-            this.makeRoom(nowMs, isBlocked);
+        const isSearchDue = nowMs - this.searchedAtMs >= SearchIntervalMs;
+        if (copies.openCount === 0 && !isSearchDue) {
+            return [];
+        }
+        const waiting = ranked.filter(({ step }) => step.tasks.some(task => isReady(task, nowMs)));
+        if (copies.openCount > 0 && waiting.length > 0) {
+            preemptCopies(waiting, copies.open, fleet, nowMs);
         }
-        if (nowMs - this.searchedAtMs < SearchIntervalMs) {
+        if (!isSearchDue) {
             return [];
         }
         this.searchedAtMs = nowMs;
@@ -77,28 +78,26 @@
                 copy.stopReason = StopReason.Behind;
             }
         }
-        const candidates = copyCandidates({ jobs, rules, nowMs, isBlocked });
-        if (candidates.length === 0) {
-            return [];
-        }
-        const waiting = waitingSteps(jobs, rules);
         if (waiting.length > MaxWaitingSteps) {
             return [];
         }
-        const maxCopies = limitForFleet(MaxCopiesPerPlan, fleet.size);
+        const maxCopies = limitForFleet(MaxCopiesPerSearch, fleet.size);
         const orders: Order[] = [];
-        for (const candidate of candidates) {
+        for (const candidate of copyCandidates({ jobs, rules, nowMs, isBlocked })) {
             if (orders.length >= maxCopies) {
                 break;
             }
-            orders.push(...this.startCopy(candidate, waiting, nowMs));
+            orders.push(...this.startCopy(candidate, { waiting, capacity, nowMs }));
         }
         return orders;
     }
 
-    private startCopy(candidate: CopyCandidate, waiting: WaitingSteps, nowMs: number): Order[] {
-        const { original, copyMs } = candidate;
-        const { copies, epoch } = this.context;
+    private startCopy(
+        { original, service, copyMs }: ReturnType<typeof copyCandidates>[number],
+        state: Pick<PlanState, "capacity" | "nowMs"> & { readonly waiting: readonly RankedStep[] },
+    ): Order[] {
+        const { nowMs } = state;
+        const { copies, epoch, effects } = this.context;
         const { task, reservation, startedAtMs } = original;
         // If the copy loses, its work is wasted; if it wins, that of the original.
         const atRisk = reservation.processors * (copyMs + nowMs - startedAtMs);
@@ -108,7 +107,7 @@
         ) {
             return [];
         }
-        const worker = this.chooseWorker(candidate, waiting, nowMs);
+        const worker = chooseCopyWorker(original, { ...state, service, effects });
         if (worker === undefined) {
             return [];
         }
@@ -118,43 +117,6 @@
         return [{ kind: OrderKind.Start, worker, run }];
     }
 
-    /** Chooses a worker in another rack, or else any other one, whose capacity no waiting task can use. */
-    private chooseWorker(
-        { original, service }: CopyCandidate,
-        waiting: WaitingSteps,
-        nowMs: number,
-    ): WorkerIncarnation | undefined {
-        const { fleet, effects } = this.context;
-        const { task } = original;
-        const { step } = task;
-        const workers = CapacityIndex.create(fleet.workers)
-            .candidates(step, true)
-            .filter(
-                worker =>
-                    worker !== original.worker &&
-                    !isSlowWorker(worker, nowMs) &&
-                    nowMs >= worker.avoidUntilMs &&
-                    !task.failedWorkerIds.has(worker.entry.id) &&
-                    !worker.lateStarts.has(task.name) &&
-                    !waiting.some(
-                        other =>
-                            other.step.reservation.fitsIn(worker.entry.capacity) &&
-                            isOpenToStep(worker, other.step, other.service, nowMs),
-                    ),
-            );
-        const choose = (among: readonly WorkerIncarnation[]): WorkerIncarnation | undefined =>
-            WorkerRanking.create({
-                workers: among,
-                step,
-                service,
-                effects,
-                nowMs,
-                requiresGoodFit: true,
-            }).choose(task);
-        const { rack } = original.worker.entry;
-        return choose(workers.filter(({ entry }) => entry.rack !== rack)) ?? choose(workers);
-    }
-
     private cellProcessors(): number {
         let sum = 0;
         for (const { isReachable, entry } of this.context.fleet.workers) {
@@ -162,57 +124,4 @@
         }
         return sum;
     }
-
-    /** Marks copies to be stopped whose capacity is all that a waiting task lacks. */
-    private makeRoom(nowMs: number, isBlocked: (job: string) => boolean): void {
-        const { jobs, rules, fleet } = this.context;
-        const capacity = ProjectedCapacity.create(fleet.workers);
-        let count = 0;
-        for (const { step, service } of waitingSteps(jobs, rules)) {
-            if (step.spec.filler || isBlocked(step.occurrence.job.spec.id)) {
-                continue;
-            }
-            for (const task of step.tasks) {
-                if (isReady(task, nowMs) && ++count <= MaxTasksToMakeRoomFor) {
-                    this.makeRoomFor(task, service, capacity, nowMs);
-                }
-            }
-        }
-    }
-
-    private makeRoomFor(task: Task, service: string, capacity: ProjectedCapacity, nowMs: number): void {
-        const { reservation } = task.step;
-        const copy = this.findCopyToStop(task, service, capacity, nowMs);
-        if (copy === undefined) {
-            return;
-        }
-        for (const worker of this.context.fleet.workers) {
-            if (capacity.fits(worker, reservation) && isSuitable(worker, task, service, nowMs)) {
-                capacity.reserve(worker, reservation);
-                return;
-            }
-        }
-        copy.stopReason = StopReason.Preempted;
-        capacity.release(copy.worker, copy.reservation.minus(reservation));
-    }
-
-    private findCopyToStop(
-        task: Task,
-        service: string,
-        capacity: ProjectedCapacity,
-        nowMs: number,
-    ): Run | undefined {
-        for (const copy of this.context.copies.open) {
-            const { worker, reservation } = copy;
-            const isCopy = copy.task.copy === copy && !copy.isStopRequested;
-            if (
-                isCopy &&
-                capacity.fits(worker, task.step.reservation.minus(reservation)) &&
-                isSuitable(worker, task, service, nowMs)
-            ) {
-                return copy;
-            }
-        }
-        return undefined;
-    }
 }
--- a/packages/jobs/src/copy-runs.ts
+++ b/packages/jobs/src/copy-runs.ts
@@ -16,6 +16,11 @@
     return isLost ? CopyOutcome.Lapsed : CopyOutcome.Stopped;
 };
 
+const insertSorted = (values: number[], value: number): void => {
+    const index = values.findIndex(other => other > value);
+    values.splice(index === -1 ? values.length : index, 0, value);
+};
+
 /** The speculative copies of a cell that have not ended, and what copies have cost. */
 export class CopyRuns {
     readonly budget = CopyBudget.create();
@@ -31,8 +36,8 @@
     }
 
     /** Copies that have not ended, including those that are being stopped. */
-    get open(): Iterable<Run> {
-        return this.atRisk.keys();
+    get open(): readonly Run[] {
+        return [...this.atRisk.keys()];
     }
 
     get openCount(): number {
@@ -41,7 +46,7 @@
 
     /** Processors that copies reserve. */
     get processors(): number {
-        return [...this.atRisk.keys()].reduce((sum, { reservation }) => sum + reservation.processors, 0);
+        return this.open.reduce((sum, { reservation }) => sum + reservation.processors, 0);
     }
 
     /** Processor time that the open copies may waste, in milliseconds. */
@@ -77,7 +82,7 @@
         const processorMs = run.reservation.processors * Math.max(0, nowMs - run.startedAtMs);
         if (wins) {
             if (!run.isAdopted) {
-                task.step.doneDurationsMs.push(nowMs - run.startedAtMs);
+                insertSorted(task.step.doneDurationsMs, nowMs - run.startedAtMs);
             }
             this.budget.addWork(processorMs, nowMs);
             if (run.isCopy && task.run !== undefined) {
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -16,6 +16,7 @@
 import type { QueueRules } from "./queue-rules.js";
 import { startRun } from "./start-run.js";
 import type { RunResults } from "./run-results.js";
+import type { RankedStep } from "./ranked-step.js";
 import type { Step } from "./step.js";
 import { StepRank } from "./step-rank.js";
 import { swapLastingTasks } from "./swap-lasting-tasks.js";
@@ -45,12 +46,6 @@
     readonly copyPlanner: CopyPlanner;
 }
 
-/** An open step with a ready task, and the service whose workers may run it. */
-interface RankedStep {
-    readonly step: Step;
-    readonly service: string;
-}
-
 /** The starts of a step's tasks in one pass. */
 interface StepStarts {
     readonly orders: readonly Order[];
@@ -123,7 +118,7 @@
             }
         }
         const { fleet, rules, effects, copyPlanner } = this.context;
-        const copies = copyPlanner.plan(nowMs, isBlocked);
+        const copies = copyPlanner.plan({ ranked, capacity: this.capacity, nowMs, isBlocked });
         swapLastingTasks(overdue, { fleet, held: this.held, rules, effects, nowMs, isBlocked });
         preemptLastingTasks(waiting, { fleet, effects, nowMs, isBlocked });
         return copies.length === 0 ? orders : [...orders, ...copies];
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -17,7 +17,7 @@
     criticalPathMs = 0;
     /** Mean speed of its tasks relative to their estimate; undefined before the first reading. */
     meanRelativeSpeed: number | undefined;
-    /** Durations of the runs of a speculative step that ended as done, in milliseconds; those of adopted runs are left out. */
+    /** Durations of a speculative step's runs that ended as done, in milliseconds, ascending; without adopted runs. */
     readonly doneDurationsMs: number[] = [];
     /** Permits of the step; undefined if it needs none. */
     permits: StepPermits | undefined;
--- /dev/null
+++ b/packages/jobs/tests/copies.test.ts
@@ -0,0 +1,267 @@
+import { Resources } from "@samphireward/core/resources";
+import t from "tap";
+import { EndKind } from "../src/end-kind.js";
+import { IgnoreReason } from "../src/ignore-reason.js";
+import { JobState } from "../src/job-state.js";
+import { OrderKind } from "../src/order-kind.js";
+import { readProgress } from "../src/read-progress.js";
+import { StartOutcome } from "../src/start-outcome.js";
+import { StopReason } from "../src/stop-reason.js";
+import { CopyCase } from "./copy-case.js";
+import { SchedulerHarness } from "./scheduler-harness.js";
+
+// Guards against a slow task that holds up its step, and against a copy beside its original in the same rack.
+t.test("load pattern: the last task of a step is on a slow worker", t => {
+    const { harness, original, startCopy, task } = CopyCase.create();
+    const copy = startCopy();
+    t.equal(copy.task, task);
+    t.not(copy.worker, original.worker);
+    t.equal(copy.worker.entry.rack, "far", "it starts in another rack");
+    t.ok(copy.number > original.number, "run numbers rise");
+    t.same(harness.planOrders(), [], "there is one copy, and neither run is stopped");
+    t.end();
+});
+
+// Guards against duplicate runs of tasks whose step does not allow them.
+t.test("steps that allow no copies get none", t => {
+    const others = [{ speculative: false }, { gang: true }, { lasting: true }, { filler: true, image: "f" }];
+    for (const step of others) {
+        const { harness } = CopyCase.create(step);
+        t.same(harness.planStarts(), [], JSON.stringify(step));
+    }
+    t.end();
+});
+
+// Guards against an end as done that is lost or done twice when either run of a task ends first.
+t.test("the first end as done counts, and the other run is stopped", t => {
+    for (const first of ["copy", "original"] as const) {
+        const copyCase = CopyCase.create();
+        const { harness, original, job, startCopy } = copyCase;
+        const copy = startCopy();
+        const [winner, loser] = first === "copy" ? [copy, original] : [original, copy];
+        harness.clock.advance(100);
+        harness.reportEnd(winner, EndKind.Done);
+        t.equal(harness.scheduler.jobs.get(job)?.endState, JobState.Completed, first);
+        t.match(harness.planOrders(), [
+            { kind: OrderKind.Stop, number: loser.number, reason: StopReason.Unwanted },
+        ]);
+        harness.reportEnd(loser, EndKind.Done);
+        t.match(harness.ignoredEnds.at(-1), { number: loser.number, reason: IgnoreReason.TaskDone });
+        t.same(harness.planOrders(), [], "nothing starts afterwards");
+        t.strictSame(
+            copyCase.outcomes,
+            ["started", first === "copy" ? "won" : "stopped"],
+            "the copy is counted once",
+        );
+        t.ok(copyCase.wastedMs > 0, "the work of the other run is counted as wasted");
+    }
+    t.end();
+});
+
+// Guards against a task that is started a third time, or given up, because one of its two runs was lost.
+t.test("the other run goes on when the worker of one is lost", t => {
+    for (const lost of ["copy", "original"] as const) {
+        const { harness, original, task, startCopy } = CopyCase.create();
+        const copy = startCopy();
+        const [gone, left] = lost === "copy" ? [copy, original] : [original, copy];
+        harness.scheduler.registerWorker({ ...gone.worker.entry, startedAtMs: 2 });
+        t.equal(task.run, left, lost);
+        t.equal(task.copy, undefined);
+        t.same(harness.planStarts(), []);
+        harness.reportEnd(left, EndKind.Done);
+        t.ok(task.isDone);
+    }
+    t.end();
+});
+
+// Guards against failures of copies that are not counted or counted twice, and against a job that a copy alone ends.
+t.test("failed copies count as attempts, once per run number", t => {
+    const { harness, original, task, job, startCopy } = CopyCase.create();
+    const copy = startCopy();
+    harness.reportEnd(copy, EndKind.Failed);
+    t.strictSame([...task.failedRuns], [copy.number]);
+    t.equal(task.run, original, "the original goes on");
+    harness.clock.advance(1_000);
+    t.same(harness.planStarts(), [], "there is no second copy");
+    harness.reportEnd(original, EndKind.Failed);
+    t.equal(harness.scheduler.jobs.get(job)?.endState, JobState.Failed);
+    t.same(harness.planStarts(), []);
+    t.end();
+});
+
+// Guards against a copy whose failure ends a job that would have been completed without it.
+t.test("a task with one attempt left gets no copy", t => {
+    const { harness, task } = CopyCase.create();
+    task.failedRuns.add(1);
+    t.same(harness.planStarts(), []);
+    t.end();
+});
+
+// Guards against an original that waits for, or is stopped because of, a copy whose start was lost or refused.
+t.test("a copy without an answer is stopped, and one that is refused is withdrawn", t => {
+    const unknown = CopyCase.create();
+    const { harness, original, task } = unknown;
+    const copy = unknown.planCopy();
+    harness.scheduler.responses.recordStart(copy, StartOutcome.Unknown);
+    t.match(harness.planOrders(), [
+        { kind: OrderKind.Stop, number: copy.number, reason: StopReason.NoAnswer },
+    ]);
+    harness.reportEnd(original, EndKind.Done);
+    t.ok(task.isDone, "the original is done meanwhile");
+    harness.clock.advance(600);
+    t.match(harness.planOrders(), [
+        { kind: OrderKind.Stop, number: copy.number, reason: StopReason.Unwanted },
+    ]);
+
+    const refused = CopyCase.create();
+    const refusedCopy = refused.planCopy();
+    refused.harness.scheduler.responses.recordStart(refusedCopy, StartOutcome.Refused);
+    t.equal(refused.task.run, refused.original);
+    t.equal(refused.task.readySinceMs, undefined, "the task does not wait");
+    t.same(refused.harness.planOrders(), [], "it is not tried again at once");
+    t.strictSame(refused.outcomes, ["started", "withdrawn"]);
+    t.end();
+});
+
+// Guards against a start of the task beside a copy that a restarted worker may still carry out.
+t.test("a copy's start without an answer is stopped in the next incarnation of its worker", t => {
+    const { harness, original, task, planCopy } = CopyCase.create();
+    const copy = planCopy();
+    harness.scheduler.responses.recordStart(copy, StartOutcome.Unknown);
+    const worker = harness.addWorker(copy.worker.entry.id, { ...copy.worker.entry, startedAtMs: 2 });
+    t.match(harness.planOrders(), [
+        { kind: OrderKind.Stop, worker, number: copy.number, reason: StopReason.LateStart },
+    ]);
+    harness.reportEnd(original, EndKind.Failed);
+    harness.clock.advance(1_000);
+    t.same(harness.planStarts(), [], "the task waits for the end of the late start");
+    harness.scheduler.responses.recordStop(worker, task.name, copy.number);
+    harness.clock.advance(1);
+    harness.reportListing(worker, [], []);
+    t.equal(harness.planStarts().length, 1, "and starts once the stop is confirmed");
+    t.end();
+});
+
+// Guards against runs that a new owner starts once more, or an end as done that it loses, in whatever order it reads.
+t.test("the next owner takes up both runs", t => {
+    for (const order of [
+        [0, 1],
+        [1, 0],
+    ] as const) {
+        const before = CopyCase.create();
+        const copy = before.startCopy();
+        const job = before.harness.scheduler.jobs.get(before.job);
+        const next = SchedulerHarness.create(2);
+        next.inherit(before.spec, job && readProgress(job));
+        const runs = order.map(index => (index === 0 ? before.original : copy));
+        next.scheduler.expectInheritedWorkers(runs.map(({ worker }) => worker.key));
+        const workers = runs.map(({ worker }) => next.addUnreadWorker(worker.entry.id, worker.entry));
+        runs.forEach((run, index) => {
+            const worker = workers[index];
+            if (worker !== undefined) {
+                t.same(next.planOrders(), [], "nothing starts before all workers are read");
+                next.reportListing(worker, [SchedulerHarness.listedRun(run)], []);
+            }
+        });
+        t.same(next.planOrders(), [], "both runs continue");
+        const task = next.scheduler.jobs.findListedTask(before.task.name);
+        t.strictSame(
+            [task?.run?.number, task?.copy?.number],
+            runs.map(({ number }) => number),
+        );
+        t.equal(task?.lastRun, copy.number, "later runs get higher numbers");
+        const last = task?.copy;
+        if (last !== undefined) {
+            next.reportEnd(last, EndKind.Done);
+        }
+        t.match(next.planOrders(), [{ kind: OrderKind.Stop, reason: StopReason.Unwanted }]);
+        t.equal(next.scheduler.jobs.get(before.job)?.endState, JobState.Completed);
+    }
+    t.end();
+});
+
+// Guards against two runs of one task beside the unread runs of a previous owner.
+t.test("a job whose stored state is not known gets no copy", t => {
+    const harness = SchedulerHarness.create(2);
+    const spec = harness.makeJob({ speculative: true, count: 4 });
+    harness.inherit(spec);
+    const near = harness.addUnreadWorker("near");
+    const unread = harness.addUnreadWorker("unread");
+    harness.addWorker("far");
+    harness.scheduler.expectInheritedWorkers([near.key, unread.key]);
+    for (const percents of [
+        [0, 0, 0, 0],
+        [80, 80, 80, 5],
+    ]) {
+        const running = percents.map((progressPercent, index) => ({
+            task: `${spec.id}.0.0.${index}`,
+            number: 1,
+            checkpoint: "",
+            progressPercent,
+            gauge: 0,
+        }));
+        harness.reportListing(near, running, []);
+        harness.clock.advance(1_000);
+    }
+    t.same(harness.planStarts(), []);
+    harness.reportListing(unread, [], []);
+    harness.clock.advance(600);
+    t.match(harness.planStarts(), [{ isCopy: true }], "it gets one once all workers are read");
+    t.end();
+});
+
+// Guards against tasks that wait because copies have taken the capacity.
+t.test("load pattern: work arrives for which only the copy's capacity is left", t => {
+    const { harness, original, startCopy } = CopyCase.create();
+    const copy = startCopy();
+    harness.submit({ count: 3, resources: Resources.create({ processors: 16, memoryMb: 10 }) });
+    harness.planAndStartAll();
+    const stops = harness.planOrders().concat(harness.planOrders());
+    t.equal(copy.stopReason, StopReason.Preempted);
+    t.equal(original.stopReason, undefined);
+    t.ok(stops.length <= 1);
+    t.end();
+});
+
+// Guards against a copy on capacity that a task of another step waits for.
+t.test("load pattern: a larger task waits for a worker", t => {
+    const { harness } = CopyCase.create();
+    const processors = (count: number): Resources => Resources.create({ processors: count, memoryMb: 10 });
+    harness.submit({ resources: processors(9), count: 3, maxPerWorker: 1 });
+    const { id } = harness.submit({ resources: processors(16) });
+    const started = harness.planAndStartAll();
+    t.equal(started.filter(({ isCopy }) => !isCopy).length, 3, "the larger task waits");
+    t.equal(started.length, 3, "no copy takes what it waits for");
+    harness.scheduler.cancelJob(id);
+    harness.clock.advance(600);
+    t.match(harness.planStarts(), [{ isCopy: true }]);
+    t.end();
+});
+
+// Guards against a copy of a task that is long by itself, which would run as long as its original.
+t.test("load pattern: a task takes seven times as long wherever it runs", t => {
+    const { harness, original, startCopy, report } = CopyCase.create();
+    const copy = startCopy();
+    harness.clock.advance(1_500);
+    report(original, 40);
+    report(copy, 10);
+    t.match(harness.planOrders(), [{ kind: OrderKind.Stop, number: copy.number, reason: StopReason.Behind }]);
+    t.end();
+});
+
+// Guards against checkpoints of a copy that replace those of its original, which is further along.
+t.test("the checkpoint of the run that is further along counts", t => {
+    const { harness, original, task, startCopy, report } = CopyCase.create({ checkpoints: true });
+    report(original, 20, "at 20");
+    const copy = startCopy();
+    harness.clock.advance(400);
+    report(copy, 5, "at 5");
+    t.equal(task.checkpoint, "at 20");
+    harness.clock.advance(400);
+    report(copy, 60, "at 60");
+    t.equal(task.checkpoint, "at 60");
+    harness.reportEnd(original, EndKind.Stopped, "at 25");
+    t.equal(task.checkpoint, "at 60");
+    t.equal(task.run, copy);
+    t.end();
+});
--- a/packages/jobs/tests/scheduler-harness.ts
+++ b/packages/jobs/tests/scheduler-harness.ts
@@ -2,6 +2,7 @@
 import { Resources } from "@samphireward/core/resources";
 import { CellScheduler } from "../src/cell-scheduler.js";
 import type { EndKind } from "../src/end-kind.js";
+import type { EndObserver } from "../src/end-observer.js";
 import type { IgnoredEnd } from "../src/ignored-end.js";
 import type { JobProgress } from "../src/job-progress.js";
 import type { JobSpec } from "../src/job-spec.js";
@@ -35,6 +36,8 @@
     readonly appliedEnds: (RunEnd & { readonly task: string; readonly worker: string })[] = [];
     /** The ends that were not applied to their tasks, with the id of the worker. */
     readonly ignoredEnds: (IgnoredEnd & { readonly worker: string })[] = [];
+    /** Receives the outcomes of copies. */
+    copyObserver: Pick<EndObserver, "onCopy" | "onCopyWaste"> = {};
     private jobCount = 0;
     private readonly ends = new Map<string, number>();
 
@@ -42,6 +45,8 @@
         this.scheduler = CellScheduler.create(epoch, this.clock, cellLimits, {
             onApplied: (task, { entry }, end) =>
                 this.appliedEnds.push({ ...end, task: task.name, worker: entry.id }),
+            onCopy: (copy, outcome) => this.copyObserver.onCopy?.(copy, outcome),
+            onCopyWaste: processorMs => this.copyObserver.onCopyWaste?.(processorMs),
             onIgnored: ({ entry }, end) => this.ignoredEnds.push({ ...end, worker: entry.id }),
         });
         this.scheduler.setQueues([rule]);
