--- a/packages/dispatch/src/json-lines-log.ts
+++ b/packages/dispatch/src/json-lines-log.ts
@@ -6,7 +6,14 @@
 /** Rate limit of a process; lines above it are counted and dropped. */
 const MaxLinesPerSecond = 400;
 /** Events with a line for each task or request. At a high load they alone exceed the rate limit. */
-const FrequentEvents: ReadonlySet<string> = new Set(["start", "stop", "end", "end-ignored", "request"]);
+const FrequentEvents: ReadonlySet<string> = new Set([
+    "start",
+    "stop",
+    "end",
+    "end-ignored",
+    "copy",
+    "request",
+]);
 /** Part of the rate limit that frequent events leave to the others, which explain what they have in common. */
 const ReservedLines = 80;
 /** Length of the lines that are kept while the sink accepts no data; about 10 s at the rate limit. */
--- a/packages/dispatch/tests/end-reporter.test.ts
+++ b/packages/dispatch/tests/end-reporter.test.ts
@@ -1,4 +1,6 @@
+import { CopyOutcome } from "@samphireward/jobs/copy-outcome";
 import t from "tap";
+import { EndReporter } from "../src/end-reporter.js";
 import { oneTaskJob } from "./one-task-job.js";
 import { ReportedCell } from "./reported-cell.js";
 
@@ -88,3 +90,28 @@
     ]);
     t.match(await cell.metrics.text(), /ends_ignored_total\{kind="done"\} 1/);
 });
+
+// Guards against copies whose use and cost operators cannot tell.
+t.test("copies are logged and counted by outcome, with the work that they waste", async t => {
+    const cell = ReportedCell.create();
+    const worker = cell.addWorker("w1");
+    cell.scheduler.addJob(oneTaskJob);
+    cell.startAll();
+    const [copy] = worker.runs.values();
+    t.ok(copy !== undefined);
+    if (copy !== undefined) {
+        const reporter = EndReporter.create(cell);
+        reporter.onCopy(copy, CopyOutcome.Started);
+        cell.clock.advance(1_500);
+        reporter.onCopy(copy, CopyOutcome.Won);
+        reporter.onCopyWaste(3_000);
+    }
+    t.match(cell.lines("copy"), [
+        { task, run: 1, worker: "w1", outcome: "started" },
+        { task, run: 1, worker: "w1", outcome: "won", tookMs: 1_500 },
+    ]);
+    const text = await cell.metrics.text();
+    t.match(text, /copies_total\{outcome="started"\} 1/);
+    t.match(text, /copies_total\{outcome="won"\} 1/);
+    t.match(text, /copy_wasted_processor_seconds_total 3/);
+});
