Forget an overtaken original also when its start is withdrawn

Cause: the set of originals that a copy overtook kept one whose start was refused after its copy had ended as done, until the owner ended.

Change: withdraw removes it as well.

--- a/packages/jobs/src/copy-runs.ts
+++ b/packages/jobs/src/copy-runs.ts
@@ -69,6 +69,7 @@
 
     /** Records that a run was removed without having been confirmed. */
     withdraw(run: Run): void {
+        this.overtaken.delete(run);
         if (run.isCopy) {
             this.close(run, CopyOutcome.Withdrawn);
         }
