--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -16,6 +16,7 @@
 export class JobRegistry {
     private readonly jobs = new Map<string, Job>();
     private readonly undecidedJobs = new Set<Job>();
+    private readonly speculativeJobs = new Set<Job>();
     private readonly openTasks = OpenTasks.create();
     private changed = new Set<Job>();
 
@@ -38,6 +39,9 @@
         this.jobs.set(spec.id, job);
         if (job.endState === undefined) {
             this.undecidedJobs.add(job);
+            if (spec.steps.some(step => step.speculative)) {
+                this.speculativeJobs.add(job);
+            }
         }
         return job;
     }
@@ -56,6 +60,11 @@
         return this.undecidedJobs;
     }
 
+    /** Jobs without a final state that have a step whose tasks may have speculative copies. */
+    get undecidedSpeculative(): ReadonlySet<JobType> {
+        return this.speculativeJobs;
+    }
+
     get undecidedCount(): number {
         return this.undecidedJobs.size;
     }
@@ -109,6 +118,7 @@
             job.endedAtMs = wallMs;
             job.closeAll();
             this.undecidedJobs.delete(job);
+            this.speculativeJobs.delete(job);
             this.markChanged(job);
         }
     }
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -19,6 +19,8 @@
     meanRelativeSpeed: number | undefined;
     /** Monotonic time before which no further place is looked for to move its runs out of an evacuated data centre. */
     nextMoveSearchMs = 0;
+    /** Durations of a speculative step's runs that ended as done, in milliseconds, ascending; without adopted runs. */
+    readonly doneDurationsMs: number[] = [];
     /** Permits of the step; undefined if it needs none. */
     permits: StepPermits | undefined;
     /** Number of tasks that are not done. */
