Tests with clients that exceed the limits, which end the process or exceed its VM

Cause: nothing bounds the connections of a server, the requests on one of them, or the memory of unread bodies.

The test starts one dispatcher with the flags of deploy/system.toml, memory_mb 250 and file_descriptors 700, and checks that it is alive, stays under both, and answers one ordinary request while the clients are connected. The test runner runs it apart from other tests, as it does packages/demo.

--- a/packages/tools/src/run-tests.ts
+++ b/packages/tools/src/run-tests.ts
@@ -12,6 +12,14 @@
  * requests with deadlines, so tests that run in parallel on one machine would affect each other's latency.
  */
 const SerialTestPackage = "packages/demo";
+/**
+ * These files run alone as well: they send a process as much as it takes, which delays other tests, and other load would
+ * keep the excess from reaching the process.
+ */
+const SerialTestFiles = /client-limits[^/]*\.test\.js$/;
+
+const isSerial = (file: string): boolean =>
+    file.includes(`/${SerialTestPackage}/`) || SerialTestFiles.test(file);
 
 /**
  * Lists the compiled test files of the given packages. Starts from the sources, because the compiler does not delete
@@ -62,23 +70,14 @@
         requestedPackages.length > 0
             ? requestedPackages
             : [...readdirSync(join(root, "packages")).map(name => `packages/${name}`), "platform"];
+    const files = findTestFiles(root, packages);
     const outcomes = [
         ...(await runTestFiles(
             root,
-            findTestFiles(
-                root,
-                packages.filter(dir => dir !== SerialTestPackage),
-            ),
+            files.filter(file => !isSerial(file)),
             MaxConcurrentFiles,
         )),
-        ...(await runTestFiles(
-            root,
-            findTestFiles(
-                root,
-                packages.filter(dir => dir === SerialTestPackage),
-            ),
-            1,
-        )),
+        ...(await runTestFiles(root, files.filter(isSerial), 1)),
     ];
     const isKnownFailure = (outcome: TestOutcome): boolean =>
         knownFailures.some(entry => entry.test === outcome.test);
