Servers stay within limits of connections, requests and bodies

Cause: a server kept each chunk of a body as an object, bodies of any number of clients, and connections and pipelined requests without a bound. Clients of a worker and of the store read responses without a limit of bytes.

Change: BoundedServer (packages/core) bounds connections, open requests, pipelined requests, the memory and time of bodies, and unread responses. It is used by the callers' servers, JsonServer, and the servers for readiness and metrics. Beyond a limit, the longest idle connection is closed or the oldest incomplete body is refused; a request that is being handled is completed. Bodies and responses are collected in one buffer. Limits follow from memory_mb and file_descriptors, can be set, and are checked at start; client_refusals_total counts refusals by reason.

--- /dev/null
+++ b/packages/core/src/client-connection.ts
@@ -0,0 +1,12 @@
+import type { Socket } from "node:net";
+
+/** A connection of a client, and how much it has asked for. */
+export interface ClientConnection {
+    readonly socket: Socket;
+    /** Requests whose responses are not sent. */
+    openRequests: number;
+    /** Requests whose bodies are complete and that are being handled. */
+    handledRequests: number;
+    /** No further request is read from it. */
+    isClosing: boolean;
+}
--- a/packages/core/src/json-client.ts
+++ b/packages/core/src/json-client.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from "node:http";
+import { GrowingBuffer } from "./growing-buffer.js";
 import { IncompleteResponseError } from "./incomplete-response-error.js";
 import type { JsonResponse } from "./json-response.js";
 import { parseAddress } from "./parse-address.js";
@@ -48,21 +49,22 @@
             const { host, port } = parseAddress(this.address);
             let receivedBytes = 0;
             const req = request({ host, port, method, path, headers, agent: this.agent }, res => {
-                const chunks: Buffer[] = [];
+                const buffer = GrowingBuffer.create();
                 const beganAtMs = performance.now();
                 timer.noteProgress();
                 res.on("data", (chunk: Buffer) => {
                     timer.noteProgress();
                     receivedBytes += chunk.length;
-                    chunks.push(chunk);
                     if (receivedBytes > MaxResponseBytes) {
                         res.destroy(new Error(`The response exceeds ${MaxResponseBytes} bytes`));
+                    } else {
+                        buffer.add(chunk);
                     }
                 });
                 res.on("error", fail);
                 res.on("end", () => {
                     timer.stop();
-                    const body = parseResponseText(Buffer.concat(chunks).toString("utf8"));
+                    const body = parseResponseText(buffer.bytes.toString("utf8"));
                     if (body instanceof Error) {
                         reject(body);
                     } else {
--- /dev/null
+++ b/packages/core/tests/bounded-server.test.ts
@@ -0,0 +1,168 @@
+import { once } from "node:events";
+import type { Socket } from "node:net";
+import { connect } from "node:net";
+import t from "tap";
+import { BoundedServer } from "../src/bounded-server.js";
+import { deriveServerLimits } from "../src/derive-server-limits.js";
+import { listen } from "../src/listen.js";
+import { RefusalReason } from "../src/refusal-reason.js";
+import type { ServerLimits } from "../src/server-limits.js";
+
+const MaxBodyBytes = 10_000;
+
+interface Harness {
+    readonly port: number;
+    readonly refused: RefusalReason[];
+    /** Bodies that were handled. */
+    readonly handled: string[];
+    /** Ends the requests that are being handled. */
+    readonly release: () => void;
+    readonly close: () => void;
+}
+
+/** A server that handles the request to /slow until it is released. */
+const start = async (limits: Partial<ServerLimits>): Promise<Harness> => {
+    const refused: RefusalReason[] = [];
+    const handled: string[] = [];
+    const waiting: (() => void)[] = [];
+    const { server } = BoundedServer.create({
+        limits: { ...deriveServerLimits({}), ...limits },
+        listener: async (req, _res, request) => {
+            const body = await request.readBody(MaxBodyBytes);
+            if (body.isErr()) {
+                request.send(body.error.status, {}, body.error.text);
+                return;
+            }
+            if (req.url === "/slow") {
+                await new Promise<void>(resolve => waiting.push(resolve));
+            }
+            handled.push(body.value.toString());
+            request.send(200, {}, "done");
+        },
+        onRefused: reason => refused.push(reason),
+    });
+    const address = await listen(server, "127.0.0.1:0");
+    return {
+        port: Number(address.split(":")[1]),
+        refused,
+        handled,
+        release: () => waiting.splice(0).forEach(resolve => resolve()),
+        close: () => {
+            server.closeAllConnections();
+            server.close();
+        },
+    };
+};
+
+const open = async (port: number, text = ""): Promise<Socket> => {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    await once(socket, "connect");
+    socket.write(text);
+    return socket;
+};
+
+/** The status of the next response, or 0 when the connection is closed. */
+const statusOf = (socket: Socket): Promise<number> =>
+    new Promise(resolve => {
+        socket.once("data", (chunk: Buffer) => resolve(Number(chunk.toString().split(" ")[1])));
+        socket.once("close", () => resolve(0));
+    });
+
+const post = (path: string, length: number, body: string): string =>
+    `POST ${path} HTTP/1.1\r\nhost: x\r\ncontent-length: ${length}\r\n\r\n${body}`;
+
+// Guards against idle clients that keep others out, and against a request whose connection is closed to make room while
+// it is being handled.
+t.test("the longest idle connection is closed, never one whose request is being handled", async t => {
+    const server = await start({ connections: 2 });
+    t.teardown(() => server.close());
+    const busy = await open(server.port, post("/slow", 1, "a"));
+    const idle = await open(server.port);
+    const isIdleClosed = once(idle, "close");
+    const next = await open(server.port, post("/", 1, "b"));
+    t.equal(await statusOf(next), 200);
+    await isIdleClosed;
+    const busyStatus = statusOf(busy);
+    server.release();
+    t.equal(await busyStatus, 200);
+    t.strictSame(server.refused, [RefusalReason.Connections]);
+});
+
+// Guards against stalled bodies that keep the memory from others, and against a refusal of a request that was run.
+t.test("the body that was begun first is refused when bodies need too much memory", async t => {
+    const server = await start({ bodyBytes: 15_000 });
+    t.teardown(() => server.close());
+    const stalled = await open(server.port, post("/", 9_000, "x".repeat(8_000)));
+    const stalledStatus = statusOf(stalled);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const next = await open(server.port, post("/", 9_000, "y".repeat(9_000)));
+    t.equal(await statusOf(next), 200);
+    t.equal(await stalledStatus, 503);
+    t.strictSame(server.handled, ["y".repeat(9_000)]);
+    t.strictSame(server.refused, [RefusalReason.Bodies]);
+});
+
+// Guards against memory that is not given back, so that a server refuses everything after a while.
+t.test("the memory of answered, refused and abandoned bodies is free again", async t => {
+    const server = await start({ bodyBytes: 15_000, requests: 10 });
+    t.teardown(() => server.close());
+    for (let round = 0; round < 20; round++) {
+        const answered = await open(server.port, post("/", 9_000, "y".repeat(9_000)));
+        t.equal(await statusOf(answered), 200);
+        answered.destroy();
+        const tooLong = await open(server.port, post("/", 20_000, "y".repeat(9_000)));
+        t.equal(await statusOf(tooLong), 413);
+        tooLong.destroy();
+        const abandoned = await open(server.port, post("/", 9_000, "y".repeat(5_000)));
+        abandoned.destroy();
+        await once(abandoned, "close");
+    }
+    t.equal(server.refused.filter(reason => reason === RefusalReason.BodySize).length, 20);
+});
+
+// Guards against an accepted request that is lost, or no longer counts, because its client has closed the connection.
+t.test("a request that is being handled is completed when its connection is closed", async t => {
+    const server = await start({ requests: 1 });
+    t.teardown(() => server.close());
+    const gone = await open(server.port, post("/slow", 1, "a"));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    gone.destroy();
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.equal(await statusOf(await open(server.port, post("/", 1, "b"))), 503, "it still counts");
+    server.release();
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.equal(await statusOf(await open(server.port, post("/", 1, "c"))), 200);
+    t.strictSame(server.handled, ["a", "c"]);
+});
+
+// Guards against limits that do nothing, and against clients that are refused without a count.
+t.test("clients beyond a limit are refused with the status and the reason of that limit", async t => {
+    const cases: [
+        name: string,
+        limits: Partial<ServerLimits>,
+        text: string,
+        status: number,
+        RefusalReason,
+    ][] = [
+        ["stalled body", { bodyIdleMs: 100 }, post("/", 10, "x"), 408, RefusalReason.BodyTime],
+        ["slow body", { bodyMs: 100 }, post("/", 10, "x"), 408, RefusalReason.BodyTime],
+        ["long body", {}, post("/", 20_000, "x"), 413, RefusalReason.BodySize],
+        ["no headers", { headerMs: 100 }, "GET / HTTP/1.1\r\n", 408, RefusalReason.HeaderTime],
+        ["long headers", {}, `GET / HTTP/1.1\r\na: ${"b".repeat(20_000)}`, 431, RefusalReason.HeaderSize],
+        ["not HTTP", {}, "hello\r\n\r\n", 400, RefusalReason.Malformed],
+        [
+            "pipelining",
+            { requestsPerConnection: 2 },
+            post("/slow", 0, "").repeat(3),
+            0,
+            RefusalReason.Pipelining,
+        ],
+    ];
+    for (const [name, limits, text, status, reason] of cases) {
+        const server = await start(limits);
+        t.equal(await statusOf(await open(server.port, text)), status, name);
+        t.strictSame(server.refused, [reason], name);
+        server.close();
+    }
+});
--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -2,7 +2,9 @@
 import { describeError } from "@samphireward/core/describe-error";
 import type { JsonRequest } from "@samphireward/core/json-request";
 import { JsonServer } from "@samphireward/core/json-server";
+import type { RefusalReason } from "@samphireward/core/refusal-reason";
 import { ResultCode } from "@samphireward/core/result-code";
+import type { ServerLimits } from "@samphireward/core/server-limits";
 import type { CellDirectory } from "./cell-directory.js";
 import type { CellOwner } from "./cell-owner.js";
 import type { EpochReporter } from "./epoch-reporter.js";
@@ -17,6 +19,8 @@
     writer: JobWriter,
     epochs: EpochReporter,
     log: EventLog,
+    limits?: ServerLimits,
+    onRefused?: (reason: RefusalReason) => void,
 ): JsonServer => {
     const ownerOf = (req: JsonRequest): CellOwner => {
         const owner = cells.get(Number(req.params["cell"]))?.owner;
@@ -36,6 +40,8 @@
                 path: req.url,
                 reason: describeError(err),
             }),
+        limits,
+        onRefused,
     )
         .on("GET", "/cells/:cell/jobs/:id", req => ({
             status: 200,
--- a/packages/dispatch/src/dispatch-settings.ts
+++ b/packages/dispatch/src/dispatch-settings.ts
@@ -1,3 +1,4 @@
+import type { ServerLimits } from "@samphireward/core/server-limits";
 import type { CellLimits } from "@samphireward/jobs/cell-limits";
 
 /** Settings of a process, independent of the platform's names and formats. */
@@ -8,6 +9,8 @@
     readonly region: string;
     /** Address that serves calls from other processes of the system. */
     readonly peerAddress: string;
+    /** Limits of the server for these calls; without them, those of the smallest VM. */
+    readonly peerLimits?: ServerLimits;
     /** Cores that the process may use. */
     readonly processors: number;
     readonly limits: CellLimits;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -74,7 +74,14 @@
         const { store, clock, log, settings } = context;
         const writer = JobWriter.create(store, clock);
         this.gateway = JobGateway.create(this.cells, store, writer, this.peers, clock, log);
-        this.peerServer = createPeerServer(this.cells, writer, EpochReporter.create(this.cells, store), log);
+        this.peerServer = createPeerServer(
+            this.cells,
+            writer,
+            EpochReporter.create(this.cells, store),
+            log,
+            settings.peerLimits,
+            reason => context.metrics.clientRefusals.inc({ server: "peers", reason }),
+        );
         const isOwner = (): boolean => this.cells.all.some(cell => cell.isClaimed);
         this.members = MemberList.create(store, settings.node, isOwner, clock, log);
         this.takeovers = TakeoverChecker.create(this.members, this.peers);
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -101,6 +101,12 @@
         "Reported waits of lasting tasks for a run, by reason",
         ["reason"],
     );
+    /** Requests refused and connections closed because a client exceeded a limit, by server and reason. */
+    readonly clientRefusals = this.counter(
+        "client_refusals_total",
+        "Requests refused and connections closed because a client exceeded a limit",
+        ["server", "reason"],
+    );
     /** Log lines that were dropped because of the rate limit. */
     readonly droppedLines = this.counter("log_lines_dropped_total", "Log lines over the limit", []);
 
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -89,8 +89,11 @@
             streamTo: cell => this.connectors.streamTo(cell),
         });
         this.taskApi = TaskApi.create(this.gateway);
-        this.admin = JsonServer.create(createBearerCheck(settings.admin.tokenFile), (err, req) =>
-            this.recordUnexpectedError(err, req),
+        this.admin = JsonServer.create(
+            createBearerCheck(settings.admin.tokenFile),
+            (err, req) => this.recordUnexpectedError(err, req),
+            undefined,
+            reason => this.runtime.counters.add(`admin.refused.${reason}`),
         );
         AdminApi.mount(this.admin, {
             runtime: this.runtime,
@@ -153,7 +156,8 @@
 
     /** Opens the callers' port; called once the first tables are in force. */
     private async openCallersPort(first: Tables): Promise<void> {
-        const { clock, transports, log } = this.runtime;
+        const { clock, transports, log, counters } = this.runtime;
+        const { maxConnections, maxRequests, maxBodyBytes } = this.settings.callers;
         const tables = (): Tables => this.runtime.config.applied?.tables ?? first;
         const handler = RequestHandler.create({
             clock,
@@ -163,7 +167,11 @@
             claimer: ConnectKeyClaimer.create(this.keys, transports),
             onOutcome: record => this.recordOutcome(record),
             onUnexpectedError: (err, req) => this.recordUnexpectedError(err, req),
-            counters: this.runtime.counters,
+            counters,
+            settings: {
+                ...(maxRequests !== undefined && { maxRequests }),
+                ...(maxBodyBytes !== undefined && { maxBodiesBytes: maxBodyBytes }),
+            },
             entryCountInRegion: () => this.countEntriesInRegion(),
         });
         this.handler = handler;
@@ -176,7 +184,10 @@
             onUnexpectedError: (err, req) => this.recordUnexpectedError(err, req),
         });
         this.listener = listener;
-        this.callersServer = createCallersServer(handler, (req, res) => listener.handle(req, res));
+        this.callersServer = createCallersServer(handler, (req, res) => listener.handle(req, res), {
+            ...(maxConnections !== undefined && { maxConnections }),
+            onRefused: reason => counters.add(`callers.refused.${reason}`),
+        });
         const callers = await listen(this.callersServer, this.settings.callers.listen);
         log.info("callers' port is open", { callers });
     }
--- a/packages/routing/src/body-reader.ts
+++ b/packages/routing/src/body-reader.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { GrowingBuffer } from "@samphireward/core/growing-buffer";
 import type { ByteBudget } from "./byte-budget.js";
 
 /** Callbacks for the end of reading a request body. */
@@ -9,9 +10,13 @@
     readonly onBudgetExceeded: () => void;
 }
 
-/** Buffers a complete request body of bounded size. The rest of a rejected body is read and discarded. */
+/**
+ * Buffers a complete request body of bounded size, in one buffer: the budget counts the memory that it occupies, however
+ * small its chunks are.
+ * The rest of a rejected body is read and discarded.
+ */
 export class BodyReader {
-    private chunks: Buffer[] = [];
+    private buffer: GrowingBuffer;
     private heldBytes = 0;
     isReading = true;
 
@@ -19,7 +24,9 @@
         private readonly maxBytes: number,
         private readonly budget: ByteBudget,
         private readonly events: BodyEvents,
-    ) {}
+    ) {
+        this.buffer = GrowingBuffer.create();
+    }
 
     static start(req: IncomingMessage, maxBytes: number, budget: ByteBudget, events: BodyEvents): BodyReader {
         const reader = new BodyReader(maxBytes, budget, events);
@@ -34,31 +41,30 @@
         this.isReading = false;
         this.budget.release(this.heldBytes);
         this.heldBytes = 0;
-        this.chunks = [];
+        this.buffer = GrowingBuffer.create();
     }
 
     private receive(chunk: Buffer): void {
         if (!this.isReading) {
             return;
         }
-        if (this.heldBytes + chunk.length > this.maxBytes) {
+        const growth = this.buffer.growthFor(chunk.length);
+        if (this.buffer.size + chunk.length > this.maxBytes) {
             this.release();
             this.events.onTooLarge();
-        } else if (!this.budget.tryTake(chunk.length)) {
+        } else if (!this.budget.tryTake(growth)) {
             this.release();
             this.events.onBudgetExceeded();
         } else {
-            this.heldBytes += chunk.length;
-            this.chunks.push(chunk);
+            this.heldBytes += growth;
+            this.buffer.add(chunk);
         }
     }
 
     private end(): void {
         if (this.isReading) {
             this.isReading = false;
-            const [first] = this.chunks;
-            const isSingle = this.chunks.length === 1 && first !== undefined;
-            this.events.onBody(isSingle ? first : Buffer.concat(this.chunks));
+            this.events.onBody(this.buffer.bytes);
         }
     }
 }
--- a/packages/routing/src/http-exchange.ts
+++ b/packages/routing/src/http-exchange.ts
@@ -1,5 +1,6 @@
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { GrowingBuffer } from "@samphireward/core/growing-buffer";
 import { AttemptOutcome } from "./attempt-outcome.js";
 import { HeaderName } from "./header-name.js";
 import type { TargetConnection } from "./target-connection.js";
@@ -41,7 +42,7 @@
 export class HttpExchange {
     private response: IncomingMessage | undefined;
     private isSettled = false;
-    private readonly chunks: Buffer[] = [];
+    private readonly held: GrowingBuffer;
     private readonly req: ClientRequest;
 
     private constructor(
@@ -50,6 +51,7 @@
         private readonly events: HttpExchangeEvents,
     ) {
         const { method, path, headers, maxHeaderBytes } = options;
+        this.held = GrowingBuffer.create();
         this.req = request({
             agent: connection.agent,
             method,
@@ -118,7 +120,7 @@
             heldBytes += chunk.length;
             this.events.onBytes(chunk.length);
             if (heldBytes <= this.options.heldAnswerBytes) {
-                this.chunks.push(chunk);
+                this.held.add(chunk);
             }
         });
         response.on("end", () => this.finishBuffered(response));
@@ -133,8 +135,7 @@
             return;
         }
         this.isSettled = true;
-        const [first] = this.chunks;
-        this.events.onComplete(response, this.chunks.length > 1 ? Buffer.concat(this.chunks) : first);
+        this.events.onComplete(response, this.held.size > 0 ? this.held.bytes : undefined);
     }
 
     private isRefusal(response: IncomingMessage): boolean {
--- a/packages/state/src/send-json.ts
+++ b/packages/state/src/send-json.ts
@@ -1,5 +1,6 @@
 import type { Agent, ClientRequest, IncomingMessage } from "node:http";
 import { request } from "node:http";
+import { readResponse } from "@samphireward/core/read-response";
 import type { HttpResponse } from "./http-response.js";
 
 interface JsonRequest {
@@ -12,12 +13,11 @@
     readonly timeoutMs: number;
 }
 
+/** The tables and the records of a cell have at most a few MB. */
+const MaxResponseBytes = 16 * 1024 * 1024;
+
 const readBody = async (res: IncomingMessage): Promise<unknown> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of res) {
-        chunks.push(chunk as Buffer);
-    }
-    const text = Buffer.concat(chunks).toString("utf8");
+    const text = await readResponse(res, MaxResponseBytes);
     return text === "" ? undefined : JSON.parse(text);
 };
 
--- a/packages/tasks/src/http-worker-client.ts
+++ b/packages/tasks/src/http-worker-client.ts
@@ -1,6 +1,7 @@
-import type { Agent, IncomingMessage } from "node:http";
+import type { Agent } from "node:http";
 import { request } from "node:http";
 import { CodedError } from "@samphireward/core/coded-error";
+import { readResponse } from "@samphireward/core/read-response";
 import { Resources } from "@samphireward/core/resources";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { Result } from "ts-results-es";
@@ -28,13 +29,8 @@
 
 const knownCodes: ReadonlySet<unknown> = new Set(Object.values(ResultCode));
 
-const readBody = async (res: IncomingMessage): Promise<string> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of res as AsyncIterable<Buffer>) {
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-};
+/** A listing of a worker with thousands of runs has a few hundred KB. */
+const MaxResponseBytes = 16 * 1024 * 1024;
 
 const parse = (status: number, text: string): Result<unknown, CodedError> => {
     let body: { code?: unknown };
@@ -137,7 +133,7 @@
                 resolve(Err(CodedError.create(isConnected ? code : ResultCode.NoTargetReachable, message)));
             };
             const req = request({ host, port, method, path, headers, agent }, res => {
-                readBody(res).then(
+                readResponse(res, MaxResponseBytes).then(
                     text => {
                         clearTimeout(timer);
                         resolve(parse(res.statusCode ?? 0, text));
