--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -85,7 +85,15 @@
             maxBodyBytes: () => this.routes.config?.maxBodyBytes,
         });
         const epochs = EpochReporter.create(this.cells, store);
-        this.peerServer = createPeerServer(this.cells, writer, epochs, explainer, log);
+        this.peerServer = createPeerServer(
+            this.cells,
+            writer,
+            epochs,
+            explainer,
+            log,
+            settings.peerLimits,
+            reason => context.metrics.clientRefusals.inc({ server: "peers", reason }),
+        );
         const isOwner = (): boolean => this.cells.all.some(cell => cell.isClaimed);
         this.members = MemberList.create(store, settings.node, isOwner, clock, log);
         this.takeovers = TakeoverChecker.create(this.members, this.peers);
