Start order by worth as an alternative to the deadline order

Cause: the start order ignores what a result is worth and the work it still needs. When more work waits than can end in time, serving all of it by deadline makes most of it late.

Change: StartOrder with DeadlineOrder (the decisions of StepRank, unchanged and the default) and WorthOrder, which leaves out the jobs with the least worth for their remaining work while capacity is short, lets one aged job of each priority go first, and preempts nothing for hopeless jobs. AdmissionControl estimates whether the result of a new job could be of use; nothing calls it yet.

--- /dev/null
+++ b/packages/jobs/src/admission-control.ts
@@ -0,0 +1,58 @@
+import type { Clock } from "@samphireward/core/clock";
+import type { EndEstimate } from "./end-estimate.js";
+import { estimateEnd } from "./estimate-end.js";
+import type { JobRegistry } from "./job-registry.js";
+import type { JobSpec } from "./job-spec.js";
+import type { QueueRules } from "./queue-rules.js";
+import type { WorkAhead } from "./work-ahead.js";
+import { workAheadOf } from "./work-ahead-of.js";
+import type { WorkerFleet } from "./worker-fleet.js";
+
+/** Time for which the work ahead of a priority is not computed again: jobs arrive much faster than it changes. */
+const RefreshMs = 100;
+/** An owner refuses nothing for this long: until then it does not know what runs on all of the workers. */
+const SettleMs = 5_000;
+
+/** State of the cell that an owner's estimates are based on. */
+interface AdmissionContext {
+    readonly clock: Clock;
+    readonly jobs: JobRegistry;
+    readonly fleet: WorkerFleet;
+    readonly rules: QueueRules;
+    /** Number of workers of previous owners that have not listed their runs. */
+    readonly unreadWorkers: () => number;
+}
+
+/** Estimates for the owner of a cell whether the results of jobs that are handed in now would still be of use. */
+export class AdmissionControl {
+    private readonly ahead = new Map<string, WorkAhead & { readonly atMs: number }>();
+    private readonly settledAtMs: number;
+
+    private constructor(private readonly context: AdmissionContext) {
+        this.settledAtMs = context.clock.nowMs() + SettleMs;
+    }
+
+    static create(context: AdmissionContext): AdmissionControl {
+        return new AdmissionControl(context);
+    }
+
+    /** Returns undefined if nothing can be said: the job is known, its queue is not, or the owner is too new. */
+    estimate(spec: JobSpec): EndEstimate | undefined {
+        const { clock, jobs, rules, unreadWorkers } = this.context;
+        const rule = rules.get(spec.queue);
+        const nowMs = clock.nowMs();
+        if (nowMs < this.settledAtMs || unreadWorkers() > 0) {
+            return undefined;
+        }
+        if (rule === undefined || jobs.get(spec.id) !== undefined) {
+            return undefined;
+        }
+        const key = `${rule.priority} ${rule.service}`;
+        let ahead = this.ahead.get(key);
+        if (ahead === undefined || nowMs - ahead.atMs >= RefreshMs) {
+            ahead = { ...workAheadOf(rule, { ...this.context, nowMs, wallMs: clock.wallMs() }), atMs: nowMs };
+            this.ahead.set(key, ahead);
+        }
+        return estimateEnd(spec, rule, ahead, clock.wallMs());
+    }
+}
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "@samphireward/core/clock";
+import { AdmissionControl } from "./admission-control.js";
 import type { CellLeases } from "./cell-leases.js";
 import type { CellLimits } from "./cell-limits.js";
 import type { CellLoad } from "./cell-load.js";
 import { CrashSuspicions } from "./crash-suspicions.js";
+import { DeadlineOrder } from "./deadline-order.js";
 import { PreviousOwners } from "./previous-owners.js";
 import type { EvacuationProgress } from "./evacuation-progress.js";
 import { evacuationProgressOf } from "./evacuation-progress-of.js";
@@ -32,6 +34,7 @@
 import { computeCellLoad } from "./compute-cell-load.js";
 import { computeCellLeases } from "./compute-cell-leases.js";
 import { RunResults } from "./run-results.js";
+import type { StartOrder } from "./start-order.js";
 import { StartPlanner } from "./start-planner.js";
 import { stopOrders } from "./stop-orders.js";
 import { TrialPlanner } from "./trial-planner.js";
@@ -63,12 +66,15 @@
     private readonly planner: StartPlanner;
     private readonly permits = PermitPlanner.create(this.fleet);
     private readonly previousOwners: PreviousOwners;
+    /** Whether the results of jobs that are handed in now would still be of use. */
+    readonly admission: AdmissionControl;
 
     private constructor(
         epoch: number,
         private readonly clock: Clock,
         private readonly limits: CellLimits,
         observer: EndObserver,
+        order: StartOrder,
     ) {
         this.previousOwners = PreviousOwners.create(clock, limits);
         this.results = RunResults.create(this.jobs, this.rules, this.trials, observer);
@@ -76,6 +82,8 @@
         this.responses = OrderResponses.create(clock, limits, this.results);
         this.listings = ListingReader.create(this.jobs, this.results, this.suspicions, observer);
         const { jobs, fleet, rules, effects, results, trials, suspicions } = this;
+        const unreadWorkers = (): number => this.previousOwners.unreadWorkers.size;
+        this.admission = AdmissionControl.create({ clock, jobs, fleet, rules, unreadWorkers });
         this.inheritedTrials = InheritedTrials.create({ jobs, fleet, trials, suspicions });
         const trialPlanner = TrialPlanner.create({ fleet, effects, trials, suspicions });
         this.planner = StartPlanner.create({
@@ -87,6 +95,7 @@
             effects,
             results,
             trialPlanner,
+            order,
         });
         const unreadWorkersFor = (job: string): number =>
             this.previousOwners.mayHaveRuns(job) ? this.previousOwners.unreadWorkers.size : 0;
@@ -98,8 +107,9 @@
         clock: Clock,
         limits: CellLimits,
         observer: EndObserver = {},
+        order: StartOrder = DeadlineOrder.create(),
     ): CellScheduler {
-        return new CellScheduler(epoch, clock, limits, observer);
+        return new CellScheduler(epoch, clock, limits, observer, order);
     }
 
     setQueues(rules: readonly QueueRule[]): void {
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -12,10 +12,11 @@
 import { OrderKind } from "./order-kind.js";
 import type { Order } from "./order.js";
 import type { QueueRules } from "./queue-rules.js";
+import type { OrderCandidate } from "./order-candidate.js";
 import { Run } from "./run.js";
 import type { RunResults } from "./run-results.js";
+import type { StartOrder } from "./start-order.js";
 import type { Step } from "./step.js";
-import { StepRank } from "./step-rank.js";
 import { swapLastingTasks } from "./swap-lasting-tasks.js";
 import type { Task } from "./task.js";
 import type { TrialPlanner } from "./trial-planner.js";
@@ -42,6 +43,7 @@
     readonly effects: NeighbourEffects;
     readonly results: RunResults;
     readonly trialPlanner: TrialPlanner;
+    readonly order: StartOrder;
 }
 
 /** An open step with a ready task, and the service whose workers may run it. */
@@ -134,8 +136,7 @@
     }
 
     private rankedSteps(nowMs: number, isBlocked: (job: string) => boolean): readonly RankedStep[] {
-        const wallMs = this.context.clock.wallMs();
-        const ranked: (RankedStep & { readonly rank: StepRank })[] = [];
+        const ranked: (RankedStep & OrderCandidate)[] = [];
         for (const job of this.context.jobs.undecided) {
             const rule = this.context.rules.get(job.spec.queue);
             if (rule === undefined || isBlocked(job.spec.id)) {
@@ -146,12 +147,13 @@
                 if (first !== undefined) {
                     first.readySinceMs ??= nowMs;
                     step.setNeedsPermits(rule.needsPermits);
-                    const rank = StepRank.create(step, rule, wallMs, longestOverdueMs(step, nowMs));
-                    ranked.push({ step, service: rule.service, rank });
+                    const overdueMs = longestOverdueMs(step, nowMs);
+                    ranked.push({ step, service: rule.service, rule, overdueMs });
                 }
             }
         }
-        return ranked.sort((a, b) => a.rank.compare(b.rank));
+        const { order, fleet } = this.context;
+        return order.sort(ranked, { wallMs: this.context.clock.wallMs(), nowMs, fleet });
     }
 
     private startTasks(
@@ -199,6 +201,9 @@
         if (step.spec.lasting || step.spec.filler || step.spec.gang || !this.fitsAnyWorker(step, service)) {
             return;
         }
+        if (!this.context.order.mayPreemptFor(step)) {
+            return;
+        }
         for (const task of step.tasks) {
             const isUnplaced = task.suspicion === 0 || this.context.trialPlanner.mayOpen(task);
             if (isUnplaced && isReady(task, nowMs) && waiting.length < MaxWaitingShortTasks) {
--- a/packages/jobs/src/step-rank.ts
+++ b/packages/jobs/src/step-rank.ts
@@ -1,19 +1,18 @@
+import { maxUsefulTargets } from "./max-useful-targets.js";
 import type { QueueRule } from "./queue-rule.js";
 import type { Step } from "./step.js";
-
-/** The value of a result decreases after the target time and is zero after this many target times. */
-const MaxUsefulTargets = 3;
+import { targetTimeMs } from "./target-time-ms.js";
 
 /** Rank of an open step in the start order; lower ranks go first. */
 export class StepRank {
     private constructor(
         private readonly priority: number,
-        private readonly isTooLate: boolean,
+        readonly isTooLate: boolean,
         /**
          * Latest start, as wall-clock time, for a result within the target time or, once that has passed, for one
          * that still has value. Late work therefore yields to work that can be in time, until it would be lost.
          */
-        private readonly startByMs: number,
+        readonly startByMs: number,
     ) {}
 
     /** `overdueMs` is the longest time that the step's overdue tasks have waited; undefined if none is overdue. */
@@ -23,9 +22,9 @@
             return new StepRank(rule.priority, false, wallMs - overdueMs);
         }
         const criticalPathMs = Math.max(0, ...occurrence.steps.map(other => other.criticalPathMs));
-        const targetMs = rule.stretch * criticalPathMs + rule.targetMs;
+        const targetMs = targetTimeMs(rule, criticalPathMs);
         const latestInTimeMs = occurrence.dueAtMs + targetMs - step.criticalPathMs;
-        const latestUsefulMs = occurrence.dueAtMs + MaxUsefulTargets * targetMs - step.criticalPathMs;
+        const latestUsefulMs = occurrence.dueAtMs + maxUsefulTargets * targetMs - step.criticalPathMs;
         return new StepRank(
             rule.priority,
             wallMs > latestUsefulMs,
--- /dev/null
+++ b/packages/jobs/src/work-ahead-of.ts
@@ -0,0 +1,67 @@
+import type { JobRegistry } from "./job-registry.js";
+import { maxUsefulTargets } from "./max-useful-targets.js";
+import type { Occurrence } from "./occurrence.js";
+import type { QueueRule } from "./queue-rule.js";
+import type { QueueRules } from "./queue-rules.js";
+import { remainingWorkMs } from "./remaining-work-ms.js";
+import { serviceCapacities } from "./service-capacities.js";
+import { targetTimeMs } from "./target-time-ms.js";
+import type { WorkAhead } from "./work-ahead.js";
+import type { WorkerFleet } from "./worker-fleet.js";
+
+/** The state of a cell from which the work ahead is computed. */
+interface CellWork {
+    readonly jobs: JobRegistry;
+    readonly fleet: WorkerFleet;
+    readonly rules: QueueRules;
+    readonly nowMs: number;
+    readonly wallMs: number;
+}
+
+/** Latest start of an occurrence for a result in time or, once that has passed, of use; undefined if that has passed too. */
+const latestStartMs = (
+    { steps, dueAtMs }: Occurrence,
+    rule: QueueRule,
+    wallMs: number,
+): number | undefined => {
+    const pathMs = Math.max(0, ...steps.map(step => step.criticalPathMs));
+    const targetMs = targetTimeMs(rule, pathMs);
+    const inTimeMs = dueAtMs + targetMs - pathMs;
+    const usefulMs = dueAtMs + maxUsefulTargets * targetMs - pathMs;
+    return wallMs <= inTimeMs ? inTimeMs : wallMs <= usefulMs ? usefulMs : undefined;
+};
+
+/**
+ * Work of the rule's priority and of higher ones that is due and that new jobs of its service would share the workers with.
+ * What cannot be of use any more starts after new jobs and is not counted.
+ */
+export const workAheadOf = (rule: QueueRule, { jobs, fleet, rules, nowMs, wallMs }: CellWork): WorkAhead => {
+    const { processors, busyMs } = serviceCapacities(fleet, nowMs).get(rule.service) ?? {
+        processors: 0,
+        busyMs: 0,
+    };
+    let firstMs = busyMs;
+    const waiting: { readonly startByMs: number; readonly workMs: number }[] = [];
+    for (const job of jobs.undecided) {
+        const other = rules.get(job.spec.queue);
+        if (other === undefined || other.service !== rule.service || other.priority > rule.priority) {
+            continue;
+        }
+        for (const occurrence of job.openOccurrences.values()) {
+            const startByMs = latestStartMs(occurrence, other, wallMs);
+            if (occurrence.number >= job.nextDueOccurrence || startByMs === undefined) {
+                continue;
+            }
+            const workMs = remainingWorkMs(occurrence, () => 1);
+            if (other.priority < rule.priority) {
+                firstMs += workMs;
+            } else {
+                waiting.push({ startByMs, workMs });
+            }
+        }
+    }
+    waiting.sort((a, b) => a.startByMs - b.startByMs);
+    let sumMs = 0;
+    const byLatestStart = waiting.map(({ startByMs, workMs }) => ({ startByMs, sumMs: (sumMs += workMs) }));
+    return { processors, firstMs, byLatestStart };
+};
