Refusal of jobs whose results could not be of use, and reports by priority

Cause: while capacity is short, jobs are accepted although they cannot end within three target times, after which their results are worth nothing.

Change: with SAMPHIREWARD_REFUSE_HOPELESS=true a process asks the owner of the job's cell before it stores a job (150 ms at most, and for each job only while the owner reports scarcity), and refuses with 503 and a spread Retry-After. Without an answer, from an owner that has just taken over, and for repeats of accepted jobs it accepts. SAMPHIREWARD_START_ORDER selects the start order. Waiting tasks by rule, late jobs and refusals are metrics by priority; jobs-late and jobs-in-time are logged when they change. With both settings at their defaults there is no call, gauge value or line.

In the test on two processes, a process that does not own the cell refuses, stores nothing, and accepts the repeat of an accepted job.

--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellLimits } from "@samphireward/jobs/cell-limits";
 import type { QueueRule } from "@samphireward/jobs/queue-rule";
+import type { StartOrderName } from "@samphireward/jobs/start-order-name";
 import type { WorkerEntry } from "@samphireward/jobs/worker-entry";
 import { CellLease } from "./cell-lease.js";
 import { CellOwner } from "./cell-owner.js";
@@ -42,6 +43,8 @@
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly limits: CellLimits;
+    readonly startOrder?: StartOrderName | undefined;
+    readonly reportsPriorities?: boolean;
     readonly createWorkerClient: WorkerClientFactory;
     readonly permits: PermitSource;
     readonly evacuations?: EvacuationSource | undefined;
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -3,6 +3,8 @@
 import type { CellLimits } from "@samphireward/jobs/cell-limits";
 import { CellScheduler } from "@samphireward/jobs/cell-scheduler";
 import type { QueueRule } from "@samphireward/jobs/queue-rule";
+import { createStartOrder } from "@samphireward/jobs/create-start-order";
+import type { StartOrderName } from "@samphireward/jobs/start-order-name";
 import type { WorkerEntry } from "@samphireward/jobs/worker-entry";
 import { CellInputWatcher } from "./cell-input-watcher.js";
 import type { CellState } from "./cell-state.js";
@@ -20,6 +22,7 @@
 import { PermitRequester } from "./permit-requester.js";
 import type { PermitSource } from "./permit-source.js";
 import { PlanDelay } from "./plan-delay.js";
+import { PriorityReporter } from "./priority-reporter.js";
 import { ProgressWriter } from "./progress-writer.js";
 import { readCellState } from "./read-cell-state.js";
 import { RosterWriter } from "./roster-writer.js";
@@ -49,6 +52,10 @@
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly limits: CellLimits;
+    /** Order in which tasks start; by deadline if absent. */
+    readonly startOrder?: StartOrderName | undefined;
+    /** Whether the waits of each priority of queues are reported. */
+    readonly reportsPriorities?: boolean;
     /** Time, in milliseconds, by which silent workers of the previous owner are waited for beyond their lease; 0 if absent. */
     readonly extraWaitMs?: number;
     /** Called when another owner has taken over, and when a loop of this one failed unexpectedly. */
@@ -65,6 +72,7 @@
     private readonly intake: JobIntake;
     private readonly links: WorkerLinks;
     private readonly loadReporter: LoadReporter;
+    private readonly priorities: PriorityReporter | undefined;
     private readonly permits: PermitRequester;
     private readonly evacuations: EvacuationMonitor | undefined;
     private readonly roster: RosterWriter;
@@ -76,7 +84,13 @@
 
     private constructor(private readonly context: OwnerContext) {
         const { epoch, clock, limits } = context;
-        this.scheduler = CellScheduler.create(epoch, clock, limits, EndReporter.create(context));
+        this.scheduler = CellScheduler.create(
+            epoch,
+            clock,
+            limits,
+            EndReporter.create(context),
+            createStartOrder(context.startOrder),
+        );
         this.intake = JobIntake.create({ ...context, scheduler: this.scheduler });
         this.links = WorkerLinks.create({
             ...context,
@@ -88,6 +102,8 @@
             },
         });
         this.loadReporter = LoadReporter.create(context);
+        this.priorities =
+            context.reportsPriorities === true ? PriorityReporter.create(context, this.scheduler) : undefined;
         this.permits = PermitRequester.create({ ...context, scheduler: this.scheduler });
         this.writer = ProgressWriter.create({ ...context, scheduler: this.scheduler });
         this.roster = RosterWriter.create({ ...context, scheduler: this.scheduler });
@@ -176,6 +192,7 @@
         clearTimeout(this.planTimer);
         this.links.close();
         this.loadReporter.close();
+        this.priorities?.close();
         this.evacuations?.close();
     }
 
@@ -296,6 +313,7 @@
         while (!this.abort.signal.aborted) {
             await sleep(MaintenanceIntervalMs, this.abort.signal);
             this.loadReporter.report(this.scheduler.load, this.scheduler.lastingWaits.take());
+            this.priorities?.report();
             this.evacuations?.report();
             if (this.roster.isOutdated) {
                 await this.writeRoster({ addsSilent: true });
--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -3,6 +3,7 @@
 import type { JsonRequest } from "@samphireward/core/json-request";
 import { JsonServer } from "@samphireward/core/json-server";
 import { ResultCode } from "@samphireward/core/result-code";
+import type { JobSpec } from "@samphireward/jobs/job-spec";
 import type { CellDirectory } from "./cell-directory.js";
 import type { CellOwner } from "./cell-owner.js";
 import type { EpochReporter } from "./epoch-reporter.js";
@@ -28,6 +29,17 @@
         }
         return owner;
     };
+    /** The job whose stored text is the body of a request; throws if it is none of the named cell. */
+    const jobOf = (req: JsonRequest): { readonly spec: JobSpec; readonly text: string } => {
+        const { text } = isObject(req.body) ? req.body : {};
+        const id = req.params["id"] ?? "";
+        const cell = cells.cellNumber(id);
+        const spec = typeof text === "string" ? jobCodec.decodeJob(text) : undefined;
+        if (typeof text !== "string" || spec?.id !== id || String(cell) !== req.params["cell"]) {
+            throw CodedError.create(ResultCode.BadRequest, `Expected the text of job ${id} of its cell`);
+        }
+        return { spec, text };
+    };
     return JsonServer.create(
         () => true,
         (err, req) =>
@@ -54,13 +66,14 @@
             return { status: 200, body: {} };
         })
         .on("POST", "/cells/:cell/jobs/:id/accept", async req => {
-            const { text } = isObject(req.body) ? req.body : {};
-            const id = req.params["id"] ?? "";
-            const cell = cells.cellNumber(id);
-            const isJob = typeof text === "string" && jobCodec.decodeJob(text)?.id === id;
-            if (!isJob || cell === undefined || String(cell) !== req.params["cell"]) {
-                throw CodedError.create(ResultCode.BadRequest, `Expected the text of job ${id} of its cell`);
-            }
-            return { status: 200, body: { outcome: await writer.accept(cell, id, text) } };
+            const { spec, text } = jobOf(req);
+            return {
+                status: 200,
+                body: { outcome: await writer.accept(Number(req.params["cell"]), spec.id, text) },
+            };
+        })
+        .on("POST", "/cells/:cell/jobs/:id/estimate", req => {
+            const { spec } = jobOf(req);
+            return { status: 200, body: ownerOf(req).scheduler.admission.estimate(spec) ?? {} };
         });
 };
--- a/packages/dispatch/src/dispatch-settings.ts
+++ b/packages/dispatch/src/dispatch-settings.ts
@@ -1,4 +1,5 @@
 import type { CellLimits } from "@samphireward/jobs/cell-limits";
+import type { StartOrderName } from "@samphireward/jobs/start-order-name";
 
 /** Settings of a process, independent of the platform's names and formats. */
 export interface DispatchSettings {
@@ -16,4 +17,8 @@
      * no such requests.
      */
     readonly evacuationMs?: number | undefined;
+    /** Order in which the tasks of owned cells start; by deadline if absent. */
+    readonly startOrder?: StartOrderName | undefined;
+    /** Whether jobs whose results could not be of use any more are refused; they are not if absent. */
+    readonly refusesHopeless?: boolean | undefined;
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,10 +1,13 @@
 import { randomUUID } from "node:crypto";
 import type { Clock } from "@samphireward/core/clock";
 import type { JsonServer } from "@samphireward/core/json-server";
+import { SystemRandom } from "@samphireward/core/system-random";
+import { StartOrderName } from "@samphireward/jobs/start-order-name";
 import type { WorkerEntry } from "@samphireward/jobs/worker-entry";
 import { CellCandidate } from "./cell-candidate.js";
 import { CellDirectory } from "./cell-directory.js";
 import { cellKeys } from "./cell-keys.js";
+import { AdmissionGate } from "./admission-gate.js";
 import { cellForKey } from "./cell-for-key.js";
 import type { ConfigSource } from "./config-source.js";
 import { createPeerServer } from "./create-peer-server.js";
@@ -58,6 +61,8 @@
 export class Dispatcher {
     readonly routes = RouteTable.create();
     readonly gateway: JobGateway;
+    /** Absent if no jobs are refused because their results could not be of use. */
+    readonly admission: AdmissionGate | undefined;
     private readonly cells = CellDirectory.create();
     private readonly abort = new AbortController();
     private readonly peers = PeerClient.create();
@@ -74,6 +79,11 @@
         const { store, clock, log, settings } = context;
         const writer = JobWriter.create(store, clock);
         this.gateway = JobGateway.create(this.cells, store, writer, this.peers, clock, log);
+        const { cells, peers } = this;
+        this.admission =
+            settings.refusesHopeless === true
+                ? AdmissionGate.create({ cells, store, peers, clock, random: SystemRandom.create() })
+                : undefined;
         this.peerServer = createPeerServer(this.cells, writer, EpochReporter.create(this.cells, store), log);
         const isOwner = (): boolean => this.cells.all.some(cell => cell.isClaimed);
         this.members = MemberList.create(store, settings.node, isOwner, clock, log);
@@ -163,6 +173,9 @@
             address,
             takeovers: this.takeovers,
             limits: settings.limits,
+            startOrder: settings.startOrder,
+            reportsPriorities:
+                settings.refusesHopeless === true || settings.startOrder === StartOrderName.Worth,
             readRules: () => this.routes.config?.routes.map(route => route.rule) ?? [],
             readWorkers: async () => {
                 const entries = await this.workers.readCurrent();
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -95,6 +95,23 @@
         "Runs that are left in a data centre that is being evacuated",
         ["cell", "data_centre"],
     );
+    /** Tasks that wait, by the priority of their queue and the rule that gave them their place in the start order. */
+    readonly waitingTasks = this.gauge(
+        "waiting_tasks",
+        "Tasks that end and have no worker, by priority of their queue and rule of the start order",
+        ["cell", "priority", "rule"],
+    );
+    /** Open jobs whose target time has passed. */
+    readonly lateJobs = this.gauge("late_jobs", "Open jobs whose target time has passed", [
+        "cell",
+        "priority",
+    ]);
+    /** Jobs that were refused because their results could not be of use. */
+    readonly jobsRefused = this.counter(
+        "jobs_refused_total",
+        "Jobs that were refused because their results could not be of use",
+        ["priority"],
+    );
     /** Reported waits of lasting tasks. */
     readonly lastingWaits = this.counter(
         "lasting_waits_total",
--- a/packages/dispatch/src/peer-client.ts
+++ b/packages/dispatch/src/peer-client.ts
@@ -1,13 +1,17 @@
 import { JsonClient } from "@samphireward/core/json-client";
+import type { EndEstimate } from "@samphireward/jobs/end-estimate";
 import type { JobStatus } from "@samphireward/jobs/job-status";
 import type { EpochReport } from "./epoch-report.js";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
+import { isObject } from "./is-object.js";
 
 /** Time-out of a call to another process of the system. */
 const PeerTimeoutMs = 500;
 /** Time-out of a call in which another process writes to the store on behalf of this one. */
 const PeerAcceptTimeoutMs = 1_500;
+/** Time-out of a question that a caller waits for before its job is stored. */
+const PeerEstimateTimeoutMs = 150;
 
 /** Calls the processes that own cells. A peer that does not respond yields an error, never an empty response. */
 export class PeerClient {
@@ -67,6 +71,25 @@
         return response.map(body => (body as { readonly outcome: string }).outcome);
     }
 
+    /** Asks whether the result of a job could be of use; undefined if the owner cannot say. */
+    async endEstimate(
+        address: string,
+        cell: number,
+        id: string,
+        text: string,
+    ): Promise<Result<EndEstimate | undefined, string>> {
+        const path = `/cells/${cell}/jobs/${encodeURIComponent(id)}/estimate`;
+        const response = await this.call(address, "POST", path, { text }, PeerEstimateTimeoutMs);
+        return response.map(body => {
+            const { isUseful, isScarce, usefulInMs } = isObject(body) ? body : {};
+            return typeof isUseful === "boolean" &&
+                typeof isScarce === "boolean" &&
+                typeof usefulInMs === "number"
+                ? { isUseful, isScarce, usefulInMs }
+                : undefined;
+        });
+    }
+
     close(): void {
         this.clients.forEach(client => client.close());
     }
--- a/packages/dispatch/tests/create-peer-server.test.ts
+++ b/packages/dispatch/tests/create-peer-server.test.ts
@@ -30,6 +30,9 @@
     [`/cells/0/jobs/00000000000000bb/accept`, { text }],
     [`/cells/x/jobs/${id}/accept`, { text }],
     [`/cells/1/jobs/${id}/accept`, { text }],
+    [`/cells/0/jobs/${id}/estimate`, undefined],
+    [`/cells/0/jobs/${id}/estimate`, { text: "{" }],
+    [`/cells/1/jobs/${id}/estimate`, { text }],
 ];
 
 // Guards against a call that stores a value which no owner can read, or under a key of no cell, and against an
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -33,8 +33,11 @@
 import { QueueRules } from "./queue-rules.js";
 import { computeCellLoad } from "./compute-cell-load.js";
 import { computeCellLeases } from "./compute-cell-leases.js";
+import { computePriorityLoads } from "./compute-priority-loads.js";
+import type { PriorityLoad } from "./priority-load.js";
 import { RunResults } from "./run-results.js";
 import type { StartOrder } from "./start-order.js";
+import type { StartOrderName } from "./start-order-name.js";
 import { StartPlanner } from "./start-planner.js";
 import { stopOrders } from "./stop-orders.js";
 import { TrialPlanner } from "./trial-planner.js";
@@ -74,7 +77,7 @@
         private readonly clock: Clock,
         private readonly limits: CellLimits,
         observer: EndObserver,
-        order: StartOrder,
+        private readonly order: StartOrder,
     ) {
         this.previousOwners = PreviousOwners.create(clock, limits);
         this.results = RunResults.create(this.jobs, this.rules, this.trials, observer);
@@ -286,6 +289,16 @@
         return computeCellLoad(this.jobs, this.fleet, this.previousOwners.unreadWorkers.size);
     }
 
+    /** What waits and what is late, by the priority of the queues. */
+    get priorityLoads(): readonly PriorityLoad[] {
+        return computePriorityLoads(this.jobs, this.rules, this.order, this.clock.wallMs());
+    }
+
+    /** Name of the order in which tasks start. */
+    get startOrder(): StartOrderName {
+        return this.order.name;
+    }
+
     private isCurrent(worker: WorkerIncarnation): boolean {
         return this.fleet.get(worker.entry.id) === worker;
     }
