--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,10 +1,13 @@
 import { randomUUID } from "node:crypto";
 import type { Clock } from "@samphireward/core/clock";
 import type { JsonServer } from "@samphireward/core/json-server";
+import { SystemRandom } from "@samphireward/core/system-random";
+import { StartOrderName } from "@samphireward/jobs/start-order-name";
 import type { WorkerEntry } from "@samphireward/jobs/worker-entry";
 import { CellCandidate } from "./cell-candidate.js";
 import { CellDirectory } from "./cell-directory.js";
 import { cellKeys } from "./cell-keys.js";
+import { AdmissionGate } from "./admission-gate.js";
 import { cellForKey } from "./cell-for-key.js";
 import type { ConfigSource } from "./config-source.js";
 import { createPeerServer } from "./create-peer-server.js";
@@ -62,6 +65,8 @@
 export class Dispatcher {
     readonly routes = RouteTable.create();
     readonly gateway: JobGateway;
+    /** Absent if no jobs are refused because their results could not be of use. */
+    readonly admission: AdmissionGate | undefined;
     private readonly cells = CellDirectory.create();
     private readonly abort = new AbortController();
     private readonly peers = PeerClient.create();
@@ -78,10 +83,11 @@
         const { store, clock, log, settings } = context;
         const writer = JobWriter.create(store, clock);
         this.gateway = JobGateway.create(this.cells, store, writer, this.peers, clock, log);
+        const { cells, peers } = this;
         const explainer = PlacementExplainer.create({
             ...context,
-            cells: this.cells,
-            peers: this.peers,
+            cells,
+            peers,
             maxBodyBytes: () => this.routes.config?.maxBodyBytes,
         });
         const epochs = EpochReporter.create(this.cells, store);
@@ -94,6 +100,10 @@
             settings.peerLimits,
             reason => context.metrics.clientRefusals.inc({ server: "peers", reason }),
         );
+        this.admission =
+            settings.refusesHopeless === true
+                ? AdmissionGate.create({ cells, store, peers, clock, random: SystemRandom.create() })
+                : undefined;
         const isOwner = (): boolean => this.cells.all.some(cell => cell.isClaimed);
         this.members = MemberList.create(store, settings.node, isOwner, clock, log);
         this.takeovers = TakeoverChecker.create(this.members, this.peers);
@@ -182,6 +192,9 @@
             address,
             takeovers: this.takeovers,
             limits: settings.limits,
+            startOrder: settings.startOrder,
+            reportsPriorities:
+                settings.refusesHopeless === true || settings.startOrder === StartOrderName.Worth,
             readRules: () => this.routes.config?.routes.map(route => route.rule) ?? [],
             readWorkers: async () => {
                 const entries = await this.workers.readCurrent();
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -1,10 +1,12 @@
 import type { Clock } from "@samphireward/core/clock";
+import { AdmissionControl } from "./admission-control.js";
 import type { CellLeases } from "./cell-leases.js";
 import type { CellLimits } from "./cell-limits.js";
 import type { CellLoad } from "./cell-load.js";
 import { CopyPlanner } from "./copy-planner.js";
 import { CopyRuns } from "./copy-runs.js";
 import { CrashSuspicions } from "./crash-suspicions.js";
+import { DeadlineOrder } from "./deadline-order.js";
 import { PreviousOwners } from "./previous-owners.js";
 import type { EvacuationProgress } from "./evacuation-progress.js";
 import { evacuationProgressOf } from "./evacuation-progress-of.js";
@@ -35,7 +37,11 @@
 import { QueueRules } from "./queue-rules.js";
 import { computeCellLoad } from "./compute-cell-load.js";
 import { computeCellLeases } from "./compute-cell-leases.js";
+import { computePriorityLoads } from "./compute-priority-loads.js";
+import type { PriorityLoad } from "./priority-load.js";
 import { RunResults } from "./run-results.js";
+import type { StartOrder } from "./start-order.js";
+import type { StartOrderName } from "./start-order-name.js";
 import { StartPlanner } from "./start-planner.js";
 import { stopOrders } from "./stop-orders.js";
 import { TrialPlanner } from "./trial-planner.js";
@@ -70,12 +76,15 @@
     private readonly previousOwners: PreviousOwners;
     /** Tasks in evacuated data centres that need a permit to move, according to the last plan. */
     private movesWithoutPermit: readonly WaitingTask[] = [];
+    /** Whether the results of jobs that are handed in now would still be of use. */
+    readonly admission: AdmissionControl;
 
     private constructor(
         epoch: number,
         private readonly clock: Clock,
         private readonly limits: CellLimits,
         observer: EndObserver,
+        private readonly order: StartOrder,
     ) {
         this.previousOwners = PreviousOwners.create(clock, limits);
         const copies = CopyRuns.create(observer);
@@ -84,6 +93,8 @@
         this.responses = OrderResponses.create(clock, limits, this.results);
         this.listings = ListingReader.create(this.jobs, this.results, this.suspicions, observer);
         const { jobs, fleet, rules, effects, results, trials, suspicions } = this;
+        const unreadWorkers = (): number => this.previousOwners.unreadWorkers.size;
+        this.admission = AdmissionControl.create({ clock, jobs, fleet, rules, unreadWorkers });
         this.inheritedTrials = InheritedTrials.create({ jobs, fleet, trials, suspicions });
         const trialPlanner = TrialPlanner.create({ fleet, effects, trials, suspicions });
         const copyPlanner = CopyPlanner.create({ epoch, jobs, fleet, rules, effects, copies });
@@ -97,6 +108,7 @@
             results,
             trialPlanner,
             copyPlanner,
+            order,
         });
         const unreadWorkersFor = (job: string): number =>
             this.previousOwners.mayHaveRuns(job) ? this.previousOwners.unreadWorkers.size : 0;
@@ -108,8 +120,9 @@
         clock: Clock,
         limits: CellLimits,
         observer: EndObserver = {},
+        order: StartOrder = DeadlineOrder.create(),
     ): CellScheduler {
-        return new CellScheduler(epoch, clock, limits, observer);
+        return new CellScheduler(epoch, clock, limits, observer, order);
     }
 
     setQueues(rules: readonly QueueRule[]): void {
@@ -297,6 +310,16 @@
         return computeCellLoad(this.jobs, this.fleet, this.previousOwners.unreadWorkers.size);
     }
 
+    /** What waits and what is late, by the priority of the queues. */
+    get priorityLoads(): readonly PriorityLoad[] {
+        return computePriorityLoads(this.jobs, this.rules, this.order, this.clock.wallMs());
+    }
+
+    /** Name of the order in which tasks start. */
+    get startOrder(): StartOrderName {
+        return this.order.name;
+    }
+
     private isCurrent(worker: WorkerIncarnation): boolean {
         return this.fleet.get(worker.entry.id) === worker;
     }
