Count failures of a third run of a speculative task as attempts

Cause: a run that a new owner found beside two others is stopped as not current. If it failed before the stop, its end was read and acknowledged without any effect, so the task could start more often than maxAttempts. Change: its failure counts, once for its number, as for runs that the owner does not know. Other steps are treated as before.

--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -94,6 +94,9 @@
             this.apply(run.task, run.worker, keepsCheckpoint ? end : { ...end, checkpoint: "" }, times);
         } else if (end.kind === EndKind.Done) {
             this.completeByEarlierRun(run.task, times.wallMs);
+        } else if (end.kind === EndKind.Failed && run.task.step.spec.speculative) {
+            // A third run that a new owner has found is stopped, but a failure before that is an attempt.
+            this.countFailure(run.task, run.number, times.wallMs);
         }
     }
 
--- a/packages/jobs/tests/copies.test.ts
+++ b/packages/jobs/tests/copies.test.ts
@@ -265,3 +265,26 @@
     t.equal(task.run, copy);
     t.end();
 });
+
+// Guards against the failure of a third run that is not counted as an attempt, so that the task starts too often.
+t.test("a failure of a third run that the next owner found counts as an attempt", t => {
+    const before = CopyCase.create();
+    const listed = SchedulerHarness.listedRun(before.startCopy());
+    const job = before.harness.scheduler.jobs.get(before.job);
+    const next = SchedulerHarness.create(2);
+    next.inherit(before.spec, job && readProgress(job));
+    const workers = ["near", "near2", "far"].map(id => next.addUnreadWorker(id));
+    next.scheduler.expectInheritedWorkers(workers.map(({ key }) => key));
+    workers.forEach((worker, index) => {
+        next.reportListing(worker, [{ ...listed, number: index + 1 }], []);
+    });
+    const [, second, third] = workers.map(worker => worker.runs.get(listed.task));
+    t.equal(third?.stopReason, StopReason.NotCurrent);
+    if (second !== undefined && third !== undefined) {
+        next.reportEnd(third, EndKind.Failed);
+        t.strictSame([...third.task.failedRuns], [third.number]);
+        next.reportEnd(second, EndKind.Failed);
+    }
+    t.equal(next.scheduler.jobs.get(before.job)?.endState, JobState.Failed);
+    t.end();
+});
