Keep no durations of lasting speculative steps

Cause: the duration of each end as done was kept for the step, also for lasting tasks, which end as done and start again any number of times. Change: lasting steps, which have no copies, are left out.

--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -86,7 +86,7 @@
             run.task.notRunningSinceMs ??= times.nowMs;
             this.countWaitSinceLoss(run, end);
         }
-        if (run.task.step.spec.speculative) {
+        if (run.task.step.spec.speculative && !run.task.step.spec.lasting) {
             this.copies.noteEnd(run, end, times.nowMs);
         }
         if (isCurrent || completesTask) {
--- a/packages/jobs/tests/copies.test.ts
+++ b/packages/jobs/tests/copies.test.ts
@@ -288,3 +288,20 @@
     t.equal(next.scheduler.jobs.get(before.job)?.endState, JobState.Failed);
     t.end();
 });
+
+// Guards against durations that pile up while the tasks of a lasting step end as done and start again.
+t.test("durations of a lasting step are not kept", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("worker");
+    harness.submit({ speculative: true, lasting: true });
+    for (let count = 0; count < 3; count++) {
+        const [run] = harness.planAndStartAll();
+        t.ok(run);
+        if (run !== undefined) {
+            harness.reportEnd(run, EndKind.Done);
+            t.same(run.task.step.doneDurationsMs, []);
+        }
+        harness.clock.advance(2_000);
+    }
+    t.end();
+});
