An end without a checkpoint does not hold back later checkpoints

Cause: the progress of a run that ended without a checkpoint was recorded as that of the latest checkpoint, so the checkpoints of the remaining run were dropped until it was further along. Change: only an end with a checkpoint is compared.

--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -90,7 +90,7 @@
             this.copies.noteEnd(run, end, times.nowMs);
         }
         if (isCurrent || completesTask) {
-            const keepsCheckpoint = !isCurrent || run.task.takesCheckpointOf(run);
+            const keepsCheckpoint = end.checkpoint === "" || !isCurrent || run.task.takesCheckpointOf(run);
             this.apply(run.task, run.worker, keepsCheckpoint ? end : { ...end, checkpoint: "" }, times);
         } else if (end.kind === EndKind.Done) {
             this.completeByEarlierRun(run.task, times.wallMs);
--- a/packages/jobs/tests/copies.test.ts
+++ b/packages/jobs/tests/copies.test.ts
@@ -305,3 +305,16 @@
     }
     t.end();
 });
+
+// Guards against checkpoints of the original that are dropped because a copy without one had been further along.
+t.test("the end of a copy without a checkpoint does not keep those of the original from counting", t => {
+    const { harness, original, task, startCopy, report } = CopyCase.create({ checkpoints: true });
+    const copy = startCopy();
+    harness.clock.advance(400);
+    report(copy, 60);
+    harness.reportEnd(copy, EndKind.Failed);
+    harness.clock.advance(400);
+    report(original, 30, "at 30");
+    t.equal(task.checkpoint, "at 30");
+    t.end();
+});
