Compare a copy with its original by their last readings

Cause: the remaining time was computed from the present time and a reading that is up to a heartbeat older, so that a young copy seemed to be behind and was stopped. Adopted runs seemed to have started when they were found, so a next owner stopped copies that were faster than their originals. Change: the elapsed time ends at the reading, a copy is compared once a reading was taken 1 s after its start, and adopted runs are not compared.

--- a/packages/jobs/src/copy-planner.ts
+++ b/packages/jobs/src/copy-planner.ts
@@ -74,7 +74,7 @@
         }
         this.searchedAtMs = nowMs;
         for (const copy of copies.open) {
-            if (!copy.isStopRequested && isCopyBehind(copy, nowMs)) {
+            if (!copy.isStopRequested && isCopyBehind(copy)) {
                 copy.stopReason = StopReason.Behind;
             }
         }
--- a/packages/jobs/tests/copies.test.ts
+++ b/packages/jobs/tests/copies.test.ts
@@ -318,3 +318,52 @@
     t.equal(task.checkpoint, "at 30");
     t.end();
 });
+
+// Guards against copies that are stopped for a reading that was taken before they were at full speed.
+t.test("a copy is compared with its original by its last reading", t => {
+    const { harness, original, startCopy, report } = CopyCase.create();
+    const copy = startCopy();
+    harness.clock.advance(400);
+    report(original, 15);
+    report(copy, 2);
+    harness.clock.advance(800);
+    t.same(harness.planOrders(), [], "the reading is too old");
+    report(copy, 50);
+    t.same(harness.planOrders(), [], "the copy is faster");
+    t.end();
+});
+
+// Guards against a copy that is stopped after a take-over, since its original seems to have just started.
+t.test("the next owner does not compare runs whose start it does not know", t => {
+    const before = CopyCase.create();
+    const runs = [before.original, before.startCopy()];
+    const job = before.harness.scheduler.jobs.get(before.job);
+    const next = SchedulerHarness.create(2);
+    next.inherit(before.spec, job && readProgress(job));
+    const workers = runs.map(({ worker }) => next.addUnreadWorker(worker.entry.id, worker.entry));
+    next.scheduler.expectInheritedWorkers(workers.map(({ key }) => key));
+    for (const percents of [
+        [50, 30],
+        [51, 45],
+    ]) {
+        workers.forEach((worker, index) => {
+            const listed = runs.slice(index, index + 1).map(SchedulerHarness.listedRun);
+            next.reportListing(
+                worker,
+                listed.map(run => ({ ...run, progressPercent: percents[index] ?? 0 })),
+                [],
+            );
+        });
+        next.clock.advance(1_100);
+    }
+    workers.forEach((worker, index) => {
+        const listed = runs.slice(index, index + 1).map(SchedulerHarness.listedRun);
+        next.reportListing(
+            worker,
+            listed.map(run => ({ ...run, progressPercent: [52, 50][index] ?? 0 })),
+            [],
+        );
+    });
+    t.same(next.planOrders(), []);
+    t.end();
+});
