Log no ignored ends for the members of a speculative gang

Cause: a gang is done with the first end as done of a member, and the ends of the others were then taken for those of the losing runs of copied tasks. Change: gangs, which have no copies, are logged as before.

--- a/packages/jobs/src/find-ignore-reason.ts
+++ b/packages/jobs/src/find-ignore-reason.ts
@@ -32,7 +32,9 @@
     }
     if (run !== undefined && task.isCurrent(run)) {
         // The other run of a speculative task has ended as done before.
-        return task.isDone && task.step.spec.speculative ? IgnoreReason.TaskDone : undefined;
+        return task.isDone && task.step.spec.speculative && !task.step.spec.gang
+            ? IgnoreReason.TaskDone
+            : undefined;
     }
     if (task.isDone) {
         return IgnoreReason.TaskDone;
--- a/packages/jobs/tests/copies.test.ts
+++ b/packages/jobs/tests/copies.test.ts
@@ -404,3 +404,15 @@
     t.match(harness.planStarts(), [{ isCopy: true }], "a copy starts once a worker has room");
     t.end();
 });
+
+// Guards against a log line for each member of a speculative gang, which is done with the first of them.
+t.test("the ends of all members of a gang are applied as those of current runs", t => {
+    const { harness, original } = CopyCase.create({ gang: true });
+    for (const { run } of original.task.step.tasks) {
+        if (run !== undefined) {
+            harness.reportEnd(run, EndKind.Done);
+        }
+    }
+    t.same(harness.ignoredEnds, []);
+    t.end();
+});
