--- a/packages/jobs/src/copy-planner.ts
+++ b/packages/jobs/src/copy-planner.ts
@@ -59,7 +59,7 @@
 const MaxWaitingSteps = 16;
 /**
  * A search leaves out a step after this many of its tasks have found no worker; the others could use nearly the same ones.
- * Without it, 500 slow tasks made a plan of 378 workers take up to 130 ms.
+ * Without it and `spareWorkers`, a search for the copies of 500 slow tasks on 378 workers took 30 to 150 ms.
  */
 const MaxUnplacedPerStep = 3;
 
