Move a task out of a data centre that has both of its runs

Cause: an evacuation left every task with a copy alone, also if the original and the copy were both in evacuated data centres, so a long task that could continue from its checkpoint stayed until one of them ended. Change: the original moves as without a copy if the copy is in an evacuated data centre; the copy, which is then the task's run, follows.

--- a/packages/jobs/src/mark-evacuations.ts
+++ b/packages/jobs/src/mark-evacuations.ts
@@ -54,8 +54,8 @@
 const isSettled = (run: Run | undefined): run is Run =>
     run !== undefined &&
     run.task.run === run &&
-    // The copy, or its original, continues without a move.
-    run.task.copy === undefined &&
+    // A copy in another data centre continues without a move.
+    (run.task.copy === undefined || run.task.copy.worker.isEvacuated) &&
     run.phase === RunPhase.Running &&
     run.worker.isReachable &&
     !run.isStopRequested &&
--- a/packages/jobs/tests/copies.test.ts
+++ b/packages/jobs/tests/copies.test.ts
@@ -416,3 +416,22 @@
     t.same(harness.ignoredEnds, []);
     t.end();
 });
+
+// Guards against two runs of a task that both stay in a data centre that is being evacuated.
+t.test("a task moves out of a data centre that has both of its runs", t => {
+    const { harness, original, startCopy, report } = CopyCase.create({
+        checkpoints: true,
+        estimatedMs: 20_000,
+    });
+    const copy = startCopy();
+    report(original, 10, "at 10");
+    report(copy, 5, "at 5");
+    const elsewhere = harness.addWorker("elsewhere", { zone: "elsewhere" });
+    harness.scheduler.setEvacuated(new Set(["zone"]));
+    for (const run of [original, copy]) {
+        t.match(harness.planOrders(), [{ number: run.number, reason: StopReason.Evacuated }]);
+        harness.reportEnd(run, EndKind.Stopped, "at 10");
+    }
+    t.match(harness.planStarts(), [{ worker: elsewhere }]);
+    t.end();
+});
