--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -86,14 +86,17 @@
             run.task.notRunningSinceMs ??= times.nowMs;
             this.countWaitSinceLoss(run, end);
         }
-        if (run.task.step.spec.speculative) {
+        if (run.task.step.spec.speculative && !run.task.step.spec.lasting) {
             this.copies.noteEnd(run, end, times.nowMs);
         }
         if (isCurrent || completesTask) {
-            const keepsCheckpoint = !isCurrent || run.task.takesCheckpointOf(run);
+            const keepsCheckpoint = end.checkpoint === "" || !isCurrent || run.task.takesCheckpointOf(run);
             this.apply(run.task, run.worker, keepsCheckpoint ? end : { ...end, checkpoint: "" }, times);
         } else if (end.kind === EndKind.Done) {
             this.completeByEarlierRun(run.task, times.wallMs);
+        } else if (end.kind === EndKind.Failed && run.task.step.spec.speculative) {
+            // A third run that a new owner has found is stopped, but a failure before that is an attempt.
+            this.countFailure(run.task, run.number, times.wallMs);
         }
     }
 
--- a/packages/jobs/tests/copies.test.ts
+++ b/packages/jobs/tests/copies.test.ts
@@ -265,3 +265,173 @@
     t.equal(task.run, copy);
     t.end();
 });
+
+// Guards against the failure of a third run that is not counted as an attempt, so that the task starts too often.
+t.test("a failure of a third run that the next owner found counts as an attempt", t => {
+    const before = CopyCase.create();
+    const listed = SchedulerHarness.listedRun(before.startCopy());
+    const job = before.harness.scheduler.jobs.get(before.job);
+    const next = SchedulerHarness.create(2);
+    next.inherit(before.spec, job && readProgress(job));
+    const workers = ["near", "near2", "far"].map(id => next.addUnreadWorker(id));
+    next.scheduler.expectInheritedWorkers(workers.map(({ key }) => key));
+    workers.forEach((worker, index) => {
+        next.reportListing(worker, [{ ...listed, number: index + 1 }], []);
+    });
+    const [, second, third] = workers.map(worker => worker.runs.get(listed.task));
+    t.equal(third?.stopReason, StopReason.NotCurrent);
+    if (second !== undefined && third !== undefined) {
+        next.reportEnd(third, EndKind.Failed);
+        t.strictSame([...third.task.failedRuns], [third.number]);
+        next.reportEnd(second, EndKind.Failed);
+    }
+    t.equal(next.scheduler.jobs.get(before.job)?.endState, JobState.Failed);
+    t.end();
+});
+
+// Guards against durations that pile up while the tasks of a lasting step end as done and start again.
+t.test("durations of a lasting step are not kept", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("worker");
+    harness.submit({ speculative: true, lasting: true });
+    for (let count = 0; count < 3; count++) {
+        const [run] = harness.planAndStartAll();
+        t.ok(run);
+        if (run !== undefined) {
+            harness.reportEnd(run, EndKind.Done);
+            t.same(run.task.step.doneDurationsMs, []);
+        }
+        harness.clock.advance(2_000);
+    }
+    t.end();
+});
+
+// Guards against checkpoints of the original that are dropped because a copy without one had been further along.
+t.test("the end of a copy without a checkpoint does not keep those of the original from counting", t => {
+    const { harness, original, task, startCopy, report } = CopyCase.create({ checkpoints: true });
+    const copy = startCopy();
+    harness.clock.advance(400);
+    report(copy, 60);
+    harness.reportEnd(copy, EndKind.Failed);
+    harness.clock.advance(400);
+    report(original, 30, "at 30");
+    t.equal(task.checkpoint, "at 30");
+    t.end();
+});
+
+// Guards against copies that are stopped for a reading that was taken before they were at full speed.
+t.test("a copy is compared with its original by its last reading", t => {
+    const { harness, original, startCopy, report } = CopyCase.create();
+    const copy = startCopy();
+    harness.clock.advance(400);
+    report(original, 15);
+    report(copy, 2);
+    harness.clock.advance(800);
+    t.same(harness.planOrders(), [], "the reading is too old");
+    report(copy, 50);
+    t.same(harness.planOrders(), [], "the copy is faster");
+    t.end();
+});
+
+// Guards against a copy that is stopped after a take-over, since its original seems to have just started.
+t.test("the next owner does not compare runs whose start it does not know", t => {
+    const before = CopyCase.create();
+    const runs = [before.original, before.startCopy()];
+    const job = before.harness.scheduler.jobs.get(before.job);
+    const next = SchedulerHarness.create(2);
+    next.inherit(before.spec, job && readProgress(job));
+    const workers = runs.map(({ worker }) => next.addUnreadWorker(worker.entry.id, worker.entry));
+    next.scheduler.expectInheritedWorkers(workers.map(({ key }) => key));
+    for (const percents of [
+        [50, 30],
+        [51, 45],
+    ]) {
+        workers.forEach((worker, index) => {
+            const listed = runs.slice(index, index + 1).map(SchedulerHarness.listedRun);
+            next.reportListing(
+                worker,
+                listed.map(run => ({ ...run, progressPercent: percents[index] ?? 0 })),
+                [],
+            );
+        });
+        next.clock.advance(1_100);
+    }
+    workers.forEach((worker, index) => {
+        const listed = runs.slice(index, index + 1).map(SchedulerHarness.listedRun);
+        next.reportListing(
+            worker,
+            listed.map(run => ({ ...run, progressPercent: [52, 50][index] ?? 0 })),
+            [],
+        );
+    });
+    t.same(next.planOrders(), []);
+    t.end();
+});
+
+// Guards against a search for slow tasks that takes the owner's time when no worker has room for their copies.
+t.test("load pattern: hundreds of slow tasks have no worker for a copy", t => {
+    const harness = SchedulerHarness.create();
+    const near = harness.addWorker("near", {
+        capacity: Resources.create({ processors: 100, memoryMb: 10_000 }),
+    });
+    const resources = Resources.create({ processors: 0.1, memoryMb: 1 });
+    harness.submit({ speculative: true, count: 300, resources });
+    const runs = harness.planAndStartAll();
+    const other = harness.addWorker("other");
+    other.avoidUntilMs = Infinity;
+    const report = (percentOf: (index: number) => number): void => {
+        const rows = runs.map(run => ({
+            ...SchedulerHarness.listedRun(run),
+            progressPercent: percentOf(run.task.index),
+        }));
+        harness.reportListing(near, rows, []);
+    };
+    report(() => 0);
+    harness.clock.advance(2_000);
+    report(index => (index < 200 ? 80 : 5));
+    let searches = 0;
+    const hasCapacityFor = other.hasCapacityFor.bind(other);
+    other.hasCapacityFor = step => {
+        searches++;
+        return hasCapacityFor(step);
+    };
+    harness.clock.advance(600);
+    t.same(harness.planStarts(), []);
+    // A search for the migration of the slow runs asks as well.
+    t.ok(searches > 0 && searches <= 10, `${searches} searches for 100 slow tasks`);
+    other.avoidUntilMs = 0;
+    harness.clock.advance(600);
+    t.match(harness.planStarts(), [{ isCopy: true }], "a copy starts once a worker has room");
+    t.end();
+});
+
+// Guards against a log line for each member of a speculative gang, which is done with the first of them.
+t.test("the ends of all members of a gang are applied as those of current runs", t => {
+    const { harness, original } = CopyCase.create({ gang: true });
+    for (const { run } of original.task.step.tasks) {
+        if (run !== undefined) {
+            harness.reportEnd(run, EndKind.Done);
+        }
+    }
+    t.same(harness.ignoredEnds, []);
+    t.end();
+});
+
+// Guards against two runs of a task that both stay in a data centre that is being evacuated.
+t.test("a task moves out of a data centre that has both of its runs", t => {
+    const { harness, original, startCopy, report } = CopyCase.create({
+        checkpoints: true,
+        estimatedMs: 20_000,
+    });
+    const copy = startCopy();
+    report(original, 10, "at 10");
+    report(copy, 5, "at 5");
+    const elsewhere = harness.addWorker("elsewhere", { zone: "elsewhere" });
+    harness.scheduler.setEvacuated(new Set(["zone"]));
+    for (const run of [original, copy]) {
+        t.match(harness.planOrders(), [{ number: run.number, reason: StopReason.Evacuated }]);
+        harness.reportEnd(run, EndKind.Stopped, "at 10");
+    }
+    t.match(harness.planStarts(), [{ worker: elsewhere }]);
+    t.end();
+});
