The HTTP parser stops at a request refused for its connection

Cause: the parser of Node.js 20 completes the 64 KB that it has read although the connection is closed at its 17th request. About 1,490 requests for each readable connection stayed in memory, and 200 such connections exhausted the heap. The same held for the requests after a 503 that closes the connection.

Change: BoundedServer gives the HTTP server a class of requests whose `upgrade` is true if the connection is closing, closed, or has as many open requests as it may have. Node.js reads it before it keeps the request, stops the parser and emits "upgrade"; the server then counts the refusal and closes the connection, or lets an earlier response that said so be sent. Upgrade headers of clients are ignored as before; CONNECT closes the connection as before.

Second fault, found on the way: responses that waited for an earlier one when their connection was closed got no "close" event, so that their requests counted as open for ever. The requests of a closed connection are now closed by the server, and count until their handlers are done.

The rule private-constructor is disabled for the class, because the HTTP server calls its constructor.

--- a/packages/core/src/bounded-server.ts
+++ b/packages/core/src/bounded-server.ts
@@ -1,5 +1,5 @@
-import type { IncomingMessage, Server, ServerOptions, ServerResponse } from "node:http";
-import { createServer } from "node:http";
+import type { Server, ServerOptions, ServerResponse } from "node:http";
+import { IncomingMessage, createServer } from "node:http";
 import type { Socket } from "node:net";
 import { BodyCollector } from "./body-collector.js";
 import type { ClientConnection } from "./client-connection.js";
@@ -49,6 +49,27 @@
     }
 };
 
+/**
+ * Class of requests at which the HTTP parser stops if `isRefused` is true of their connection. Node.js reads `upgrade`
+ * before it keeps a request: if it is true, the rest of the bytes that were read is not parsed, and the server emits
+ * "upgrade". Otherwise, the parser completes up to 64 KB of requests even after their connection is closed.
+ */
+const createRequestClass = (isRefused: (socket: Socket) => boolean): typeof IncomingMessage =>
+    // eslint-disable-next-line samphireward/private-constructor -- the HTTP server calls the constructor
+    class extends IncomingMessage {
+        private isStopped: boolean | undefined;
+
+        /** Decided at the first reading: Node.js reads it again when later requests have been counted. */
+        get upgrade(): boolean {
+            // Without a listener for "connect", Node.js closes the connection of such a request.
+            this.isStopped ??= this.method === "CONNECT" || isRefused(this.socket);
+            return this.isStopped;
+        }
+
+        /** Ignores the header of the client; its request is handled like others. */
+        set upgrade(_requested: boolean) {}
+    };
+
 /**
  * HTTP server that stays within its limits whatever its clients do. Beyond a limit it refuses a request with 503, or
  * closes a connection on which no request is being handled: a request that is being handled keeps its place and is
@@ -80,10 +101,12 @@
                 headersTimeout: limits.headerMs,
                 requestTimeout: limits.headerMs + limits.bodyMs,
                 connectionsCheckingInterval: CheckIntervalMs,
+                IncomingMessage: createRequestClass(socket => this.isRefused(socket)),
             },
             (req, res) => this.accept(req, res),
         );
         this.server.on("connection", (socket: Socket) => this.addConnection(socket));
+        this.server.on("upgrade", (_req, socket) => this.stopReading(socket as Socket));
         this.server.on("clientError", (err: NodeJS.ErrnoException, socket) =>
             this.answerParserError(err, socket as Socket),
         );
@@ -106,10 +129,21 @@
             }
             this.destroy(oldest);
         }
-        const connection = { socket, openRequests: 0, handledRequests: 0, isClosing: false };
+        const connection = {
+            socket,
+            openRequests: new Set<ClientRequest>(),
+            handledRequests: 0,
+            isClosing: false,
+        };
         this.connections.set(socket, connection);
         this.idleConnections.add(connection);
-        socket.on("close", () => this.removeConnection(connection));
+        socket.on("close", () => {
+            this.removeConnection(connection);
+            // Node.js emits no event for responses that wait for earlier ones of the connection.
+            for (const request of connection.openRequests) {
+                request.close();
+            }
+        });
     }
 
     private removeConnection(connection: ClientConnection): void {
@@ -123,31 +157,53 @@
         connection.socket.destroy();
     }
 
+    /** Whether no further request is read from the connection. */
+    private isRefused(socket: Socket): boolean {
+        const connection = this.connections.get(socket);
+        return (
+            connection === undefined ||
+            connection.isClosing ||
+            connection.openRequests.size >= this.limits.requestsPerConnection
+        );
+    }
+
+    /** Ends a connection from which no further request is read. */
+    private stopReading(socket: Socket): void {
+        const connection = this.connections.get(socket);
+        if (connection === undefined) {
+            socket.destroy();
+            return;
+        }
+        if (connection.isClosing) {
+            // Node.js closes the connection after the response that said so. Unread data would reset it before that.
+            socket.on("error", () => socket.destroy());
+            socket.resume();
+            return;
+        }
+        // The parser would go on to read requests from the connection until earlier responses are sent.
+        this.onRefused(RefusalReason.Pipelining);
+        this.destroy(connection);
+    }
+
     private accept(req: IncomingMessage, res: ServerResponse): void {
         const connection = this.connections.get(req.socket);
         if (connection === undefined || connection.isClosing) {
             // The response to an earlier request said that the connection is closed, so that this one is not run.
             return;
         }
-        if (connection.openRequests >= this.limits.requestsPerConnection) {
-            // The parser would go on to read requests from the connection until earlier responses are sent.
-            this.onRefused(RefusalReason.Pipelining);
-            this.destroy(connection);
-            return;
-        }
         if (this.requests.size >= this.limits.requests && !this.bodies.refuseOldest(RefusalReason.Requests)) {
             this.refuse(connection, res, RefusalReason.Requests);
             return;
         }
-        connection.openRequests++;
         const request = ClientRequest.create(connection, req, res, this.bodies, this.requestEvents);
+        connection.openRequests.add(request);
         this.requests.add(request);
         request.handleWith(this.options.listener(req, res, request));
     }
 
     private refuse(connection: ClientConnection, res: ServerResponse, reason: RefusalReason): void {
         this.onRefused(reason);
-        if (connection.openRequests > 0) {
+        if (connection.openRequests.size > 0) {
             this.destroy(connection);
             return;
         }
@@ -158,7 +214,7 @@
 
     private removeRequest(request: ClientRequest): void {
         this.requests.delete(request);
-        request.connection.openRequests--;
+        request.connection.openRequests.delete(request);
     }
 
     private countHandled(connection: ClientConnection, isHandled: boolean): void {
@@ -194,7 +250,7 @@
             this.options.respondToParserError(err, socket);
         } else {
             // While a response is due on the connection, other bytes would be taken for it.
-            if (explained !== undefined && socket.writable && connection?.openRequests === 0) {
+            if (explained !== undefined && socket.writable && connection?.openRequests.size === 0) {
                 socket.write(`HTTP/1.1 ${explained.status}\r\nconnection: close\r\n\r\n`);
             }
             socket.destroySoon();
--- a/packages/core/tests/bounded-server.test.ts
+++ b/packages/core/tests/bounded-server.test.ts
@@ -1,3 +1,4 @@
+import diagnostics from "node:diagnostics_channel";
 import { once } from "node:events";
 import type { Socket } from "node:net";
 import { connect } from "node:net";
@@ -166,3 +167,63 @@
         server.close();
     }
 });
+
+// Guards against requests that stay in memory after their connection is refused: Node.js parses up to 64 KB at once.
+t.test("no request is parsed after the one at which the connection is refused", async t => {
+    const server = await start({ requestsPerConnection: 2, requests: 3 });
+    t.teardown(() => server.close());
+    let parsed = 0;
+    const countParsed = (): void => void parsed++;
+    diagnostics.subscribe("http.server.request.start", countParsed);
+    t.teardown(() => diagnostics.unsubscribe("http.server.request.start", countParsed));
+    const get = "GET /slow HTTP/1.1\r\nhost: x\r\n\r\n";
+    t.equal(await statusOf(await open(server.port, get.repeat(1_000))), 0);
+    t.equal(parsed, 2, "beyond the limit of the connection");
+    t.strictSame(server.refused, [RefusalReason.Pipelining]);
+
+    await open(server.port, get);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.equal(await statusOf(await open(server.port, get.repeat(1_000))), 503, "the refusal is received");
+    t.equal(parsed, 4, "beyond the limit of the server");
+    t.strictSame(server.refused, [RefusalReason.Pipelining, RefusalReason.Requests]);
+});
+
+// Guards against requests that count as open for ever because their responses waited for an earlier one when the
+// connection was closed: the server would refuse all further requests.
+t.test(
+    "requests without waiting no longer count when their connection is closed and they are done",
+    async t => {
+        const server = await start({ requestsPerConnection: 4, requests: 4 });
+        t.teardown(() => server.close());
+        for (let round = 0; round < 2; round++) {
+            t.equal(await statusOf(await open(server.port, post("/slow", 0, "").repeat(5))), 0);
+            await new Promise(resolve => setTimeout(resolve, 50));
+            t.equal(
+                await statusOf(await open(server.port, post("/", 1, "b"))),
+                503,
+                "they count until they are done",
+            );
+            server.release();
+            await new Promise(resolve => setTimeout(resolve, 50));
+            t.equal(await statusOf(await open(server.port, post("/", 1, "c"))), 200);
+        }
+        const round = ["", "", "", "", "c"];
+        t.strictSame(server.handled, [...round, ...round]);
+        const reasons = [RefusalReason.Pipelining, RefusalReason.Requests];
+        t.strictSame(server.refused, [...reasons, ...reasons]);
+    },
+);
+
+// Guards against ordinary connections that are refused by the count of requests, or by a header that asks for an upgrade.
+t.test("a connection with many requests, one after the other, stays open", async t => {
+    const server = await start({ requestsPerConnection: 1 });
+    t.teardown(() => server.close());
+    const socket = await open(server.port);
+    socket.setMaxListeners(0);
+    const upgrade = "GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n";
+    for (let count = 0; count < 50; count++) {
+        socket.write(count % 2 === 0 ? upgrade : post("/", 1, "a"));
+        t.equal(await statusOf(socket), 200);
+    }
+    t.strictSame(server.refused, []);
+});
