Free pipelined requests whose connection is closed

Cause: a request counted as open until its response emitted close. Node.js emits no close for responses that wait for an earlier one on their connection, so that each pipelined request of a client that closed its connection kept its place and the memory of its body for ever; the server then refused everything. Change: the close of a connection ends all of its requests. A handler that is still running keeps its place until it is done, as before.

--- a/packages/core/src/bounded-server.ts
+++ b/packages/core/src/bounded-server.ts
@@ -106,10 +106,19 @@
             }
             this.destroy(oldest);
         }
-        const connection = { socket, openRequests: 0, handledRequests: 0, isClosing: false };
+        const connection: ClientConnection = {
+            socket,
+            openRequests: new Set(),
+            handledRequests: 0,
+            isClosing: false,
+        };
         this.connections.set(socket, connection);
         this.idleConnections.add(connection);
-        socket.on("close", () => this.removeConnection(connection));
+        socket.on("close", () => {
+            this.removeConnection(connection);
+            // Node.js emits no close event for responses that wait for an earlier one on their connection.
+            connection.openRequests.forEach(request => request.close());
+        });
     }
 
     private removeConnection(connection: ClientConnection): void {
@@ -129,7 +138,7 @@
             // The response to an earlier request said that the connection is closed, so that this one is not run.
             return;
         }
-        if (connection.openRequests >= this.limits.requestsPerConnection) {
+        if (connection.openRequests.size >= this.limits.requestsPerConnection) {
             // The parser would go on to read requests from the connection until earlier responses are sent.
             this.onRefused(RefusalReason.Pipelining);
             this.destroy(connection);
@@ -139,15 +148,15 @@
             this.refuse(connection, res, RefusalReason.Requests);
             return;
         }
-        connection.openRequests++;
         const request = ClientRequest.create(connection, req, res, this.bodies, this.requestEvents);
+        connection.openRequests.add(request);
         this.requests.add(request);
         request.handleWith(this.options.listener(req, res, request));
     }
 
     private refuse(connection: ClientConnection, res: ServerResponse, reason: RefusalReason): void {
         this.onRefused(reason);
-        if (connection.openRequests > 0) {
+        if (connection.openRequests.size > 0) {
             this.destroy(connection);
             return;
         }
@@ -158,7 +167,7 @@
 
     private removeRequest(request: ClientRequest): void {
         this.requests.delete(request);
-        request.connection.openRequests--;
+        request.connection.openRequests.delete(request);
     }
 
     private countHandled(connection: ClientConnection, isHandled: boolean): void {
@@ -194,7 +203,7 @@
             this.options.respondToParserError(err, socket);
         } else {
             // While a response is due on the connection, other bytes would be taken for it.
-            if (explained !== undefined && socket.writable && connection?.openRequests === 0) {
+            if (explained !== undefined && socket.writable && connection?.openRequests.size === 0) {
                 socket.write(`HTTP/1.1 ${explained.status}\r\nconnection: close\r\n\r\n`);
             }
             socket.destroySoon();
--- a/packages/core/src/client-request.ts
+++ b/packages/core/src/client-request.ts
@@ -108,6 +108,16 @@
         return bytes > 0 && nowMs - this.unread.sinceMs > maxMs;
     }
 
+    /** Records that the response has been sent or that the connection is closed. Only the first call has an effect. */
+    close(): void {
+        if (this.isClosed) {
+            return;
+        }
+        this.isClosed = true;
+        this.setHandled(false);
+        this.checkClosed();
+    }
+
     private finish(): void {
         this.setHandled(false);
         if (!this.req.complete) {
@@ -120,12 +130,6 @@
         }
     }
 
-    private close(): void {
-        this.isClosed = true;
-        this.setHandled(false);
-        this.checkClosed();
-    }
-
     private checkClosed(): void {
         if (this.isClosed && !this.isRunning) {
             this.releaseBody?.();
--- a/packages/core/tests/bounded-server.test.ts
+++ b/packages/core/tests/bounded-server.test.ts
@@ -166,3 +166,23 @@
         server.close();
     }
 });
+
+// Guards against requests that wait behind another one on their connection and stay counted for ever: Node.js emits no
+// close event for their responses.
+t.test("requests sent without waiting are free again when their connection is closed", async t => {
+    const server = await start({ bodyBytes: 20_000, requests: 8 });
+    t.teardown(() => server.close());
+    const body = "y".repeat(4_000);
+    for (let round = 0; round < 3; round++) {
+        const client = await open(server.port, post("/slow", body.length, body).repeat(4));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        client.destroy();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        server.release();
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    t.equal(server.handled.length, 12, "accepted requests are completed");
+    const next = await open(server.port, post("/", 9_000, "z".repeat(9_000)));
+    t.equal(await statusOf(next), 200);
+    t.strictSame(server.refused, []);
+});
