Keep the connection of requests without a body that are answered at once

Cause: a listener runs before the parser marks a request as complete, also when it has no body. Responses sent by the listener itself, such as those of the readiness server, were taken for refusals of an incomplete body and closed the connection, so that each probe needed a new one. Change: a request without a body counts as complete.

--- a/packages/core/src/client-request.ts
+++ b/packages/core/src/client-request.ts
@@ -14,6 +14,13 @@
     readonly onClosed: (request: ClientRequest) => void;
 }
 
+/**
+ * Whether the whole body has arrived. The parser marks a request without a body as complete only after its listener has
+ * returned.
+ */
+const hasWholeBody = ({ complete, headers }: IncomingMessage): boolean =>
+    complete || (headers["transfer-encoding"] === undefined && Number(headers["content-length"] ?? 0) === 0);
+
 /** A request of a client on a `BoundedServer`, from its headers until its response is sent. */
 export class ClientRequest {
     private isHandled = false;
@@ -79,7 +86,7 @@
             return;
         }
         const contentLength = Buffer.byteLength(text);
-        if (req.complete) {
+        if (hasWholeBody(req)) {
             res.writeHead(status, { ...headers, "content-length": contentLength });
             res.end(text);
             return;
@@ -120,7 +127,7 @@
 
     private finish(): void {
         this.setHandled(false);
-        if (!this.req.complete) {
+        if (!hasWholeBody(this.req)) {
             const timer = setTimeout(() => {
                 if (!this.req.complete) {
                     this.connection.socket.destroy();
--- a/packages/core/tests/bounded-server.test.ts
+++ b/packages/core/tests/bounded-server.test.ts
@@ -186,3 +186,23 @@
     t.equal(await statusOf(next), 200);
     t.strictSame(server.refused, []);
 });
+
+// Guards against probes that need a new connection each: the listener runs before the parser has seen the end of a
+// request without a body.
+t.test("a listener that answers at once keeps the connection of a request without a body", async t => {
+    const { server } = BoundedServer.create({
+        limits: deriveServerLimits({}),
+        listener: (_req, _res, request) => request.send(200, {}, ""),
+    });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+    const client = await open(port);
+    for (const request of ["GET / HTTP/1.1\r\nhost: x\r\n\r\n", post("/", 0, "")]) {
+        const response = once(client, "data");
+        client.write(request);
+        t.notMatch(String((await response)[0]).toLowerCase(), "connection: close");
+    }
+});
