Emit the close event of responses that wait on a closed connection

Cause: Node.js emits close only for the response that has the connection. RequestJob of packages/routing and the abort signal of JsonServer wait for this event; for pipelined requests of a client that had gone it never came, so that a request kept its place and a drain did not end. Change: the server closes such responses when their connection is closed, in place of ending only its own count.

--- a/packages/core/src/bounded-server.ts
+++ b/packages/core/src/bounded-server.ts
@@ -116,8 +116,7 @@
         this.idleConnections.add(connection);
         socket.on("close", () => {
             this.removeConnection(connection);
-            // Node.js emits no close event for responses that wait for an earlier one on their connection.
-            connection.openRequests.forEach(request => request.close());
+            connection.openRequests.forEach(request => request.closeWithConnection());
         });
     }
 
--- a/packages/core/src/client-request.ts
+++ b/packages/core/src/client-request.ts
@@ -115,14 +115,16 @@
         return bytes > 0 && nowMs - this.unread.sinceMs > maxMs;
     }
 
-    /** Records that the response has been sent or that the connection is closed. Only the first call has an effect. */
-    close(): void {
-        if (this.isClosed) {
-            return;
+    /**
+     * Closes a response that waits for an earlier one on a connection that is closed. Node.js emits a close event only
+     * for the response that has the connection, and listeners rely on that event.
+     */
+    closeWithConnection(): void {
+        const { res } = this;
+        if (res.socket === null && !res.writableFinished && !res.destroyed) {
+            res.destroy();
+            res.emit("close");
         }
-        this.isClosed = true;
-        this.setHandled(false);
-        this.checkClosed();
     }
 
     private finish(): void {
@@ -137,6 +139,12 @@
         }
     }
 
+    private close(): void {
+        this.isClosed = true;
+        this.setHandled(false);
+        this.checkClosed();
+    }
+
     private checkClosed(): void {
         if (this.isClosed && !this.isRunning) {
             this.releaseBody?.();
--- a/packages/core/tests/bounded-server.test.ts
+++ b/packages/core/tests/bounded-server.test.ts
@@ -206,3 +206,20 @@
         t.notMatch(String((await response)[0]).toLowerCase(), "connection: close");
     }
 });
+
+// Guards against listeners that wait for ever: those of `packages/routing` and `JsonServer` learn from the close event of
+// a response that its client is gone.
+t.test("each response of a connection that is closed emits one close event", async t => {
+    const closed: (string | undefined)[] = [];
+    const { server } = BoundedServer.create({
+        limits: deriveServerLimits({}),
+        listener: (req, res) => void res.on("close", () => closed.push(req.url)),
+    });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => server.close());
+    const client = await open(port, post("/1", 0, "") + post("/2", 0, "") + post("/3", 0, ""));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    client.destroy();
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.strictSame(closed.sort(), ["/1", "/2", "/3"]);
+});
