Do not cut off clients that read a long response slowly

Cause: the bytes of a write count in socket.writableLength until all of it is sent. A client that read a long response steadily, for longer than client_response_idle_ms, was taken for one that reads nothing. Change: the bytes that libuv still has to send are part of the comparison, as in the socket timeouts of Node.js.

--- a/packages/core/src/client-request.ts
+++ b/packages/core/src/client-request.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Result } from "ts-results-es";
 import type { BodyCollector } from "./body-collector.js";
 import type { BodyRefusal } from "./body-refusal.js";
@@ -7,6 +8,16 @@
 /** Time for which the rest of a refused body is read, so that the client can read the refusal. */
 const LingerMs = 1_000;
 
+/**
+ * Bytes that the client has not read, apart from those in the system's buffers. `writableLength` alone counts a write
+ * until all of it is sent; a long one would look as if the client read nothing. Node.js uses the same value for its
+ * socket timeouts.
+ */
+const unreadBytes = (socket: Socket): number => {
+    const { _handle: handle } = socket as Socket & { readonly _handle?: { writeQueueSize?: number } | null };
+    return socket.writableLength === 0 ? 0 : socket.writableLength + (handle?.writeQueueSize ?? 0);
+};
+
 /** Callbacks of a request to its server. */
 interface RequestEvents {
     /** The request is being handled, or it is no longer. */
@@ -108,7 +119,7 @@
 
     /** Whether the client has read nothing of its response for this time. */
     isUnreadSince(nowMs: number, maxMs: number): boolean {
-        const bytes = this.res.writableEnded ? this.connection.socket.writableLength : 0;
+        const bytes = this.res.writableEnded ? unreadBytes(this.connection.socket) : 0;
         if (bytes === 0 || bytes !== this.unread.bytes) {
             this.unread = { bytes, sinceMs: nowMs };
         }
--- a/packages/core/tests/bounded-server.test.ts
+++ b/packages/core/tests/bounded-server.test.ts
@@ -223,3 +223,37 @@
     await new Promise(resolve => setTimeout(resolve, 50));
     t.strictSame(closed.sort(), ["/1", "/2", "/3"]);
 });
+
+// Guards against a slow client that is cut off while it reads: Node.js counts the bytes of a write until all are sent.
+t.test("a client may read a long response for longer than the time without progress", async t => {
+    const ResponseIdleMs = 600;
+    const length = 16 * 1024 * 1024;
+    const refused: RefusalReason[] = [];
+    const { server } = BoundedServer.create({
+        limits: { ...deriveServerLimits({}), responseIdleMs: ResponseIdleMs },
+        listener: (_req, _res, request) => request.send(200, {}, "x".repeat(length)),
+        onRefused: reason => refused.push(reason),
+    });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+    const client = await open(port, "GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    let received = 0;
+    let isReading = true;
+    client.on("data", (chunk: Buffer) => {
+        received += chunk.length;
+        client.pause();
+        setTimeout(() => isReading && client.resume(), 10);
+    });
+    await Promise.race([
+        once(client, "close"),
+        new Promise(resolve => setTimeout(resolve, 4 * ResponseIdleMs)),
+    ]);
+    t.strictSame(refused, []);
+    t.ok(received > 0 && received < length, `the client is still reading, ${received} bytes so far`);
+    isReading = false;
+    await new Promise(resolve => setTimeout(resolve, 4 * ResponseIdleMs));
+    t.strictSame(refused, [RefusalReason.ResponseTime], "a client that stops reading is closed");
+});
