Close unused connections of a closed server

Cause: Node.js stops its check of header times when a server is closed, and does not take a connection that has never sent a request for idle. One silent client kept JsonServer.close, and so the end of a dispatcher, waiting for ever. Change: the periodic check closes connections without a request once the server no longer listens.

--- a/packages/core/src/bounded-server.ts
+++ b/packages/core/src/bounded-server.ts
@@ -180,6 +180,9 @@
 
     private check(): void {
         this.bodies.refuseLate();
+        if (!this.server.listening) {
+            this.closeUnused();
+        }
         const nowMs = performance.now();
         for (const request of this.requests) {
             if (request.isUnreadSince(nowMs, this.limits.responseIdleMs)) {
@@ -189,6 +192,15 @@
         }
     }
 
+    /** Closes connections without a request. Node.js no longer checks the time for headers once the server is closed. */
+    private closeUnused(): void {
+        for (const connection of this.idleConnections) {
+            if (connection.openRequests.size === 0) {
+                this.destroy(connection);
+            }
+        }
+    }
+
     private answerParserError(err: NodeJS.ErrnoException, socket: Socket): void {
         const explained = explainParserError(err.code);
         const connection = this.connections.get(socket);
--- a/packages/core/tests/bounded-server.test.ts
+++ b/packages/core/tests/bounded-server.test.ts
@@ -257,3 +257,15 @@
     await new Promise(resolve => setTimeout(resolve, 4 * ResponseIdleMs));
     t.strictSame(refused, [RefusalReason.ResponseTime], "a client that stops reading is closed");
 });
+
+// Guards against a server that never closes: Node.js ends its checks of header times when it stops listening.
+t.test("a closed server closes connections that never send", async t => {
+    const { server } = BoundedServer.create({ limits: deriveServerLimits({}), listener: () => undefined });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => server.closeAllConnections());
+    await open(port);
+    await open(port, "GET / HTTP/1.1\r\n");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const isClosed = new Promise(resolve => server.close(() => resolve(true)));
+    t.ok(await Promise.race([isClosed, new Promise(resolve => setTimeout(resolve, 3_000, false))]));
+});
