--- a/packages/core/src/server-limits.ts
+++ b/packages/core/src/server-limits.ts
@@ -2,7 +2,7 @@
 export interface ServerLimits {
     /** Maximum number of connections. Beyond it, the one that has been without a request for longest is closed. */
     readonly connections: number;
-    /** Maximum number of requests whose responses are not sent. */
+    /** Maximum number of requests whose responses are not sent or whose handlers are not done. */
     readonly requests: number;
     /** Maximum number of these on one connection. */
     readonly requestsPerConnection: number;
@@ -14,6 +14,6 @@
     readonly bodyMs: number;
     /** Maximum time for the headers of a request, from the opening of the connection for the first one. */
     readonly headerMs: number;
-    /** Maximum time for which a client may read nothing of its response. */
+    /** Maximum time without progress of a response that is being sent. */
     readonly responseIdleMs: number;
 }
