--- a/packages/core/src/bounded-server.ts
+++ b/packages/core/src/bounded-server.ts
@@ -129,9 +129,9 @@
             }
             this.destroy(oldest);
         }
-        const connection = {
+        const connection: ClientConnection = {
             socket,
-            openRequests: new Set<ClientRequest>(),
+            openRequests: new Set(),
             handledRequests: 0,
             isClosing: false,
         };
@@ -139,10 +139,7 @@
         this.idleConnections.add(connection);
         socket.on("close", () => {
             this.removeConnection(connection);
-            // Node.js emits no event for responses that wait for earlier ones of the connection.
-            for (const request of connection.openRequests) {
-                request.close();
-            }
+            connection.openRequests.forEach(request => request.closeWithConnection());
         });
     }
 
@@ -228,6 +225,9 @@
 
     private check(): void {
         this.bodies.refuseLate();
+        if (!this.server.listening) {
+            this.closeUnused();
+        }
         const nowMs = performance.now();
         for (const request of this.requests) {
             if (request.isUnreadSince(nowMs, this.limits.responseIdleMs)) {
@@ -237,6 +237,15 @@
         }
     }
 
+    /** Closes connections without a request. Node.js no longer checks the time for headers once the server is closed. */
+    private closeUnused(): void {
+        for (const connection of this.idleConnections) {
+            if (connection.openRequests.size === 0) {
+                this.destroy(connection);
+            }
+        }
+    }
+
     private answerParserError(err: NodeJS.ErrnoException, socket: Socket): void {
         const explained = explainParserError(err.code);
         const connection = this.connections.get(socket);
--- a/packages/core/src/client-request.ts
+++ b/packages/core/src/client-request.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Result } from "ts-results-es";
 import type { BodyCollector } from "./body-collector.js";
 import type { BodyRefusal } from "./body-refusal.js";
@@ -7,6 +8,16 @@
 /** Time for which the rest of a refused body is read, so that the client can read the refusal. */
 const LingerMs = 1_000;
 
+/**
+ * Bytes that the client has not read, apart from those in the system's buffers. `writableLength` alone counts a write
+ * until all of it is sent; a long one would look as if the client read nothing. Node.js uses the same value for its
+ * socket timeouts.
+ */
+const unreadBytes = (socket: Socket): number => {
+    const { _handle: handle } = socket as Socket & { readonly _handle?: { writeQueueSize?: number } | null };
+    return socket.writableLength === 0 ? 0 : socket.writableLength + (handle?.writeQueueSize ?? 0);
+};
+
 /** Callbacks of a request to its server. */
 interface RequestEvents {
     /** The request is being handled, or it is no longer. */
@@ -14,6 +25,13 @@
     readonly onClosed: (request: ClientRequest) => void;
 }
 
+/**
+ * Whether the whole body has arrived. The parser marks a request without a body as complete only after its listener has
+ * returned.
+ */
+const hasWholeBody = ({ complete, headers }: IncomingMessage): boolean =>
+    complete || (headers["transfer-encoding"] === undefined && Number(headers["content-length"] ?? 0) === 0);
+
 /** A request of a client on a `BoundedServer`, from its headers until its response is sent. */
 export class ClientRequest {
     private isHandled = false;
@@ -79,7 +97,7 @@
             return;
         }
         const contentLength = Buffer.byteLength(text);
-        if (req.complete) {
+        if (hasWholeBody(req)) {
             res.writeHead(status, { ...headers, "content-length": contentLength });
             res.end(text);
             return;
@@ -101,26 +119,28 @@
 
     /** Whether the client has read nothing of its response for this time. */
     isUnreadSince(nowMs: number, maxMs: number): boolean {
-        const bytes = this.res.writableEnded ? this.connection.socket.writableLength : 0;
+        const bytes = this.res.writableEnded ? unreadBytes(this.connection.socket) : 0;
         if (bytes === 0 || bytes !== this.unread.bytes) {
             this.unread = { bytes, sinceMs: nowMs };
         }
         return bytes > 0 && nowMs - this.unread.sinceMs > maxMs;
     }
 
-    /** Called when the response is sent or the connection is closed; both can happen. */
-    close(): void {
-        if (this.isClosed) {
-            return;
+    /**
+     * Closes a response that waits for an earlier one on a connection that is closed. Node.js emits a close event only
+     * for the response that has the connection, and listeners rely on that event.
+     */
+    closeWithConnection(): void {
+        const { res } = this;
+        if (res.socket === null && !res.writableFinished && !res.destroyed) {
+            res.destroy();
+            res.emit("close");
         }
-        this.isClosed = true;
-        this.setHandled(false);
-        this.checkClosed();
     }
 
     private finish(): void {
         this.setHandled(false);
-        if (!this.req.complete) {
+        if (!hasWholeBody(this.req)) {
             const timer = setTimeout(() => {
                 if (!this.req.complete) {
                     this.connection.socket.destroy();
@@ -130,6 +150,12 @@
         }
     }
 
+    private close(): void {
+        this.isClosed = true;
+        this.setHandled(false);
+        this.checkClosed();
+    }
+
     private checkClosed(): void {
         if (this.isClosed && !this.isRunning) {
             this.releaseBody?.();
--- a/packages/core/tests/bounded-server.test.ts
+++ b/packages/core/tests/bounded-server.test.ts
@@ -227,3 +227,106 @@
     }
     t.strictSame(server.refused, []);
 });
+
+// Guards against requests that wait behind another one on their connection and stay counted for ever: Node.js emits no
+// close event for their responses.
+t.test("requests sent without waiting are free again when their connection is closed", async t => {
+    const server = await start({ bodyBytes: 20_000, requests: 8 });
+    t.teardown(() => server.close());
+    const body = "y".repeat(4_000);
+    for (let round = 0; round < 3; round++) {
+        const client = await open(server.port, post("/slow", body.length, body).repeat(4));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        client.destroy();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        server.release();
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    t.equal(server.handled.length, 12, "accepted requests are completed");
+    const next = await open(server.port, post("/", 9_000, "z".repeat(9_000)));
+    t.equal(await statusOf(next), 200);
+    t.strictSame(server.refused, []);
+});
+
+// Guards against probes that need a new connection each: the listener runs before the parser has seen the end of a
+// request without a body.
+t.test("a listener that answers at once keeps the connection of a request without a body", async t => {
+    const { server } = BoundedServer.create({
+        limits: deriveServerLimits({}),
+        listener: (_req, _res, request) => request.send(200, {}, ""),
+    });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+    const client = await open(port);
+    for (const request of ["GET / HTTP/1.1\r\nhost: x\r\n\r\n", post("/", 0, "")]) {
+        const response = once(client, "data");
+        client.write(request);
+        t.notMatch(String((await response)[0]).toLowerCase(), "connection: close");
+    }
+});
+
+// Guards against listeners that wait for ever: those of `packages/routing` and `JsonServer` learn from the close event of
+// a response that its client is gone.
+t.test("each response of a connection that is closed emits one close event", async t => {
+    const closed: (string | undefined)[] = [];
+    const { server } = BoundedServer.create({
+        limits: deriveServerLimits({}),
+        listener: (req, res) => void res.on("close", () => closed.push(req.url)),
+    });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => server.close());
+    const client = await open(port, post("/1", 0, "") + post("/2", 0, "") + post("/3", 0, ""));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    client.destroy();
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.strictSame(closed.sort(), ["/1", "/2", "/3"]);
+});
+
+// Guards against a slow client that is cut off while it reads: Node.js counts the bytes of a write until all are sent.
+t.test("a client may read a long response for longer than the time without progress", async t => {
+    const ResponseIdleMs = 600;
+    const length = 16 * 1024 * 1024;
+    const refused: RefusalReason[] = [];
+    const { server } = BoundedServer.create({
+        limits: { ...deriveServerLimits({}), responseIdleMs: ResponseIdleMs },
+        listener: (_req, _res, request) => request.send(200, {}, "x".repeat(length)),
+        onRefused: reason => refused.push(reason),
+    });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => {
+        server.closeAllConnections();
+        server.close();
+    });
+    const client = await open(port, "GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    let received = 0;
+    let isReading = true;
+    client.on("data", (chunk: Buffer) => {
+        received += chunk.length;
+        client.pause();
+        setTimeout(() => isReading && client.resume(), 10);
+    });
+    await Promise.race([
+        once(client, "close"),
+        new Promise(resolve => setTimeout(resolve, 4 * ResponseIdleMs)),
+    ]);
+    t.strictSame(refused, []);
+    t.ok(received > 0 && received < length, `the client is still reading, ${received} bytes so far`);
+    isReading = false;
+    await new Promise(resolve => setTimeout(resolve, 4 * ResponseIdleMs));
+    t.strictSame(refused, [RefusalReason.ResponseTime], "a client that stops reading is closed");
+});
+
+// Guards against a server that never closes: Node.js ends its checks of header times when it stops listening.
+t.test("a closed server closes connections that never send", async t => {
+    const { server } = BoundedServer.create({ limits: deriveServerLimits({}), listener: () => undefined });
+    const port = Number((await listen(server, "127.0.0.1:0")).split(":")[1]);
+    t.teardown(() => server.closeAllConnections());
+    await open(port);
+    await open(port, "GET / HTTP/1.1\r\n");
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const isClosed = new Promise(resolve => server.close(() => resolve(true)));
+    t.ok(await Promise.race([isClosed, new Promise(resolve => setTimeout(resolve, 3_000, false))]));
+});
