Estimates are made only of jobs within the limits

The estimate of a job's end took any text that the store's codec decodes. Limits such as the number of steps and the lists of dependencies were not checked, so that a job which no process would submit was computed on the owner's thread. The call now checks the job as a submission is checked and answers 400.

--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -5,6 +5,7 @@
 import type { RefusalReason } from "@samphireward/core/refusal-reason";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { ServerLimits } from "@samphireward/core/server-limits";
+import { checkJob } from "@samphireward/jobs/check-job";
 import type { JobSpec } from "@samphireward/jobs/job-spec";
 import type { CellDirectory } from "./cell-directory.js";
 import type { CellOwner } from "./cell-owner.js";
@@ -86,6 +87,10 @@
         })
         .on("POST", "/cells/:cell/jobs/:id/estimate", req => {
             const { spec } = jobOf(req);
+            const problem = checkJob(spec);
+            if (problem !== undefined) {
+                throw CodedError.create(ResultCode.BadRequest, problem);
+            }
             return { status: 200, body: ownerOf(req).scheduler.admission.estimate(spec) ?? {} };
         });
 };
--- a/packages/dispatch/tests/create-peer-server.test.ts
+++ b/packages/dispatch/tests/create-peer-server.test.ts
@@ -36,6 +36,7 @@
     [`/cells/0/jobs/${id}/estimate`, undefined],
     [`/cells/0/jobs/${id}/estimate`, { text: "{" }],
     [`/cells/1/jobs/${id}/estimate`, { text }],
+    [`/cells/0/jobs/${id}/estimate`, { text: jobCodec.encodeJob({ ...oneTaskJob, steps: [] }) }],
 ];
 
 // Guards against a call that stores a value which no owner can read, or under a key of no cell, and against an
