Explanations rank by the start order of the cell

An explanation ranked steps by deadline, also in a cell whose plans start tasks by worth, so that it showed other work ahead than the plans start first. StartOrder.comparisonWith compares candidates by the decisions of the last sort without changing them, and the explanation uses it with the cell's own order.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -286,11 +286,11 @@
 
     /** Explains where a job would be placed if it were accepted now; undefined if its queue is unknown. Changes nothing. */
     explainPlacement(spec: JobSpec): PlacementExplanation | undefined {
-        const { jobs, fleet, rules, effects, clock, previousOwners } = this;
+        const { jobs, fleet, rules, effects, order, clock, previousOwners } = this;
         const isBlocked = (job: string): boolean => previousOwners.mayHaveRuns(job);
         const times = { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
         return effects.readOnly(() =>
-            explainPlacement(spec, { jobs, fleet, rules, effects, isBlocked, ...times }),
+            explainPlacement(spec, { jobs, fleet, rules, effects, order, isBlocked, ...times }),
         );
     }
 
--- a/packages/jobs/src/deadline-order.ts
+++ b/packages/jobs/src/deadline-order.ts
@@ -22,6 +22,14 @@
             .map(({ candidate }) => candidate);
     }
 
+    override comparisonWith(
+        { step, rule, overdueMs }: OrderCandidate,
+        wallMs: number,
+    ): (other: OrderCandidate) => number {
+        const rank = StepRank.create(step, rule, wallMs, overdueMs);
+        return other => StepRank.create(other.step, other.rule, wallMs, other.overdueMs).compare(rank);
+    }
+
     override mayPreemptFor(): boolean {
         return true;
     }
--- a/packages/jobs/src/explain-placement.ts
+++ b/packages/jobs/src/explain-placement.ts
@@ -5,10 +5,11 @@
 import { isReady } from "./is-ready.js";
 import { Job } from "./job.js";
 import type { JobSpec } from "./job-spec.js";
+import type { OrderCandidate } from "./order-candidate.js";
+import { orderCandidateOf } from "./order-candidate-of.js";
 import type { PlacementExplanation } from "./placement-explanation.js";
 import { PlacementOutcome } from "./placement-outcome.js";
 import type { QueueRule } from "./queue-rule.js";
-import { rankOfStep } from "./rank-of-step.js";
 import type { Step } from "./step.js";
 import { workAheadOf } from "./work-ahead-of.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
@@ -17,16 +18,20 @@
 const MaxWorkers = 10_000;
 
 /** The step that goes first of a job that no owner knows; undefined if none may start. */
-const firstStep = (job: Job, rule: QueueRule, nowMs: number, wallMs: number): Step | undefined => {
-    let first: Step | undefined;
+const firstStep = (
+    job: Job,
+    rule: QueueRule,
+    { order, nowMs, wallMs }: ExplanationContext,
+): Step | undefined => {
+    let first: OrderCandidate | undefined;
     for (const step of job.openSteps()) {
-        const rank = rankOfStep(step, rule, nowMs, wallMs);
+        const candidate = orderCandidateOf(step, rule, nowMs);
         const isReadyNow = step.tasks.some(task => isReady(task, nowMs));
-        if (isReadyNow && (first === undefined || rank.compare(rankOfStep(first, rule, nowMs, wallMs)) < 0)) {
-            first = step;
+        if (isReadyNow && (first === undefined || order.comparisonWith(first, wallMs)(candidate) < 0)) {
+            first = candidate;
         }
     }
-    return first;
+    return first?.step;
 };
 
 /** Expected times of a step whose first task starts at `startMs`, in wall-clock time. */
@@ -122,7 +127,7 @@
     spec: JobSpec,
     context: ExplanationContext,
 ): PlacementExplanation | undefined => {
-    const { jobs, rules, nowMs, wallMs } = context;
+    const { jobs, rules, wallMs } = context;
     const queue = rules.get(spec.queue);
     if (queue === undefined) {
         return undefined;
@@ -144,7 +149,7 @@
     }
     const job = Job.create(spec);
     job.openDueOccurrences(wallMs);
-    const step = firstStep(job, queue, nowMs, wallMs);
+    const step = firstStep(job, queue, context);
     if (step === undefined) {
         const dueMs = job.dueAtMs(0);
         const reason = dueMs > wallMs ? "the job is not due yet" : "no step of the job may start";
--- a/packages/jobs/src/explanation-context.ts
+++ b/packages/jobs/src/explanation-context.ts
@@ -1,6 +1,7 @@
 import type { JobRegistry } from "./job-registry.js";
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { QueueRules } from "./queue-rules.js";
+import type { StartOrder } from "./start-order.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
 /** The state of a cell that an explanation reads, and the time for which it is made. */
@@ -9,6 +10,8 @@
     readonly fleet: WorkerFleet;
     readonly rules: QueueRules;
     readonly effects: NeighbourEffects;
+    /** Order of the cell's plans. */
+    readonly order: StartOrder;
     /** Whether runs of the job that are not known yet may exist, so that none of its tasks start. */
     readonly isBlocked: (job: string) => boolean;
     /** Monotonic time. */
--- a/packages/jobs/src/start-order.ts
+++ b/packages/jobs/src/start-order.ts
@@ -11,6 +11,12 @@
     /** Returns the candidates in start order. Queues of higher priority come first in every order. */
     abstract sort<T extends OrderCandidate>(candidates: readonly T[], situation: OrderSituation): T[];
 
+    /**
+     * Returns how other candidates compare with this one, by the decisions of the last sort: negative if the other one
+     * goes first. Changes nothing.
+     */
+    abstract comparisonWith(candidate: OrderCandidate, wallMs: number): (other: OrderCandidate) => number;
+
     /** Whether a lasting task may be preempted for a step of the last sort. */
     abstract mayPreemptFor(step: Step): boolean;
 
--- a/packages/jobs/src/work-ahead-of.ts
+++ b/packages/jobs/src/work-ahead-of.ts
@@ -1,10 +1,10 @@
 import type { CapacityIndex } from "./capacity-index.js";
 import type { ExplanationContext } from "./explanation-context.js";
 import { isReady } from "./is-ready.js";
+import { orderCandidateOf } from "./order-candidate-of.js";
 import type { Step } from "./step.js";
 import type { QueueRule } from "./queue-rule.js";
 import type { WorkAhead } from "./work-ahead.js";
-import { rankOfStep } from "./rank-of-step.js";
 import { WorkerRanking } from "./worker-ranking.js";
 
 /** Most open steps that one explanation looks at; a plan looks at all of them every 100 ms. */
@@ -17,9 +17,9 @@
     step: Step,
     rule: QueueRule,
     capacity: CapacityIndex,
-    { jobs, rules, effects, isBlocked, nowMs, wallMs }: ExplanationContext,
+    { jobs, rules, effects, order, isBlocked, nowMs, wallMs }: ExplanationContext,
 ): WorkAhead => {
-    const rank = rankOfStep(step, rule, nowMs, wallMs);
+    const compareWithNew = order.comparisonWith(orderCandidateOf(step, rule, nowMs), wallMs);
     const ahead = { steps: 0, tasks: 0, processorMs: 0, waitingSteps: 0, startableSteps: 0 };
     let looked = 0;
     for (const job of jobs.undecided) {
@@ -38,7 +38,7 @@
             }
             ahead.waitingSteps++;
             // Steps of equal rank start in the order in which their jobs were accepted, so that a new one is the last.
-            if (rankOfStep(other, otherRule, nowMs, wallMs).compare(rank) > 0) {
+            if (compareWithNew(orderCandidateOf(other, otherRule, nowMs)) > 0) {
                 continue;
             }
             ahead.steps++;
--- a/packages/jobs/src/worth-order.ts
+++ b/packages/jobs/src/worth-order.ts
@@ -37,6 +37,8 @@
     readonly key: number;
 }
 
+const compare = (a: Place, b: Place): number => Places[a.rule] - Places[b.rule] || a.key - b.key;
+
 /** Target time of an occurrence, from when it is due. */
 const targetMsOf = ({ occurrence }: Step, rule: OrderCandidate["rule"]): number =>
     targetTimeMs(rule, Math.max(0, ...occurrence.steps.map(step => step.criticalPathMs)));
@@ -72,12 +74,18 @@
         this.places = new Map(places.map(({ candidate, place }) => [candidate.step, place]));
         return places
             .sort(
-                ({ candidate: a, place: x }, { candidate: b, place: y }) =>
-                    a.rule.priority - b.rule.priority || Places[x.rule] - Places[y.rule] || x.key - y.key,
+                (a, b) => a.candidate.rule.priority - b.candidate.rule.priority || compare(a.place, b.place),
             )
             .map(({ candidate }) => candidate);
     }
 
+    /** A job that has arrived since the last selection counts as in time, as in the next sort without a selection. */
+    override comparisonWith(candidate: OrderCandidate, wallMs: number): (other: OrderCandidate) => number {
+        const place = this.placeOf(candidate, wallMs);
+        return other =>
+            other.rule.priority - candidate.rule.priority || compare(this.placeOf(other, wallMs), place);
+    }
+
     /** What is left of a hopeless job is worth less than the work that a lasting task would lose. */
     override mayPreemptFor(step: Step): boolean {
         return this.places.get(step)?.rule !== StartRule.Hopeless;
--- a/packages/jobs/tests/explain-placement.test.ts
+++ b/packages/jobs/tests/explain-placement.test.ts
@@ -6,6 +6,8 @@
 import { OrderKind } from "../src/order-kind.js";
 import { PlacementOutcome } from "../src/placement-outcome.js";
 import type { StepSpec } from "../src/step-spec.js";
+import { createStartOrder } from "../src/create-start-order.js";
+import { StartOrderName } from "../src/start-order-name.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -238,3 +240,30 @@
     t.ok(Number(speeds[0]) > 0 && Number(speeds[0]) < 1, `${speeds[0]}`);
     t.end();
 });
+
+// Guards against a rank by deadline while the plans start tasks in another order.
+t.test("the rank is that of the order in which the plans start tasks", t => {
+    const cases: readonly [name: StartOrderName, ahead: number][] = [
+        [StartOrderName.Deadline, 2],
+        [StartOrderName.Worth, 0],
+    ];
+    for (const [name, ahead] of cases) {
+        const harness = SchedulerHarness.create(1, createStartOrder(name));
+        harness.addWorker("w1", { capacity: Resources.create({ processors: 1, memoryMb: 9_000 }) });
+        // More work than can end in time: by worth, jobs go first that are worth more for their work.
+        const large = harness.submit({ count: 60, resources: resources(1) });
+        harness.submit({ resources: resources(1) });
+        harness.clock.advance(100);
+        harness.planAndStartAll();
+        const spec = harness.makeJob({ resources: resources(1) });
+        const explained = harness.scheduler.explainPlacement(spec);
+        harness.scheduler.addJob(spec);
+        harness.clock.advance(50);
+        harness.addWorker("w2", { capacity: Resources.create({ processors: 1, memoryMb: 9_000 }) });
+        const [run] = harness.planStarts();
+        t.equal(explained?.ahead.steps, ahead, name);
+        const first = ahead === 0 ? spec.id : large.id;
+        t.equal(run?.task.step.occurrence.job.spec.id, first, name);
+    }
+    t.end();
+});
--- a/packages/jobs/tests/scheduler-harness.ts
+++ b/packages/jobs/tests/scheduler-harness.ts
@@ -13,6 +13,7 @@
 import type { Run } from "../src/run.js";
 import type { RunEnd } from "../src/run-end.js";
 import { StartOutcome } from "../src/start-outcome.js";
+import type { StartOrder } from "../src/start-order.js";
 import type { StepSpec } from "../src/step-spec.js";
 import type { WorkerEntry } from "../src/worker-entry.js";
 import { unstoredTrials } from "../src/unstored-trials.js";
@@ -41,19 +42,20 @@
     private jobCount = 0;
     private readonly ends = new Map<string, number>();
 
-    private constructor(epoch: number) {
-        this.scheduler = CellScheduler.create(epoch, this.clock, cellLimits, {
+    private constructor(epoch: number, order?: StartOrder) {
+        const observer: EndObserver = {
             onApplied: (task, { entry }, end) =>
                 this.appliedEnds.push({ ...end, task: task.name, worker: entry.id }),
             onCopy: (copy, outcome) => this.copyObserver.onCopy?.(copy, outcome),
             onCopyWaste: processorMs => this.copyObserver.onCopyWaste?.(processorMs),
             onIgnored: ({ entry }, end) => this.ignoredEnds.push({ ...end, worker: entry.id }),
-        });
+        };
+        this.scheduler = CellScheduler.create(epoch, this.clock, cellLimits, observer, order);
         this.scheduler.setQueues([rule]);
     }
 
-    static create(epoch = 1): SchedulerHarness {
-        return new SchedulerHarness(epoch);
+    static create(epoch = 1, order?: StartOrder): SchedulerHarness {
+        return new SchedulerHarness(epoch, order);
     }
 
     static get inheritedLeaseDurationMs(): number {
