Repeats and lasting tasks do not suspend the refusal of hopeless jobs

For a job that the owner knows it answered as if it could say nothing, and the gate then accepted all jobs of the queue for 2 s without a question. For a job of lasting tasks, fillers or a schedule it reported no scarcity, which had the same effect for 300 ms. Under overload, when callers repeat requests, refusals thus hardly took place.

The owner now estimates a known job as useful with the scarcity of its queue, and the gate does not ask about jobs that cannot be too late. The test expected no estimate for a known job; it now expects the exact one, which is as strict.

--- a/packages/dispatch/src/admission-gate.ts
+++ b/packages/dispatch/src/admission-gate.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { RandomSource } from "@samphireward/core/random-source";
+import { canBeTooLate } from "@samphireward/jobs/can-be-too-late";
 import type { EndEstimate } from "@samphireward/jobs/end-estimate";
 import type { JobSpec } from "@samphireward/jobs/job-spec";
 import type { CellDirectory } from "./cell-directory.js";
@@ -43,6 +44,10 @@
 
     /** Time after which the caller of a refused job may retry, in milliseconds; undefined if the job may be accepted. */
     async refuse(spec: JobSpec): Promise<number | undefined> {
+        // The owner's answer for such a job says nothing about the queue's other jobs.
+        if (!canBeTooLate(spec)) {
+            return undefined;
+        }
         const { cells, store, clock, random } = this.context;
         const cell = cells.cellNumber(spec.id);
         const key = `${cell} ${spec.queue}`;
--- a/packages/dispatch/tests/admission-gate.test.ts
+++ b/packages/dispatch/tests/admission-gate.test.ts
@@ -88,3 +88,15 @@
         t.equal(questions(), expected, JSON.stringify(answer));
     }
 });
+
+// Guards against lasting tasks after which the jobs of their queue are accepted without a question under overload.
+t.test("the owner is not asked about jobs that cannot be too late", async t => {
+    const { gate, questions } = createGate(Ok(idle));
+    const [step] = oneTaskJob.steps;
+    t.ok(step);
+    const steps = step === undefined ? [] : [{ ...step, lasting: true }];
+    t.equal(await gate.refuse({ ...oneTaskJob, steps }), undefined);
+    t.equal(questions(), 0);
+    await gate.refuse(oneTaskJob);
+    t.equal(questions(), 1);
+});
--- a/packages/jobs/src/admission-control.ts
+++ b/packages/jobs/src/admission-control.ts
@@ -36,7 +36,7 @@
         return new AdmissionControl(context);
     }
 
-    /** Returns undefined if nothing can be said: the job is known, its queue is not, or the owner is too new. */
+    /** Returns undefined if nothing can be said: the job's queue is unknown, or the owner is too new. */
     estimate(spec: JobSpec): EndEstimate | undefined {
         const { clock, jobs, rules, unreadWorkers } = this.context;
         const rule = rules.get(spec.queue);
@@ -44,7 +44,7 @@
         if (nowMs < this.settledAtMs || unreadWorkers() > 0) {
             return undefined;
         }
-        if (rule === undefined || jobs.get(spec.id) !== undefined) {
+        if (rule === undefined) {
             return undefined;
         }
         const key = `${rule.priority} ${rule.service}`;
@@ -56,6 +56,9 @@
             };
             this.ahead.set(key, ahead);
         }
-        return estimateEnd(spec, rule, ahead, clock.wallMs());
+        const estimate = estimateEnd(spec, rule, ahead, clock.wallMs());
+        // A repeat of an accepted job is accepted, but says nothing about the jobs that follow.
+        const isKnown = jobs.get(spec.id) !== undefined;
+        return isKnown ? { ...estimate, isUseful: true, usefulInMs: 0 } : estimate;
     }
 }
--- a/packages/jobs/src/estimate-end.ts
+++ b/packages/jobs/src/estimate-end.ts
@@ -1,3 +1,4 @@
+import { canBeTooLate } from "./can-be-too-late.js";
 import { criticalPathMs } from "./critical-path-ms.js";
 import type { EndEstimate } from "./end-estimate.js";
 import { jobWorkMs } from "./job-work-ms.js";
@@ -10,10 +11,6 @@
 /** Share of the estimated work that counts: estimates may be 50% too high, and a refusal must be right even then. */
 const CertainShare = 0.5;
 
-/** Whether a job is one whose result can come too late: it runs once, and its tasks end. */
-const canBeTooLate = ({ schedule, steps }: JobSpec): boolean =>
-    schedule === undefined && steps.every(({ lasting, filler }) => !lasting && !filler);
-
 /** Work that starts before a job whose latest start is `startByMs`. */
 const workBefore = ({ firstMs, byLatestStart }: QueueBacklog, startByMs: number): number => {
     let low = 0;
--- a/packages/jobs/tests/estimate-end.test.ts
+++ b/packages/jobs/tests/estimate-end.test.ts
@@ -69,7 +69,7 @@
 });
 
 // Guards against refusals by an owner that has just taken over, and against the refusal of a repeated job.
-t.test("an owner estimates nothing until it has settled, and nothing for a job that it knows", t => {
+t.test("an owner estimates nothing until it has settled, and refuses no job that it knows", t => {
     const harness = SchedulerHarness.create();
     const { admission } = harness.scheduler;
     const estimate = (spec: JobSpec): boolean | undefined => admission.estimate(spec)?.isUseful;
@@ -81,8 +81,9 @@
     harness.clock.advance(5_000);
     const late = harness.submit({ count: 500, estimatedMs: 900 });
     t.equal(estimate({ ...other, arrivedAtMs: harness.clock.wallMs() }), false);
-    t.equal(estimate(known), undefined);
-    t.equal(estimate(late), undefined);
+    // Guards also against repeats after which the queue's other jobs are accepted without a question.
+    t.match(admission.estimate(known), { isUseful: true, isScarce: true, usefulInMs: 0 });
+    t.match(admission.estimate(late), { isUseful: true, isScarce: true, usefulInMs: 0 });
     t.equal(estimate({ ...other, queue: "unknown" }), undefined);
     t.end();
 });
