Explanations show the refusal of hopeless jobs

With SAMPHIREWARD_REFUSE_HOPELESS=true a submission can be refused before it is stored, but explain still showed a start or a wait for it. The owner's explainer now asks the estimate that the refusal is based on and answers with the outcome refused.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -88,6 +88,7 @@
             ...context,
             cells,
             peers,
+            refusesHopeless: settings.refusesHopeless,
             maxBodyBytes: () => this.routes.config?.maxBodyBytes,
         });
         const epochs = EpochReporter.create(this.cells, store);
--- a/packages/dispatch/src/placement-explainer.ts
+++ b/packages/dispatch/src/placement-explainer.ts
@@ -4,7 +4,11 @@
 import type { JsonResponse } from "@samphireward/core/json-response";
 import { ResultCode } from "@samphireward/core/result-code";
 import { checkJob } from "@samphireward/jobs/check-job";
+import type { JobSpec } from "@samphireward/jobs/job-spec";
+import type { PlacementExplanation } from "@samphireward/jobs/placement-explanation";
+import { PlacementOutcome } from "@samphireward/jobs/placement-outcome";
 import type { CellDirectory } from "./cell-directory.js";
+import type { CellOwner } from "./cell-owner.js";
 import type { DecodeSubmission } from "./decode-submission.js";
 import { isObject } from "./is-object.js";
 import type { PeerClient } from "./peer-client.js";
@@ -16,6 +20,8 @@
     readonly peers: Pick<PeerClient, "explain">;
     readonly clock: Clock;
     readonly decodeSubmission: DecodeSubmission;
+    /** Whether jobs are refused whose results could not be of use; absent if not. */
+    readonly refusesHopeless?: boolean | undefined;
     /** Largest body of a job that callers may send, in bytes; undefined before the configuration is known. */
     readonly maxBodyBytes: () => number | undefined;
 }
@@ -93,7 +99,34 @@
         const explanation = owner.scheduler.explainPlacement(spec);
         return explanation === undefined
             ? fail(ResultCode.UnknownRoute, `No queue "${queue}" is configured`)
-            : { status: 200, body: { code: ResultCode.Answered, cell, ...explanation } };
+            : {
+                  status: 200,
+                  body: { code: ResultCode.Answered, cell, ...this.withRefusal(explanation, spec, owner) },
+              };
+    }
+
+    /** What is explained of a job that would be refused: where it stands, but no start. */
+    private withRefusal(
+        explanation: PlacementExplanation,
+        spec: JobSpec,
+        { scheduler }: CellOwner,
+    ): PlacementExplanation {
+        const isHopeless =
+            this.context.refusesHopeless === true && scheduler.admission.estimate(spec)?.isUseful === false;
+        if (!isHopeless) {
+            return explanation;
+        }
+        const { job, queue, step, ahead, workers } = explanation;
+        const reason = "the result could not be there while it is of use";
+        return {
+            job,
+            outcome: PlacementOutcome.Refused,
+            reason,
+            queue,
+            ...(step === undefined ? {} : { step }),
+            ahead,
+            workers,
+        };
     }
 
     private read(body: unknown): PlacementQuestion {
--- a/packages/dispatch/tests/placement-explainer.test.ts
+++ b/packages/dispatch/tests/placement-explainer.test.ts
@@ -18,7 +18,12 @@
 /** The parts of a candidate that an explanation uses. */
 interface FakeCandidate {
     readonly isClaimed: boolean;
-    readonly owner?: { readonly scheduler: { readonly explainPlacement: (spec: JobSpec) => unknown } };
+    readonly owner?: {
+        readonly scheduler: {
+            readonly explainPlacement: (spec: JobSpec) => unknown;
+            readonly admission?: unknown;
+        };
+    };
     readonly ownerRecord?: { readonly address: string };
 }
 
@@ -31,6 +36,7 @@
 const createExplainer = (
     candidate: FakeCandidate | undefined,
     peerAnswer: Result<JsonResponse, string> = Err("refused"),
+    refusesHopeless = false,
 ): { explainer: PlacementExplainer; clock: ManualClock } => {
     const cells = CellDirectory.create();
     cells.set(candidate === undefined ? [] : [candidate as unknown as CellCandidate]);
@@ -40,6 +46,7 @@
         peers: { explain: () => Promise.resolve(peerAnswer) },
         clock,
         decodeSubmission: (_id, _queue, text) => (text === "{}" ? Ok(oneTaskJob) : Err("steps: missing")),
+        refusesHopeless,
         maxBodyBytes: () => 1_000,
     });
     return { explainer, clock };
@@ -100,3 +107,23 @@
     clock.advance(250);
     t.equal(await codeOf(explainer, question), ResultCode.Answered);
 });
+
+// Guards against a start that is shown for a job that would be refused.
+t.test("a job that would be refused is explained as refused, if jobs are refused", async t => {
+    const cases: readonly [refusesHopeless: boolean, isUseful: boolean | undefined, outcome: string][] = [
+        [true, false, "refused"],
+        [true, true, "waits"],
+        [true, undefined, "waits"],
+        [false, false, "waits"],
+    ];
+    for (const [refusesHopeless, isUseful, outcome] of cases) {
+        const scheduler = {
+            explainPlacement: () => ({ job: id, outcome: "waits", expectedStartMs: 5 }),
+            admission: { estimate: () => (isUseful === undefined ? undefined : { isUseful }) },
+        };
+        const candidate = { isClaimed: true, owner: { scheduler } };
+        const { explainer } = createExplainer(candidate, undefined, refusesHopeless);
+        const { body } = await explainer.answer(question);
+        t.match(body, { outcome, expectedStartMs: outcome === "refused" ? undefined : 5 });
+    }
+});
