A short loss of links to workers refuses no jobs

The estimate of a job's end counted only the workers that accept starts at that moment. With nine of ten workers cut off for 200 ms a job that could have been in time was refused, although the workers were not lost. Workers now count for admission until their lease ends; draining and evacuated ones still do not. The selection of the order by worth is unchanged.

--- a/packages/jobs/src/queue-backlog-of.ts
+++ b/packages/jobs/src/queue-backlog-of.ts
@@ -1,4 +1,5 @@
 import type { JobRegistry } from "./job-registry.js";
+import { mayAcceptStartsSoon } from "./may-accept-starts-soon.js";
 import { maxUsefulTargets } from "./max-useful-targets.js";
 import type { Occurrence } from "./occurrence.js";
 import type { QueueRule } from "./queue-rule.js";
@@ -39,7 +40,9 @@
     rule: QueueRule,
     { jobs, fleet, rules, nowMs, wallMs }: CellWork,
 ): QueueBacklog => {
-    const { processors, busyMs } = serviceCapacities(fleet, nowMs).get(rule.service) ?? {
+    // A short loss of links to workers must not refuse jobs that can end in time once they answer again.
+    const capacities = serviceCapacities(fleet, nowMs, mayAcceptStartsSoon);
+    const { processors, busyMs } = capacities.get(rule.service) ?? {
         processors: 0,
         busyMs: 0,
     };
--- a/packages/jobs/src/service-capacities.ts
+++ b/packages/jobs/src/service-capacities.ts
@@ -1,5 +1,6 @@
 import { acceptsStarts } from "./accepts-starts.js";
 import type { WorkerFleet } from "./worker-fleet.js";
+import type { WorkerIncarnation } from "./worker-incarnation.js";
 
 /** What the workers of a service have for tasks that end. */
 interface ServiceCapacity {
@@ -9,15 +10,19 @@
     readonly busyMs: number;
 }
 
-/** Computes the capacity of each service's workers; a run counts with the time that its estimate leaves. */
+/**
+ * Computes the capacity of each service's workers that `counts` accepts; a run counts with the time that its estimate
+ * leaves.
+ */
 export const serviceCapacities = (
     fleet: WorkerFleet,
     nowMs: number,
+    counts: (worker: WorkerIncarnation, service: string, nowMs: number) => boolean = acceptsStarts,
 ): ReadonlyMap<string, ServiceCapacity> => {
     const capacities = new Map<string, { processors: number; busyMs: number }>();
     for (const worker of fleet.workers) {
         const { service, capacity } = worker.entry;
-        if (!acceptsStarts(worker, service)) {
+        if (!counts(worker, service, nowMs)) {
             continue;
         }
         const sum = capacities.get(service) ?? { processors: 0, busyMs: 0 };
--- a/packages/jobs/tests/estimate-end.test.ts
+++ b/packages/jobs/tests/estimate-end.test.ts
@@ -87,3 +87,31 @@
     t.equal(estimate({ ...other, queue: "unknown" }), undefined);
     t.end();
 });
+
+// Guards against refusals while links to workers are lost for a moment, and against the capacity of lost workers that counts
+// for ever.
+t.test("workers that do not answer count until their lease ends", t => {
+    const harness = SchedulerHarness.create();
+    const { admission } = harness.scheduler;
+    harness.scheduler.expectNoInheritedWorkers();
+    const capacity = Resources.create({ processors: 16, memoryMb: 64_000 });
+    const workers = Array.from({ length: 10 }, (_, index) => harness.addWorker(`w${index}`, { capacity }));
+    harness.clock.advance(6_000);
+    for (let jobs = 0; jobs < 5; jobs++) {
+        harness.submit({ count: 200, resources: Resources.create({ processors: 1, memoryMb: 1 }) });
+    }
+    harness.planAndStartAll();
+    const leaseEndsAtMs = harness.clock.nowMs() + 1_000;
+    workers.forEach((worker, index) => {
+        worker.leaseEndsAtMs = leaseEndsAtMs;
+        worker.isReachable = index === 0;
+    });
+    const spec = harness.makeJob({});
+    const isUseful = (): boolean | undefined =>
+        admission.estimate({ ...spec, arrivedAtMs: harness.clock.wallMs() })?.isUseful;
+    harness.clock.advance(500);
+    t.equal(isUseful(), true);
+    harness.clock.advance(1_000);
+    t.equal(isUseful(), false);
+    t.end();
+});
