The study's least-work order can compare candidates

StartOrder.comparisonWith, added for explanations, was missing in the order that packages/bench compares with, so that the package did not build.

--- a/packages/bench/src/order-variants.ts
+++ b/packages/bench/src/order-variants.ts
@@ -47,6 +47,12 @@
         return [...candidates].sort((a, b) => a.rule.priority - b.rule.priority || leftOf(a) - leftOf(b));
     }
 
+    override comparisonWith({ step, rule }: OrderCandidate): (other: OrderCandidate) => number {
+        const leftMs = remainingWorkMs(step.occurrence, () => 1);
+        return other =>
+            other.rule.priority - rule.priority || remainingWorkMs(other.step.occurrence, () => 1) - leftMs;
+    }
+
     override mayPreemptFor(): boolean {
         return true;
     }
