Name the backlog and the units of the start orders, and share the critical path and the count of tasks without a run

Occurrence.criticalPathMs and tasksWithoutRun replace copies of the same expressions. No change of behaviour.

--- a/packages/jobs/src/admission-control.ts
+++ b/packages/jobs/src/admission-control.ts
@@ -8,7 +8,7 @@
 import { queueBacklogOf } from "./queue-backlog-of.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
-/** Time for which the work ahead of a priority is not computed again: jobs arrive much faster than it changes. */
+/** Time for which a computed backlog is reused: jobs arrive much faster than it changes. */
 const RefreshMs = 100;
 /** An owner refuses nothing for this long: until then it does not know what runs on all of the workers. */
 const SettleMs = 5_000;
@@ -25,7 +25,8 @@
 
 /** Estimates for the owner of a cell whether the results of jobs that are handed in now would still be of use. */
 export class AdmissionControl {
-    private readonly ahead = new Map<string, QueueBacklog & { readonly atMs: number }>();
+    /** Computed backlogs by priority and service; `atMs` is the monotonic time of the computation. */
+    private readonly backlogs = new Map<string, QueueBacklog & { readonly atMs: number }>();
     private readonly settledAtMs: number;
 
     private constructor(private readonly context: AdmissionContext) {
@@ -48,14 +49,14 @@
             return undefined;
         }
         const key = `${rule.priority} ${rule.service}`;
-        let ahead = this.ahead.get(key);
-        if (ahead === undefined || nowMs - ahead.atMs >= RefreshMs) {
-            ahead = {
+        let backlog = this.backlogs.get(key);
+        if (backlog === undefined || nowMs - backlog.atMs >= RefreshMs) {
+            backlog = {
                 ...queueBacklogOf(rule, { ...this.context, nowMs, wallMs: clock.wallMs() }),
                 atMs: nowMs,
             };
-            this.ahead.set(key, ahead);
+            this.backlogs.set(key, backlog);
         }
-        return estimateEnd(spec, rule, ahead, clock.wallMs());
+        return estimateEnd(spec, rule, backlog, clock.wallMs());
     }
 }
--- a/packages/jobs/src/assess-straggler.ts
+++ b/packages/jobs/src/assess-straggler.ts
@@ -2,7 +2,7 @@
 interface StragglerReadings {
     /** Time since its start, in milliseconds. */
     readonly elapsedMs: number;
-    /** 0 to 100. */
+    /** Progress of the run, 0 to 100. */
     readonly progressPercent: number;
     /** Whether a copy continues from the checkpoint of the run. */
     readonly checkpoints: boolean;
--- a/packages/jobs/src/compute-priority-loads.ts
+++ b/packages/jobs/src/compute-priority-loads.ts
@@ -5,8 +5,9 @@
 import { StartOrderName } from "./start-order-name.js";
 import { StartRule } from "./start-rule.js";
 import { targetTimeMs } from "./target-time-ms.js";
+import { tasksWithoutRun } from "./tasks-without-run.js";
 
-/** Computes what waits and what is late in a cell, by the priority of the queues. */
+/** Counts the waiting tasks and the late jobs of a cell for each queue priority. `wallMs` is in milliseconds since 1970. */
 export const computePriorityLoads = (
     jobs: JobRegistry,
     rules: QueueRules,
@@ -21,15 +22,13 @@
         }
         const load = loads.get(rule.priority) ?? { waiting: new Map(), lateJobs: 0 };
         loads.set(rule.priority, load);
-        const isLate = [...job.openOccurrences.values()].some(({ steps, dueAtMs }) => {
-            const pathMs = Math.max(0, ...steps.map(step => step.criticalPathMs));
-            return steps.every(({ spec }) => !spec.lasting) && wallMs > dueAtMs + targetTimeMs(rule, pathMs);
+        const isLate = [...job.openOccurrences.values()].some(({ steps, dueAtMs, criticalPathMs }) => {
+            const targetAtMs = dueAtMs + targetTimeMs(rule, criticalPathMs);
+            return steps.every(({ spec }) => !spec.lasting) && wallMs > targetAtMs;
         });
         load.lateJobs += isLate ? 1 : 0;
         for (const step of job.openSteps()) {
-            const count = step.spec.lasting
-                ? 0
-                : step.tasks.filter(task => !task.isDone && task.run === undefined).length;
+            const count = step.spec.lasting ? 0 : tasksWithoutRun(step);
             const decidedBy =
                 order.name === StartOrderName.Deadline
                     ? "deadline"
--- a/packages/jobs/src/end-estimate.ts
+++ b/packages/jobs/src/end-estimate.ts
@@ -1,6 +1,6 @@
 /** Whether the result of a job that arrives now could be of use, as its cell's owner estimates it. */
 export interface EndEstimate {
-    /** Whether its result would still be of use then. */
+    /** Whether the result would come before its value is zero (`maxUsefulTargets`). */
     readonly isUseful: boolean;
     /** Whether the result would miss its target time. */
     readonly isScarce: boolean;
--- a/packages/jobs/src/estimate-end.ts
+++ b/packages/jobs/src/estimate-end.ts
@@ -14,7 +14,7 @@
 const canBeTooLate = ({ schedule, steps }: JobSpec): boolean =>
     schedule === undefined && steps.every(({ lasting, filler }) => !lasting && !filler);
 
-/** Work that starts before a job whose latest start is `startByMs`. */
+/** Work that starts before a job whose latest start is `startByMs`, in processor-milliseconds. */
 const workBefore = ({ firstMs, byLatestStart }: QueueBacklog, startByMs: number): number => {
     let low = 0;
     let high = byLatestStart.length;
@@ -38,10 +38,10 @@
 export const estimateEnd = (
     spec: JobSpec,
     rule: QueueRule,
-    ahead: QueueBacklog,
+    backlog: QueueBacklog,
     wallMs: number,
 ): EndEstimate => {
-    const { processors } = ahead;
+    const { processors } = backlog;
     if (processors <= 0 || !canBeTooLate(spec)) {
         return { isUseful: true, isScarce: false, usefulInMs: 0 };
     }
@@ -50,7 +50,7 @@
     const ownMs = CertainShare * Math.max(pathMs, jobWorkMs(spec) / processors);
     /** Time by which a result within a limit would be too late; negative if it is expected earlier. */
     const tooLateByMs = (limitMs: number): number => {
-        const before = workBefore(ahead, wallMs + limitMs - pathMs);
+        const before = workBefore(backlog, wallMs + limitMs - pathMs);
         return (CertainShare * before) / processors + ownMs - limitMs;
     };
     const usefulMs = maxUsefulTargets * targetMs;
--- a/packages/jobs/src/mark-evacuations.ts
+++ b/packages/jobs/src/mark-evacuations.ts
@@ -34,6 +34,7 @@
 const MaxMovesPerPlan = 1;
 /** Share of the processors outside the evacuated data centres that moves leave free for new work. */
 const MinFreeShare = 0.1;
+/** Bounds the expected time on a worker that hardly advances. */
 const MinSpeed = 0.02;
 /**
  * Pause before the next search for a step whose runs have found no place. Each search scores all workers with capacity: 300
@@ -83,7 +84,7 @@
         return this.count(step) / step.spec.count;
     }
 
-    /** Whether a lasting step keeps enough of its tasks at work without one more of them. */
+    /** Whether one more task of a lasting step may be made unavailable; all of them for a gang. */
     allowsMove(step: Step): boolean {
         const { gang, count, maxUnavailable = Infinity } = step.spec;
         if (gang) {
--- a/packages/jobs/src/occurrence.ts
+++ b/packages/jobs/src/occurrence.ts
@@ -21,6 +21,11 @@
         return new Occurrence(job, number, dueAtMs);
     }
 
+    /** Estimated time from its start to its end if every task starts as soon as its step opens, in milliseconds. */
+    get criticalPathMs(): number {
+        return Math.max(0, ...this.steps.map(step => step.criticalPathMs));
+    }
+
     get isDone(): boolean {
         return this.steps.every(step => step.isDone);
     }
--- a/packages/jobs/src/preempt-copies.ts
+++ b/packages/jobs/src/preempt-copies.ts
@@ -7,6 +7,7 @@
 import { StopReason } from "./stop-reason.js";
 import type { Task } from "./task.js";
 import type { WorkerFleet } from "./worker-fleet.js";
+import type { WorkerIncarnation } from "./worker-incarnation.js";
 
 /** Most waiting tasks for which one plan stops copies. */
 const MaxTasks = 16;
@@ -72,9 +73,9 @@
             if (copy === undefined) {
                 break;
             }
-            const freed = findFreedWorker(task, service, capacity, fleet, nowMs);
-            if (freed !== undefined) {
-                capacity.reserve(freed, step.reservation);
+            const withRoom = findWorkerWithRoom(task, service, capacity, fleet, nowMs);
+            if (withRoom !== undefined) {
+                capacity.reserve(withRoom, step.reservation);
             } else {
                 copy.stopReason = StopReason.Preempted;
                 capacity.release(copy.worker, copy.reservation.minus(step.reservation));
@@ -84,13 +85,13 @@
 };
 
 /** Finds a worker on which the task has room already, or once runs that are being stopped have ended. */
-const findFreedWorker = (
+const findWorkerWithRoom = (
     task: Task,
     service: string,
     capacity: ProjectedCapacity,
     fleet: WorkerFleet,
     nowMs: number,
-): Run["worker"] | undefined => {
+): WorkerIncarnation | undefined => {
     for (const worker of fleet.workers) {
         if (capacity.fits(worker, task.step.reservation) && isSuitable(worker, task, service, nowMs)) {
             return worker;
--- a/packages/jobs/src/priority-load.ts
+++ b/packages/jobs/src/priority-load.ts
@@ -1,9 +1,12 @@
 import type { StartRule } from "./start-rule.js";
 
-/** What waits and what is late in the queues of one priority. */
+/** Waiting tasks and late jobs in the queues of one priority. */
 export interface PriorityLoad {
     readonly priority: number;
-    /** Tasks that end and are ready without a worker, by the rule that gave them their place; `deadline` in that order. */
+    /**
+     * Tasks of open steps without a worker, other than lasting ones, by the rule that placed their step; all are under
+     * `deadline` if the cell starts tasks by deadline.
+     */
     readonly waiting: ReadonlyMap<StartRule | "deadline", number>;
     /** Open jobs whose target time has passed. */
     readonly lateJobs: number;
--- a/packages/jobs/src/queue-backlog-of.ts
+++ b/packages/jobs/src/queue-backlog-of.ts
@@ -9,7 +9,7 @@
 import type { QueueBacklog } from "./queue-backlog.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
-/** The state of a cell from which the work ahead is computed. */
+/** The state of a cell from which a backlog is computed. `nowMs` is monotonic, `wallMs` in milliseconds since 1970. */
 interface CellWork {
     readonly jobs: JobRegistry;
     readonly fleet: WorkerFleet;
@@ -20,11 +20,10 @@
 
 /** Latest start of an occurrence for a result in time or, once that has passed, of use; undefined if that has passed too. */
 const latestStartMs = (
-    { steps, dueAtMs }: Occurrence,
+    { dueAtMs, criticalPathMs: pathMs }: Occurrence,
     rule: QueueRule,
     wallMs: number,
 ): number | undefined => {
-    const pathMs = Math.max(0, ...steps.map(step => step.criticalPathMs));
     const targetMs = targetTimeMs(rule, pathMs);
     const inTimeMs = dueAtMs + targetMs - pathMs;
     const usefulMs = dueAtMs + maxUsefulTargets * targetMs - pathMs;
@@ -32,8 +31,8 @@
 };
 
 /**
- * Work of the rule's priority and of higher ones that is due and that new jobs of its service would share the workers with.
- * What cannot be of use any more starts after new jobs and is not counted.
+ * Computes the backlog of a queue's service for jobs of the queue's priority: running work, and due work of this priority
+ * and higher ones. Work whose result cannot be of use any more starts after new jobs and is not counted.
  */
 export const queueBacklogOf = (
     rule: QueueRule,
--- a/packages/jobs/src/queue-work.ts
+++ b/packages/jobs/src/queue-work.ts
@@ -3,6 +3,7 @@
 
 /** Weight of a further job in the mean once enough jobs have been seen; older jobs count less and less. */
 const MinWeight = 0.01;
+/** Worth of a job without work: each result has some worth, however little work it takes. */
 const MinWorth = 0.3;
 /** A job's worth is at most this many times the mean worth of its queue, which is 1. */
 const MaxWorth = 4;
--- a/packages/jobs/src/select-in-time.ts
+++ b/packages/jobs/src/select-in-time.ts
@@ -28,7 +28,8 @@
 /**
  * Selects the occurrences of one service that can all end in time, by deadline. Where the work before a deadline exceeds
  * the capacity, the one whose result is worth least for the work that it still needs is left out: serving everything
- * by deadline would make each of them late. While capacity is not short, all are selected. All work of a higher priority comes before that of a lower one.
+ * by deadline would make each of them late. While capacity is not short, all are selected. All work of a higher priority
+ * comes before that of a lower one.
  */
 export const selectInTime = (
     demands: readonly JobDemand[],
--- a/packages/jobs/src/step-rank.ts
+++ b/packages/jobs/src/step-rank.ts
@@ -21,8 +21,7 @@
         if (overdueMs !== undefined) {
             return new StepRank(rule.priority, false, wallMs - overdueMs);
         }
-        const criticalPathMs = Math.max(0, ...occurrence.steps.map(other => other.criticalPathMs));
-        const targetMs = targetTimeMs(rule, criticalPathMs);
+        const targetMs = targetTimeMs(rule, occurrence.criticalPathMs);
         const latestInTimeMs = occurrence.dueAtMs + targetMs - step.criticalPathMs;
         const latestUsefulMs = occurrence.dueAtMs + maxUsefulTargets * targetMs - step.criticalPathMs;
         return new StepRank(
