Correct doc comments and pages on evacuation, admission and limits, and share the longest overdue time

The evacuation monitor reads the stored states once, which its comment denied. No change of behaviour.

--- a/packages/bench/src/order-study.ts
+++ b/packages/bench/src/order-study.ts
@@ -5,6 +5,7 @@
 import { cellLimits } from "@samphireward/jobs/fixtures/cell-limits";
 import { jobWorkMs } from "@samphireward/jobs/job-work-ms";
 import type { ListedEnd } from "@samphireward/jobs/listed-end";
+import { maxUsefulTargets } from "@samphireward/jobs/max-useful-targets";
 import { OrderKind } from "@samphireward/jobs/order-kind";
 import type { Run } from "@samphireward/jobs/run";
 import type { StartOrder } from "@samphireward/jobs/start-order";
@@ -21,8 +22,8 @@
 const ListingMs = 500;
 /** Time after the last arrival at which the study ends; results after that are of no use. */
 const DrainMs = 40_000;
+/** Share of its worth that a late result has. */
 const LateShare = 0.15;
-const UsefulTargets = 3;
 
 /** What callers lost under an order. */
 interface StudyResult {
@@ -181,7 +182,7 @@
             const tookMs = job.endState === undefined ? Infinity : job.endedAtMs - spec.arrivedAtMs;
             const targets = tookMs / targetTimeMs(rule, pathMs);
             total += worth;
-            got += targets <= 1 ? worth : targets <= UsefulTargets ? LateShare * worth : 0;
+            got += targets <= 1 ? worth : targets <= maxUsefulTargets ? LateShare * worth : 0;
             inTime += targets <= 1 ? 1 : 0;
             open += job.endState === undefined ? 1 : 0;
         }
--- a/packages/core/src/body-collector.ts
+++ b/packages/core/src/body-collector.ts
@@ -24,6 +24,7 @@
  * was begun first is refused: a body of an ordinary client is complete after a few milliseconds.
  */
 export class BodyCollector {
+    /** Capacity of the buffers of all bodies that are not released. */
     private heldBytes = 0;
     private readonly pool: BufferPool;
     /** Bodies that are not complete, in the order in which they began. */
--- a/packages/core/src/client-connection.ts
+++ b/packages/core/src/client-connection.ts
@@ -7,6 +7,6 @@
     openRequests: number;
     /** Requests whose bodies are complete and that are being handled. */
     handledRequests: number;
-    /** No further request is read from it. */
+    /** Whether it is being closed, so that no further request is read from it. */
     isClosing: boolean;
 }
--- a/packages/core/src/derive-server-limits.ts
+++ b/packages/core/src/derive-server-limits.ts
@@ -14,6 +14,7 @@
 const MaxBodyBytes = 64 * Megabyte;
 /** A request occupies up to 50 KB of heap: two copies of 16 KB of headers, and its streams. */
 const HeapPerRequestKb = 64;
+/** Least number of connections, and of open requests, of a server with a small share. */
 const MinConnections = 16;
 
 /** Resources of a VM that a server may use a part of. */
@@ -26,7 +27,8 @@
 
 /**
  * Derives the limits of a server from the resources of its VM. The times follow from the operators' limits for callers:
- * 15 s idle, 3 s for headers, and 60 s as the longest time that a caller may wait for its response.
+ * 15 s idle, 3 s for headers, and 60 s as the longest time that a caller may wait for its response, each with 1 s of
+ * margin. `headerMs` is 15 s, 3 s and the margin, since a caller may open a connection and stay idle.
  */
 export const deriveServerLimits = ({
     memoryMb = DefaultMemoryMb,
--- a/packages/dispatch/src/admission-gate.ts
+++ b/packages/dispatch/src/admission-gate.ts
@@ -8,9 +8,9 @@
 import type { MetadataStore } from "./metadata-store.js";
 import type { PeerClient } from "./peer-client.js";
 
-/** Time for which a queue's jobs are accepted without a question after the owner has reported no scarcity. */
+/** Time for which a queue's jobs are accepted without asking the owner after it has reported no scarcity. */
 const NotScarceMs = 300;
-/** Time for which jobs are accepted without a question after the owner did not answer. */
+/** Time for which a queue's jobs are accepted without asking the owner again after it did not answer. */
 const NoAnswerMs = 2_000;
 /** Shortest and longest base of the time after which a refused caller may retry. */
 const MinRetryMs = 1_000;
@@ -32,7 +32,7 @@
  * anything is unclear is accepted.
  */
 export class AdmissionGate {
-    /** Monotonic times until which the jobs of a cell's queue are accepted without a question. */
+    /** Monotonic times until which jobs are accepted without asking the owner, by cell and queue. */
     private readonly openUntilMs = new Map<string, number>();
 
     private constructor(private readonly context: GateContext) {}
--- a/packages/dispatch/src/evacuation-monitor.ts
+++ b/packages/dispatch/src/evacuation-monitor.ts
@@ -1,6 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellScheduler } from "@samphireward/jobs/cell-scheduler";
-import type { EvacuationProgress } from "@samphireward/jobs/evacuation-progress";
 import { cellKeys } from "./cell-keys.js";
 import type { CommitLog } from "./commit-log.js";
 import type { EvacuationSource } from "./evacuation-source.js";
@@ -20,21 +19,26 @@
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: Metrics;
+    /** Called when the set of evacuated data centres was read or has changed; a plan is then due. */
     readonly onChange: () => void;
+    /** Called when the watch of the requests has failed. */
     readonly onLost: (reason: string) => void;
 }
 
 /** An evacuation that this owner has seen. */
 interface Evacuation {
+    /** Monotonic time at which this owner read the request. */
     readonly seenAtMs: number;
     state: EvacuationState;
 }
 
 /**
  * Passes the operators' evacuations to the scheduler of a cell, and reports their progress by log lines, a gauge and a
- * key of the store. The requests are the only state that decides; the key is for operators and is not read back.
+ * key of the store. The requests are the only state that decides; the key is for operators, and is read only to tell
+ * whether it has to be written.
  */
 export class EvacuationMonitor {
+    /** By data centre. */
     private readonly evacuations = new Map<string, Evacuation>();
     /** The stored value; undefined if it is not known. */
     private stored: string | undefined;
@@ -116,7 +120,7 @@
         onChange();
     }
 
-    private removeGauge(dataCentre: EvacuationProgress["dataCentre"]): void {
+    private removeGauge(dataCentre: string): void {
         this.context.metrics.evacuatingRuns.remove({ cell: this.context.cell, data_centre: dataCentre });
     }
 
--- a/packages/jobs/src/assess-straggler.ts
+++ b/packages/jobs/src/assess-straggler.ts
@@ -20,7 +20,7 @@
 
 /** What a copy is expected to take and to gain. */
 interface Straggler {
-    /** Time from the start order of a copy to its end, in milliseconds. */
+    /** Time from the order to start a copy to the end of the copy, in milliseconds. */
     readonly copyMs: number;
     /** Time by which the copy is expected to end before the original, in milliseconds. */
     readonly gainMs: number;
@@ -28,7 +28,7 @@
 
 /** A run is judged after this time, since the first readings of progress are coarse. */
 const MinElapsedMs = 700;
-/** Time for the start order and until the copy is at full speed. */
+/** Time from the order to start a copy until the copy is at full speed. */
 const CopyStartMs = 300;
 /** A run is slow if it is expected to take this many times the usual duration of its siblings. */
 const SlowRatio = 1.5;
--- a/packages/jobs/src/order-situation.ts
+++ b/packages/jobs/src/order-situation.ts
@@ -1,6 +1,6 @@
 import type { WorkerFleet } from "./worker-fleet.js";
 
-/** The time and the workers for which a start order is made. */
+/** The time and the workers for which candidates are sorted. */
 export interface OrderSituation {
     /** Milliseconds since 1970. */
     readonly wallMs: number;
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -7,6 +7,7 @@
 import { nextRunNumber } from "./next-run-number.js";
 import { longestWaitMs } from "./longest-wait-ms.js";
 import { mayRelaxFit } from "./may-relax-fit.js";
+import { longestOverdueMs } from "./longest-overdue-ms.js";
 import { overdueTasks } from "./overdue-tasks.js";
 import { preemptLastingTasks } from "./preempt-lasting-tasks.js";
 import { UnplaceableSteps } from "./unplaceable-steps.js";
@@ -55,12 +56,6 @@
     readonly isOutOfRoom: boolean;
 }
 
-/** Longest time that an overdue task of the step has waited; undefined if none is overdue. */
-const longestOverdueMs = (step: Step, nowMs: number): number | undefined => {
-    const [first] = overdueTasks(step, nowMs);
-    return first === undefined ? undefined : nowMs - (first.readySinceMs ?? nowMs);
-};
-
 /** Decides which tasks start now, and on which workers. */
 export class StartPlanner {
     /** Tasks of the last plan that found no permitted worker, one for each step, in rank order. */
--- a/packages/tasks/src/placement-preview.ts
+++ b/packages/tasks/src/placement-preview.ts
@@ -9,6 +9,7 @@
     /** Queued tasks that go before it, and their declared work in processor-milliseconds. */
     readonly tasksAhead: number;
     readonly processorMsAhead: number;
+    /** All queued tasks of the cell. */
     readonly waitingTasks: number;
     /** Tasks ahead that may start now as well, and may take the worker. */
     readonly startableAhead: number;
--- a/packages/tasks/src/task-explanation.ts
+++ b/packages/tasks/src/task-explanation.ts
@@ -21,7 +21,7 @@
             readonly accelerators: number;
         };
     };
-    /** What goes before the task; a task counts as one step. */
+    /** The queued tasks, in the form of `WorkAhead` of `packages/jobs`; a task counts as one step. */
     readonly ahead: {
         readonly steps: number;
         readonly tasks: number;
