--- a/packages/jobs/src/copy-budget.ts
+++ b/packages/jobs/src/copy-budget.ts
@@ -1,6 +1,6 @@
 /** Share of the processor time of runs that ended as done that copies may waste. */
 const MaxWasteShare = 0.1;
-/** Processor time that may be wasted in addition, so that an owner without a history can start copies. */
+/** Processor-milliseconds that may be wasted in addition, so that an owner without a history can start copies. */
 const AllowanceProcessorMs = 20_000;
 /** Time constant with which work and waste are forgotten; without it, hours of work would allow a burst of waste. */
 const AverageMs = 60_000;
--- a/packages/jobs/src/copy-candidates.ts
+++ b/packages/jobs/src/copy-candidates.ts
@@ -11,7 +11,7 @@
     readonly jobs: JobRegistry;
     readonly rules: QueueRules;
     readonly nowMs: number;
-    /** Whether the state of a job is not known completely. */
+    /** Whether a worker that has not listed its runs may have some of the job, so that none of its tasks start. */
     readonly isBlocked: (job: string) => boolean;
 }
 
@@ -19,7 +19,7 @@
 interface CopyCandidate {
     readonly original: Run;
     readonly service: string;
-    /** Expected time from the start of the copy to its end, in milliseconds. */
+    /** Expected time from the order to start the copy to its end, in milliseconds. */
     readonly copyMs: number;
     /** Time by which the copy is expected to end before the original, in milliseconds. */
     readonly gainMs: number;
@@ -40,6 +40,7 @@
     nowMs >= task.startableAtMs &&
     nowMs >= task.copyNotBeforeMs;
 
+/** Finds the runs of a step that are worth a copy; `maxAttempts` is that of the step's queue. */
 const findInStep = (step: Step, service: string, maxAttempts: number, nowMs: number): CopyCandidate[] => {
     const running: Run[] = [];
     for (const { run } of step.tasks) {
--- a/packages/jobs/src/copy-planner.ts
+++ b/packages/jobs/src/copy-planner.ts
@@ -34,7 +34,7 @@
     readonly ranked: readonly RankedStep[];
     readonly capacity: CapacityIndex;
     readonly nowMs: number;
-    /** Whether the tasks of a job cannot start now. */
+    /** Whether a worker that has not listed its runs may have some of the job, so that none of its tasks start. */
     readonly isBlocked: (job: string) => boolean;
 }
 
--- a/packages/jobs/src/copy-runs.ts
+++ b/packages/jobs/src/copy-runs.ts
@@ -24,7 +24,7 @@
 /** The speculative copies of a cell that have not ended, and what copies have cost. */
 export class CopyRuns {
     readonly budget = CopyBudget.create();
-    /** Processor time that each open copy may waste, in milliseconds, as expected when it was started. */
+    /** Processor time that each open copy may waste, in processor-milliseconds, as expected when it was started. */
     private readonly atRisk = new Map<Run, number>();
     /** Originals whose copy has ended as done. */
     private readonly overtaken = new Set<Run>();
@@ -49,11 +49,12 @@
         return this.open.reduce((sum, { reservation }) => sum + reservation.processors, 0);
     }
 
-    /** Processor time that the open copies may waste, in milliseconds. */
+    /** Processor time that the open copies may waste, in processor-milliseconds. */
     get atRiskProcessorMs(): number {
         return [...this.atRisk.values()].reduce((sum, processorMs) => sum + processorMs, 0);
     }
 
+    /** Records a copy whose start is ordered; `atRiskProcessorMs` is the processor time that it may waste. */
     start(copy: Run, atRiskProcessorMs: number): void {
         copy.isCopy = true;
         this.atRisk.set(copy, atRiskProcessorMs);
--- a/packages/jobs/src/end-observer.ts
+++ b/packages/jobs/src/end-observer.ts
@@ -14,7 +14,10 @@
     readonly onIgnored?: (worker: WorkerIncarnation, end: IgnoredEnd) => void;
     /** Called for each start of a speculative copy, and when it is known how it has ended. */
     readonly onCopy?: (copy: Run, outcome: CopyOutcome) => void;
-    /** Called for each run whose work was wasted because of a copy, with the processor time that it had reserved. */
+    /**
+     * Called for each run whose work was wasted because of a copy, with the processor time that it had reserved, in
+     * processor-milliseconds.
+     */
     readonly onCopyWaste?: (processorMs: number) => void;
     /** Called for each change of the suspicion that a task crashes its workers; `workerKey` is the worker concerned. */
     readonly onSuspicion?: (task: Task, workerKey: string, change: SuspicionChange) => void;
--- a/packages/jobs/src/explanation-context.ts
+++ b/packages/jobs/src/explanation-context.ts
@@ -9,9 +9,10 @@
     readonly fleet: WorkerFleet;
     readonly rules: QueueRules;
     readonly effects: NeighbourEffects;
-    /** Whether runs of the job that are not known yet may exist, so that none of its tasks start. */
+    /** Whether a worker that has not listed its runs may have some of the job, so that none of its tasks start. */
     readonly isBlocked: (job: string) => boolean;
-    /** Monotonic time. */
+    /** Monotonic time, in milliseconds. */
     readonly nowMs: number;
+    /** Milliseconds since 1970. */
     readonly wallMs: number;
 }
--- a/packages/jobs/src/job-demand.ts
+++ b/packages/jobs/src/job-demand.ts
@@ -11,7 +11,7 @@
     readonly pathMs: number;
     /** Time from when it is due to when its result should be there, in milliseconds. */
     readonly targetMs: number;
-    /** Wall-clock time by which its result should be there. */
+    /** Wall-clock time by which its result should be there, in milliseconds since 1970. */
     readonly targetAtMs: number;
     /** Worth of its result in time, relative to the mean of its queue. */
     readonly worth: number;
--- a/packages/jobs/src/mark-evacuations.ts
+++ b/packages/jobs/src/mark-evacuations.ts
@@ -22,7 +22,7 @@
     readonly rules: QueueRules;
     readonly effects: NeighbourEffects;
     readonly nowMs: number;
-    /** Whether the tasks of a job cannot start now. */
+    /** Whether a worker that has not listed its runs may have some of the job, so that none of its tasks start. */
     readonly isBlocked: (job: string) => boolean;
 }
 
@@ -140,7 +140,10 @@
         return !this.withoutPlace.has(step) && this.context.nowMs >= step.nextMoveSearchMs;
     }
 
-    /** Sets capacity aside for all runs of a group of a step. Returns false, and sets nothing aside, if one of them has no place. */
+    /**
+     * Sets capacity aside for all runs of a group of a step. Returns false, and sets nothing aside, if one of them has no
+     * place.
+     */
     reserve(step: Step, group: readonly Run[]): boolean {
         const rule = this.context.rules.get(step.occurrence.job.spec.queue);
         const left = rule && this.processorsLeft.get(rule.service);
@@ -155,13 +158,7 @@
         for (const run of group) {
             const worker = this.findWorker(run, rule.service);
             if (worker === undefined) {
-                this.withoutPlace.add(step);
-                if (step.permits === undefined) {
-                    step.nextMoveSearchMs = this.context.nowMs + SearchPauseMs;
-                } else {
-                    // A permit may expire within the pause.
-                    this.withoutPermit.push({ task: run.task, service: rule.service });
-                }
+                this.deferSearch(run, rule.service);
                 taken.forEach(each => this.capacity.release(each.worker, each.run.reservation));
                 return false;
             }
@@ -172,6 +169,17 @@
         return true;
     }
 
+    /** Ends the search of this plan for the step of a run that has found no place. */
+    private deferSearch({ task }: Run, service: string): void {
+        this.withoutPlace.add(task.step);
+        if (task.step.permits === undefined) {
+            task.step.nextMoveSearchMs = this.context.nowMs + SearchPauseMs;
+        } else {
+            // A permit may expire within the pause.
+            this.withoutPermit.push({ task, service });
+        }
+    }
+
     private findWorker({ task, reservation }: Run, service: string): WorkerIncarnation | undefined {
         const { fleet, effects, nowMs } = this.context;
         const { step } = task;
--- a/packages/jobs/src/select-in-time.ts
+++ b/packages/jobs/src/select-in-time.ts
@@ -22,7 +22,10 @@
     readonly density: number;
 }
 
-/** Worth of a result for each unit of the work that it still needs. A job of which all tasks have started needs none. */
+/**
+ * Worth of a result for each processor-millisecond of the work that it still needs. A job of which all tasks have started
+ * needs none.
+ */
 const densityOf = ({ worth, workMs }: JobDemand): number => worth / Math.max(workMs, 1);
 
 /**
--- a/packages/jobs/src/unresolved-worker-key.ts
+++ b/packages/jobs/src/unresolved-worker-key.ts
@@ -2,6 +2,7 @@
 import type { Run } from "./run.js";
 import type { Task } from "./task.js";
 
+/** Key of the run's worker if it became silent soon after the start and is not known to be lost. */
 const unresolvedKeyOf = (run: Run | undefined): string | undefined => {
     if (run === undefined || run.worker.isReachable || run.worker.isLost || run.worker.entry.isDraining) {
         return undefined;
