--- a/packages/core/src/client-connection.ts
+++ b/packages/core/src/client-connection.ts
@@ -8,6 +8,6 @@
     readonly openRequests: Set<ClientRequest>;
     /** Requests whose bodies are complete and that are being handled. */
     handledRequests: number;
-    /** No further request is read from it. */
+    /** Whether it is being closed, so that no further request is read from it. */
     isClosing: boolean;
 }
--- a/packages/jobs/src/explanation-context.ts
+++ b/packages/jobs/src/explanation-context.ts
@@ -12,9 +12,10 @@
     readonly effects: NeighbourEffects;
     /** Order of the cell's plans. */
     readonly order: StartOrder;
-    /** Whether runs of the job that are not known yet may exist, so that none of its tasks start. */
+    /** Whether a worker that has not listed its runs may have some of the job, so that none of its tasks start. */
     readonly isBlocked: (job: string) => boolean;
-    /** Monotonic time. */
+    /** Monotonic time, in milliseconds. */
     readonly nowMs: number;
+    /** Milliseconds since 1970. */
     readonly wallMs: number;
 }
--- a/packages/jobs/src/mark-evacuations.ts
+++ b/packages/jobs/src/mark-evacuations.ts
@@ -22,7 +22,7 @@
     readonly rules: QueueRules;
     readonly effects: NeighbourEffects;
     readonly nowMs: number;
-    /** Whether the tasks of a job cannot start now. */
+    /** Whether a worker that has not listed its runs may have some of the job, so that none of its tasks start. */
     readonly isBlocked: (job: string) => boolean;
 }
 
@@ -34,6 +34,7 @@
 const MaxMovesPerPlan = 1;
 /** Share of the processors outside the evacuated data centres that moves leave free for new work. */
 const MinFreeShare = 0.1;
+/** Bounds the expected time on a worker that hardly advances. */
 const MinSpeed = 0.02;
 /**
  * Pause before the next search for a step whose runs have found no place. Each search scores all workers with capacity: 300
@@ -83,7 +84,7 @@
         return this.count(step) / step.spec.count;
     }
 
-    /** Whether a lasting step keeps enough of its tasks at work without one more of them. */
+    /** Whether one more task of a lasting step may be made unavailable; all of them for a gang. */
     allowsMove(step: Step): boolean {
         const { gang, count, maxUnavailable = Infinity } = step.spec;
         if (gang) {
@@ -139,7 +140,10 @@
         return !this.withoutPlace.has(step) && this.context.nowMs >= step.nextMoveSearchMs;
     }
 
-    /** Sets capacity aside for all runs of a group of a step. Returns false, and sets nothing aside, if one of them has no place. */
+    /**
+     * Sets capacity aside for all runs of a group of a step. Returns false, and sets nothing aside, if one of them has no
+     * place.
+     */
     reserve(step: Step, group: readonly Run[]): boolean {
         const rule = this.context.rules.get(step.occurrence.job.spec.queue);
         const left = rule && this.processorsLeft.get(rule.service);
@@ -154,13 +158,7 @@
         for (const run of group) {
             const worker = this.findWorker(run, rule.service);
             if (worker === undefined) {
-                this.withoutPlace.add(step);
-                if (step.permits === undefined) {
-                    step.nextMoveSearchMs = this.context.nowMs + SearchPauseMs;
-                } else {
-                    // A permit may expire within the pause.
-                    this.withoutPermit.push({ task: run.task, service: rule.service });
-                }
+                this.deferSearch(run, rule.service);
                 taken.forEach(each => this.capacity.release(each.worker, each.run.reservation));
                 return false;
             }
@@ -171,6 +169,17 @@
         return true;
     }
 
+    /** Ends the search of this plan for the step of a run that has found no place. */
+    private deferSearch({ task }: Run, service: string): void {
+        this.withoutPlace.add(task.step);
+        if (task.step.permits === undefined) {
+            task.step.nextMoveSearchMs = this.context.nowMs + SearchPauseMs;
+        } else {
+            // A permit may expire within the pause.
+            this.withoutPermit.push({ task, service });
+        }
+    }
+
     private findWorker({ task, reservation }: Run, service: string): WorkerIncarnation | undefined {
         const { fleet, effects, nowMs } = this.context;
         const { step } = task;
