--- a/packages/jobs/src/mark-evacuations.ts
+++ b/packages/jobs/src/mark-evacuations.ts
@@ -4,6 +4,7 @@
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import { ProjectedCapacity } from "./projected-capacity.js";
 import type { QueueRules } from "./queue-rules.js";
+import { remainingRunMs } from "./remaining-run-ms.js";
 import { RunPhase } from "./run-phase.js";
 import type { Run } from "./run.js";
 import { servicesWithWaitingTasks } from "./services-with-waiting-tasks.js";
@@ -34,18 +35,12 @@
 const MaxMovesPerPlan = 1;
 /** Share of the processors outside the evacuated data centres that moves leave free for new work. */
 const MinFreeShare = 0.1;
-/** Bounds the expected time on a worker that hardly advances. */
-const MinSpeed = 0.02;
 /**
  * Pause before the next search for a step whose runs have found no place. Each search scores all workers with capacity: 300
  * steps that fit nowhere made each plan of 400 workers take 10 ms longer.
  */
 const SearchPauseMs = 1_000;
 
-/** Expected time until a short run ends where it is, in milliseconds. */
-const remainingMs = ({ progressPercent, task, worker }: Run): number =>
-    ((1 - progressPercent / 100) * task.step.spec.estimatedMs) / Math.max(worker.speed, MinSpeed);
-
 /** The runs that have to move together with a run: all members of its gang, or the run alone. */
 const groupOf = (run: Run): readonly (Run | undefined)[] => {
     const { spec, tasks } = run.task.step;
@@ -66,7 +61,7 @@
 /** Whether a move costs callers less than waiting for the run to end, regardless of capacity elsewhere. */
 const isWorthMoving = (run: Run): boolean => {
     const { spec } = run.task.step;
-    return spec.lasting || (spec.checkpoints && remainingMs(run) > LeaveToEndMs);
+    return spec.lasting || (spec.checkpoints && remainingRunMs(run) > LeaveToEndMs);
 };
 
 /** Unavailable tasks of lasting steps, counted once for each step while none of its tasks is marked. */
--- a/packages/jobs/src/mark-migrations.ts
+++ b/packages/jobs/src/mark-migrations.ts
@@ -3,6 +3,7 @@
 import type { NeighbourEffects } from "./neighbour-effects.js";
 import type { QueueRules } from "./queue-rules.js";
 import type { Run } from "./run.js";
+import { remainingRunMs } from "./remaining-run-ms.js";
 import { RunPhase } from "./run-phase.js";
 import type { Step } from "./step.js";
 import { StopReason } from "./stop-reason.js";
@@ -31,7 +32,6 @@
 const MigrationCostMs = 500;
 /** A migration must shorten the remaining time by this factor, since estimates are rough. */
 const MinMigrationGainRatio = 1.5;
-const MinSpeed = 0.02;
 /** Each migration costs a stop and a start, so a task that does no better elsewhere must stay eventually. */
 const MaxMigrationsPerTask = 2;
 
@@ -66,9 +66,8 @@
         return false;
     }
     const remaining = 1 - run.progressPercent / 100;
-    const hereMs = (remaining * spec.estimatedMs) / Math.max(worker.speed, MinSpeed);
     const elsewhereMs = (spec.checkpoints ? remaining : 1) * spec.estimatedMs + MigrationCostMs;
-    return hereMs > elsewhereMs * MinMigrationGainRatio;
+    return remainingRunMs(run) > elsewhereMs * MinMigrationGainRatio;
 };
 
 /** Chooses the workers to which runs may migrate. Runs of one step share the scores of the workers. */
