--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -1,77 +1,57 @@
-// A burst of submissions that last, and one worker is lost for good just after it has started some of their tasks. Then
-// the deployment is calm, and a third of it is free.
+// A front-end machine freezes and wakes again. A client whose submission it got meanwhile has cancelled it in between.
 import { join } from "node:path";
 import { sleep } from "../standins-3/site.mjs";
 import { runCase } from "../standins-3/run-case.mjs";
 
-const WorkerCount = 8;
-const SubmissionCount = 4;
-const TaskCount = 12;
-const WorkerCpu = 16_000;
-const TaskCpu = 1_600;
-/** Time from the start of the last task to the loss of the worker. */
-const FailAfterMs = 300;
-/**
- * The rule: from 6 s after its last run, 3 s without a run, if these and the 4 s before them are calm. The loss counts as
- * a disruption for as long as a crash of the site lasts, so that a task must not be away for longer than all three.
- */
-const DisruptionMs = 4_500;
-const CalmBeforeMs = 4_000;
-const EmptyMs = 3_000;
-const MaxAwayMs = DisruptionMs + CalmBeforeMs + EmptyMs;
-const ObserveMs = 30_000;
+const Id = "00000000000000c2";
+/** The freeze of the site lasts 3.5 s. */
+const FreezeMs = 3_500;
+/** Time budget of the client for its request. */
+const BudgetMs = 3_000;
+/** `cancel_ms` and `stop_timeout_ms` of the site. */
+const CancelMs = 3_000;
+const StopMs = 200;
+/** One of ten machines freezes: not more than the share of 0.11 of the site. */
+const NodeCount = 10;
+/** Time without any disruption before the check, more than `contact_ms`. */
+const CalmMs = 9_000;
 
 const play = async (site, hasTrouble) => {
     await site.start(
-        3,
-        Array.from({ length: WorkerCount }, (_, index) => ({ rack: `r1-${index}`, cpu: WorkerCpu })),
+        NodeCount,
+        Array.from({ length: 8 }, (_, index) => ({ rack: `r1-${index}` })),
     );
-    const step = {
-        count: TaskCount,
-        cpu: TaskCpu,
-        memory_request_mb: 2_000,
-        estimated_ms: 500,
-        long_running: true,
-    };
-    const ids = Array.from({ length: SubmissionCount }, (_, index) => `00000000000000d${index}`);
-    const statuses = await Promise.all(ids.map(id => site.submit("watch", id, [step])));
-    if (statuses.some(status => status !== 200)) {
-        throw new Error("a submission was not accepted");
-    }
-    const allCount = SubmissionCount * TaskCount;
-    for (let waitedMs = 0; site.running().size < allCount; waitedMs += 10) {
-        if (waitedMs > 10_000) {
-            throw new Error("the tasks did not start");
-        }
-        await sleep(10);
-    }
-    await sleep(FailAfterMs);
-    let lostTasks = [];
+    // A machine that carries clients' requests, not the owner of the cell.
+    const owner = site.owner;
+    const [frozen, other] = site.nodes.filter(node => node !== owner);
     if (hasTrouble) {
-        const worker = site.workers.reduce((most, each) => (each.runs.size > most.runs.size ? each : most));
-        lostTasks = [...worker.runs.keys()];
-        worker.crash();
+        site.signal(frozen, "SIGSTOP");
+        setTimeout(() => site.signal(frozen, "SIGCONT"), FreezeMs);
+        await sleep(100);
+    }
+    const step = { count: 6, cpu: 3_200, memory_request_mb: 6_400, estimated_ms: 500, long_running: true };
+    const specification = `spec-${Id}`;
+    site.submissions.set(Id, { id: Id, route: "watch", steps: [step], specification });
+    const body = { specification, steps: [step] };
+    const submitted = await site.call(frozen.front, "POST", `/watch/${Id}`, body, BudgetMs);
+    site.note("submit", { id: Id, node: frozen.name, status: submitted.status });
+    // Without an answer in its time, the client has no more use for the submission and cancels it at another machine.
+    let cancelled = await site.cancel(Id, other);
+    for (let attempt = 0; attempt < 5 && ![200, 410].includes(cancelled.status); attempt++) {
+        await sleep(200);
+        cancelled = await site.cancel(Id, other);
     }
-    const lostAtMs = performance.now();
-    const awayMs = new Map();
-    while (performance.now() - lostAtMs < ObserveMs) {
-        const running = site.running();
-        for (const task of lostTasks) {
-            if (running.has(task) && !awayMs.has(task)) {
-                awayMs.set(task, Math.round(performance.now() - lostAtMs));
-            }
-        }
-        if (hasTrouble && awayMs.size === lostTasks.length) {
-            break;
-        }
-        await sleep(20);
+    if (![200, 410].includes(cancelled.status)) {
+        throw new Error("the cancelling was not acknowledged");
     }
-    const longestMs =
-        lostTasks.length === 0 ? 0 : Math.max(...lostTasks.map(task => awayMs.get(task) ?? ObserveMs));
-    const freeShare = 1 - (allCount * TaskCpu) / ((WorkerCount - 1) * WorkerCpu);
-    site.note("seen", { awayMs: Object.fromEntries(awayMs), freeShare, running: site.running().size });
-    return longestMs > MaxAwayMs
-        ? `LOST: of ${lostTasks.length} tasks the last did not run for ${longestMs} ms, with ${Math.round(100 * freeShare)}% of the service free`
+    const acknowledgedAtMs = performance.now();
+    await sleep(CalmMs);
+    const sinceMs = Math.round(performance.now() - acknowledgedAtMs);
+    const running = site.running().size;
+    const { body: shown, status } = await site.state(Id, other);
+    site.note("seen", { sinceMs, running, status, state: shown?.state });
+    return running > 0 && sinceMs > CancelMs + StopMs
+        ? `UNASKED: ${running} tasks run ${sinceMs} ms after the cancelling was answered ${cancelled.status}`
         : undefined;
 };
 
