A submission that is on its way does not run after its cancellation

Cause: a cancellation of a job that is not stored was answered from a read and kept nothing. The deadline of a request counted from when it was read, which is one way in. A request with 30 s left, and a write that the store carried out after the answer, led to the same, so the deadline alone was ruled out as the cause.

Change: the cancellation creates a tombstone under the key of the job, which the submission creates too. The store decides in one transaction which came first; an ordinary submission needs it no more often. A submission that meets a tombstone is refused with 410.

--- a/packages/core/src/client-request.ts
+++ b/packages/core/src/client-request.ts
@@ -63,6 +63,11 @@
         return new ClientRequest(connection, req, res, bodies, events);
     }
 
+    /** Whether the connection was closed before the request was answered. */
+    get isAbandoned(): boolean {
+        return this.isClosed;
+    }
+
     /** Keeps the request open until its handler is done. */
     handleWith(handler: Promise<void> | void): void {
         const done = (): void => {
--- a/packages/dispatch/src/cell-input-watcher.ts
+++ b/packages/dispatch/src/cell-input-watcher.ts
@@ -3,6 +3,8 @@
 import { cellKeys } from "./cell-keys.js";
 import type { EventLog } from "./event-log.js";
 import { itemsUnderPrefix } from "./items-under-prefix.js";
+import { jobCodec } from "./job-codec.js";
+import type { JobTombstone } from "./job-tombstone.js";
 import type { MetadataStore } from "./metadata-store.js";
 import { storedRecords } from "./stored-records.js";
 import type { StoredItem } from "./stored-item.js";
@@ -19,6 +21,8 @@
     readonly jobs: JobRegistry;
     /** Called with the stored text of each job that is not registered yet. */
     readonly onJob: (text: string) => void;
+    /** Called with each tombstone of a job that was cancelled before it was stored. */
+    readonly onTombstone: (tombstone: Pick<StoredItem, "key" | "revision"> & JobTombstone) => void;
     /** Called with the id of each cancelled job that has no end state yet. */
     readonly onCancellation: (id: string) => void;
     /** Called with the epoch of an owner that has taken over; the jobs that were stored after that are not reported. */
@@ -61,9 +65,12 @@
         if (this.isSuperseded) {
             return;
         }
-        const { cell, jobs, onJob, onCancellation } = this.context;
-        for (const { id, value } of itemsUnderPrefix(items, cellKeys.job(cell, ""))) {
-            if (jobs.get(id) === undefined) {
+        const { cell, jobs, onJob, onTombstone, onCancellation } = this.context;
+        for (const { id, key, value, revision } of itemsUnderPrefix(items, cellKeys.job(cell, ""))) {
+            const tombstone = jobCodec.decodeTombstone(value);
+            if (tombstone !== undefined) {
+                onTombstone({ key, revision, ...tombstone });
+            } else if (jobs.get(id) === undefined) {
                 onJob(value);
             }
         }
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -28,6 +28,7 @@
 import { RosterWriter } from "./roster-writer.js";
 import { runInBackground } from "./run-in-background.js";
 import { sleep } from "./sleep.js";
+import { TombstoneCleaner } from "./tombstone-cleaner.js";
 import { WorkerLinks } from "./worker-links.js";
 import type { WorkerClientFactory } from "./worker-client-factory.js";
 
@@ -77,6 +78,7 @@
     private readonly evacuations: EvacuationMonitor | undefined;
     private readonly roster: RosterWriter;
     private readonly writer: ProgressWriter;
+    private readonly tombstones: TombstoneCleaner;
     private readonly planDelay = PlanDelay.create();
     private readonly heartbeatPause = HeartbeatPause.create();
     private planTimer: NodeJS.Timeout | undefined;
@@ -107,6 +109,7 @@
         this.permits = PermitRequester.create({ ...context, scheduler: this.scheduler });
         this.writer = ProgressWriter.create({ ...context, scheduler: this.scheduler });
         this.roster = RosterWriter.create({ ...context, scheduler: this.scheduler });
+        this.tombstones = TombstoneCleaner.create(context);
         const { evacuations: source } = context;
         this.evacuations =
             source &&
@@ -163,6 +166,7 @@
             ...this.context,
             jobs: this.scheduler.jobs,
             onJob: text => this.jobAccepted(text),
+            onTombstone: tombstone => this.tombstones.add(tombstone),
             onCancellation: id => this.jobCancelled(id),
             onTakeover: newer => this.context.onLost(`epoch ${newer} has taken over`),
         });
@@ -171,6 +175,7 @@
         // Without one of its loops the owner would keep the cell and not serve it, so the cell is left to another.
         runInBackground("inputs", inputWatcher.run(signal, state.revision), log, onLost);
         runInBackground("progress", this.writer.run(signal), log, onLost);
+        runInBackground("tombstones", this.tombstones.run(signal), log, onLost);
         runInBackground("plans", this.runPlanLoop(), log, onLost);
         runInBackground("maintenance", this.runMaintenanceLoop(), log, onLost);
         this.schedulePlan();
@@ -234,6 +239,7 @@
             scheduler.effects.restore(state.effects);
         }
         this.intake.restore(state);
+        state.tombstones.forEach(tombstone => this.tombstones.add(tombstone));
         state.cancelled
             .filter(id => scheduler.jobs.get(id)?.endState === undefined)
             .forEach(id => this.jobCancelled(id));
--- a/packages/dispatch/src/create-peer-server.ts
+++ b/packages/dispatch/src/create-peer-server.ts
@@ -3,6 +3,7 @@
 import type { JsonRequest } from "@samphireward/core/json-request";
 import { JsonServer } from "@samphireward/core/json-server";
 import type { RefusalReason } from "@samphireward/core/refusal-reason";
+import type { PauseDetector } from "@samphireward/core/pause-detector";
 import { ResultCode } from "@samphireward/core/result-code";
 import type { ServerLimits } from "@samphireward/core/server-limits";
 import { checkJob } from "@samphireward/jobs/check-job";
@@ -15,6 +16,10 @@
 import { jobCodec } from "./job-codec.js";
 import type { JobWriter } from "./job-writer.js";
 import type { PlacementExplainer } from "./placement-explainer.js";
+import { SubmitOutcome } from "./submit-outcome.js";
+
+/** Time for which a job is written on behalf of another process, in milliseconds. */
+const AcceptTimeoutMs = 1_000;
 
 /** Creates the server for calls between processes of the system, most of which concern cells that this process owns. */
 export const createPeerServer = (
@@ -22,6 +27,7 @@
     writer: JobWriter,
     epochs: EpochReporter,
     explainer: PlacementExplainer,
+    pauses: PauseDetector,
     log: EventLog,
     limits?: ServerLimits,
     onRefused?: (reason: RefusalReason) => void,
@@ -80,10 +86,14 @@
         })
         .on("POST", "/cells/:cell/jobs/:id/accept", async req => {
             const { spec, text } = jobOf(req);
-            return {
-                status: 200,
-                body: { outcome: await writer.accept(Number(req.params["cell"]), spec.id, text) },
-            };
+            const deadlineMs = pauses.earliestArrivalMs() + AcceptTimeoutMs;
+            const outcome = await writer.accept(Number(req.params["cell"]), spec.id, text, deadlineMs);
+            // Earlier builds do not know the outcome of a cancelled job.
+            const body =
+                outcome === SubmitOutcome.Cancelled
+                    ? { outcome: SubmitOutcome.NotAccepted, isCancelled: true }
+                    : { outcome };
+            return { status: 200, body };
         })
         .on("POST", "/cells/:cell/jobs/:id/estimate", req => {
             const { spec } = jobOf(req);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import type { Clock } from "@samphireward/core/clock";
 import type { JsonServer } from "@samphireward/core/json-server";
+import { PauseDetector } from "@samphireward/core/pause-detector";
 import { SystemRandom } from "@samphireward/core/system-random";
 import { StartOrderName } from "@samphireward/jobs/start-order-name";
 import type { WorkerEntry } from "@samphireward/jobs/worker-entry";
@@ -67,6 +68,8 @@
     readonly gateway: JobGateway;
     /** Absent if no jobs are refused because their results could not be of use. */
     readonly admission: AdmissionGate | undefined;
+    /** Tells when a request that is read now may have arrived. */
+    readonly pauses: PauseDetector;
     private readonly cells = CellDirectory.create();
     private readonly abort = new AbortController();
     private readonly peers = PeerClient.create();
@@ -81,6 +84,7 @@
 
     private constructor(private readonly context: DispatcherContext) {
         const { store, clock, log, settings } = context;
+        this.pauses = PauseDetector.create(clock);
         const writer = JobWriter.create(store, clock);
         this.gateway = JobGateway.create(this.cells, store, writer, this.peers, clock, log);
         const { cells, peers } = this;
@@ -97,6 +101,7 @@
             writer,
             epochs,
             explainer,
+            this.pauses,
             log,
             settings.peerLimits,
             reason => context.metrics.clientRefusals.inc({ server: "peers", reason }),
@@ -139,6 +144,7 @@
     }
 
     async start(): Promise<void> {
+        this.pauses.start();
         const { configs, settings, store, clock, log, metrics } = this.context;
         const { signal } = this.abort;
         const peerAddress = await this.peerServer.listen(settings.peerAddress);
@@ -173,6 +179,7 @@
 
     async close(): Promise<void> {
         this.abort.abort();
+        this.pauses.close();
         this.peers.close();
         await this.peerServer.close();
     }
--- a/packages/dispatch/src/job-codec.ts
+++ b/packages/dispatch/src/job-codec.ts
@@ -4,10 +4,13 @@
 import { JobState } from "@samphireward/jobs/job-state";
 import type { StepSpec } from "@samphireward/jobs/step-spec";
 import { isObject } from "./is-object.js";
+import type { JobTombstone } from "./job-tombstone.js";
 import { parseFields } from "./parse-fields.js";
 
 /** Version of the stored format; values of other versions are not decoded. */
 const FormatVersion = 1;
+/** Longer texts are those of jobs, which are not parsed to find out whether they are tombstones. */
+const MaxTombstoneLength = 100;
 
 const parseVersioned = (text: string): Readonly<Record<string, unknown>> => {
     const fields = parseFields(text);
@@ -102,6 +105,15 @@
         return isJobSpec(spec) ? { ...spec, steps: spec.steps.map(restoreStep) } : undefined;
     },
 
+    encodeTombstone: ({ cancelledAtMs }: JobTombstone): string =>
+        JSON.stringify({ v: FormatVersion, cancelledAtMs }),
+
+    /** Decodes the tombstone that is stored in place of a job; undefined if the text is that of a job. */
+    decodeTombstone: (text: string): JobTombstone | undefined => {
+        const { cancelledAtMs } = text.length > MaxTombstoneLength ? {} : parseVersioned(text);
+        return Number.isFinite(cancelledAtMs) ? { cancelledAtMs: cancelledAtMs as number } : undefined;
+    },
+
     encodeProgress: (progress: JobProgress): string => JSON.stringify({ v: FormatVersion, progress }),
 
     decodeProgress: (text: string): JobProgress | undefined => {
--- a/packages/dispatch/src/job-gateway.ts
+++ b/packages/dispatch/src/job-gateway.ts
@@ -5,6 +5,7 @@
 import type { JobSpec } from "@samphireward/jobs/job-spec";
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
+import type { CancelFailure } from "./cancel-failure.js";
 import type { CellDirectory } from "./cell-directory.js";
 import { cellKeys } from "./cell-keys.js";
 import type { EventLog } from "./event-log.js";
@@ -13,12 +14,16 @@
 import type { MetadataStore } from "./metadata-store.js";
 import type { PeerClient } from "./peer-client.js";
 import { SubmitOutcome } from "./submit-outcome.js";
+import { TombstoneOutcome } from "./tombstone-outcome.js";
+import { TombstoneWriter } from "./tombstone-writer.js";
 
 /** Error of a request that neither the cell's owner nor the store answered. */
 type Unavailable = "unavailable";
 
 /** Serves callers' requests about jobs in any process, with the help of the owner of the job's cell or of the store. */
 export class JobGateway {
+    private readonly tombstones: TombstoneWriter;
+
     private constructor(
         private readonly cells: CellDirectory,
         private readonly store: MetadataStore,
@@ -26,7 +31,9 @@
         private readonly peers: PeerClient,
         private readonly clock: Clock,
         private readonly log: EventLog,
-    ) {}
+    ) {
+        this.tombstones = TombstoneWriter.create(writer, clock);
+    }
 
     static create(
         cells: CellDirectory,
@@ -47,7 +54,7 @@
         }
         const text = jobCodec.encodeJob(spec);
         let outcome = await this.writer.accept(cell, spec.id, text, deadlineMs);
-        if (outcome !== SubmitOutcome.Accepted) {
+        if (outcome === SubmitOutcome.NotAccepted || outcome === SubmitOutcome.Unknown) {
             const other = await this.acceptThroughOwner(cell, spec.id, text);
             outcome = other === SubmitOutcome.NotAccepted ? outcome : other;
         }
@@ -66,19 +73,34 @@
         return known === undefined ? this.readStoredStatus(cell, id) : Ok(known);
     }
 
-    /** Cancels a job; returns false if there is no such job. */
-    async cancel(id: string, deadlineMs: number): Promise<Result<boolean, Unavailable>> {
+    /**
+     * Cancels a job; returns false if there is no such job. In that case a tombstone is durable, so that a submission which
+     * is still on its way is not accepted.
+     */
+    async cancel(id: string, deadlineMs: number): Promise<Result<boolean, CancelFailure>> {
         const cell = this.cells.cellNumber(id);
         const status = await this.status(id);
         if (cell === undefined || status.isErr()) {
-            return Err("unavailable");
+            return Err({ reason: "neither the owner nor the store answers" });
         }
         if (status.value === undefined) {
-            return Ok(false);
+            switch (await this.tombstones.write(cell, id, deadlineMs)) {
+                case TombstoneOutcome.Stored:
+                    return Ok(false);
+                case TombstoneOutcome.JobExists:
+                    break;
+                case TombstoneOutcome.Unavailable:
+                    return Err({ reason: "the cancellation could not be stored" });
+                case TombstoneOutcome.LimitReached:
+                    return Err({
+                        reason: "too many jobs that are not stored were cancelled",
+                        retryMs: this.tombstones.retryMs,
+                    });
+            }
         }
         const outcome = await this.writer.cancel(cell, id, deadlineMs);
         if (outcome !== SubmitOutcome.Accepted) {
-            return Err("unavailable");
+            return Err({ reason: "the cancellation could not be stored" });
         }
         await this.notifyOwner(cell, id);
         return Ok(true);
@@ -142,7 +164,7 @@
         if (job.isErr() || progress.isErr()) {
             return Err("unavailable");
         }
-        if (job.value === undefined) {
+        if (job.value === undefined || jobCodec.decodeTombstone(job.value.value) !== undefined) {
             return Ok(undefined);
         }
         const storedProgress =
@@ -164,7 +186,7 @@
         }
         const response = await this.peers.accept(address, cell, id, text);
         this.logFailure(response, "accept", id, address);
-        return response.isOk() ? (response.value as SubmitOutcome) : SubmitOutcome.Unknown;
+        return response.unwrapOr(SubmitOutcome.Unknown);
     }
 
     private logFailure(
--- a/packages/dispatch/src/peer-client.ts
+++ b/packages/dispatch/src/peer-client.ts
@@ -7,6 +7,7 @@
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import { isObject } from "./is-object.js";
+import { SubmitOutcome } from "./submit-outcome.js";
 
 /** Time-out of a call to another process of the system. */
 const PeerTimeoutMs = 500;
@@ -17,6 +18,13 @@
 /** Time-out of a question that a caller waits for before its job is stored. */
 const PeerEstimateTimeoutMs = 150;
 
+/** Response of a process that was asked to store a job. */
+interface AcceptResponse {
+    readonly outcome: SubmitOutcome;
+    /** Beside `outcome`, whose values are those that earlier builds know. */
+    readonly isCancelled?: boolean;
+}
+
 /** Calls the processes that own cells. A peer that does not respond yields an error, never an empty response. */
 export class PeerClient {
     private readonly clients = new Map<string, JsonClient>();
@@ -69,10 +77,18 @@
     }
 
     /** Asks another process to store a job, on behalf of one that does not reach the store. */
-    async accept(address: string, cell: number, id: string, text: string): Promise<Result<string, string>> {
+    async accept(
+        address: string,
+        cell: number,
+        id: string,
+        text: string,
+    ): Promise<Result<SubmitOutcome, string>> {
         const path = `/cells/${cell}/jobs/${encodeURIComponent(id)}/accept`;
         const response = await this.call(address, "POST", path, { text }, PeerAcceptTimeoutMs);
-        return response.map(body => (body as { readonly outcome: string }).outcome);
+        return response.map(body => {
+            const { outcome, isCancelled } = body as AcceptResponse;
+            return isCancelled === true ? SubmitOutcome.Cancelled : outcome;
+        });
     }
 
     /** Asks the owner of a cell where a job would be placed. Returns its answer, also a refusal. */
--- a/packages/dispatch/src/read-cell-state.ts
+++ b/packages/dispatch/src/read-cell-state.ts
@@ -34,7 +34,7 @@
     inputItems: readonly StoredItem[],
     progressItems: readonly StoredItem[],
     onUnreadable: OnUnreadable,
-): Pick<CellState, "jobs" | "setAside"> => {
+): Pick<CellState, "jobs" | "setAside" | "tombstones"> => {
     const progressById = new Map<string, JobProgress | undefined>();
     for (const { id, key, value } of itemsUnderPrefix(progressItems, cellKeys.progressPrefix(cell))) {
         const progress = jobCodec.decodeProgress(value);
@@ -45,7 +45,13 @@
     }
     const jobs: CellState["jobs"][number][] = [];
     const setAside = new Map<string, StoredJobProblem>();
-    for (const { id, key, value } of itemsUnderPrefix(inputItems, cellKeys.job(cell, ""))) {
+    const tombstones: CellState["tombstones"][number][] = [];
+    for (const { id, key, value, revision } of itemsUnderPrefix(inputItems, cellKeys.job(cell, ""))) {
+        const tombstone = jobCodec.decodeTombstone(value);
+        if (tombstone !== undefined) {
+            tombstones.push({ key, revision, ...tombstone });
+            continue;
+        }
         const spec = jobCodec.decodeJob(value);
         const progress = progressById.get(id);
         if (spec?.id !== id) {
@@ -62,7 +68,7 @@
             }
         }
     }
-    return { jobs, setAside };
+    return { jobs, setAside, tombstones };
 };
 
 const decodeEffects = (item: StoredItem | undefined, onUnreadable: OnUnreadable): CellState["effects"] => {
--- a/packages/dispatch/src/submit-outcome.ts
+++ b/packages/dispatch/src/submit-outcome.ts
@@ -6,6 +6,8 @@
     NotAccepted: "not-accepted",
     /** The store did not respond: the job may have been stored. */
     Unknown: "unknown",
+    /** The job was cancelled before it was stored, and is not stored. */
+    Cancelled: "cancelled",
 } as const;
 
 export type SubmitOutcome = (typeof SubmitOutcome)[keyof typeof SubmitOutcome];
--- a/packages/dispatch/tests/cell-input-watcher.test.ts
+++ b/packages/dispatch/tests/cell-input-watcher.test.ts
@@ -31,6 +31,7 @@
         log: NullLog.create(),
         jobs: JobRegistry.create(),
         onJob: text => reported.push(`job ${jobCodec.decodeJob(text)?.id ?? "unreadable"}`),
+        onTombstone: () => t.fail("there is no tombstone"),
         onCancellation: cancelled => {
             reported.push(`cancellation ${cancelled}`);
             abort.abort();
@@ -63,6 +64,7 @@
         log: NullLog.create(),
         jobs: JobRegistry.create(),
         onJob: () => reported.push("job"),
+        onTombstone: () => reported.push("tombstone"),
         onCancellation: () => reported.push("cancellation"),
         onTakeover: epoch => reported.push(`takeover ${epoch}`),
     });
@@ -75,6 +77,7 @@
 t.test("a job that is stored after a takeover is not reported to the previous owner", async t => {
     const job = { key: `cells/0/in/job/${oneTaskJob.id}`, value: jobCodec.encodeJob(oneTaskJob) };
     const cancellation = { key: `cells/0/in/cancel/${oneTaskJob.id}`, value: "" };
+    const tombstone = { key: job.key, value: jobCodec.encodeTombstone({ cancelledAtMs: 1 }) };
     const takeover = (epoch: number): Pick<StoreChange, "key" | "value"> => ({
         key: "cells/0/in/takeover",
         value: JSON.stringify({ epoch }),
@@ -83,6 +86,7 @@
         ["a job before the takeover", [job, takeover(3)], ["job", "takeover 3"]],
         ["a job after it", [takeover(3), job, cancellation], ["takeover 3"]],
         ["two takeovers", [takeover(3), takeover(4)], ["takeover 3"]],
+        ["a tombstone in place of a job", [tombstone], ["tombstone"]],
         ["its own takeover", [takeover(2), job], ["job"]],
         ["an unreadable entry", [{ ...takeover(3), value: "{" }, job], ["job"]],
     ];
--- a/packages/dispatch/tests/create-peer-server.test.ts
+++ b/packages/dispatch/tests/create-peer-server.test.ts
@@ -1,5 +1,6 @@
 import { JsonClient } from "@samphireward/core/json-client";
 import { ManualClock } from "@samphireward/core/manual-clock";
+import { PauseDetector } from "@samphireward/core/pause-detector";
 import t from "tap";
 import { Err } from "ts-results-es";
 import type { CellCandidate } from "../src/cell-candidate.js";
@@ -54,7 +55,14 @@
         decodeSubmission: () => Err("no job"),
         maxBodyBytes: () => 1_000,
     });
-    const server = createPeerServer(cells, writer, EpochReporter.create(cells, store), explainer, log);
+    const server = createPeerServer(
+        cells,
+        writer,
+        EpochReporter.create(cells, store),
+        explainer,
+        PauseDetector.create(ManualClock.create(1_000)),
+        log,
+    );
     const client = JsonClient.create(await server.listen("127.0.0.1:0"));
     for (const [path, body] of invalid) {
         const call = client.call("POST", path, { body, timeoutMs });
--- a/packages/dispatch/tests/stored-names.test.ts
+++ b/packages/dispatch/tests/stored-names.test.ts
@@ -54,6 +54,18 @@
     t.end();
 });
 
+// Guards against a tombstone that another build does not recognize, and one that it takes for a job.
+t.test("a tombstone is read and written under the same names", t => {
+    const text = '{"v":1,"cancelledAtMs":1796677038684}';
+    t.same(jobCodec.decodeTombstone(text), { cancelledAtMs: 1_796_677_038_684 });
+    t.equal(jobCodec.encodeTombstone({ cancelledAtMs: 1_796_677_038_684 }), text);
+    t.equal(jobCodec.decodeJob(text), undefined);
+    for (const other of [stored.job, "{}", "", '{"v":2,"cancelledAtMs":1}', '{"v":1,"cancelledAtMs":"1"}']) {
+        t.equal(jobCodec.decodeTombstone(other), undefined, other);
+    }
+    t.end();
+});
+
 // Guards against learned effects or roster entries that are lost in part when a cell changes its owner.
 t.test("effects and rosters are read and written under the same names", t => {
     const { effects } = createScheduler();
