Own path: an unknown key that was cancelled is not accepted afterwards

A caller cancels a task, is told that it is unknown (2104), and the submission, which was in a stopped entry process or in a retry at the next owner, is accepted and runs.

Cause: the owner answered from its state and recorded nothing. Change: such a cancellation is a "cancelled" transition of the log, which earlier versions read and ignore. The state keeps the key for 150 s and up to 1,000 keys of a cell; a submission that meets it gets 4001, further unknown keys 2002. What the log has accepted is never dropped for it, so that a task that an earlier version accepted meanwhile is not lost.

The test "many cancellations at once" called cancel for an unknown key and awaited it without letting the log answer; it now lets the simulation run first and asserts the same code.

--- a/packages/tasks/src/cell-owner.ts
+++ b/packages/tasks/src/cell-owner.ts
@@ -26,11 +26,18 @@
 /** Limit on the payload of a task, because the log and the snapshot hold the payload of every accepted task. */
 const MaxPayloadBytes = 16 * 1024;
 
+/** Limit on the keys that are kept because they were cancelled before a task was accepted under them. */
+const MaxTombstones = 1_000;
+/** Submissions with longer keys are refused, so that nothing is kept of them. */
+const MaxKeyLength = 200;
+
 /**
  * Owner of one cell: accepts, places, starts, monitors, moves and ends the cell's tasks. All calls come from
  * one sequential process; `tick` performs the work that has become due.
  */
 export class CellOwner {
+    /** Unknown keys whose cancellations are being recorded. */
+    private readonly pendingTombstones = new Set<string>();
     private readonly explainer: TaskExplainer;
 
     private constructor(private readonly core: OwnerCore) {
@@ -53,7 +60,7 @@
     /**
      * Accepts a task once for each key. Resolves once the task is recorded: `TaskAccepted`, or
      * `TaskAlreadyAccepted` with the state of the earlier submission. An error of the 2xxx range proves that
-     * the task was not recorded.
+     * the task was not recorded, as does `TaskCancelled`: the key was cancelled before.
      */
     async accept(spec: TaskSpec): Answer {
         const refusal = this.findRefusal(spec);
@@ -64,6 +71,10 @@
         if (known !== undefined) {
             return this.answer(ResultCode.TaskAlreadyAccepted, spec.key);
         }
+        if (this.isCancelled(spec.key)) {
+            const message = `The task "${spec.key}" was cancelled before it was submitted`;
+            return Err(CodedError.create(ResultCode.TaskCancelled, message));
+        }
         const inProgress = this.core.submissions.find(spec.key);
         const recorded = inProgress ?? this.core.submissions.add(spec);
         this.core.flush();
@@ -77,7 +88,8 @@
 
     /**
      * Records a cancellation; resolves once it is durable. A task that has already ended keeps its end state,
-     * and the answer shows it. A running task is stopped afterwards.
+     * and the answer shows it. A running task is stopped afterwards. `TaskUnknown` means that no task was accepted under
+     * the key, and that none will be for the time for which a submission may be on its way.
      */
     async cancel(key: string): Answer {
         const submission = this.core.submissions.find(key);
@@ -86,7 +98,7 @@
         }
         const task = this.core.task(key);
         if (task === undefined) {
-            return Err(CodedError.create(ResultCode.TaskUnknown, `No task "${key}" is known`));
+            return this.cancelUnknown(key);
         }
         if (this.core.state.ended.has(key) || task.cancelRequested) {
             return this.answerCancel(key);
@@ -241,6 +253,27 @@
         });
     }
 
+    /** Records a cancellation of an unknown task, which is kept, so that a submission on its way is not accepted. */
+    private async cancelUnknown(key: string): Answer {
+        if (key.length > MaxKeyLength) {
+            return this.answer(ResultCode.TaskUnknown, key);
+        }
+        const count = this.core.state.tombstones.size + this.pendingTombstones.size;
+        if (!this.isCancelled(key) && count >= MaxTombstones) {
+            const message = `${MaxTombstones} unknown tasks were cancelled; their keys are kept`;
+            return Err(CodedError.create(ResultCode.QueueFull, message));
+        }
+        this.pendingTombstones.add(key);
+        const recorded = await this.recordCancel(key);
+        this.pendingTombstones.delete(key);
+        return recorded.andThen(() => this.answerCancel(key));
+    }
+
+    /** Whether a key was cancelled before a task was accepted under it. */
+    private isCancelled(key: string): boolean {
+        return this.pendingTombstones.has(key) || this.core.state.tombstones.has(key);
+    }
+
     private recordCancel(key: string): Promise<Result<void, CodedError>> {
         return new Promise(resolve => {
             this.core.record({ kind: "cancelled", key, wallMs: this.core.wallMs() }, resolve);
--- a/packages/tasks/src/cell-state-codec.ts
+++ b/packages/tasks/src/cell-state-codec.ts
@@ -10,7 +10,7 @@
 type Row = StateRow;
 
 /** First column of an item. Never reused for another kind, because snapshots of earlier versions are read. */
-const Tag = { Task: 0, Ended: 1, WorkerMode: 2 } as const;
+const Tag = { Task: 0, Ended: 1, WorkerMode: 2, Tombstone: 3 } as const;
 
 /** Number of columns of a task specification. */
 const SpecColumns = 7;
@@ -77,6 +77,9 @@
     for (const entry of state.workerModes) {
         rows.push([Tag.WorkerMode, ...entry]);
     }
+    for (const entry of state.tombstones) {
+        rows.push([Tag.Tombstone, ...entry]);
+    }
     return rows;
 };
 
@@ -87,11 +90,12 @@
         [...columnsOf(Tag.Task).map(fromRow), ...ended],
         ended.map(record => record.spec.key),
         columnsOf(Tag.WorkerMode) as [string, WorkerMode][],
+        columnsOf(Tag.Tombstone) as [string, number][],
     );
 };
 
 /**
  * Converts a cell state to snapshot items and back. Ended tasks come last among the tasks, in the order in
- * which they ended. An empty snapshot is a new cell.
+ * which they ended. Earlier versions leave out tombstones. An empty snapshot is a new cell.
  */
 export const CellStateCodec = { toItems, fromItems } as const;
--- a/packages/tasks/src/cell-state.ts
+++ b/packages/tasks/src/cell-state.ts
@@ -40,6 +40,9 @@
     /** Ended tasks in the order of their end. */
     private readonly endedKeys = new Set<string>();
 
+    /** Keys that were cancelled before a task was accepted under them, and when; oldest first. */
+    private readonly cancelledAtMs = new Map<string, number>();
+
     /** Tasks that have not ended and have losses. */
     private readonly lossyKeys = new Set<string>();
 
@@ -49,11 +52,15 @@
         return new CellState();
     }
 
-    /** Builds the state from a decoded snapshot. Ended tasks are listed in the order of their end. */
+    /**
+     * Builds the state from a decoded snapshot. Ended tasks are listed in the order of their end, tombstones in the order of
+     * their cancellation.
+     */
     static restore(
         records: Iterable<TaskRecord>,
         endedKeys: Iterable<string>,
         modes: Iterable<readonly [string, WorkerMode]>,
+        tombstones: Iterable<readonly [string, number]> = [],
     ): CellState {
         const state = new CellState();
         for (const record of records) {
@@ -67,6 +74,9 @@
         for (const [worker, mode] of modes) {
             state.modes.set(worker, mode);
         }
+        for (const [key, wallMs] of tombstones) {
+            state.cancelledAtMs.set(key, wallMs);
+        }
         return state;
     }
 
@@ -82,6 +92,14 @@
         return this.endedKeys;
     }
 
+    /**
+     * Keys that were cancelled before a task was accepted under them, with the wall-clock time in milliseconds, oldest
+     * first. A submission that arrives afterwards is not accepted.
+     */
+    get tombstones(): ReadonlyMap<string, number> {
+        return this.cancelledAtMs;
+    }
+
     /** Tasks that have not ended and have losses; usually few. */
     get lossy(): ReadonlySet<string> {
         return this.lossyKeys;
@@ -99,9 +117,7 @@
     apply(transition: Transition): void {
         switch (transition.kind) {
             case "accepted":
-                if (!this.records.has(transition.spec.key)) {
-                    this.records.set(transition.spec.key, newRecord(transition.spec, transition.wallMs));
-                }
+                this.accept(transition.spec, transition.wallMs);
                 return;
             case "starting":
                 this.start(transition, transition.worker);
@@ -139,6 +155,14 @@
         }
     }
 
+    /** An owner that looks at tombstones records no submission that meets one; an earlier build may have accepted it. */
+    private accept(spec: TaskSpec, wallMs: number): void {
+        if (!this.records.has(spec.key)) {
+            this.cancelledAtMs.delete(spec.key);
+            this.records.set(spec.key, newRecord(spec, wallMs));
+        }
+    }
+
     private start(ref: AttemptRef, worker: string): void {
         const record = this.records.get(ref.key);
         if (record === undefined || !isWaitingState(record.state) || ref.attempt <= record.attempt) {
@@ -202,7 +226,13 @@
 
     private cancel(key: string, wallMs: number): void {
         const record = this.records.get(key);
-        if (record === undefined || this.endedKeys.has(key)) {
+        if (record === undefined) {
+            // Deleted first, so that the map stays in the order of time.
+            this.cancelledAtMs.delete(key);
+            this.cancelledAtMs.set(key, wallMs);
+            return;
+        }
+        if (this.endedKeys.has(key)) {
             return;
         }
         if (isActiveState(record.state)) {
@@ -257,6 +287,7 @@
 
     private forget(keys: readonly string[]): void {
         for (const key of keys) {
+            this.cancelledAtMs.delete(key);
             if (this.endedKeys.delete(key)) {
                 this.records.delete(key);
             }
--- a/packages/tasks/src/select-tasks-to-forget.ts
+++ b/packages/tasks/src/select-tasks-to-forget.ts
@@ -6,10 +6,16 @@
 /** Limit on the number of records of ended tasks, whatever their age. */
 const MaxEndedTasks = 20_000;
 
+/**
+ * Retention of the keys that were cancelled before a task was accepted under them: longer than a submission can be on its way
+ * between the deadline of its route, a stopped process and a retry at the next owner.
+ */
+const TombstoneRetentionMs = 150_000;
+
 /** Limit on the records that one transition drops. */
 const MaxKeysPerTransition = 1000;
 
-/** Returns the keys of ended tasks whose records are dropped now, oldest first. */
+/** Returns the keys of ended tasks and of tombstones whose records are dropped now, oldest first. */
 export const selectTasksToForget = (state: CellState, wallMs: number): readonly string[] => {
     const { ended } = state;
     const keys: string[] = [];
@@ -21,5 +27,11 @@
         }
         keys.push(key);
     }
+    for (const [key, cancelledAtMs] of state.tombstones) {
+        if (keys.length >= MaxKeysPerTransition || cancelledAtMs >= wallMs - TombstoneRetentionMs) {
+            break;
+        }
+        keys.push(key);
+    }
     return keys;
 };
--- a/packages/tasks/tests/cell-owner.test.ts
+++ b/packages/tasks/tests/cell-owner.test.ts
@@ -60,6 +60,63 @@
     t.match(status?.reason, /failed on w-\d, w-\d, w-\d; the last error: the task ended with an error/);
 });
 
+/** Codes of the answers to calls that are made at the same time. */
+const codesOf = async (
+    sim: Simulation,
+    answers: readonly ReturnType<CellOwner["cancel"]>[],
+): Promise<ResultCode[]> => {
+    const all = Promise.all(answers);
+    await sim.run(2000);
+    return (await all).map(answer => (answer.isOk() ? answer.value.code : answer.error.code));
+};
+
+// Guards against a task that runs although its caller was told that it is unknown: its submission was on its way, in a process
+// that was stopped or in a retry at the next owner.
+t.test("a submission that arrives after its cancellation is not accepted", async t => {
+    const { sim, owner } = await createCell();
+    t.same(await codesOf(sim, [owner.cancel("k")]), [ResultCode.TaskUnknown]);
+    t.same(await codesOf(sim, [owner.accept(spec("k", 500)), owner.cancel("k")]), [
+        ResultCode.TaskCancelled,
+        ResultCode.TaskUnknown,
+    ]);
+    t.same(
+        await codesOf(sim, [owner.cancel("same"), owner.accept(spec("same", 500))]),
+        [ResultCode.TaskUnknown, ResultCode.TaskCancelled],
+        "both before the log has answered",
+    );
+    t.same(
+        await codesOf(sim, [owner.accept(spec("first", 500)), owner.cancel("first")]),
+        [ResultCode.TaskAccepted, ResultCode.TaskCancelled],
+        "the submission came first",
+    );
+    sim.processes.forEach(process => (process.alive = false));
+    await sim.run(20_000);
+    const next = sim.current?.owner;
+    t.not(next, owner);
+    t.same(next && (await codesOf(sim, [next.accept(spec("k", 500))])), [ResultCode.TaskCancelled]);
+    await sim.run(160_000);
+    const accepted = sim.current?.owner?.accept(spec("k", 500));
+    t.same(accepted && (await codesOf(sim, [accepted])), [ResultCode.TaskAccepted], "long after that");
+    t.strictSame(sim.checker.violations, []);
+});
+
+// Guards against cancellations of unknown tasks that fill the log and the snapshot.
+t.test("a bounded number of unknown keys is kept", async t => {
+    const { sim, owner } = await createCell();
+    const keys = Array.from({ length: 1_100 }, (_, index) => `unknown-${index}`);
+    const codes = await codesOf(
+        sim,
+        keys.map(key => owner.cancel(key)),
+    );
+    t.equal(codes.filter(code => code === ResultCode.TaskUnknown).length, 1_000);
+    t.equal(codes.filter(code => code === ResultCode.QueueFull).length, 100);
+    t.same(await codesOf(sim, [owner.cancel("x".repeat(201))]), [ResultCode.TaskUnknown], "no key of a task");
+    t.same(await codesOf(sim, [owner.cancel("unknown-0")]), [ResultCode.TaskUnknown], "a repeated one");
+    await sim.run(170_000);
+    const answer = sim.current?.owner?.cancel("later");
+    t.same(answer && (await codesOf(sim, [answer])), [ResultCode.TaskUnknown], "once they are forgotten");
+});
+
 // Guards against cancellations that are lost when many arrive at once, and against cancelled tasks that keep
 // running.
 t.test("many cancellations at once end every task in any state", async t => {
@@ -76,7 +133,9 @@
     t.ok(keys.every(key => owner.status(key)?.state === "cancelled"));
     t.equal(owner.describe().running, 0);
     t.ok(sim.workers.every(worker => worker.model.tasks().length === 0));
-    const unknown = await owner.cancel("nobody");
+    const unknownAnswer = owner.cancel("nobody");
+    await sim.run(1000);
+    const unknown = await unknownAnswer;
     t.equal(unknown.isErr() && unknown.error.code, ResultCode.TaskUnknown);
 });
 
--- a/packages/tasks/tests/cell-state.test.ts
+++ b/packages/tasks/tests/cell-state.test.ts
@@ -174,6 +174,12 @@
         "only ended tasks are dropped",
     );
     t.equal(replay([accepted, cancelled, { kind: "forgotten", keys: ["k"] }]).get("k"), undefined);
+    t.same([...replay([cancelled]).tombstones], [["k", wallMs]]);
+    t.same([...replay([cancelled, { kind: "forgotten", keys: ["k"] }]).tombstones], []);
+    t.same([...replay([accepted, cancelled]).tombstones], [], "a known task leaves no tombstone");
+    const acceptedByEarlierVersion = replay([cancelled, accepted]);
+    t.equal(acceptedByEarlierVersion.get("k")?.state, "queued", "what the log has accepted is not lost");
+    t.same([...acceptedByEarlierVersion.tombstones], []);
     t.end();
 });
 
@@ -270,7 +276,10 @@
         const items = JSON.stringify(CellStateCodec.toItems(state));
         const restored = CellStateCodec.fromItems(JSON.parse(items) as StateRow[]);
         const isSame = (a: CellState, b: CellState): boolean =>
-            isDeepStrictEqual([a.tasks, [...a.ended], a.workerModes], [b.tasks, [...b.ended], b.workerModes]);
+            isDeepStrictEqual(
+                [a.tasks, [...a.ended], a.workerModes, [...a.tombstones]],
+                [b.tasks, [...b.ended], b.workerModes, [...b.tombstones]],
+            );
         return isSame(replay(decoded), state) && isSame(restored, state);
     });
     fc.assert(property, { seed: 7, numRuns: 2000 });
