Connections that send very small chunks take turns

What callers saw: beside 60 to 150 connections that each send 1.5 MB in chunks of one byte, an ordinary request got no answer for 6 to 9 s.

Cause: each readable connection is read once in a turn of the event loop, 64 KB or 11,000 such chunks at a time, and a chunk costs 1 to 2 us in the parser and the stream of its request. A turn took more than a second, and an ordinary request needs several. A processor profile of 15 million chunks shows 11 s in the parser's callback, 6.6 s in calls that the stream schedules, 3.6 s in the garbage collector.

Change: requests count the chunks of their connection. After 1,024 it is paused, and one paused connection is resumed in each turn. Nothing is refused, so that a single request of small chunks is still served. The class of requests moves to a file of its own.

Clients that open connections again and again still keep others waiting; docs/design/client-limits.md says how long.

--- a/packages/core/src/bounded-server.ts
+++ b/packages/core/src/bounded-server.ts
@@ -1,9 +1,11 @@
-import type { Server, ServerOptions, ServerResponse } from "node:http";
-import { IncomingMessage, createServer } from "node:http";
+import type { IncomingMessage, Server, ServerOptions, ServerResponse } from "node:http";
+import { createServer } from "node:http";
 import type { Socket } from "node:net";
 import { BodyCollector } from "./body-collector.js";
 import type { ClientConnection } from "./client-connection.js";
 import { ClientRequest } from "./client-request.js";
+import { createRequestClass } from "./create-request-class.js";
+import { ReadTurns } from "./read-turns.js";
 import { RefusalReason } from "./refusal-reason.js";
 import type { ServerLimits } from "./server-limits.js";
 
@@ -49,27 +51,6 @@
     }
 };
 
-/**
- * Class of requests at which the HTTP parser stops if `isRefused` is true of their connection. Node.js reads `upgrade`
- * before it keeps a request: if it is true, the rest of the bytes that were read is not parsed, and the server emits
- * "upgrade". Otherwise, the parser completes up to 64 KB of requests even after their connection is closed.
- */
-const createRequestClass = (isRefused: (socket: Socket) => boolean): typeof IncomingMessage =>
-    // eslint-disable-next-line samphireward/private-constructor -- the HTTP server calls the constructor
-    class extends IncomingMessage {
-        private isStopped: boolean | undefined;
-
-        /** Decided at the first reading: Node.js reads it again when later requests have been counted. */
-        get upgrade(): boolean {
-            // Without a listener for "connect", Node.js closes the connection of such a request.
-            this.isStopped ??= this.method === "CONNECT" || isRefused(this.socket);
-            return this.isStopped;
-        }
-
-        /** Ignores the header of the client; its request is handled like others. */
-        set upgrade(_requested: boolean) {}
-    };
-
 /**
  * HTTP server that stays within its limits whatever its clients do. Beyond a limit it refuses a request with 503, or
  * closes a connection on which no request is being handled: a request that is being handled keeps its place and is
@@ -101,7 +82,7 @@
                 headersTimeout: limits.headerMs,
                 requestTimeout: limits.headerMs + limits.bodyMs,
                 connectionsCheckingInterval: CheckIntervalMs,
-                IncomingMessage: createRequestClass(socket => this.isRefused(socket)),
+                IncomingMessage: createRequestClass(socket => this.isRefused(socket), ReadTurns.create()),
             },
             (req, res) => this.accept(req, res),
         );
