Demo: the processes under test write no files themselves

Cause: each process wrote its byte counts to a file each second with writeFileSync, and its log to a file, which Node.js does synchronously too. While the disk is busy, all processes wait for it.

Change: the output goes through pipes, and the parent writes the log files without blocking. A process counts the bytes of its sockets and tells them to its parent when asked, which only `npm run measure` does.

--- a/packages/demo/src/count-bytes.ts
+++ b/packages/demo/src/count-bytes.ts
@@ -1,10 +1,6 @@
 import { subscribe } from "node:diagnostics_channel";
-import { writeFileSync } from "node:fs";
 import type { Socket } from "node:net";
 
-/** Interval at which a process that preloads this module (`--import`) writes the byte counts of its sockets to a file. */
-const WriteIntervalMs = 1_000;
-
 const openSockets = new Set<Socket>();
 const closedSocketBytes = { read: 0, written: 0 };
 
@@ -21,14 +17,14 @@
 subscribe("net.client.socket", trackSocket);
 subscribe("net.server.socket", trackSocket);
 
-const file = process.env["BYTES_FILE"];
-if (file !== undefined) {
-    setInterval(() => {
-        const read = [...openSockets].reduce((sum, socket) => sum + socket.bytesRead, closedSocketBytes.read);
-        const written = [...openSockets].reduce(
-            (sum, socket) => sum + socket.bytesWritten,
-            closedSocketBytes.written,
-        );
-        writeFileSync(file, JSON.stringify({ read, written }));
-    }, WriteIntervalMs).unref();
-}
+/** Counts the bytes of the sockets of a process that preloads this module (`--import`); its parent asks for them by a message. */
+process.on("message", () => {
+    const read = [...openSockets].reduce((sum, socket) => sum + socket.bytesRead, closedSocketBytes.read);
+    const written = [...openSockets].reduce(
+        (sum, socket) => sum + socket.bytesWritten,
+        closedSocketBytes.written,
+    );
+    process.send?.({ read, written });
+});
+// The channel to the parent alone does not keep the process running.
+process.channel?.unref();
--- a/packages/demo/src/managed-process.ts
+++ b/packages/demo/src/managed-process.ts
@@ -1,6 +1,7 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
-import { closeSync, openSync, readFileSync } from "node:fs";
+import type { WriteStream } from "node:fs";
+import { createWriteStream, readFileSync } from "node:fs";
 import { join } from "node:path";
 import type { ProcessUsage } from "./process-usage.js";
 import { readProcessUsage } from "./read-process-usage.js";
@@ -27,7 +28,10 @@
     readonly signal: NodeJS.Signals | null;
 }
 
-/** A process of a deployment. Its output goes to a log file. */
+/**
+ * A process of a deployment. Its output goes through pipes to a log file: Node.js writes to a file synchronously, so that
+ * a process that had the file itself would stop while the disk is busy.
+ */
 export class ManagedProcess {
     readonly exited: Promise<ProcessExit>;
     private exit: ProcessExit | undefined;
@@ -39,35 +43,34 @@
         readonly name: string,
         private readonly child: ChildProcess,
         private readonly logFile: string,
-        private readonly bytesFile: string,
+        log: WriteStream,
     ) {
+        child.stdout?.pipe(log, { end: false });
+        child.stderr?.pipe(log, { end: false });
         this.exited = new Promise(resolve => {
             child.once("close", (exitCode, signal) => {
-                this.exit = { exitCode, signal };
-                this.exitReport = this.describeUnexpectedExit(this.exit);
-                resolve(this.exit);
+                const exit = { exitCode, signal };
+                this.exit = exit;
+                log.end(() => {
+                    this.exitReport = this.describeUnexpectedExit(exit);
+                    resolve(exit);
+                });
             });
         });
     }
 
-    /** Starts a compiled program with a settings file. Its log and its socket byte counts are written to `dir`. */
+    /** Starts a compiled program with a settings file. Its log is written to `dir`. */
     static create(name: string, program: string, settingsFile: string, dir: string): ManagedProcess {
         const logFile = join(dir, `${name}.log`);
-        const log = openSync(logFile, "a");
         const counter = new URL("./count-bytes.js", import.meta.url).href;
         const args = [...NodeOptions, "--import", counter, program, "--config", settingsFile];
-        const bytesFile = join(dir, `${name}.bytes.json`);
-        const child = spawn(process.execPath, args, {
-            stdio: ["ignore", log, log],
-            env: { ...process.env, BYTES_FILE: bytesFile },
-        });
-        closeSync(log);
-        return new ManagedProcess(name, child, logFile, bytesFile);
+        const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe", "ipc"] });
+        return new ManagedProcess(name, child, logFile, createWriteStream(logFile, { flags: "a" }));
     }
 
     /** Reads the resources that the process has used since it started. */
-    readUsage(): ProcessUsage {
-        return readProcessUsage(this.child.pid ?? 0, this.bytesFile);
+    readUsage(): Promise<ProcessUsage> {
+        return readProcessUsage(this.child);
     }
 
     get isRunning(): boolean {
--- a/packages/demo/src/measure-control.ts
+++ b/packages/demo/src/measure-control.ts
@@ -29,8 +29,8 @@
 const processNames = (deployment: Deployment, role: string): string[] =>
     deployment.addresses.entryVms.map(({ name }) => `${role}-${name}`);
 
-const readUsages = (deployment: Deployment, role: string): ProcessUsage[] =>
-    processNames(deployment, role).map(name => deployment.process(name).readUsage());
+const readUsages = (deployment: Deployment, role: string): Promise<ProcessUsage[]> =>
+    Promise.all(processNames(deployment, role).map(name => deployment.process(name).readUsage()));
 
 const mean = (values: readonly number[]): number =>
     values.reduce((sum, value) => sum + value, 0) / values.length;
@@ -85,8 +85,8 @@
         await deployment.waitUntilServing();
         await sleep(SettleMs);
         const before = {
-            entry: readUsages(deployment, "entry"),
-            scheduler: readUsages(deployment, "scheduler"),
+            entry: await readUsages(deployment, "entry"),
+            scheduler: await readUsages(deployment, "scheduler"),
         };
         const callsBefore = await readStoreCalls(deployment);
         await Promise.all([
@@ -101,7 +101,7 @@
             ]),
         );
         for (const role of ["entry", "scheduler"] as const) {
-            const usage = summarize(before[role], readUsages(deployment, role));
+            const usage = summarize(before[role], await readUsages(deployment, role));
             process.stdout.write(`${JSON.stringify({ ...point, role, ...usage })}\n`);
         }
         process.stdout.write(`${JSON.stringify({ ...point, role: "store", callsPerSecond: perSecond })}\n`);
