Own path: a stop closes the connections to peers

Cause: nothing ended the outgoing connections to peers on a stop. An idle one does not keep a process running, but one on which a call to a paused peer waits does, until the call's own time limit.

A process that has stopped and has not ended 5 s later logs what keeps it running.

--- a/packages/runtime/src/process-runtime.ts
+++ b/packages/runtime/src/process-runtime.ts
@@ -2,6 +2,7 @@
 import { Counters } from "@samphireward/core/counters";
 import { createLogger } from "@samphireward/core/create-logger";
 import { describeError } from "@samphireward/core/describe-error";
+import { logOpenResources } from "@samphireward/core/log-open-resources";
 import type { ProcessLogger } from "@samphireward/core/process-logger";
 import { SystemClock } from "@samphireward/core/system-clock";
 import { SystemRandom } from "@samphireward/core/system-random";
@@ -130,12 +131,14 @@
         return Effect.all(running, { concurrency: "unbounded", discard: true });
     }
 
-    /** Releases the lease, which ends the registration, and closes all connections. */
+    /** Releases the lease, which ends the registration, and closes all connections. The process then ends by itself. */
     async close(): Promise<void> {
         await this.lease.release();
         await this.peerServer.close();
+        this.transports.close();
         this.store.close();
         this.vms.close();
+        logOpenResources(this.log);
     }
 
     private createConfig(): ConfigFeed {
--- a/packages/runtime/src/transport-cache.ts
+++ b/packages/runtime/src/transport-cache.ts
@@ -1,9 +1,8 @@
-import type { Transport } from "@connectrpc/connect";
 import { createPeerTransport } from "@samphireward/protocol/create-peer-transport";
 
 /** Keeps one HTTP/2 connection per peer address, shared by all calls and streams to it. */
 export class TransportCache {
-    private readonly transports = new Map<string, Transport>();
+    private readonly transports = new Map<string, ReturnType<typeof createPeerTransport>>();
 
     private constructor(private readonly onClosed: (address: string, reason: string) => void) {}
 
@@ -12,7 +11,7 @@
         return new TransportCache(onClosed);
     }
 
-    get(address: string): Transport {
+    get(address: string): ReturnType<typeof createPeerTransport> {
         let transport = this.transports.get(address);
         if (transport === undefined) {
             transport = createPeerTransport(address, reason => this.onClosed(address, reason));
@@ -29,4 +28,11 @@
             }
         }
     }
+
+    /** Closes all connections; what is in progress on them fails. A later call opens a connection again. */
+    close(): void {
+        for (const transport of this.transports.values()) {
+            transport.close();
+        }
+    }
 }
