Jobs that no worker can run do not stop their queue

Cause: the bound on the open tasks of a queue counted tasks that can never run, and only the end of a job gives its place back. Nothing of the queue was opened any more, so that nothing could be planned.

Change: in a full queue, tasks of jobs that have no worker for any step whose turn has come (service, label, whole capacity) don't count for jobs that have a worker for every step, up to 75,000 open tasks in all. Jobs without one are passed by later ones. While no queue is full, or while no worker of the service is there, nothing changes.

--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import { AdmissionControl } from "./admission-control.js";
+import { CapableWorkers } from "./capable-workers.js";
 import type { CellLeases } from "./cell-leases.js";
 import type { CellLimits } from "./cell-limits.js";
 import type { CellLoad } from "./cell-load.js";
@@ -58,9 +59,9 @@
  * in through the `note` methods and `responses`, and `plan` returns the orders to send.
  */
 export class CellScheduler {
-    readonly jobs = JobRegistry.create();
     readonly fleet = WorkerFleet.create();
     private readonly rules = QueueRules.create();
+    readonly jobs = JobRegistry.create(() => CapableWorkers.create(this.fleet, this.rules));
     private readonly results: RunResults;
     private readonly trials = Trials.create(this.jobs, this.fleet);
     private readonly suspicions: CrashSuspicions;
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -1,4 +1,5 @@
 import type { Resources } from "@samphireward/core/resources";
+import type { CapableWorkers } from "./capable-workers.js";
 import { reservationFor } from "./reservation-for.js";
 import type { Job as JobType } from "./job.js";
 import { Job } from "./job.js";
@@ -20,10 +21,11 @@
     private readonly openTasks = OpenTasks.create();
     private changed = new Set<Job>();
 
-    private constructor() {}
+    private constructor(private readonly capableWorkers: (() => CapableWorkers) | undefined) {}
 
-    static create(): JobRegistry {
-        return new JobRegistry();
+    /** `capableWorkers` tells which workers there are now; without it, jobs count as if they could all run. */
+    static create(capableWorkers?: () => CapableWorkers): JobRegistry {
+        return new JobRegistry(capableWorkers);
     }
 
     /** Adds a job; if the id is known already, returns the existing job unchanged. */
@@ -48,7 +50,12 @@
 
     /** Whether the first occurrence of a job that is not known yet could be opened now. */
     hasRoomFor(spec: JobSpec): boolean {
-        return this.openTasks.mayAdd(spec.queue, taskCount(spec));
+        const count = taskCount(spec);
+        return (
+            this.openTasks.mayAdd(spec.queue, count) ||
+            (this.capableWorkers?.().existForAll(spec) === true &&
+                this.openTasks.mayAddRunnable(spec.queue, count))
+        );
     }
 
     get(id: string): JobType | undefined {
@@ -87,18 +94,37 @@
 
     /**
      * Opens the occurrences that are due, in the order in which the jobs of a queue were added, as far as the bounds on
-     * open tasks allow it.
+     * open tasks allow it. In a full queue, a job that some step has no worker for is passed by later ones.
      */
     openDueOccurrences(wallMs: number): void {
         const fullQueues = new Set<string>();
+        let capable: CapableWorkers | undefined;
         for (const job of this.undecidedJobs) {
             const { queue } = job.spec;
-            if (!fullQueues.has(queue) && !job.openDueOccurrences(wallMs)) {
+            if (fullQueues.has(queue) || job.openDueOccurrences(wallMs)) {
+                continue;
+            }
+            if (capable === undefined) {
+                capable = this.capableWorkers?.();
+                this.countUnrunnable(capable);
+            }
+            if (capable?.existForAll(job.spec) !== false && !job.openDueOccurrences(wallMs, true)) {
                 fullQueues.add(queue);
             }
         }
     }
 
+    private countUnrunnable(capable: CapableWorkers | undefined): void {
+        const counts = new Map<string, number>();
+        for (const job of this.undecidedJobs) {
+            if (job.openTaskCount > 0 && capable?.existForOpenStep(job) === false) {
+                const { queue } = job.spec;
+                counts.set(queue, (counts.get(queue) ?? 0) + job.openTaskCount);
+            }
+        }
+        this.openTasks.setUnrunnable(counts);
+    }
+
     /** Resources that a task reserves on its worker, even if its job has ended; undefined if the job is unknown. */
     reservationOfTask(name: string): Resources | undefined {
         const position = parseTaskName(name);
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -58,15 +58,16 @@
 
     /**
      * Opens the occurrences that are due by `wallMs`. Those that the bounds on open tasks leave no room for are opened
-     * by a later call. Returns false if the queue has no room for the next one.
+     * by a later call. Returns false if the queue has no room for the next one. `isRunnable`: there are workers for every
+     * step, so that tasks that no worker could run take no room from it.
      */
-    openDueOccurrences(wallMs: number): boolean {
+    openDueOccurrences(wallMs: number, isRunnable = false): boolean {
         while (this.nextDueOccurrence < this.occurrenceCount && this.isDue(this.nextDueOccurrence, wallMs)) {
             if (this.nextDueOccurrence >= this.nextOccurrence) {
                 if (!this.hasRoom) {
                     return true;
                 }
-                if (!this.openTasks.mayAdd(this.spec.queue, this.taskCount)) {
+                if (!this.mayOpen(isRunnable)) {
                     return false;
                 }
             }
@@ -135,6 +136,11 @@
         }
     }
 
+    /** Number of tasks of the open occurrences, done ones included. */
+    get openTaskCount(): number {
+        return this.opened.size * this.taskCount;
+    }
+
     findTask(occurrence: number, step: number, index: number): Task | undefined {
         return this.openOccurrences.get(occurrence)?.steps[step]?.tasks[index];
     }
@@ -143,6 +149,14 @@
         return this.opened.size === 0 || (this.opened.size + 1) * this.taskCount <= openTaskLimits.perJob;
     }
 
+    private mayOpen(isRunnable: boolean): boolean {
+        const { spec, taskCount, openTasks } = this;
+        return (
+            openTasks.mayAdd(spec.queue, taskCount) ||
+            (isRunnable && openTasks.mayAddRunnable(spec.queue, taskCount))
+        );
+    }
+
     private openUpTo(occurrence: number): void {
         while (this.nextOccurrence <= occurrence && this.nextOccurrence < this.occurrenceCount) {
             this.addOccurrence(this.nextOccurrence++);
--- a/packages/jobs/src/open-task-limits.ts
+++ b/packages/jobs/src/open-task-limits.ts
@@ -10,4 +10,6 @@
     perJob: 10_240,
     /** Most tasks of an owner, apart from the first occurrence that each queue may open in any case. */
     perOwner: 50_000,
+    /** Most tasks of an owner that jobs may open beside tasks that no worker could run. */
+    perOwnerWithUnrunnable: 75_000,
 } as const;
--- a/packages/jobs/tests/open-tasks.test.ts
+++ b/packages/jobs/tests/open-tasks.test.ts
@@ -1,6 +1,8 @@
+import { Resources } from "@samphireward/core/resources";
 import t from "tap";
 import type { JobSpec } from "../src/job-spec.js";
 import { openTaskLimits } from "../src/open-task-limits.js";
+import type { StepSpec } from "../src/step-spec.js";
 import { queueRule } from "./fixtures/queue-rule.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
 
@@ -88,3 +90,58 @@
     t.ok(harness.scheduler.jobs.findListedTask(`${spec.id}.150.0.0`), "one that is near is opened");
     t.end();
 });
+
+/** Five steps of 1,000 tasks, of which `first` and the others differ in what no worker has. */
+const largeJob = (harness: SchedulerHarness, first: Partial<StepSpec>, others: Partial<StepSpec>): JobSpec =>
+    harness.makeJob(
+        { count: 1_000, ...first },
+        ...Array.from({ length: 4 }, () => ({ count: 1_000, after: [0], ...others })),
+    );
+
+const impossible: [name: string, first: Partial<StepSpec>, others: Partial<StepSpec>][] = [
+    ["a label", { requiredLabel: "absent" }, {}],
+    ["more processors", { resources: Resources.create({ processors: 1_000, memoryMb: 1 }) }, {}],
+    ["a label in every step", { requiredLabel: "absent" }, { requiredLabel: "absent", after: [] }],
+];
+
+// Guards against jobs that can never be done and keep all later jobs of their queue from their turn for good.
+for (const [name, first, others] of impossible) {
+    t.test(`jobs that ask for ${name} no worker has do not keep later jobs of a full queue waiting`, t => {
+        const harness = SchedulerHarness.create();
+        harness.addWorker("w");
+        const stuck = Array.from({ length: 12 }, () => largeJob(harness, first, others));
+        const sound = Array.from({ length: 40 }, () => harness.makeJob({ count: 4 }));
+        [...stuck, ...sound].forEach(spec => harness.scheduler.addJob(spec));
+        harness.scheduler.plan();
+        const stuckCount = stuck.reduce((sum, spec) => sum + openCount(harness, spec), 0);
+        t.equal(stuckCount, openTaskLimits.perOwner / 2, "they have the queue's bound, and no more");
+        for (const spec of sound) {
+            t.equal(openCount(harness, spec), 4, `${spec.id} is open`);
+        }
+        t.equal(
+            harness.scheduler.explainPlacement(harness.makeJob({ count: 4 }))?.outcome === "not-open",
+            false,
+        );
+        t.equal(harness.scheduler.explainPlacement(largeJob(harness, first, others))?.outcome, "not-open");
+        t.end();
+    });
+}
+
+// Guards against an owner whose memory is used up while jobs pass those that no worker could run.
+t.test("the open tasks beside those that no worker could run are bounded, and their order is kept", t => {
+    const harness = SchedulerHarness.create();
+    harness.addWorker("w");
+    const stuck = Array.from({ length: 5 }, () => largeJob(harness, { requiredLabel: "absent" }, {}));
+    const large = Array.from({ length: 12 }, () => largeJob(harness, {}, {}));
+    const small = harness.makeJob({ count: 4 });
+    [...stuck, ...large, small].forEach(spec => harness.scheduler.addJob(spec));
+    harness.scheduler.plan();
+    const counts = large.map(spec => openCount(harness, spec));
+    t.strictSame(counts, [...Array<number>(5).fill(5_000), ...Array<number>(7).fill(0)]);
+    t.equal(openCount(harness, small), 0, "a later job waits behind the large ones");
+    harness.addWorker("able", { labels: ["absent"] });
+    harness.scheduler.cancelJob(large[0]?.id ?? "");
+    harness.scheduler.plan();
+    t.equal(openCount(harness, large[5] ?? small), 0, "tasks count again once there is a worker for them");
+    t.end();
+});
