A gang with suspected members starts again

Cause: suspected tasks start on workers of their own, beside which nothing starts during their trial. Five suspected members took five workers, and the other 31 don't fit on three. All trials were closed and opened again with each plan. A gang with more suspected members than workers had no plan either.

Change: a gang that has waited for 1 s shares its trials: its other members start beside one on trial, and so do suspected members without a worker of their own. Members on trial take their place first.

--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -228,11 +228,16 @@
         const requiresGoodFit = longestWaitMs(step, nowMs) < GangWaitMs;
         const { trialPlanner } = this.context;
         const suspects = step.tasks.filter(task => task.suspicion > 0);
+        // Members of a gang start and end together, so that a crash ends the others anyway.
+        step.sharesTrials = !requiresGoodFit;
         if (suspects.length > 0 && !trialPlanner.isGangReady(suspects, { service, requiresGoodFit }, nowMs)) {
             return [];
         }
         const ranking = this.rankWorkers(step, service, nowMs, requiresGoodFit);
-        for (const task of step.tasks) {
+        // The workers of trials were checked for room before the others start there.
+        const onTrial = suspects.filter(task => task.trial !== undefined);
+        const others = step.tasks.filter(task => task.trial === undefined);
+        for (const task of [...onTrial, ...others]) {
             task.readySinceMs ??= nowMs;
             const worker = task.trial?.worker ?? ranking.choose(task);
             if (worker === undefined) {
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -23,6 +23,8 @@
     readonly doneDurationsMs: number[] = [];
     /** Permits of the step; undefined if it needs none. */
     permits: StepPermits | undefined;
+    /** Whether its tasks may start beside one of them that is on trial; only for a gang that finds no other room. */
+    sharesTrials = false;
     /** Number of tasks that are not done. */
     remainingTasks: number;
 
--- a/packages/jobs/src/trial-planner.ts
+++ b/packages/jobs/src/trial-planner.ts
@@ -56,19 +56,25 @@
         return isStored && !hasYoungRun ? worker : undefined;
     }
 
-    /** Whether all suspected members of a gang can start now. Opens their trials together, or none of them. */
+    /**
+     * Whether all suspected members of a gang can start now. Opens their trials together, or none of them. In a gang that
+     * shares trials one is enough: those that find no worker of their own start beside the others.
+     */
     isGangReady(suspects: readonly Task[], fit: TrialFit, nowMs: number): boolean {
         const { trials, suspicions } = this.context;
         const unopened = suspects.filter(task => task.trial === undefined);
-        if (unopened.length > 0) {
+        const isShared = suspects.some(task => task.step.sharesTrials);
+        if (unopened.length > 0 && !(isShared && unopened.length < suspects.length)) {
             const mayOpen =
                 trials.hasRoomFor(unopened.length) && !suspects.some(task => suspicions.isHeld(task));
-            if (!mayOpen || !unopened.every(task => this.open(task, fit, nowMs))) {
+            const opened = mayOpen ? unopened.filter(task => this.open(task, fit, nowMs)) : [];
+            if (opened.length < unopened.length && !(isShared && opened.length > 0)) {
                 this.closeTrials(suspects);
             }
             return false;
         }
-        return suspects.map(task => this.workerFor(task, fit, nowMs)).every(worker => worker !== undefined);
+        const onTrial = suspects.filter(task => task.trial !== undefined);
+        return onTrial.map(task => this.workerFor(task, fit, nowMs)).every(worker => worker !== undefined);
     }
 
     /** Closes the trials of a gang that found no worker for another member. */
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -202,9 +202,11 @@
         return this.isLost && this.runs.size === 0;
     }
 
-    /** Whether another task is on trial here. */
-    hasTrialOfOther(task: Task): boolean {
-        return this.trialTask !== undefined && this.trialTask !== task;
+    /** Whether another task is on trial here, beside which this one may not start. */
+    hasTrialOfOther({ step, name }: Task): boolean {
+        const { trialTask } = this;
+        const mayShare = step.sharesTrials && trialTask?.step === step;
+        return trialTask !== undefined && trialTask.name !== name && !mayShare;
     }
 
     /** Whether a run of the task may be here, including one that is being stopped. */
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -6,6 +6,7 @@
 import { readProgress } from "../src/read-progress.js";
 import { recentStartMs } from "../src/recent-start-ms.js";
 import type { Run } from "../src/run.js";
+import type { Task } from "../src/task.js";
 import { settledRunMs } from "../src/settled-run-ms.js";
 import type { WorkerIncarnation } from "../src/worker-incarnation.js";
 import { SchedulerHarness } from "./scheduler-harness.js";
@@ -317,6 +318,72 @@
     t.end();
 });
 
+/** Plans every 100 ms, with answers of these workers, until a run starts or the time is over. */
+const planUntilStart = (
+    harness: SchedulerHarness,
+    workers: readonly WorkerIncarnation[],
+    maxMs: number,
+): readonly Run[] => {
+    for (let elapsedMs = 0; elapsedMs < maxMs; elapsedMs += 100) {
+        const runs = harness.planAndStartAll();
+        if (runs.length > 0) {
+            return runs;
+        }
+        harness.clock.advance(100);
+        heartbeat(harness, ...workers);
+    }
+    return [];
+};
+
+const crowdedGangs: [name: string, count: number, suspects: number, workers: number, perWorker: number][] = [
+    ["the rest of the gang has no room beside the trials", 36, 5, 8, 9],
+    ["more members are suspected than there are workers", 12, 6, 2, 16],
+];
+
+// Guards against a gang that never starts again after a crash, beside workers that have room for it.
+for (const [name, count, suspects, workerCount, perWorker] of crowdedGangs) {
+    t.test(`a gang starts again when ${name}`, t => {
+        const harness = SchedulerHarness.create();
+        const capacity = Resources.create({ processors: perWorker, memoryMb: 100_000 });
+        const addLarge = (id: string): WorkerIncarnation =>
+            harness.addWorker(id, { address: `${id}:1`, rack: id, startedAtMs: ++bornMs, capacity });
+        const workers = Array.from({ length: workerCount }, (_, index) => addLarge(`w${index}`));
+        heartbeat(harness, ...workers);
+        const spec = harness.submit({
+            count,
+            gang: true,
+            resources: Resources.create({ processors: 1, memoryMb: 1 }),
+        });
+        const tasks = [...(harness.scheduler.jobs.get(spec.id)?.tasks() ?? [])];
+        tasks.slice(0, suspects).forEach(task => (task.suspicion = 1));
+        const runs = planUntilStart(harness, workers, 3_000);
+        t.equal(runs.length, count, "all members start");
+        const used = new Map<WorkerIncarnation, number>();
+        runs.forEach(({ worker }) => used.set(worker, (used.get(worker) ?? 0) + 1));
+        t.ok(Math.max(...used.values()) <= perWorker, "within the workers' capacity");
+        const trials = tasks.filter(task => task.trial !== undefined);
+        t.equal(trials.length, Math.min(suspects, workerCount), "trials on workers of their own");
+        t.end();
+    });
+}
+
+// Guards against the trial of one job that runs beside tasks of another, which a crash would end as well.
+t.test("a gang does not start beside a member of another gang on trial", t => {
+    const harness = SchedulerHarness.create();
+    const workers = [addWorker(harness, "w1")];
+    heartbeat(harness, ...workers);
+    const [first, second] = [1, 2].map(() => harness.submit({ count: 2, gang: true }));
+    const tasksOf = (spec = first): Task[] => [
+        ...(harness.scheduler.jobs.get(spec?.id ?? "")?.tasks() ?? []),
+    ];
+    [...tasksOf(first), ...tasksOf(second)].forEach(task => (task.suspicion = 1));
+    const runs = planUntilStart(harness, workers, 3_000);
+    t.equal(new Set(runs.map(({ task }) => task.step.occurrence.job)).size, 1);
+    t.equal(runs.length, 2);
+    t.same(planUntilStart(harness, workers, 3_000), [], "the other waits until the trial is over");
+    t.end();
+});
+
 // Guards against the job of a caller who has cancelled it being shown as failed.
 t.test("a cancelled job stays cancelled when its worker crashes", t => {
     const harness = SchedulerHarness.create();
