--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -37,6 +37,77 @@
 
 const startOne = (harness: SchedulerHarness): Run | undefined => harness.planAndStartAll()[0];
 
+/** Plans every 100 ms, with answers of these workers, until a run starts or the time is over. */
+const planUntilStart = (
+    harness: SchedulerHarness,
+    workers: readonly WorkerIncarnation[],
+    maxMs: number,
+): readonly Run[] => {
+    for (let elapsedMs = 0; elapsedMs < maxMs; elapsedMs += 100) {
+        const runs = harness.planAndStartAll();
+        if (runs.length > 0) {
+            return runs;
+        }
+        harness.clock.advance(100);
+        heartbeat(harness, ...workers);
+    }
+    return [];
+};
+
+const answering = (harness: SchedulerHarness): readonly WorkerIncarnation[] =>
+    [...harness.scheduler.fleet.workers].filter(({ isReachable }) => isReachable);
+
+/** Plans until the only waiting task starts. */
+const startWaiting = (harness: SchedulerHarness): Run => {
+    const [run] = planUntilStart(harness, answering(harness), 10_000);
+    if (run === undefined) {
+        throw new Error("expected a start");
+    }
+    return run;
+};
+
+/** Loses the worker of a run while the others answer, and starts another worker in its place. */
+const crash = (harness: SchedulerHarness, { worker }: Run): void => {
+    lose(harness, worker);
+    heartbeat(harness, ...answering(harness));
+    const { address } = worker.entry;
+    const next = harness.addUnreadWorker(`${worker.entry.id}-next`, { address, startedAtMs: ++bornMs });
+    harness.reportListing(next, [], []);
+};
+
+/** Starts the only waiting task until so many workers have crashed under it. */
+const crashUnderTask = (harness: SchedulerHarness, count: number): Task => {
+    const crashed = Array.from({ length: count }, () => {
+        const run = startWaiting(harness);
+        crash(harness, run);
+        return run;
+    });
+    const [first] = crashed;
+    if (first === undefined) {
+        throw new Error("expected a crash");
+    }
+    return first.task;
+};
+
+const addWorkers = (harness: SchedulerHarness, count: number): readonly WorkerIncarnation[] => {
+    const workers = Array.from({ length: count }, (_, index) =>
+        addWorker(harness, `w${index}`, `r1-${index}`),
+    );
+    heartbeat(harness, ...workers);
+    return workers;
+};
+
+// Guards against a sound job that is shown as failed: two losses soon after a start are ordinary where workers crash.
+t.test("a job goes on after two workers have crashed under one of its tasks", t => {
+    const harness = SchedulerHarness.create();
+    addWorkers(harness, 20);
+    const spec = harness.submit({});
+    const task = crashUnderTask(harness, 2);
+    t.equal(startWaiting(harness).task, task);
+    t.equal(harness.scheduler.jobs.get(spec.id)?.endState, undefined);
+    t.end();
+});
+
 // Guards against a job that ends as failed without the reason, which callers and the next owner need.
 t.test("a task under which a worker crashes alone, after a shared crash, is given up with the reason", t => {
     const harness = SchedulerHarness.create();
@@ -318,23 +389,6 @@
     t.end();
 });
 
-/** Plans every 100 ms, with answers of these workers, until a run starts or the time is over. */
-const planUntilStart = (
-    harness: SchedulerHarness,
-    workers: readonly WorkerIncarnation[],
-    maxMs: number,
-): readonly Run[] => {
-    for (let elapsedMs = 0; elapsedMs < maxMs; elapsedMs += 100) {
-        const runs = harness.planAndStartAll();
-        if (runs.length > 0) {
-            return runs;
-        }
-        harness.clock.advance(100);
-        heartbeat(harness, ...workers);
-    }
-    return [];
-};
-
 const crowdedGangs: [name: string, count: number, suspects: number, workers: number, perWorker: number][] = [
     ["the rest of the gang has no room beside the trials", 36, 5, 8, 9],
     ["more members are suspected than there are workers", 12, 6, 2, 16],
