Jobs: model test of losses that no task has caused

The model had a fault: a gang was done when one member was, also if another one had never started, so that a deadly gang could complete without its deadly member. Now a gang is done only if all members have started; it breaks after 3 s otherwise, or when a member's lease expires.

--- a/packages/jobs/tests/crash-model-worker.ts
+++ b/packages/jobs/tests/crash-model-worker.ts
@@ -11,13 +11,15 @@
 interface ModelRun {
     readonly task: string;
     readonly number: number;
-    /** Infinity for a lasting task. */
+    /** Infinity for a lasting task, and for a gang of which not all members have started. */
     readonly endsAtMs: number;
 }
 
 /** One incarnation of a worker that lists its runs and ends, and that can crash or be cut off. */
 export class CrashModelWorker {
     isUp = true;
+    /** Calls to the worker stay without an answer once it has crashed; they are refused otherwise. */
+    isDark = false;
     /** Time until which no call reaches it. */
     cutUntilMs = 0;
     readonly runs = new Map<string, ModelRun>();
@@ -61,9 +63,20 @@
     }
 
     /** Ends the runs of a gang, by the prefix of its tasks' names. */
-    breakGang(prefix: string): void {
-        const members = [...this.runs.keys()].filter(task => task.startsWith(prefix));
-        members.forEach(task => this.end(task, EndKind.GangBroken));
+    breakGang(prefix: string, number: number): void {
+        const members = [...this.runs.values()].filter(
+            run => run.task.startsWith(prefix) && run.number === number,
+        );
+        members.forEach(({ task }) => this.end(task, EndKind.GangBroken));
+    }
+
+    /** Sets the time at which the runs of a gang are done, by the prefix of its tasks' names. */
+    finishGang(prefix: string, number: number, endsAtMs: number): void {
+        for (const run of [...this.runs.values()]) {
+            if (run.task.startsWith(prefix) && run.number === number) {
+                this.runs.set(run.task, { ...run, endsAtMs });
+            }
+        }
     }
 
     /** Renews the lease and acknowledges ends. */
@@ -80,15 +93,18 @@
         return { startedAtMs: this.entry.startedAtMs, running, ended: [...this.ends], isPartial: false };
     }
 
-    /** Ends the runs that are done by now, and all runs once the lease has expired. */
-    advance(nowMs: number): void {
+    /** Ends the runs that are done by now, and all runs once the lease has expired; returns the latter. */
+    advance(nowMs: number): readonly ModelRun[] {
+        const lapsed: ModelRun[] = [];
         for (const run of [...this.runs.values()]) {
             if (run.endsAtMs <= Math.min(nowMs, this.leaseEndsMs)) {
                 this.end(run.task, EndKind.Done);
             } else if (nowMs > this.leaseEndsMs) {
                 this.end(run.task, EndKind.Lapsed);
+                lapsed.push(run);
             }
         }
+        return lapsed;
     }
 
     private end(task: string, kind: EndKind): void {
--- a/packages/jobs/tests/crash-model.ts
+++ b/packages/jobs/tests/crash-model.ts
@@ -11,6 +11,10 @@
 import { StartOutcome } from "../src/start-outcome.js";
 import type { StepSpec } from "../src/step-spec.js";
 import { unstoredTrials } from "../src/unstored-trials.js";
+import type { CrashDay } from "./crash-day.js";
+import { CrashModelGangs } from "./crash-model-gangs.js";
+import { CrashModelLinks } from "./crash-model-links.js";
+import { CrashModelFaults } from "./crash-model-faults.js";
 import { CrashModelWorker } from "./crash-model-worker.js";
 import { cellLimits } from "./fixtures/cell-limits.js";
 import { plainStep } from "./fixtures/plain-step.js";
@@ -28,41 +32,29 @@
 const MaxCrashes = 3;
 const MaxLaterStarts = 3;
 
-/** What happens on a day of the model, beside the crashes by tasks. */
-interface CrashDay {
-    /** Share of the jobs whose first task crashes each worker that starts it. */
-    readonly deadlyShare: number;
-    /** Probability, for each tick, that another owner takes over. */
-    readonly takeOvers?: number;
-    /** Workers come back under the id that they had. */
-    readonly keepsIds?: boolean;
-    /** Time at which all workers of the first rack crash. */
-    readonly rackLostAtMs?: number;
-    /** Time at which a third of the workers are cut off for 9 s. */
-    readonly cutAtMs?: number;
-    /** Fields of the stored progress that a deliberately defective owner does not restore. */
-    readonly forgets?: readonly string[];
-}
-
 /** Plays a seeded day on which tasks crash their workers, and counts the crashes of each task across owners. */
 export class CrashModel {
     readonly violations: string[] = [];
     /** Crashes by task name. */
     readonly crashes = new Map<string, number>();
+    /** Changes of suspicion, with the time of the day in milliseconds, the task and the worker, across owners. */
+    readonly suspicions: string[] = [];
     private readonly clock = ManualClock.create(1_000_000);
+    private readonly startMs = this.clock.nowMs();
     private readonly random: SeededRandom;
+    private readonly faults: CrashModelFaults;
     private readonly workers: CrashModelWorker[] = [];
     private readonly restarts = new Map<number, number>();
     private readonly laterStarts = new Map<string, number>();
     private readonly specs: JobSpec[] = [];
-    /** Steps and run numbers of gangs that have lost a member. */
-    private readonly brokenGangs = new Set<string>();
+    private readonly gangs = CrashModelGangs.create();
     private readonly deadlyJobs = new Set<string>();
     private readonly stored = new Map<string, string>();
     private roster: readonly string[] = [];
     private epoch = 0;
     private idCount = 0;
     private scheduler: CellScheduler;
+    private links: CrashModelLinks;
 
     private constructor(
         seed: number,
@@ -72,7 +64,9 @@
         for (let index = 0; index < WorkerCount; index++) {
             this.workers.push(CrashModelWorker.create(`w${this.idCount++}`, index, this.clock.wallMs()));
         }
+        this.faults = CrashModelFaults.create(day, this.random);
         this.scheduler = this.takeOver();
+        this.links = this.connect();
     }
 
     static create(seed: number, day: CrashDay): CrashModel {
@@ -80,8 +74,9 @@
     }
 
     run(): this {
-        const { rackLostAtMs, cutAtMs, takeOvers = 0 } = this.day;
-        for (let at = 0; at < DayMs; at += TickMs) {
+        const { rackLostAtMs, cutAtMs, takeOvers = 0, durationMs = DayMs } = this.day;
+        const { faultsEndMs = ArrivalMs * 2 } = this.day;
+        for (let at = 0; at < durationMs; at += TickMs) {
             if (at % JobIntervalMs === 0 && at < ArrivalMs) {
                 this.submit();
             }
@@ -93,8 +88,10 @@
                 const cutOff = this.workers.filter((_, index) => index % 3 === 0);
                 cutOff.forEach(each => (each.cutUntilMs = this.clock.nowMs() + 9_000));
             }
-            if (at < ArrivalMs * 2 && this.random.next() < takeOvers) {
+            this.injectFaults(at);
+            if (at < faultsEndMs && this.random.next() < takeOvers) {
                 this.scheduler = this.takeOver();
+                this.links = this.connect();
             }
             this.tick(at);
         }
@@ -102,6 +99,20 @@
         return this;
     }
 
+    private injectFaults(at: number): void {
+        const nowMs = this.clock.nowMs();
+        const { losses } = this.day;
+        for (const worker of this.faults.crashesAt(at, this.workers)) {
+            worker.isDark = losses?.isDark === true;
+            this.crash(worker, losses?.downMs);
+        }
+        this.faults.cutAt(at, nowMs, this.workers);
+        for (const { worker, downMs } of this.faults.takeHiddenCrashes(nowMs)) {
+            worker.isDark = true;
+            this.crash(worker, downMs);
+        }
+    }
+
     private checkStates(): void {
         for (const { id, steps } of this.specs) {
             const state = this.scheduler.jobs.get(id)?.endState;
@@ -112,10 +123,13 @@
                   ? undefined
                   : JobState.Completed;
             if (state !== expected) {
-                this.violations.push(`job ${id} is ${state ?? "open"}, expected ${expected ?? "open"}`);
+                const kind = this.deadlyJobs.has(id) ? "deadly" : "sound";
+                const changes = this.suspicions.filter(line => line.includes(` ${id}.`)).slice(-4);
+                const found = `job ${id} is ${state ?? "open"}, expected ${expected ?? "open"}`;
+                this.violations.push(`${kind} ${found} (${changes.join(", ")})`);
             }
             const runs = this.workers.flatMap(worker =>
-                [...worker.runs.keys()].filter(task => task.startsWith(id)),
+                [...worker.runs.keys()].filter(task => task.startsWith(`${id}.`)),
             );
             if (isLasting && expected === undefined && runs.length !== steps[0]?.count) {
                 this.violations.push(`${runs.length} tasks of lasting job ${id} run`);
@@ -146,7 +160,11 @@
 
     private takeOver(): CellScheduler {
         this.epoch++;
-        const scheduler = CellScheduler.create(this.epoch, this.clock, cellLimits);
+        const scheduler = CellScheduler.create(this.epoch, this.clock, cellLimits, {
+            onSuspicion: ({ name }, workerKey, change) => {
+                this.suspicions.push(`${this.clock.nowMs() - this.startMs} ${name} ${workerKey} ${change}`);
+            },
+        });
         scheduler.setQueues([queueRule("queue")]);
         for (const spec of this.specs) {
             const text = this.stored.get(spec.id);
@@ -156,6 +174,10 @@
         return scheduler;
     }
 
+    private connect(): CrashModelLinks {
+        return CrashModelLinks.create(this.scheduler, this.day.hasRealHeartbeats === true);
+    }
+
     private restore(text: string): JobProgress {
         const { forgets = [] } = this.day;
         return JSON.parse(text, (key, value: unknown) =>
@@ -167,11 +189,13 @@
         this.clock.advance(TickMs);
         const nowMs = this.clock.nowMs();
         this.restartWorkers();
-        this.workers.forEach(worker => worker.isUp && worker.advance(nowMs));
+        const lapsed = this.workers.flatMap(worker => (worker.isUp ? worker.advance(nowMs) : []));
+        lapsed.forEach(({ task, number }) => this.gangs.break(task, number, this.workers));
+        this.gangs.endWaits(nowMs, this.workers);
         if (at % ReadIntervalMs === 0 || this.scheduler.fleet.size === 0) {
             this.readRegistrations();
         }
-        this.heartbeats();
+        this.links.heartbeats(this.workers, nowMs);
         if (this.random.next() < 0.7) {
             this.commit();
         }
@@ -201,21 +225,6 @@
         }
     }
 
-    private heartbeats(): void {
-        const nowMs = this.clock.nowMs();
-        for (const incarnation of [...this.scheduler.fleet.workers]) {
-            const worker = this.workers.find(({ key }) => key === incarnation.key);
-            if (worker?.answers(nowMs) === true) {
-                this.scheduler.noteLeaseExtension(incarnation);
-                const deadlineMs = nowMs + cellLimits.leaseMs;
-                const listing = worker.heartbeat(deadlineMs, incarnation.lastDurableEndSequence);
-                this.scheduler.noteListing(incarnation, listing, nowMs);
-            } else {
-                this.scheduler.noteUnreachable(incarnation);
-            }
-        }
-    }
-
     /** Stores the changed jobs, and marks the ends that they cover as durable. */
     private commit(): void {
         for (const job of this.scheduler.jobs.takeChanged()) {
@@ -242,12 +251,12 @@
         this.scheduler.noteLeaseExtension(order.worker);
         const { task, number } = order.run;
         if (isReached) {
-            const endsAtMs = task.step.spec.lasting ? Infinity : nowMs + TaskMs;
-            worker.start({ task: task.name, number, endsAtMs }, nowMs + cellLimits.leaseMs);
+            const { gang, lasting } = task.step.spec;
+            const endsAtMs = nowMs + TaskMs;
+            const run = { task: task.name, number, endsAtMs: lasting || gang ? Infinity : endsAtMs };
+            worker.start(run, nowMs + cellLimits.leaseMs);
             this.checkStart(task.name);
-            if (this.brokenGangs.has(`${task.step.name}#${number}`)) {
-                this.breakGang(task.name, number);
-            }
+            this.gangs.noteStart(order.run, endsAtMs, this.workers);
         }
         const isDeadly = task.index === 0 && this.deadlyJobs.has(task.step.occurrence.job.spec.id);
         if (isDeadly && isReached) {
@@ -270,21 +279,11 @@
         }
     }
 
-    private crash(worker: CrashModelWorker): void {
+    private crash(worker: CrashModelWorker, downMs = RestartMs): void {
         const runs = [...worker.runs.values()];
         worker.isUp = false;
         worker.runs.clear();
-        runs.forEach(({ task, number }) => this.breakGang(task, number));
-        this.restarts.set(this.workers.indexOf(worker), this.clock.nowMs() + RestartMs);
-    }
-
-    /** The other members of a gang end when one of them does, also those that start later. */
-    private breakGang(task: string, number: number): void {
-        const step = task.slice(0, task.lastIndexOf("."));
-        const id = task.split(".", 1)[0] ?? "";
-        if (this.specs.find(spec => spec.id === id)?.steps[0]?.gang === true) {
-            this.brokenGangs.add(`${step}#${number}`);
-            this.workers.forEach(worker => worker.breakGang(`${step}.`));
-        }
+        runs.forEach(({ task, number }) => this.gangs.break(task, number, this.workers));
+        this.restarts.set(this.workers.indexOf(worker), this.clock.nowMs() + downMs);
     }
 }
