Losses that a task did not cause do not end its job

Cause: the loss of a worker within a second of a start was a point for the task, and two or three losses ended the job for good, whatever else explained them. A lost task starts again 5.1 s later, so where workers crash again and again it meets each crash at nearly the same age.

Change: each loss is kept with the range of ages at which it may have happened, and counts once another incarnation or worker has taken the place of the lost one; losses at ages that do not agree, and a run of 3 s, clear the task. A task is given up after three crashes if the cell's own rate of losses and what was lost beside them do not explain these, and after four in any case; before the last one it waits until the cell loses few workers. Workers of trials are asked without a wait. The loss of a rack takes nothing back any more: it is weak evidence, but a crash that is not counted is one start more. The evidence is stored in a new optional field; earlier builds read a number of at most 2.

--- a/packages/dispatch/src/worker-link.ts
+++ b/packages/dispatch/src/worker-link.ts
@@ -202,6 +202,10 @@
         if (!this.worker.hasListedRuns || !this.worker.isReachable) {
             return 0;
         }
+        if (this.worker.trialTask !== undefined) {
+            // The time for which the task on trial has run, should the worker be lost, is known from the last answer.
+            return 0;
+        }
         let hasServing = false;
         let hasFiller = false;
         for (const run of this.worker.runs.values()) {
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -149,6 +149,7 @@
     /** Adds a job that was accepted by a previous owner. */
     inheritJob(spec: JobSpec, progress: JobProgress | undefined): void {
         const job = this.jobs.add(spec, progress);
+        job.isInherited = true;
         if (job.endState === undefined) {
             this.previousOwners.addJob(spec.id);
             this.inheritedTrials.addJob(job);
@@ -329,6 +330,7 @@
     private noteReachability(worker: WorkerIncarnation, isReachable: boolean): void {
         if (worker.isReachable !== isReachable) {
             worker.isReachable = isReachable;
+            worker.unreachableSinceMs = isReachable ? undefined : this.clock.nowMs();
             worker.runs.forEach(({ task }) => this.jobs.markChanged(task.step.occurrence.job));
         }
     }
@@ -352,7 +354,7 @@
     private judgeLosses(nowMs: number): void {
         const wallMs = this.clock.wallMs();
         const { unreadWorkers } = this.previousOwners;
-        this.inheritedTrials.resolve(workerKey => unreadWorkers.has(workerKey), wallMs);
+        this.inheritedTrials.resolve(workerKey => unreadWorkers.has(workerKey), { nowMs, wallMs });
         this.suspicions.settle(nowMs, wallMs);
         this.trials.closeFinished();
     }
--- a/packages/jobs/src/crash-suspicions.ts
+++ b/packages/jobs/src/crash-suspicions.ts
@@ -1,41 +1,47 @@
 import type { EndObserver } from "./end-observer.js";
-import { explainLoss } from "./explain-loss.js";
+import { isReplaced } from "./is-replaced.js";
 import { JobEndReason } from "./job-end-reason.js";
 import type { JobRegistry } from "./job-registry.js";
 import { JobState } from "./job-state.js";
+import { LossRate } from "./loss-rate.js";
 import type { Run } from "./run.js";
 import { RunPhase } from "./run-phase.js";
 import { settledRunMs } from "./settled-run-ms.js";
+import { sharedLossProbability } from "./shared-loss-probability.js";
 import { SuspicionChange } from "./suspicion-change.js";
 import type { Task } from "./task.js";
+import { unknownAges } from "./unknown-ages.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 import { WorkerLoss } from "./worker-loss.js";
 
-/**
- * Points at which a task is given up: a crash that it shares with others and one that it alone explains (2 points), or
- * three crashes with doubts. Each crash that counts adds a point at least, so no task is given up after one crash, and
- * none is started again after three.
- */
-const GiveUpPoints = 3;
 /** Time after the last answer of a worker until all other workers that were lost with it are known. */
 const SettleMs = 3_000;
-/** The same for a worker that may only be cut off: time until another one has taken its place. */
+/** Time until another worker has taken the place of one that has crashed. One that is not replaced may be cut off. */
 const UnprovenSettleMs = 12_000;
+/** Probability that an inherited loss is one of several with another cause, as the losses beside it are not known. */
+const UnknownShare = 0.1;
 /** Time for which losses are kept, to take them back and to compare others with them. */
 const KeepMs = 60_000;
 
+/** A previous owner of an inherited job may have ended before it noticed a crash. */
+const isNearLimit = ({ crashes, step }: Task): boolean =>
+    crashes.evidence.isNearLimit(step.occurrence.job.isInherited);
+
 /** Which tasks are suspected to crash their workers. */
 export class CrashSuspicions {
     private losses: WorkerLoss[] = [];
-    /** Tasks with a point for the loss of a worker under a previous owner, by worker key. */
-    private readonly inherited = new Map<string, readonly Task[]>();
+    /** Tasks that a previous owner stored with a worker of which the loss is not settled yet, by worker key. */
+    private readonly inherited = new Map<string, InheritedLoss>();
+    private readonly lossRate: LossRate;
 
     private constructor(
         private readonly jobs: JobRegistry,
         private readonly fleet: WorkerFleet,
         private readonly observer: EndObserver,
-    ) {}
+    ) {
+        this.lossRate = LossRate.create(fleet);
+    }
 
     static create(jobs: JobRegistry, fleet: WorkerFleet, observer: EndObserver): CrashSuspicions {
         return new CrashSuspicions(jobs, fleet, observer);
@@ -49,7 +55,10 @@
         worker.isLost = true;
         const loss = WorkerLoss.create(worker, nowMs);
         const change = loss.hasTrial ? SuspicionChange.Trial : SuspicionChange.Shared;
-        loss.blamed.forEach(task => this.addPoint(task, loss, change));
+        for (const [task, ages] of loss.ages) {
+            task.crashes.add(worker.key, { ...ages, lossRatePerMs: 0, sharedLossProbability: 1 });
+            this.report(task, worker.key, change);
+        }
         this.losses.push(loss);
     }
 
@@ -58,18 +67,20 @@
         const { key } = worker;
         worker.isLost = false;
         for (const loss of this.losses.filter(each => each.worker.key === key)) {
-            this.takeBack(loss, SuspicionChange.CutOff);
+            this.takeBack(loss.blamed, key, SuspicionChange.CutOff);
         }
         this.losses = this.losses.filter(loss => loss.worker.key !== key);
-        const tasks = this.inherited.get(key) ?? [];
+        this.takeBack(this.inherited.get(key)?.tasks ?? [], key, SuspicionChange.CutOff);
         this.inherited.delete(key);
-        tasks.forEach(task => this.change(task, -1, key, SuspicionChange.CutOff));
     }
 
-    /** Records that a worker which a previous owner stored for the task is gone without a listed end. */
-    noteInheritedLoss(task: Task, workerKey: string): void {
-        this.inherited.set(workerKey, [...(this.inherited.get(workerKey) ?? []), task]);
-        this.change(task, 1, workerKey, SuspicionChange.Inherited);
+    /** Records that a worker which a previous owner stored for the task does not answer and has listed no end. */
+    noteInheritedLoss(task: Task, workerKey: string, nowMs: number): void {
+        const { tasks = [], notedAtMs = nowMs } = this.inherited.get(workerKey) ?? {};
+        this.inherited.set(workerKey, { tasks: [...tasks, task], notedAtMs });
+        const lossRatePerMs = this.lossRate.perMs();
+        task.crashes.add(workerKey, { ...unknownAges, lossRatePerMs, sharedLossProbability: UnknownShare });
+        this.report(task, workerKey, SuspicionChange.Inherited);
     }
 
     /** Ends the suspicion against a task whose worker has survived it for long enough. */
@@ -80,85 +91,106 @@
             nowMs - run.confirmedAtMs >= settledRunMs &&
             task.isCurrent(run);
         if (task.suspicion > 0 && hasSurvived) {
-            this.change(task, -task.suspicion, run.worker.key, SuspicionChange.Survived);
+            task.crashes.clear();
+            this.report(task, run.worker.key, SuspicionChange.Survived);
         }
     }
 
-    /** Whether a loss is not settled yet that may lead to the task's being given up. */
+    /**
+     * Whether a task that may be close to its limit is not to start yet: a loss is not settled, or so many workers are
+     * lost for other reasons that a crash would not tell what caused it.
+     */
     isHeld(task: Task): boolean {
-        return task.suspicion > 1 && this.losses.some(loss => !loss.isSettled && loss.blamed.includes(task));
+        return isNearLimit(task) && (this.isUnsettled(task) || !this.lossRate.isCalm);
     }
 
     /** Judges the losses of which all is known, and gives up the tasks that have crashed too many workers. */
     settle(nowMs: number, wallMs: number): void {
-        for (const loss of this.losses) {
-            const isProven = this.isReplaced(loss.worker);
-            if (!loss.isSettled && nowMs - loss.lostAtMs >= (isProven ? SettleMs : UnprovenSettleMs)) {
+        this.settleInherited(nowMs, wallMs);
+        this.losses = this.losses.filter(loss => nowMs - loss.lostAtMs < KeepMs);
+        this.lossRate.update(this.losses, nowMs);
+        for (const loss of this.losses.filter(({ isSettled }) => !isSettled)) {
+            const isProven = isReplaced(loss.worker.entry, this.fleet);
+            if (nowMs - loss.lostAtMs >= (isProven ? SettleMs : UnprovenSettleMs)) {
                 this.judge(loss, isProven, nowMs);
                 loss.blamed.forEach(task => this.giveUpIfDue(task, wallMs));
             }
         }
-        this.losses = this.losses.filter(loss => nowMs - loss.lostAtMs < KeepMs);
     }
 
-    /** Ends the job of a task that has too many points, unless a loss is to be judged first. */
+    /** Ends the job of a task that has crashed too many workers, unless a loss is to be judged first. */
     giveUpIfDue(task: Task, wallMs: number): void {
-        if (task.suspicion >= GiveUpPoints && !this.isHeld(task) && !task.isDone) {
-            const { job } = task.step.occurrence;
-            this.jobs.setEndState(job, JobState.Failed, wallMs, JobEndReason.WorkerCrashes);
+        const { job } = task.step.occurrence;
+        if (!task.isDone && task.suspicion > 0 && !this.isUnsettled(task)) {
+            if (task.crashes.provenEvidence.isConclusive(job.isInherited)) {
+                this.jobs.setEndState(job, JobState.Failed, wallMs, JobEndReason.WorkerCrashes);
+            }
         }
     }
 
+    private isUnsettled(task: Task): boolean {
+        return (
+            this.losses.some(loss => !loss.isSettled && loss.ages.has(task)) ||
+            [...this.inherited.values()].some(({ tasks }) => tasks.includes(task))
+        );
+    }
+
     private judge(loss: WorkerLoss, isProven: boolean, nowMs: number): void {
         loss.isSettled = true;
-        const { isGroupLost, isDoubtful } = explainLoss(loss, this.losses, this.fleet, nowMs);
-        if (isGroupLost) {
-            this.excuse(loss);
-        } else if (loss.hasTrial && loss.isClear && isProven && !isDoubtful) {
-            loss.blamed.forEach(task => this.addPoint(task, loss, SuspicionChange.Proven));
+        const { key } = loss.worker;
+        if (!isProven) {
+            this.takeBack(loss.blamed, key, SuspicionChange.Unproven);
+            return;
         }
-    }
-
-    /**
-     * Takes the points of a loss back that the loss of a group explains. For each task this counts once, since many
-     * tasks that crash their workers at the same time look like the loss of a group.
-     */
-    private excuse(loss: WorkerLoss): void {
-        for (const [task, points] of loss.points) {
-            if (!task.hasBeenExcused) {
-                task.hasBeenExcused = true;
-                loss.points.delete(task);
-                this.change(task, -points, loss.worker.key, SuspicionChange.GroupLost);
+        const causes = {
+            lossRatePerMs: this.lossRate.perMs(loss.worker.entry.address),
+            sharedLossProbability: sharedLossProbability(loss, this.losses, this.fleet, nowMs),
+        };
+        for (const [task, ages] of loss.ages) {
+            if (task.crashes.has(key)) {
+                task.crashes.add(key, { ...ages, ...causes });
+                task.crashes.prove(key);
+                this.report(task, key, SuspicionChange.Proven);
             }
         }
     }
 
-    /** Whether another incarnation or another worker has taken the place of a worker. */
-    private isReplaced({ entry }: WorkerIncarnation): boolean {
-        return [...this.fleet.workers].some(
-            ({ entry: other }) =>
-                other.startedAtMs > entry.startedAtMs &&
-                (other.id === entry.id || other.address === entry.address),
-        );
-    }
-
-    private addPoint(task: Task, loss: WorkerLoss, change: SuspicionChange): void {
-        loss.points.set(task, (loss.points.get(task) ?? 0) + 1);
-        this.change(task, 1, loss.worker.key, change);
+    private settleInherited(nowMs: number, wallMs: number): void {
+        for (const [key, { tasks, notedAtMs }] of this.inherited) {
+            const [id = "", startedAt] = key.split("/");
+            const entry = this.fleet.get(id)?.entry;
+            const isProven = entry === undefined || entry.startedAtMs > Number(startedAt);
+            if (isProven) {
+                tasks.forEach(task => task.crashes.prove(key));
+            } else if (nowMs - notedAtMs >= UnprovenSettleMs) {
+                this.takeBack(tasks, key, SuspicionChange.Unproven);
+            } else {
+                continue;
+            }
+            this.inherited.delete(key);
+            tasks.forEach(task => this.giveUpIfDue(task, wallMs));
+        }
     }
 
-    private takeBack(loss: WorkerLoss, change: SuspicionChange): void {
-        loss.points.forEach((points, task) => this.change(task, -points, loss.worker.key, change));
-        loss.points.clear();
+    private takeBack(tasks: readonly Task[], workerKey: string, change: SuspicionChange): void {
+        for (const task of tasks) {
+            if (task.crashes.remove(workerKey)) {
+                this.report(task, workerKey, change);
+            }
+        }
     }
 
-    private change(task: Task, points: number, workerKey: string, change: SuspicionChange): void {
+    private report(task: Task, workerKey: string, change: SuspicionChange): void {
         const { job } = task.step.occurrence;
-        if (task.isDone || job.endState !== undefined) {
-            return;
+        if (!task.isDone && job.endState === undefined) {
+            this.jobs.markChanged(job);
+            this.observer.onSuspicion?.(task, workerKey, change);
         }
-        task.suspicion = Math.max(0, task.suspicion + points);
-        this.jobs.markChanged(job);
-        this.observer.onSuspicion?.(task, workerKey, change);
     }
 }
+
+/** Tasks that were stored with a worker, and when this owner found that it does not answer. */
+interface InheritedLoss {
+    readonly tasks: readonly Task[];
+    readonly notedAtMs: number;
+}
--- a/packages/jobs/src/inherited-trials.ts
+++ b/packages/jobs/src/inherited-trials.ts
@@ -13,6 +13,12 @@
     readonly suspicions: CrashSuspicions;
 }
 
+/** Monotonic and wall-clock time of the decision. */
+interface ResolveTimes {
+    readonly nowMs: number;
+    readonly wallMs: number;
+}
+
 /** Suspected tasks that a previous owner left, and those that it had stored with a worker that may be lost. */
 export class InheritedTrials {
     private readonly tasks = new Set<Task>();
@@ -35,23 +41,23 @@
      * Decides about the tasks whose worker has been read or is known to be gone. `mayHaveRuns` tells whether a worker,
      * by its key, is still to be read.
      */
-    resolve(mayHaveRuns: (workerKey: string) => boolean, wallMs: number): void {
+    resolve(mayHaveRuns: (workerKey: string) => boolean, { nowMs, wallMs }: ResolveTimes): void {
         for (const task of this.tasks) {
             const { inheritedWorkerKey } = task;
             if (inheritedWorkerKey === undefined || !mayHaveRuns(inheritedWorkerKey)) {
                 this.tasks.delete(task);
-                this.resolveTask(task, inheritedWorkerKey, wallMs);
+                this.resolveTask(task, inheritedWorkerKey, { nowMs, wallMs });
             }
         }
     }
 
-    private resolveTask(task: Task, workerKey: string | undefined, wallMs: number): void {
+    private resolveTask(task: Task, workerKey: string | undefined, { nowMs, wallMs }: ResolveTimes): void {
         const { fleet, trials, suspicions, jobs } = this.context;
         task.inheritedWorkerKey = undefined;
         if (workerKey !== undefined) {
             const worker = [...fleet.workers].find(({ key }) => key === workerKey);
             if (worker?.hasListedRuns !== true) {
-                suspicions.noteInheritedLoss(task, workerKey);
+                suspicions.noteInheritedLoss(task, workerKey, nowMs);
             } else if (task.run?.worker === worker && task.suspicion > 0 && worker.trialTask === undefined) {
                 trials.open(task, worker);
             }
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -21,6 +21,8 @@
     endedAtMs = 0;
     /** Whether a worker has begun one of its tasks, as far as workers have said so. */
     hasStarted = false;
+    /** Whether a previous owner accepted the job, so that it may have started tasks of which nothing is stored. */
+    isInherited = false;
     /** Number of times that a lasting task of the job was preempted. */
     preemptionCount = 0;
     private readonly opened = new Map<number, Occurrence>();
--- a/packages/jobs/src/read-progress.ts
+++ b/packages/jobs/src/read-progress.ts
@@ -6,8 +6,12 @@
 import type { Step } from "./step.js";
 import type { Task } from "./task.js";
 import type { TaskProgress } from "./task-progress.js";
+import { unknownAges } from "./unknown-ages.js";
 import { unresolvedWorkerKey } from "./unresolved-worker-key.js";
 
+/** Earlier builds give a task up at a higher number, whatever its crashes were. */
+const MaxStoredSuspicion = 2;
+
 /** Returns the current durable state of a job. */
 export const readProgress = (job: Job): JobProgress => {
     const occurrences = job.endState === undefined ? [...job.openOccurrences.values()] : [];
@@ -39,10 +43,22 @@
 });
 
 const readSuspicion = (task: Task): Partial<TaskProgress> => {
-    const { suspicion } = task;
+    const suspicion = Math.min(task.suspicion, MaxStoredSuspicion);
     const suspectWorker = unresolvedWorkerKey(task);
     return {
-        ...(suspicion > 0 ? { suspicion } : {}),
+        ...(suspicion > 0 ? { suspicion, ...readCrashes(task, suspicion) } : {}),
         ...(suspectWorker === undefined ? {} : { suspectWorker }),
     };
 };
+
+/** The number alone says the same of crashes that an earlier build has stored. */
+const readCrashes = ({ crashes }: Task, suspicion: number): Partial<TaskProgress> => {
+    const { fields } = crashes.evidence;
+    const { minAgeMs, maxAgeMs } = unknownAges;
+    const isKnownByNumber =
+        fields.count === suspicion &&
+        fields.chance === 1 &&
+        fields.minAgeMs === minAgeMs &&
+        fields.maxAgeMs === maxAgeMs;
+    return isKnownByNumber ? {} : { crashes: fields };
+};
--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -1,8 +1,11 @@
+import { CrashEvidence } from "@samphireward/core/crash-evidence";
 import { hasStarted } from "./has-started.js";
 import type { Job } from "./job.js";
 import type { JobProgress } from "./job-progress.js";
 import type { StepProgress } from "./step-progress.js";
 import type { Step } from "./step.js";
+import type { TaskProgress } from "./task-progress.js";
+import type { Task } from "./task.js";
 
 /** Restores the stored state of a job into a new one. */
 export const restoreProgress = (job: Job, progress: JobProgress): void => {
@@ -26,11 +29,21 @@
         }
     });
     for (const mark of progress?.marks ?? []) {
-        const { index, failedRuns, lastRun, checkpoint, suspicion = 0, suspectWorker } = mark;
+        const { index, failedRuns, lastRun, checkpoint, suspectWorker } = mark;
         const task = step.tasks[index];
         if (task !== undefined) {
-            Object.assign(task, { lastRun, checkpoint, suspicion, inheritedWorkerKey: suspectWorker });
+            Object.assign(task, { lastRun, checkpoint, inheritedWorkerKey: suspectWorker });
+            restoreCrashes(task, mark);
             failedRuns.forEach(number => task.failedRuns.add(number));
         }
     }
 };
+
+/** An earlier build that owned the job in between has raised or reset the number alone. */
+const restoreCrashes = (task: Task, { suspicion = 0, crashes }: TaskProgress): void => {
+    if (suspicion > 0 && crashes !== undefined) {
+        task.crashes.inherit(CrashEvidence.create(crashes));
+    } else if (suspicion > 0) {
+        task.crashes.inheritCount(suspicion);
+    }
+};
--- a/packages/jobs/src/settled-run-ms.ts
+++ b/packages/jobs/src/settled-run-ms.ts
@@ -1,2 +1,2 @@
 /** A task whose worker has survived it for this long is suspected no more, in milliseconds. */
-export const settledRunMs = 10_000;
+export const settledRunMs = 3_000;
--- a/packages/jobs/src/suspicion-change.ts
+++ b/packages/jobs/src/suspicion-change.ts
@@ -4,12 +4,12 @@
     Shared: "shared",
     /** Its worker crashed during its trial. */
     Trial: "trial",
-    /** The same, and nothing else explains the crash. */
+    /** The crash counts: another incarnation or another worker has taken the place of the lost one. */
     Proven: "proven",
+    /** The loss does not count: nothing has taken the place of the worker, which may be cut off. */
+    Unproven: "unproven",
     /** A worker that a previous owner stored for the task is gone. */
     Inherited: "inherited",
-    /** The crash does not count: most of the rack or of the cell was lost at the same time. */
-    GroupLost: "group-lost",
     /** The crash does not count: the worker was only cut off. */
     CutOff: "cut-off",
     /** The task has run for a time without a crash. */
--- /dev/null
+++ b/packages/jobs/src/task-crashes.ts
@@ -0,0 +1,88 @@
+import { CrashEvidence } from "@samphireward/core/crash-evidence";
+import type { CrashObservation } from "@samphireward/core/crash-observation";
+import { unknownAges } from "./unknown-ages.js";
+
+/** The crashes of workers that one task may have caused. */
+export class TaskCrashes {
+    private inherited = CrashEvidence.none;
+    /** Losses that this owner has noted, by worker key. */
+    private readonly observations = new Map<string, CrashObservation>();
+    /** Keys of the workers that are known to have crashed. */
+    private readonly proven = new Set<string>();
+    private all = CrashEvidence.none;
+
+    private constructor() {}
+
+    static create(): TaskCrashes {
+        return new TaskCrashes();
+    }
+
+    /** All losses, also of workers that may only be cut off. */
+    get evidence(): CrashEvidence {
+        return this.all;
+    }
+
+    /** Only the losses of workers that are known to have crashed. */
+    get provenEvidence(): CrashEvidence {
+        return this.fold(key => this.proven.has(key));
+    }
+
+    /** Keys of the workers that are known to have crashed, those of previous owners aside. */
+    get provenWorkers(): readonly string[] {
+        return [...this.proven];
+    }
+
+    /** Sets what a previous owner has stored. */
+    inherit(evidence: CrashEvidence): void {
+        this.inherited = evidence;
+        this.update();
+    }
+
+    /** The same, for a number of crashes of which no more is known. */
+    inheritCount(count: number): void {
+        this.inherit(CrashEvidence.create({ count, ...unknownAges, chance: 1 }));
+    }
+
+    has(workerKey: string): boolean {
+        return this.observations.has(workerKey);
+    }
+
+    /** Adds the loss of a worker, or replaces what is known of it. */
+    add(workerKey: string, crash: CrashObservation): void {
+        this.observations.set(workerKey, crash);
+        this.update();
+    }
+
+    /** Records that a worker of which the loss was added has crashed. */
+    prove(workerKey: string): void {
+        if (this.observations.has(workerKey)) {
+            this.proven.add(workerKey);
+        }
+    }
+
+    /** Takes the loss of a worker back. Returns whether it had been added. */
+    remove(workerKey: string): boolean {
+        this.proven.delete(workerKey);
+        const isRemoved = this.observations.delete(workerKey);
+        this.update();
+        return isRemoved;
+    }
+
+    clear(): void {
+        this.inherited = CrashEvidence.none;
+        this.observations.clear();
+        this.proven.clear();
+        this.update();
+    }
+
+    private update(): void {
+        this.all = this.fold(() => true);
+    }
+
+    private fold(counts: (workerKey: string) => boolean): CrashEvidence {
+        return [...this.observations].reduce(
+            (evidence, [key, crash]) => (counts(key) ? evidence.add(crash) : evidence),
+            this.inherited,
+        );
+    }
+}
--- a/packages/jobs/src/task-progress.ts
+++ b/packages/jobs/src/task-progress.ts
@@ -1,3 +1,5 @@
+import type { CrashEvidenceFields } from "@samphireward/core/crash-evidence-fields";
+
 /** Durable state of a task that is not done but has been started or has a checkpoint. */
 export interface TaskProgress {
     readonly index: number;
@@ -5,8 +7,10 @@
     readonly failedRuns: readonly number[];
     readonly lastRun: number;
     readonly checkpoint: string;
-    /** Points of suspicion that the task crashes its workers; absent if it is not suspected. */
+    /** Number of crashes that the task may have caused, at most 2, since earlier builds give a task up at 3; absent if none. */
     readonly suspicion?: number;
+    /** The crashes that the task may have caused; absent if the number says the same, as in the progress of earlier builds. */
+    readonly crashes?: CrashEvidenceFields;
     /** Key of the worker whose loss without a listed end counts against the task; absent if there is none. */
     readonly suspectWorker?: string;
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -1,5 +1,6 @@
 import type { Run } from "./run.js";
 import type { Step } from "./step.js";
+import { TaskCrashes } from "./task-crashes.js";
 import type { Trial } from "./trial.js";
 
 /** One task of a step in one occurrence of a job. */
@@ -29,14 +30,12 @@
     migrationCount = 0;
     /** Monotonic time before which the task is not started again, late starts aside. */
     notBeforeMs = 0;
-    /** Points of suspicion that the task crashes its workers; 0 if it is not suspected. */
-    suspicion = 0;
-    /** Whether a crash did not count against the task because a rack or the cell was lost at the same time. */
-    hasBeenExcused = false;
     /** The open trial; undefined if there is none. */
     trial: Trial | undefined;
     /** Key of a worker, stored by a previous owner, whose loss would count against the task; until it is known. */
     inheritedWorkerKey: string | undefined;
+    /** Created when needed, since most tasks are never suspected. */
+    private taskCrashes: TaskCrashes | undefined;
     /** Progress of the run of a speculative step that wrote the latest checkpoint, in percent. */
     private checkpointPercent = 0;
     /** Ends of the waits for late starts, in monotonic time, by worker id; undefined if there was none. */
@@ -56,6 +55,21 @@
         return this.done;
     }
 
+    /** Losses of workers that the task may have caused. */
+    get crashes(): TaskCrashes {
+        this.taskCrashes ??= TaskCrashes.create();
+        return this.taskCrashes;
+    }
+
+    /** Number of crashes that the task may have caused; 0 if it is not suspected. */
+    get suspicion(): number {
+        return this.taskCrashes?.evidence.count ?? 0;
+    }
+
+    set suspicion(count: number) {
+        this.crashes.inheritCount(count);
+    }
+
     /** Monotonic time before which the task is not started, according to what is known now. */
     get startableAtMs(): number {
         return this.lateStartEndsMs === undefined
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -27,6 +27,8 @@
     readonly lateStarts: ReadonlyMap<string, LateStart> = this.lateStartsByTask;
     /** Whether the last call was answered. */
     isReachable = false;
+    /** Monotonic time since which calls to the worker have not been answered; undefined if they are. */
+    unreachableSinceMs: number | undefined;
     /** Whether the worker has listed its runs to this owner. */
     hasListedRuns = false;
     /** Whether starts are blocked because the stored roster, by which a next owner finds workers, lacks this one. */
--- a/packages/jobs/src/worker-loss.ts
+++ b/packages/jobs/src/worker-loss.ts
@@ -1,6 +1,5 @@
 import type { Job } from "./job.js";
 import type { Run } from "./run.js";
-import { minNeighbourAgeMs } from "./min-neighbour-age-ms.js";
 import { recentStartMs } from "./recent-start-ms.js";
 import { RunPhase } from "./run-phase.js";
 import type { Task } from "./task.js";
@@ -20,22 +19,39 @@
 const mayHaveJustStarted = (run: Run, lostAtMs: number): boolean =>
     run.phase !== RunPhase.Running || (!run.isAdopted && lostAtMs - run.startedAtMs < recentStartMs);
 
+/** Time for which a task had run when its worker was lost. */
+interface AgeRange {
+    readonly minAgeMs: number;
+    readonly maxAgeMs: number;
+}
+
+/**
+ * The loss is later than the last listing that shows the run, and earlier than the first call without an answer. A start
+ * without an answer may have come after the loss, so that any time since the last answer before it is possible.
+ */
+const ageAtLoss = (
+    run: Run,
+    { lastContactAtMs, unreachableSinceMs }: WorkerIncarnation,
+    nowMs: number,
+): AgeRange => {
+    const isConfirmed = run.phase === RunPhase.Running;
+    const minAgeMs = isConfirmed && run.isListed ? Math.max(0, lastContactAtMs - run.confirmedAtMs) : 0;
+    const sinceMs = isConfirmed ? run.startedAtMs : Math.min(run.startedAtMs, lastContactAtMs);
+    return { minAgeMs, maxAgeMs: Math.max(minAgeMs, (unreachableSinceMs ?? nowMs) - sinceMs) };
+};
+
 /** A worker that crashed, or that seems to have crashed, and the tasks that may be the cause. */
 export class WorkerLoss {
-    /** Points of suspicion that the loss has added, by task. */
-    readonly points = new Map<Task, number>();
     isSettled = false;
 
     private constructor(
         readonly worker: WorkerIncarnation,
         /** Monotonic time of the last answer of the worker. */
         readonly lostAtMs: number,
-        /** Tasks that may be the cause. */
-        readonly blamed: readonly Task[],
+        /** Tasks that may be the cause, with the time for which each had run. */
+        readonly ages: ReadonlyMap<Task, AgeRange>,
         /** Whether a suspected task was on trial there, which explains the loss. */
         readonly hasTrial: boolean,
-        /** Whether the run on trial had just been confirmed and was never listed, and nothing else had just started. */
-        readonly isClear: boolean,
     ) {}
 
     /**
@@ -46,22 +62,18 @@
         const lostAtMs = worker.hasListedRuns ? worker.lastContactAtMs : nowMs;
         const runs = worker.entry.isDraining ? [] : [...worker.runs.values()].filter(isInvolved);
         const trial = runs.find(({ task }) => task.trial?.worker === worker);
-        if (trial !== undefined) {
-            const hadRun = (run: Run): boolean => trial.startedAtMs - run.startedAtMs >= minNeighbourAgeMs;
-            const isClear =
-                trial.phase === RunPhase.Running &&
-                !trial.isListed &&
-                runs.every(run => run === trial || hadRun(run));
-            return new WorkerLoss(worker, lostAtMs, [trial.task], true, isClear);
-        }
-        const recent = runs.filter(run => mayHaveJustStarted(run, lostAtMs));
-        return new WorkerLoss(
-            worker,
-            lostAtMs,
-            recent.map(({ task }) => task),
-            false,
-            false,
-        );
+        const blamed = trial === undefined ? runs.filter(run => mayHaveJustStarted(run, lostAtMs)) : [trial];
+        const ages = new Map(blamed.map(run => [run.task, ageAtLoss(run, worker, nowMs)]));
+        return new WorkerLoss(worker, lostAtMs, ages, trial !== undefined);
+    }
+
+    /** Whether the loss tells how often workers are lost for causes of their own. */
+    get isUnrelated(): boolean {
+        return !this.hasTrial && !this.worker.entry.isDraining;
+    }
+
+    get blamed(): readonly Task[] {
+        return [...this.ages.keys()];
     }
 
     get jobs(): ReadonlySet<Job> {
