The last allowed crash of a task comes from a cell that is known to be calm

Change: losses that a task close to its limit explains don't count, an owner waits for 8 s before it calls its cell calm, and the rate is that of the time of the crash if few workers were lost then.

--- a/packages/jobs/src/crash-suspicions.ts
+++ b/packages/jobs/src/crash-suspicions.ts
@@ -1,4 +1,5 @@
 import type { EndObserver } from "./end-observer.js";
+import { isNearLimit } from "./is-near-limit.js";
 import { isReplaced } from "./is-replaced.js";
 import { JobEndReason } from "./job-end-reason.js";
 import type { JobRegistry } from "./job-registry.js";
@@ -24,10 +25,6 @@
 /** Time for which losses are kept, to take them back and to compare others with them. */
 const KeepMs = 60_000;
 
-/** A previous owner of an inherited job may have ended before it noticed a crash. */
-const isNearLimit = ({ crashes, step }: Task): boolean =>
-    crashes.evidence.isNearLimit(step.occurrence.job.isInherited);
-
 /** Which tasks are suspected to crash their workers. */
 export class CrashSuspicions {
     private losses: WorkerLoss[] = [];
@@ -78,7 +75,7 @@
     noteInheritedLoss(task: Task, workerKey: string, nowMs: number): void {
         const { tasks = [], notedAtMs = nowMs } = this.inherited.get(workerKey) ?? {};
         this.inherited.set(workerKey, { tasks: [...tasks, task], notedAtMs });
-        const lossRatePerMs = this.lossRate.perMs();
+        const lossRatePerMs = this.lossRate.perMs;
         task.crashes.add(workerKey, { ...unknownAges, lossRatePerMs, sharedLossProbability: UnknownShare });
         this.report(task, workerKey, SuspicionChange.Inherited);
     }
@@ -143,7 +140,7 @@
             return;
         }
         const causes = {
-            lossRatePerMs: this.lossRate.perMs(loss.worker.entry.address),
+            lossRatePerMs: this.lossRate.perMsAt(loss),
             sharedLossProbability: sharedLossProbability(loss, this.losses, this.fleet, nowMs),
         };
         for (const [task, ages] of loss.ages) {
--- a/packages/jobs/src/loss-rate.ts
+++ b/packages/jobs/src/loss-rate.ts
@@ -1,3 +1,4 @@
+import { isNearLimit } from "./is-near-limit.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerLoss } from "./worker-loss.js";
 
@@ -15,7 +16,7 @@
 /** How often the workers of a cell are lost without a task on trial. */
 export class LossRate {
     /** Whether few workers have been lost lately, or do not answer. */
-    isCalm = true;
+    isCalm = false;
     private unrelated: readonly WorkerLoss[] = [];
     private nowMs = 0;
     private sinceMs: number | undefined;
@@ -34,22 +35,45 @@
         this.isCalm = this.findCalm(losses);
     }
 
-    /** Losses of a worker per millisecond: those of all workers, or of this one if it is lost more often. */
-    perMs(address?: string): number {
-        const knownMs = this.nowMs - (this.sinceMs ?? this.nowMs);
+    /** Losses of a worker per millisecond. */
+    get perMs(): number {
+        const knownMs = this.knownMs;
         const periodMs = Math.min(PeriodMs, Math.max(LearningMs, knownMs));
-        const ofWorker = this.unrelated.filter(({ worker }) => worker.entry.address === address).length;
-        // One more is assumed, as few losses say little about their rate.
-        const ofCell = (this.unrelated.length + 1) / Math.max(1, this.fleet.size);
-        const perMs = Math.max(ofCell, ofWorker) / periodMs;
+        const perMs = this.ratePerMs(this.unrelated.length, periodMs);
         return knownMs < LearningMs ? Math.max(perMs, UnknownRatePerMs) : perMs;
     }
 
+    /** The same at the time of a loss, which may be one of few after many, and for its worker, which may be lost often. */
+    perMsAt({ lostAtMs, worker }: WorkerLoss): number {
+        const near = this.unrelated.filter(loss => Math.abs(loss.lostAtMs - lostAtMs) < CalmMs);
+        const others = near.filter(loss => loss.worker !== worker).length;
+        const wasCalm =
+            this.knownMs - (this.nowMs - lostAtMs) >= CalmMs && others <= this.fleet.size * MaxCalmShare;
+        const ofCell = wasCalm ? Math.min(this.perMs, this.ratePerMs(others, CalmMs)) : this.perMs;
+        const { address } = worker.entry;
+        const ofWorker = this.unrelated.filter(loss => loss.worker.entry.address === address).length;
+        return Math.max(ofCell, ofWorker / PeriodMs);
+    }
+
+    private get knownMs(): number {
+        return this.nowMs - (this.sinceMs ?? this.nowMs);
+    }
+
+    /** One more loss is assumed, as few say little about their rate. */
+    private ratePerMs(count: number, periodMs: number): number {
+        return (count + 1) / (Math.max(1, this.fleet.size) * periodMs);
+    }
+
+    /** Losses that a task close to its limit explains don't count, so that such tasks don't wait for each other. */
     private findCalm(losses: readonly WorkerLoss[]): boolean {
-        const lost = losses.filter(loss => this.nowMs - loss.lostAtMs < CalmMs).length;
+        const lost = losses.filter(
+            loss => this.nowMs - loss.lostAtMs < CalmMs && !(loss.hasTrial && loss.blamed.some(isNearLimit)),
+        );
         const silent = [...this.fleet.workers].filter(
-            worker => !worker.isReachable && !worker.isLost && worker.hasListedRuns,
-        ).length;
-        return lost + silent <= this.fleet.size * MaxCalmShare;
+            ({ isReachable, isLost, hasListedRuns, trialTask }) =>
+                !isReachable && !isLost && hasListedRuns && !(trialTask && isNearLimit(trialTask)),
+        );
+        const isKnown = this.knownMs >= CalmMs;
+        return isKnown && lost.length + silent.length <= this.fleet.size * MaxCalmShare;
     }
 }
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -164,6 +164,7 @@
     const spec = harness.submit({});
     const task = [...(harness.scheduler.jobs.get(spec.id)?.tasks() ?? [])][0];
     task?.crashes.inheritCount(3);
+    t.same(planUntilStart(harness, workers, 7_500), [], "the owner does not know how many were lost before");
     const silent = workers.slice(0, 2);
     silent.forEach(worker => harness.scheduler.noteUnreachable(worker));
     t.same(planUntilStart(harness, workers.slice(2), 3_000), [], "two workers do not answer");
