--- a/packages/dispatch/src/cell-candidate.ts
+++ b/packages/dispatch/src/cell-candidate.ts
@@ -49,6 +49,8 @@
     readonly permits: PermitSource;
     readonly evacuations?: EvacuationSource | undefined;
     readonly readRules: () => readonly QueueRule[];
+    /** Version of the configuration that the rules are from. */
+    readonly readConfigVersion?: () => number | undefined;
     readonly readWorkers: () => Promise<Iterable<WorkerEntry>>;
     readonly roundTripMs: () => number;
     readonly processors: number;
@@ -178,7 +180,7 @@
     }
 
     private async startOwner(lease: CellLease, extraWaitMs: number): Promise<void> {
-        const { readRules, readWorkers, cell, log, metrics } = this.context;
+        const { readRules, readConfigVersion, readWorkers, cell, log, metrics } = this.context;
         if (this.isStopped) {
             await lease.release();
             return;
@@ -200,7 +202,7 @@
         });
         this.owned = { lease, owner };
         runInBackground("lease", lease.keepAlive(onLost), log, onLost);
-        await owner.start(readRules, readWorkers);
+        await owner.start(readRules, readWorkers, readConfigVersion);
     }
 
     private loseOwnership(reason: string): void {
--- a/packages/dispatch/src/cell-owner.ts
+++ b/packages/dispatch/src/cell-owner.ts
@@ -134,6 +134,7 @@
     async start(
         readRules: () => readonly QueueRule[],
         readWorkers: () => Promise<Iterable<WorkerEntry>>,
+        readConfigVersion?: () => number | undefined,
     ): Promise<void> {
         const { log, cell, epoch, clock } = this.context;
         const startedAtMs = clock.nowMs();
@@ -148,7 +149,7 @@
             return;
         }
         // The rules may have changed while the state was read.
-        this.scheduler.setQueues(readRules());
+        this.scheduler.setQueues(readRules(), readConfigVersion?.());
         this.restore(state);
         this.hasReadState = true;
         for (const entry of entries) {
@@ -201,8 +202,8 @@
         this.evacuations?.close();
     }
 
-    setQueues(rules: readonly QueueRule[]): void {
-        this.scheduler.setQueues(rules);
+    setQueues(rules: readonly QueueRule[], version?: number): void {
+        this.scheduler.setQueues(rules, version);
         this.schedulePlan();
     }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -204,6 +204,7 @@
             reportsPriorities:
                 settings.refusesHopeless === true || settings.startOrder === StartOrderName.Worth,
             readRules: () => this.routes.config?.routes.map(route => route.rule) ?? [],
+            readConfigVersion: () => this.routes.config?.version,
             readWorkers: async () => {
                 const entries = await this.workers.readCurrent();
                 return entries.filter(entry => this.belongsToCell(entry, cell));
@@ -221,7 +222,7 @@
         const { version, routes } = config;
         this.context.log.write("config-in-force", { version, routes: routes.length });
         const rules = routes.map(route => route.rule);
-        this.cells.all.forEach(cell => cell.owner?.setQueues(rules));
+        this.cells.all.forEach(cell => cell.owner?.setQueues(rules, version));
     }
 
     private registerWorker(entry: WorkerEntry): void {
--- a/packages/dispatch/src/end-reporter.ts
+++ b/packages/dispatch/src/end-reporter.ts
@@ -59,7 +59,17 @@
         const { epoch, log, metrics } = this.context;
         const [worker] = workerKey.split("/", 1);
         metrics.suspicionChanges.inc({ reason });
-        log.write("task-suspected", { task: task.name, worker, reason, points: task.suspicion, epoch });
+        const { minAgeMs, maxAgeMs, chance } = task.crashes.evidence.fields;
+        log.write("task-suspected", {
+            task: task.name,
+            worker,
+            reason,
+            points: task.suspicion,
+            epoch,
+            minAgeMs,
+            maxAgeMs,
+            chance,
+        });
     }
 
     onCopy(copy: Run, outcome: CopyOutcome): void {
--- a/packages/dispatch/src/job-codec.ts
+++ b/packages/dispatch/src/job-codec.ts
@@ -1,4 +1,5 @@
 import { Resources } from "@samphireward/core/resources";
+import type { JobFailure } from "@samphireward/jobs/job-failure";
 import type { JobProgress } from "@samphireward/jobs/job-progress";
 import type { JobSpec } from "@samphireward/jobs/job-spec";
 import { JobState } from "@samphireward/jobs/job-state";
@@ -76,8 +77,21 @@
 
 const endStates: ReadonlySet<unknown> = new Set([JobState.Completed, JobState.Failed, JobState.Cancelled]);
 
+/** Any text passes as a cause or proof: a newer build may have others. */
+const isJobFailureValue = hasFields({
+    cause: isString,
+    task: isString,
+    failedRuns: optional(isNumber),
+    limit: optional(isNumber),
+    configVersion: optional(isNumber),
+    crashedWorkers: optional(isListOf(hasFields({ worker: isString, proof: isString }))),
+    inheritedCrashes: optional(isNumber),
+});
+const isJobFailure = (value: unknown): value is JobFailure => isJobFailureValue(value);
+
 const isJobProgressValue = hasFields({
     endState: optional(value => endStates.has(value)),
+    failure: optional(isJobFailure),
     endedAtMs: isNumber,
     hasStarted: isBoolean,
     isStartConfirmed: optional(isBoolean),
@@ -116,6 +130,9 @@
 
     encodeProgress: (progress: JobProgress): string => JSON.stringify({ v: FormatVersion, progress }),
 
+    /** Checks the failure in the answer of another process. */
+    decodeFailure: (value: unknown): JobFailure | undefined => (isJobFailure(value) ? value : undefined),
+
     decodeProgress: (text: string): JobProgress | undefined => {
         const { progress } = parseVersioned(text);
         return isJobProgress(progress) ? progress : undefined;
--- a/packages/dispatch/src/job-gateway.ts
+++ b/packages/dispatch/src/job-gateway.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@samphireward/core/clock";
+import { createJobStatus } from "@samphireward/jobs/create-job-status";
 import { hasStarted } from "@samphireward/jobs/has-started";
 import { JobState } from "@samphireward/jobs/job-state";
 import type { JobStatus } from "@samphireward/jobs/job-status";
@@ -169,12 +170,10 @@
         }
         const storedProgress =
             progress.value === undefined ? undefined : jobCodec.decodeProgress(progress.value.value);
-        const { endState, endReason } = storedProgress ?? {};
+        const { endState, endReason, failure } = storedProgress ?? {};
         const isRunning = storedProgress !== undefined && hasStarted(storedProgress);
-        return Ok({
-            state: endState ?? (isRunning ? JobState.Running : JobState.Queued),
-            ...(endReason === undefined ? {} : { reason: endReason }),
-        });
+        const state = endState ?? (isRunning ? JobState.Running : JobState.Queued);
+        return Ok(createJobStatus(state, endReason, failure));
     }
 
     /** Asks the owner's process to store the job: it may reach the store although this process does not. */
--- a/packages/dispatch/src/metrics.ts
+++ b/packages/dispatch/src/metrics.ts
@@ -68,6 +68,8 @@
     );
     /** Jobs by final state. */
     readonly jobsEnded = this.counter("jobs_ended_total", "Jobs by final state", ["queue", "state"]);
+    /** Jobs that ended as failed, by what ended them. */
+    readonly jobsFailed = this.counter("jobs_failed_total", "Jobs that ended as failed, by cause", ["cause"]);
     /** Time from a job's arrival to its final state. */
     readonly jobSeconds = this.histogram("job_seconds", "Time from arrival to final state", ["queue"]);
     /** Calls to the store by call and result. */
--- a/packages/dispatch/src/peer-client.ts
+++ b/packages/dispatch/src/peer-client.ts
@@ -1,5 +1,6 @@
 import { JsonClient } from "@samphireward/core/json-client";
 import type { JsonResponse } from "@samphireward/core/json-response";
+import { createJobStatus } from "@samphireward/jobs/create-job-status";
 import type { EndEstimate } from "@samphireward/jobs/end-estimate";
 import type { JobStatus } from "@samphireward/jobs/job-status";
 import type { EpochReport } from "./epoch-report.js";
@@ -7,6 +8,7 @@
 import type { Result } from "ts-results-es";
 import { Err, Ok } from "ts-results-es";
 import { isObject } from "./is-object.js";
+import { jobCodec } from "./job-codec.js";
 import { SubmitOutcome } from "./submit-outcome.js";
 
 /** Time-out of a call to another process of the system. */
@@ -43,8 +45,10 @@
     ): Promise<Result<JobStatus | undefined, string>> {
         const response = await this.call(address, "GET", `/cells/${cell}/jobs/${encodeURIComponent(id)}`);
         return response.map(body => {
-            const { state, reason } = body as Partial<JobStatus>;
-            return state === undefined ? undefined : { state, ...(reason === undefined ? {} : { reason }) };
+            const { state, reason, failure } = body as Partial<JobStatus>;
+            return state === undefined
+                ? undefined
+                : createJobStatus(state, reason, jobCodec.decodeFailure(failure));
         });
     }
 
--- a/packages/dispatch/src/progress-writer.ts
+++ b/packages/dispatch/src/progress-writer.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@samphireward/core/clock";
 import type { CellScheduler } from "@samphireward/jobs/cell-scheduler";
+import { describeJobFailure } from "@samphireward/jobs/describe-job-failure";
 import type { Job } from "@samphireward/jobs/job";
 import { readProgress } from "@samphireward/jobs/read-progress";
 import { unstoredTrials } from "@samphireward/jobs/unstored-trials";
@@ -173,7 +174,11 @@
         const ageMs = clock.wallMs() - arrivedAtMs;
         metrics.jobsEnded.inc({ queue, state: end });
         metrics.jobSeconds.observe({ queue }, ageMs / 1_000);
-        const { endReason: reason } = job;
-        log.write("job-ended", { job: id, queue, state: end, reason, ageMs: Math.round(ageMs) });
+        const { endReason: reason, failure } = job;
+        if (failure !== undefined) {
+            metrics.jobsFailed.inc({ cause: failure.cause });
+        }
+        const cause = failure && describeJobFailure(failure);
+        log.write("job-ended", { job: id, queue, state: end, reason, cause, ageMs: Math.round(ageMs) });
     }
 }
--- a/packages/dispatch/tests/stored-names.test.ts
+++ b/packages/dispatch/tests/stored-names.test.ts
@@ -31,6 +31,13 @@
     crashed:
         '{"v":1,"progress":{"endState":"failed","endReason":"worker-crashes","endedAtMs":9,"hasStarted":true,' +
         '"nextOccurrence":2,"open":[]}}',
+    failedByAttempts:
+        '{"v":1,"progress":{"endState":"failed","failure":{"cause":"attempts","task":"0.0.1","failedRuns":2,' +
+        '"limit":2,"configVersion":9},"endedAtMs":9,"hasStarted":true,"nextOccurrence":2,"open":[]}}',
+    failedByCrashes:
+        '{"v":1,"progress":{"endState":"failed","endReason":"worker-crashes","failure":{"cause":"worker-crashes",' +
+        '"task":"0.0.1","crashedWorkers":[{"worker":"w1/1","proof":"replaced"},{"worker":"w2/2",' +
+        '"proof":"inherited"}],"inheritedCrashes":1},"endedAtMs":9,"hasStarted":true,"nextOccurrence":2,"open":[]}}',
     ended: '{"v":1,"progress":{"endState":"failed","endedAtMs":9,"hasStarted":true,"nextOccurrence":2,"open":[]}}',
     effects: '{"headrooms":{"web":2.5},"pairs":{"web":[["fill",0.4,0.01],["heavy",9,1.5]]}}',
     roster: '{"lives":["w1/1","w2/5"],"leaseMs":4500}',
@@ -49,7 +56,9 @@
         return;
     }
     t.equal(jobCodec.encodeJob(spec), stored.job);
-    for (const text of [stored.progress, stored.suspected, stored.crashes, stored.crashed, stored.ended]) {
+    const { progress, suspected, crashes, crashed, failedByAttempts, failedByCrashes, ended } = stored;
+    const texts = [progress, suspected, crashes, crashed, failedByAttempts, failedByCrashes, ended];
+    for (const text of texts) {
         const scheduler = createScheduler();
         scheduler.inheritJob(spec, jobCodec.decodeProgress(text));
         const job = scheduler.jobs.get(id);
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -126,8 +126,9 @@
         return new CellScheduler(epoch, clock, limits, observer, order);
     }
 
-    setQueues(rules: readonly QueueRule[]): void {
-        this.rules.replace(rules);
+    /** Sets the rules of all queues; `version` is that of the configuration that they are from. */
+    setQueues(rules: readonly QueueRule[], version?: number): void {
+        this.rules.replace(rules, version);
         this.results.applyAttemptLimits(this.clock.wallMs());
     }
 
--- a/packages/jobs/src/crash-suspicions.ts
+++ b/packages/jobs/src/crash-suspicions.ts
@@ -1,3 +1,5 @@
+import { crashFailureOf } from "./crash-failure-of.js";
+import { CrashProof } from "./crash-proof.js";
 import type { EndObserver } from "./end-observer.js";
 import { isNearLimit } from "./is-near-limit.js";
 import { isReplaced } from "./is-replaced.js";
@@ -120,7 +122,8 @@
         const { job } = task.step.occurrence;
         if (!task.isDone && task.suspicion > 0 && !this.isUnsettled(task)) {
             if (task.crashes.provenEvidence.isConclusive(job.isInherited)) {
-                this.jobs.setEndState(job, JobState.Failed, wallMs, JobEndReason.WorkerCrashes);
+                const failure = crashFailureOf(task);
+                this.jobs.setEndState(job, JobState.Failed, wallMs, JobEndReason.WorkerCrashes, failure);
             }
         }
     }
@@ -158,7 +161,7 @@
             const entry = this.fleet.get(id)?.entry;
             const isProven = entry === undefined || entry.startedAtMs > Number(startedAt);
             if (isProven) {
-                tasks.forEach(task => task.crashes.prove(key));
+                tasks.forEach(task => task.crashes.prove(key, CrashProof.Inherited));
             } else if (nowMs - notedAtMs >= UnprovenSettleMs) {
                 this.takeBack(tasks, key, SuspicionChange.Unproven);
             } else {
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,4 +1,5 @@
 import type { JobEndReason } from "./job-end-reason.js";
+import type { JobFailure } from "./job-failure.js";
 import type { JobState } from "./job-state.js";
 import type { OccurrenceProgress } from "./occurrence-progress.js";
 
@@ -8,6 +9,8 @@
     readonly endState: JobState | undefined;
     /** Why the job ended as failed; absent for other ends, and in the progress of older versions. */
     readonly endReason?: JobEndReason | undefined;
+    /** What ended the job as failed; absent for other ends, and in the progress of older versions. */
+    readonly failure?: JobFailure | undefined;
     readonly endedAtMs: number;
     /** Whether a task has started. Earlier builds also set it for starts that no worker has confirmed. */
     readonly hasStarted: boolean;
--- a/packages/jobs/src/job-registry.ts
+++ b/packages/jobs/src/job-registry.ts
@@ -4,6 +4,7 @@
 import type { Job as JobType } from "./job.js";
 import { Job } from "./job.js";
 import type { JobEndReason } from "./job-end-reason.js";
+import type { JobFailure } from "./job-failure.js";
 import type { JobProgress } from "./job-progress.js";
 import type { JobSpec } from "./job-spec.js";
 import { JobState } from "./job-state.js";
@@ -136,11 +137,18 @@
         this.changed.add(job);
     }
 
-    /** Sets a job's final state; a job that has one keeps it. */
-    setEndState(job: JobType, state: JobState, wallMs: number, reason?: JobEndReason): void {
+    /** Sets a job's final state; a job that has one keeps it. `reason` and `failure` are those of a failed one. */
+    setEndState(
+        job: JobType,
+        state: JobState,
+        wallMs: number,
+        reason?: JobEndReason,
+        failure?: JobFailure,
+    ): void {
         if (job.endState === undefined) {
             job.endState = state;
             job.endReason = reason;
+            job.failure = failure;
             job.endedAtMs = wallMs;
             job.closeAll();
             this.undecidedJobs.delete(job);
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,7 +1,9 @@
 import type { JobSpec } from "./job-spec.js";
 import type { JobEndReason } from "./job-end-reason.js";
+import type { JobFailure } from "./job-failure.js";
 import { JobState } from "./job-state.js";
 import type { JobStatus } from "./job-status.js";
+import { createJobStatus } from "./create-job-status.js";
 import { Occurrence } from "./occurrence.js";
 import { openTaskLimits } from "./open-task-limits.js";
 import { OpenTasks } from "./open-tasks.js";
@@ -17,6 +19,8 @@
     storedEndState: JobState | undefined;
     /** Why the job ended as failed; undefined for any other end and for a task that failed too often. */
     endReason: JobEndReason | undefined;
+    /** What ended the job as failed; undefined for any other end, and if an earlier build stored the end. */
+    failure: JobFailure | undefined;
     /** Wall-clock time at which the job ended, in milliseconds since 1970. */
     endedAtMs = 0;
     /** Whether a worker has begun one of its tasks, as far as workers have said so. */
@@ -113,8 +117,8 @@
 
     /** What callers are shown; a final state and its reason only once they are durable. */
     get status(): JobStatus {
-        const isFinal = this.storedEndState !== undefined && this.endReason !== undefined;
-        return { state: this.state, ...(isFinal ? { reason: this.endReason } : {}) };
+        const { state, storedEndState, endReason, failure } = this;
+        return storedEndState === undefined ? { state } : createJobStatus(state, endReason, failure);
     }
 
     get isComplete(): boolean {
--- a/packages/jobs/src/read-progress.ts
+++ b/packages/jobs/src/read-progress.ts
@@ -18,6 +18,7 @@
     const progress: JobProgress = {
         endState: job.endState,
         ...(job.endReason === undefined ? {} : { endReason: job.endReason }),
+        ...(job.failure === undefined ? {} : { failure: job.failure }),
         endedAtMs: job.endedAtMs,
         hasStarted: job.hasStarted,
         nextOccurrence: job.nextOccurrence,
--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -12,6 +12,7 @@
     job.endState = progress.endState;
     job.storedEndState = progress.endState;
     job.endReason = progress.endReason;
+    job.failure = progress.failure;
     job.endedAtMs = progress.endedAtMs;
     job.hasStarted = hasStarted(progress);
     job.nextOccurrence = progress.nextOccurrence;
--- a/packages/jobs/src/run-results.ts
+++ b/packages/jobs/src/run-results.ts
@@ -1,3 +1,4 @@
+import { attemptFailureOf } from "./attempt-failure-of.js";
 import type { CopyRuns } from "./copy-runs.js";
 import { EndKind } from "./end-kind.js";
 import type { EndObserver } from "./end-observer.js";
@@ -179,7 +180,8 @@
         const { job } = task.step.occurrence;
         const limit = this.rules.get(job.spec.queue)?.maxAttempts;
         if (limit !== undefined && !task.isDone && task.failedRuns.size >= limit) {
-            this.jobs.setEndState(job, JobState.Failed, wallMs);
+            const failure = attemptFailureOf(task, limit, this.rules.version);
+            this.jobs.setEndState(job, JobState.Failed, wallMs, undefined, failure);
         }
     }
 
--- a/packages/jobs/src/task-crashes.ts
+++ b/packages/jobs/src/task-crashes.ts
@@ -1,5 +1,7 @@
 import { CrashEvidence } from "@samphireward/core/crash-evidence";
 import type { CrashObservation } from "@samphireward/core/crash-observation";
+import { CrashProof } from "./crash-proof.js";
+import type { CrashedWorker } from "./crashed-worker.js";
 import { unknownAges } from "./unknown-ages.js";
 
 /** The crashes of workers that one task may have caused. */
@@ -7,8 +9,8 @@
     private inherited = CrashEvidence.none;
     /** Losses that this owner has noted, by worker key. */
     private readonly observations = new Map<string, CrashObservation>();
-    /** Keys of the workers that are known to have crashed. */
-    private readonly proven = new Set<string>();
+    /** The workers that are known to have crashed, by key, and how that is known. */
+    private readonly proven = new Map<string, CrashProof>();
     private all = CrashEvidence.none;
 
     private constructor() {}
@@ -27,9 +29,12 @@
         return this.fold(key => this.proven.has(key));
     }
 
-    /** Keys of the workers that are known to have crashed, those of previous owners aside. */
-    get provenWorkers(): readonly string[] {
-        return [...this.proven];
+    /** The workers that are known to have crashed, in the order of their losses; not those that are only counted. */
+    get provenWorkers(): readonly CrashedWorker[] {
+        return [...this.observations.keys()].flatMap(worker => {
+            const proof = this.proven.get(worker);
+            return proof === undefined ? [] : [{ worker, proof }];
+        });
     }
 
     /** Sets what a previous owner has stored. */
@@ -54,9 +59,9 @@
     }
 
     /** Records that a worker of which the loss was added has crashed. */
-    prove(workerKey: string): void {
+    prove(workerKey: string, proof: CrashProof = CrashProof.Replaced): void {
         if (this.observations.has(workerKey)) {
-            this.proven.add(workerKey);
+            this.proven.set(workerKey, proof);
         }
     }
 
