Owners hand on what is not known of a lost worker, and prove it late

Change: only proven crashes are stored as evidence, the other lost workers with their addresses beside it (lostWorkers, suspectAddress), and the next owner decides about them as about its own. A loss that was taken back counts once its worker is replaced within a minute. The age at a loss counts from the request of the last listing, which a delay of the owner does not move. A task whose only crash took most of a rack or of the cell needs no trial. In a small cell one loss leaves it calm.

--- a/packages/dispatch/tests/stored-names.test.ts
+++ b/packages/dispatch/tests/stored-names.test.ts
@@ -27,7 +27,8 @@
     crashes:
         '{"v":1,"progress":{"endedAtMs":0,"hasStarted":true,"nextOccurrence":1,"open":[{"number":0,"steps":' +
         '[{"doneBits":"000","marks":[{"index":0,"failedRuns":[],"lastRun":1,"checkpoint":"","suspicion":2,' +
-        '"crashes":{"count":3,"minAgeMs":0,"maxAgeMs":120,"chance":0.004}}]}]}]}}',
+        '"crashes":{"count":3,"minAgeMs":0,"maxAgeMs":120,"chance":0.004},' +
+        '"lostWorkers":[{"worker":"w2/1","address":"a2:1"}],"suspectWorker":"w1/1","suspectAddress":"a1:1"}]}]}]}}',
     crashed:
         '{"v":1,"progress":{"endState":"failed","endReason":"worker-crashes","endedAtMs":9,"hasStarted":true,' +
         '"nextOccurrence":2,"open":[]}}',
--- a/packages/jobs/src/cell-scheduler.ts
+++ b/packages/jobs/src/cell-scheduler.ts
@@ -247,6 +247,7 @@
         this.noteReachability(worker, true);
         this.suspicions.noteAlive(worker);
         worker.lastContactAtMs = nowMs;
+        worker.lastListingSentAtMs = sentAtMs;
         if (!worker.hasListedRuns) {
             const endsAtMs = nowMs + this.previousOwners.leaseAtFirstListingMs(worker.key);
             worker.leaseEndsAtMs = Math.max(worker.leaseEndsAtMs, endsAtMs);
--- a/packages/jobs/src/crash-suspicions.ts
+++ b/packages/jobs/src/crash-suspicions.ts
@@ -2,15 +2,17 @@
 import { CrashProof } from "./crash-proof.js";
 import type { EndObserver } from "./end-observer.js";
 import { isNearLimit } from "./is-near-limit.js";
+import { explainLoss } from "./explain-loss.js";
+import { isLostWorkerReplaced } from "./is-lost-worker-replaced.js";
 import { isReplaced } from "./is-replaced.js";
 import { JobEndReason } from "./job-end-reason.js";
 import type { JobRegistry } from "./job-registry.js";
 import { JobState } from "./job-state.js";
 import { LossRate } from "./loss-rate.js";
+import type { LostWorker } from "./lost-worker.js";
 import type { Run } from "./run.js";
 import { RunPhase } from "./run-phase.js";
 import { settledRunMs } from "./settled-run-ms.js";
-import { sharedLossProbability } from "./shared-loss-probability.js";
 import { SuspicionChange } from "./suspicion-change.js";
 import type { Task } from "./task.js";
 import { unknownAges } from "./unknown-ages.js";
@@ -55,7 +57,8 @@
         const loss = WorkerLoss.create(worker, nowMs);
         const change = loss.hasTrial ? SuspicionChange.Trial : SuspicionChange.Shared;
         for (const [task, ages] of loss.ages) {
-            task.crashes.add(worker.key, { ...ages, lossRatePerMs: 0, sharedLossProbability: 1 });
+            const crash = { ...ages, lossRatePerMs: 0, sharedLossProbability: 1 };
+            task.crashes.add(worker.key, worker.entry.address, crash);
             this.report(task, worker.key, change);
         }
         this.losses.push(loss);
@@ -69,17 +72,20 @@
             this.takeBack(loss.blamed, key, SuspicionChange.CutOff);
         }
         this.losses = this.losses.filter(loss => loss.worker.key !== key);
-        this.takeBack(this.inherited.get(key)?.tasks ?? [], key, SuspicionChange.CutOff);
+        this.takeBack([...(this.inherited.get(key)?.tasks ?? [])], key, SuspicionChange.CutOff);
         this.inherited.delete(key);
     }
 
     /** Records that a worker which a previous owner stored for the task does not answer and has listed no end. */
-    noteInheritedLoss(task: Task, workerKey: string, nowMs: number): void {
-        const { tasks = [], notedAtMs = nowMs } = this.inherited.get(workerKey) ?? {};
-        this.inherited.set(workerKey, { tasks: [...tasks, task], notedAtMs });
+    noteInheritedLoss(task: Task, lost: LostWorker, nowMs: number): void {
+        const { worker: key, address } = lost;
+        const loss = this.inherited.get(key) ?? { lost, tasks: new Set(), notedAtMs: nowMs };
+        loss.tasks.add(task);
+        this.inherited.set(key, loss);
         const lossRatePerMs = this.lossRate.perMs;
-        task.crashes.add(workerKey, { ...unknownAges, lossRatePerMs, sharedLossProbability: UnknownShare });
-        this.report(task, workerKey, SuspicionChange.Inherited);
+        const crash = { ...unknownAges, lossRatePerMs, sharedLossProbability: UnknownShare };
+        task.crashes.add(key, address, crash);
+        this.report(task, key, SuspicionChange.Inherited);
     }
 
     /** Ends the suspicion against a task whose worker has survived it for long enough. */
@@ -90,7 +96,7 @@
             nowMs - run.confirmedAtMs >= settledRunMs &&
             task.isCurrent(run);
         if (task.suspicion > 0 && hasSurvived) {
-            task.crashes.clear();
+            task.crashes.clear(nowMs);
             this.report(task, run.worker.key, SuspicionChange.Survived);
         }
     }
@@ -106,13 +112,17 @@
     /** Judges the losses of which all is known, and gives up the tasks that have crashed too many workers. */
     settle(nowMs: number, wallMs: number): void {
         this.settleInherited(nowMs, wallMs);
-        this.losses = this.losses.filter(loss => nowMs - loss.lostAtMs < KeepMs);
+        this.losses = this.losses.filter(loss => nowMs - loss.notedAtMs < KeepMs);
         this.lossRate.update(this.losses, nowMs);
-        for (const loss of this.losses.filter(({ isSettled }) => !isSettled)) {
-            const isProven = isReplaced(loss.worker.entry, this.fleet);
-            if (nowMs - loss.lostAtMs >= (isProven ? SettleMs : UnprovenSettleMs)) {
-                this.judge(loss, isProven, nowMs);
-                loss.blamed.forEach(task => this.giveUpIfDue(task, wallMs));
+        for (const loss of this.losses.filter(({ isProven }) => !isProven)) {
+            if (isReplaced(loss.worker.entry, this.fleet)) {
+                if (nowMs - loss.lostAtMs >= SettleMs) {
+                    this.prove(loss, nowMs);
+                    loss.blamed.forEach(task => this.giveUpIfDue(task, wallMs));
+                }
+            } else if (!loss.isSettled && nowMs - loss.lostAtMs >= UnprovenSettleMs) {
+                loss.isSettled = true;
+                this.takeBack(loss.blamed, loss.worker.key, SuspicionChange.Unproven);
             }
         }
     }
@@ -131,24 +141,21 @@
     private isUnsettled(task: Task): boolean {
         return (
             this.losses.some(loss => !loss.isSettled && loss.ages.has(task)) ||
-            [...this.inherited.values()].some(({ tasks }) => tasks.includes(task))
+            [...this.inherited.values()].some(({ tasks }) => tasks.has(task))
         );
     }
 
-    private judge(loss: WorkerLoss, isProven: boolean, nowMs: number): void {
+    /** Counts a loss as a crash, also one that was taken back since nothing had taken the place of the worker in time. */
+    private prove(loss: WorkerLoss, nowMs: number): void {
         loss.isSettled = true;
-        const { key } = loss.worker;
-        if (!isProven) {
-            this.takeBack(loss.blamed, key, SuspicionChange.Unproven);
-            return;
-        }
-        const causes = {
-            lossRatePerMs: this.lossRate.perMsAt(loss),
-            sharedLossProbability: sharedLossProbability(loss, this.losses, this.fleet, nowMs),
-        };
+        loss.isProven = true;
+        const { key, entry } = loss.worker;
+        const { isGroupLost, sharedLossProbability } = explainLoss(loss, this.losses, this.fleet, nowMs);
+        const causes = { lossRatePerMs: this.lossRate.perMsAt(loss), sharedLossProbability };
         for (const [task, ages] of loss.ages) {
-            if (task.crashes.has(key)) {
-                task.crashes.add(key, { ...ages, ...causes });
+            if (task.crashes.clearedAtMs <= loss.lostAtMs) {
+                task.wasLostWithGroup ||= isGroupLost;
+                task.crashes.add(key, entry.address, { ...ages, ...causes });
                 task.crashes.prove(key);
                 this.report(task, key, SuspicionChange.Proven);
             }
@@ -156,14 +163,11 @@
     }
 
     private settleInherited(nowMs: number, wallMs: number): void {
-        for (const [key, { tasks, notedAtMs }] of this.inherited) {
-            const [id = "", startedAt] = key.split("/");
-            const entry = this.fleet.get(id)?.entry;
-            const isProven = entry === undefined || entry.startedAtMs > Number(startedAt);
-            if (isProven) {
+        for (const [key, { lost, tasks, notedAtMs }] of this.inherited) {
+            if (isLostWorkerReplaced(lost, this.fleet)) {
                 tasks.forEach(task => task.crashes.prove(key, CrashProof.Inherited));
             } else if (nowMs - notedAtMs >= UnprovenSettleMs) {
-                this.takeBack(tasks, key, SuspicionChange.Unproven);
+                this.takeBack([...tasks], key, SuspicionChange.Unproven);
             } else {
                 continue;
             }
@@ -191,6 +195,7 @@
 
 /** Tasks that were stored with a worker, and when this owner found that it does not answer. */
 interface InheritedLoss {
-    readonly tasks: readonly Task[];
+    readonly lost: LostWorker;
+    readonly tasks: Set<Task>;
     readonly notedAtMs: number;
 }
--- a/packages/jobs/src/shared-loss-probability.ts
+++ b/packages/jobs/src/explain-loss.ts
@@ -1,9 +1,13 @@
+import { silentWorkers } from "./silent-workers.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerIncarnation } from "./worker-incarnation.js";
 import { WorkerLoss } from "./worker-loss.js";
 
 /** Two losses whose last contacts are closer than this may have one cause. */
 const SameTimeMs = 1_500;
+/** Fewest workers that count as a lost group, and the share of the group that they must be. */
+const MinGroupLosses = 3;
+const GroupShare = 0.5;
 
 /**
  * Losses at the same time as this one that no trial and not the same job explains. One job has caused this loss at most, so
@@ -28,26 +32,38 @@
 const countAddresses = (workers: readonly WorkerIncarnation[]): number =>
     new Set(workers.map(({ entry }) => entry.address)).size;
 
+/** What else explains the loss of a worker than the tasks that ran there. */
+interface LossExplanation {
+    /** Most of the rack or of the cell was lost at the same time. */
+    readonly isGroupLost: boolean;
+    /** Probability that what took other workers at the same time took this one as well, 0 to 1. */
+    readonly sharedLossProbability: number;
+}
+
 /**
- * Probability that what took other workers at the same time took this one as well, 0 to 1: the share of its rack or of the
- * cell that was lost, whichever is larger. Counts the other `recorded` losses and the workers that do not answer now.
+ * Explains a loss by the other `recorded` losses and by the workers that do not answer now: by the share of its rack and of
+ * the cell that was lost at the same time, whichever is larger.
  */
-export const sharedLossProbability = (
+export const explainLoss = (
     loss: WorkerLoss,
     recorded: readonly WorkerLoss[],
     fleet: WorkerFleet,
     nowMs: number,
-): number => {
-    const silent = [...fleet.workers].filter(
-        worker => !worker.isReachable && !worker.isLost && worker.hasListedRuns,
-    );
+): LossExplanation => {
+    const silent = silentWorkers(fleet);
     const losses = [...recorded, ...silent.map(worker => WorkerLoss.create(worker, nowMs))];
     const lost = independentLosses(loss, losses).map(({ worker }) => worker);
     const workers = [...fleet.workers, ...losses.map(({ worker }) => worker)];
     const { rack } = loss.worker.entry;
     const isOnRack = (worker: WorkerIncarnation): boolean => worker.entry.rack === rack;
-    return Math.max(
-        countAddresses(lost) / countAddresses(workers),
-        countAddresses(lost.filter(isOnRack)) / countAddresses(workers.filter(isOnRack)),
-    );
+    const groups = [
+        { lost: countAddresses(lost), size: countAddresses(workers) },
+        { lost: countAddresses(lost.filter(isOnRack)), size: countAddresses(workers.filter(isOnRack)) },
+    ];
+    return {
+        isGroupLost: groups.some(
+            group => group.lost + 1 >= Math.max(MinGroupLosses, group.size * GroupShare),
+        ),
+        sharedLossProbability: Math.max(...groups.map(group => group.lost / group.size)),
+    };
 };
--- a/packages/jobs/src/inherited-trials.ts
+++ b/packages/jobs/src/inherited-trials.ts
@@ -31,7 +31,7 @@
 
     addJob(job: Job): void {
         for (const task of job.tasks()) {
-            if (task.suspicion > 0 || task.inheritedWorkerKey !== undefined) {
+            if (task.hasCrashes || task.inheritedWorkerKey !== undefined) {
                 this.tasks.add(task);
             }
         }
@@ -44,7 +44,11 @@
     resolve(mayHaveRuns: (workerKey: string) => boolean, { nowMs, wallMs }: ResolveTimes): void {
         for (const task of this.tasks) {
             const { inheritedWorkerKey } = task;
-            if (inheritedWorkerKey === undefined || !mayHaveRuns(inheritedWorkerKey)) {
+            const keys = [
+                ...task.crashes.storedWorkers.keys(),
+                ...(inheritedWorkerKey ? [inheritedWorkerKey] : []),
+            ];
+            if (!keys.some(mayHaveRuns)) {
                 this.tasks.delete(task);
                 this.resolveTask(task, inheritedWorkerKey, { nowMs, wallMs });
             }
@@ -53,11 +57,16 @@
 
     private resolveTask(task: Task, workerKey: string | undefined, { nowMs, wallMs }: ResolveTimes): void {
         const { fleet, trials, suspicions, jobs } = this.context;
+        const stored = new Map(task.crashes.storedWorkers);
+        if (workerKey !== undefined && !stored.has(workerKey)) {
+            stored.set(workerKey, { worker: workerKey, address: task.inheritedWorkerAddress ?? "" });
+        }
         task.inheritedWorkerKey = undefined;
-        if (workerKey !== undefined) {
-            const worker = [...fleet.workers].find(({ key }) => key === workerKey);
+        for (const lost of stored.values()) {
+            task.crashes.forgetStoredWorker(lost.worker);
+            const worker = [...fleet.workers].find(({ key }) => key === lost.worker);
             if (worker?.hasListedRuns !== true) {
-                suspicions.noteInheritedLoss(task, workerKey, nowMs);
+                suspicions.noteInheritedLoss(task, lost, nowMs);
             } else if (task.run?.worker === worker && task.suspicion > 0 && worker.trialTask === undefined) {
                 trials.open(task, worker);
             }
--- a/packages/jobs/src/loss-rate.ts
+++ b/packages/jobs/src/loss-rate.ts
@@ -1,4 +1,5 @@
 import { isNearLimit } from "./is-near-limit.js";
+import { silentWorkers } from "./silent-workers.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerLoss } from "./worker-loss.js";
 
@@ -47,14 +48,18 @@
     perMsAt({ lostAtMs, worker }: WorkerLoss): number {
         const near = this.unrelated.filter(loss => Math.abs(loss.lostAtMs - lostAtMs) < CalmMs);
         const others = near.filter(loss => loss.worker !== worker).length;
-        const wasCalm =
-            this.knownMs - (this.nowMs - lostAtMs) >= CalmMs && others <= this.fleet.size * MaxCalmShare;
+        const wasCalm = this.knownMs - (this.nowMs - lostAtMs) >= CalmMs && others <= this.maxCalmLosses;
         const ofCell = wasCalm ? Math.min(this.perMs, this.ratePerMs(others, CalmMs)) : this.perMs;
         const { address } = worker.entry;
         const ofWorker = this.unrelated.filter(loss => loss.worker.entry.address === address).length;
         return Math.max(ofCell, ofWorker / PeriodMs);
     }
 
+    /** A single loss says little of a small cell. */
+    private get maxCalmLosses(): number {
+        return Math.max(1, this.fleet.size * MaxCalmShare);
+    }
+
     private get knownMs(): number {
         return this.nowMs - (this.sinceMs ?? this.nowMs);
     }
@@ -69,11 +74,10 @@
         const lost = losses.filter(
             loss => this.nowMs - loss.lostAtMs < CalmMs && !(loss.hasTrial && loss.blamed.some(isNearLimit)),
         );
-        const silent = [...this.fleet.workers].filter(
-            ({ isReachable, isLost, hasListedRuns, trialTask }) =>
-                !isReachable && !isLost && hasListedRuns && !(trialTask && isNearLimit(trialTask)),
+        const silent = silentWorkers(this.fleet).filter(
+            ({ trialTask }) => trialTask === undefined || !isNearLimit(trialTask),
         );
         const isKnown = this.knownMs >= CalmMs;
-        return isKnown && lost.length + silent.length <= this.fleet.size * MaxCalmShare;
+        return isKnown && lost.length + silent.length <= this.maxCalmLosses;
     }
 }
--- a/packages/jobs/src/read-progress.ts
+++ b/packages/jobs/src/read-progress.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from "@samphireward/core/crash-evidence";
 import type { Job } from "./job.js";
 import type { JobProgress } from "./job-progress.js";
 import type { OccurrenceProgress } from "./occurrence-progress.js";
@@ -44,17 +45,31 @@
 });
 
 const readSuspicion = (task: Task): Partial<TaskProgress> => {
-    const suspicion = Math.min(task.suspicion, MaxStoredSuspicion);
     const suspectWorker = unresolvedWorkerKey(task);
     return {
-        ...(suspicion > 0 ? { suspicion, ...readCrashes(task, suspicion) } : {}),
-        ...(suspectWorker === undefined ? {} : { suspectWorker }),
+        ...(task.hasCrashes ? readCrashes(task) : {}),
+        ...(suspectWorker === undefined ? {} : { suspectWorker, ...readAddress(task, suspectWorker) }),
+    };
+};
+
+const readAddress = (task: Task, workerKey: string): Partial<TaskProgress> => {
+    const workers = [task.trial?.worker, task.run?.worker, task.copy?.worker];
+    const address =
+        workers.find(worker => worker?.key === workerKey)?.entry.address ?? task.inheritedWorkerAddress;
+    return address === undefined ? {} : { suspectAddress: address };
+};
+
+const readCrashes = (task: Task): Partial<TaskProgress> => {
+    const { lostWorkers, provenEvidence } = task.crashes;
+    const suspicion = Math.min(provenEvidence.count, MaxStoredSuspicion);
+    return {
+        ...(suspicion > 0 ? { suspicion, ...readEvidence(provenEvidence, suspicion) } : {}),
+        ...(lostWorkers.length > 0 ? { lostWorkers } : {}),
     };
 };
 
 /** The number alone says the same of crashes that an earlier build has stored. */
-const readCrashes = ({ crashes }: Task, suspicion: number): Partial<TaskProgress> => {
-    const { fields } = crashes.evidence;
+const readEvidence = ({ fields }: CrashEvidence, suspicion: number): Partial<TaskProgress> => {
     const { minAgeMs, maxAgeMs } = unknownAges;
     const isKnownByNumber =
         fields.count === suspicion &&
--- a/packages/jobs/src/restore-progress.ts
+++ b/packages/jobs/src/restore-progress.ts
@@ -30,10 +30,11 @@
         }
     });
     for (const mark of progress?.marks ?? []) {
-        const { index, failedRuns, lastRun, checkpoint, suspectWorker } = mark;
+        const { index, failedRuns, lastRun, checkpoint, suspectWorker, suspectAddress } = mark;
         const task = step.tasks[index];
         if (task !== undefined) {
             Object.assign(task, { lastRun, checkpoint, inheritedWorkerKey: suspectWorker });
+            task.inheritedWorkerAddress = suspectAddress;
             restoreCrashes(task, mark);
             failedRuns.forEach(number => task.failedRuns.add(number));
         }
@@ -41,7 +42,10 @@
 };
 
 /** An earlier build that owned the job in between has raised or reset the number alone. */
-const restoreCrashes = (task: Task, { suspicion = 0, crashes }: TaskProgress): void => {
+const restoreCrashes = (task: Task, { suspicion = 0, crashes, lostWorkers = [] }: TaskProgress): void => {
+    if (lostWorkers.length > 0) {
+        task.crashes.inheritLostWorkers(lostWorkers);
+    }
     if (suspicion > 0 && crashes !== undefined) {
         task.crashes.inherit(CrashEvidence.create(crashes));
     } else if (suspicion > 0) {
--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -168,7 +168,7 @@
             if (orders.length >= maxStarts) {
                 break;
             }
-            if (task.suspicion > 0) {
+            if (task.needsTrial) {
                 orders.push(...this.startSuspect(task, service, nowMs, requiresGoodFit));
                 continue;
             }
@@ -197,7 +197,7 @@
             return;
         }
         for (const task of step.tasks) {
-            const isUnplaced = task.suspicion === 0 || this.context.trialPlanner.mayOpen(task);
+            const isUnplaced = !task.needsTrial || this.context.trialPlanner.mayOpen(task);
             if (isUnplaced && isReady(task, nowMs) && waiting.length < MaxWaitingShortTasks) {
                 task.readySinceMs ??= nowMs;
                 waiting.push({ task, service });
@@ -227,7 +227,7 @@
         const orders: Order[] = [];
         const requiresGoodFit = longestWaitMs(step, nowMs) < GangWaitMs;
         const { trialPlanner } = this.context;
-        const suspects = step.tasks.filter(task => task.suspicion > 0);
+        const suspects = step.tasks.filter(task => task.needsTrial);
         // Members of a gang start and end together, so that a crash ends the others anyway.
         step.sharesTrials = !requiresGoodFit;
         if (suspects.length > 0 && !trialPlanner.isGangReady(suspects, { service, requiresGoodFit }, nowMs)) {
--- a/packages/jobs/src/task-progress.ts
+++ b/packages/jobs/src/task-progress.ts
@@ -1,4 +1,5 @@
 import type { CrashEvidenceFields } from "@samphireward/core/crash-evidence-fields";
+import type { LostWorker } from "./lost-worker.js";
 
 /** Durable state of a task that is not done but has been started or has a checkpoint. */
 export interface TaskProgress {
@@ -11,6 +12,10 @@
     readonly suspicion?: number;
     /** The crashes that the task may have caused; absent if the number says the same, as in the progress of earlier builds. */
     readonly crashes?: CrashEvidenceFields;
+    /** Workers that were lost under the task and may have crashed; absent if there are none, and in earlier builds. */
+    readonly lostWorkers?: readonly LostWorker[];
     /** Key of the worker whose loss without a listed end counts against the task; absent if there is none. */
     readonly suspectWorker?: string;
+    /** Its address; absent in the progress of earlier builds. */
+    readonly suspectAddress?: string;
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -30,10 +30,14 @@
     migrationCount = 0;
     /** Monotonic time before which the task is not started again, late starts aside. */
     notBeforeMs = 0;
+    /** Whether a crash that the task may have caused took a rack or most of the cell as well. */
+    wasLostWithGroup = false;
     /** The open trial; undefined if there is none. */
     trial: Trial | undefined;
     /** Key of a worker, stored by a previous owner, whose loss would count against the task; until it is known. */
     inheritedWorkerKey: string | undefined;
+    /** Its address; undefined if an earlier build stored the key alone. */
+    inheritedWorkerAddress: string | undefined;
     /** Created when needed, since most tasks are never suspected. */
     private taskCrashes: TaskCrashes | undefined;
     /** Progress of the run of a speculative step that wrote the latest checkpoint, in percent. */
@@ -61,11 +65,21 @@
         return this.taskCrashes;
     }
 
+    /** Whether a loss was ever counted for the task. */
+    get hasCrashes(): boolean {
+        return this.taskCrashes !== undefined;
+    }
+
     /** Number of crashes that the task may have caused; 0 if it is not suspected. */
     get suspicion(): number {
         return this.taskCrashes?.evidence.count ?? 0;
     }
 
+    /** Whether the task starts in a trial only. A single crash says nothing if it took many other workers. */
+    get needsTrial(): boolean {
+        return this.suspicion > (this.wasLostWithGroup ? 1 : 0);
+    }
+
     set suspicion(count: number) {
         this.crashes.inheritCount(count);
     }
--- a/packages/jobs/src/worker-incarnation.ts
+++ b/packages/jobs/src/worker-incarnation.ts
@@ -44,6 +44,8 @@
     /** Task on trial here; nothing else starts meanwhile. */
     trialTask: Task | undefined;
     lastContactAtMs = 0;
+    /** Monotonic time at which the last listing was requested. */
+    lastListingSentAtMs = 0;
     /** Monotonic time after which nothing that was ordered so far can be running here. */
     leaseEndsAtMs = 0;
     /** Highest sequence number of an end that was read. */
--- a/packages/jobs/src/worker-loss.ts
+++ b/packages/jobs/src/worker-loss.ts
@@ -26,28 +26,33 @@
 }
 
 /**
- * The loss is later than the last listing that shows the run, and earlier than the first call without an answer. A start
+ * The loss is later than the request of the last listing that shows the run, and earlier than the first call without an answer. A start
  * without an answer may have come after the loss, so that any time since the last answer before it is possible.
  */
 const ageAtLoss = (
     run: Run,
-    { lastContactAtMs, unreachableSinceMs }: WorkerIncarnation,
+    { lastContactAtMs, lastListingSentAtMs, unreachableSinceMs }: WorkerIncarnation,
     nowMs: number,
 ): AgeRange => {
     const isConfirmed = run.phase === RunPhase.Running;
-    const minAgeMs = isConfirmed && run.isListed ? Math.max(0, lastContactAtMs - run.confirmedAtMs) : 0;
+    const minAgeMs = isConfirmed && run.isListed ? Math.max(0, lastListingSentAtMs - run.confirmedAtMs) : 0;
     const sinceMs = isConfirmed ? run.startedAtMs : Math.min(run.startedAtMs, lastContactAtMs);
     return { minAgeMs, maxAgeMs: Math.max(minAgeMs, (unreachableSinceMs ?? nowMs) - sinceMs) };
 };
 
 /** A worker that crashed, or that seems to have crashed, and the tasks that may be the cause. */
 export class WorkerLoss {
+    /** Whether nothing more is awaited. */
     isSettled = false;
+    /** Whether the worker is known to have crashed. */
+    isProven = false;
 
     private constructor(
         readonly worker: WorkerIncarnation,
         /** Monotonic time of the last answer of the worker. */
         readonly lostAtMs: number,
+        /** Monotonic time at which the loss was noted. */
+        readonly notedAtMs: number,
         /** Tasks that may be the cause, with the time for which each had run. */
         readonly ages: ReadonlyMap<Task, AgeRange>,
         /** Whether a suspected task was on trial there, which explains the loss. */
@@ -64,7 +69,7 @@
         const trial = runs.find(({ task }) => task.trial?.worker === worker);
         const blamed = trial === undefined ? runs.filter(run => mayHaveJustStarted(run, lostAtMs)) : [trial];
         const ages = new Map(blamed.map(run => [run.task, ageAtLoss(run, worker, nowMs)]));
-        return new WorkerLoss(worker, lostAtMs, ages, trial !== undefined);
+        return new WorkerLoss(worker, lostAtMs, nowMs, ages, trial !== undefined);
     }
 
     /** Whether the loss tells how often workers are lost for causes of their own. */
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -194,6 +194,49 @@
     t.end();
 });
 
+// Guards against a task that crashes workers without a limit because they take longer to start again.
+t.test("the loss of a worker that is replaced late counts in the end", t => {
+    const harness = SchedulerHarness.create();
+    const workers = addWorkers(harness, 20);
+    harness.submit({});
+    const run = startWaiting(harness);
+    lose(harness, run.worker);
+    harness.clock.advance(UnprovenMs);
+    const others = workers.filter(worker => worker !== run.worker);
+    heartbeat(harness, ...others);
+    harness.planOrders();
+    t.equal(run.task.suspicion, 0, "it may be cut off");
+    const { address } = run.worker.entry;
+    harness.addUnreadWorker("late", { address, startedAtMs: ++bornMs });
+    harness.planOrders();
+    t.equal(run.task.suspicion, 1);
+    t.end();
+});
+
+// Guards against a sound job that is shown as failed because each owner inherits as a crash what the one before it had not
+// decided about.
+t.test("the next owner takes the loss of a worker back that answers it", t => {
+    const harness = SchedulerHarness.create();
+    addWorkers(harness, 20);
+    const spec = harness.submit({});
+    const run = startWaiting(harness);
+    lose(harness, run.worker);
+    heartbeat(harness, ...answering(harness));
+    harness.planOrders();
+    const job = harness.scheduler.jobs.get(spec.id);
+    t.equal(run.task.suspicion, 1);
+    const next = SchedulerHarness.create(2);
+    next.inherit(spec, job && readProgress(job));
+    const worker = next.addUnreadWorker(run.worker.entry.id, run.worker.entry);
+    answering(harness).forEach(({ entry }) => next.addWorker(entry.id, entry));
+    next.planOrders();
+    const [task] = [...(next.scheduler.jobs.get(spec.id)?.tasks() ?? [])];
+    t.equal(task?.suspicion, 1, "it may have crashed");
+    next.reportListing(worker, [], []);
+    t.equal(task?.suspicion, 0);
+    t.end();
+});
+
 // Guards against a new owner that gives a job up for crashes of which it knows the number alone, or that starts a task
 // beyond its limit since it does not know them.
 t.test("the next owner knows the evidence against a task, and an earlier build does not give it up", t => {
--- a/packages/jobs/tests/job-failure.test.ts
+++ b/packages/jobs/tests/job-failure.test.ts
@@ -23,7 +23,7 @@
 
 const addCrashes = (task: Task, crash: typeof sameAge, ...workers: readonly string[]): void => {
     for (const worker of workers) {
-        task.crashes.add(worker, crash);
+        task.crashes.add(worker, "", crash);
         task.crashes.prove(worker);
     }
 };
@@ -65,10 +65,10 @@
 t.test("the failure by crashes names the workers, and counts those that a previous owner stored", t => {
     const task = createTask();
     task.crashes.inherit(CrashEvidence.create({ count: 2, minAgeMs: 100, maxAgeMs: 150, chance: 0.1 }));
-    task.crashes.add("w1/1", sameAge);
+    task.crashes.add("w1/1", "", sameAge);
     task.crashes.prove("w1/1", CrashProof.Inherited);
     addCrashes(task, sameAge, "w2/2");
-    task.crashes.add("w3/3", sameAge);
+    task.crashes.add("w3/3", "", sameAge);
     t.strictSame(crashFailureOf(task), {
         cause: "worker-crashes",
         task: "0.0.3",
