A gang starts with all members after the suspicion against one has ended

Cause: a trial that was opened for a member stayed open when its suspicion ended before the start. Change: such a trial is closed, and all members that are not on trial take their place as the others do.

--- a/packages/jobs/src/start-planner.ts
+++ b/packages/jobs/src/start-planner.ts
@@ -236,10 +236,10 @@
         const ranking = this.rankWorkers(step, service, nowMs, requiresGoodFit);
         // The workers of trials were checked for room before the others start there.
         const onTrial = suspects.filter(task => task.trial !== undefined);
-        const others = step.tasks.filter(task => task.trial === undefined);
+        const others = step.tasks.filter(task => !onTrial.includes(task));
         for (const task of [...onTrial, ...others]) {
             task.readySinceMs ??= nowMs;
-            const worker = task.trial?.worker ?? ranking.choose(task);
+            const worker = onTrial.includes(task) ? task.trial?.worker : ranking.choose(task);
             if (worker === undefined) {
                 for (const order of orders) {
                     if (order.kind === OrderKind.Start) {
--- a/packages/jobs/src/trials.ts
+++ b/packages/jobs/src/trials.ts
@@ -20,7 +20,7 @@
         return true;
     }
     if (run === undefined) {
-        return task.isDone || task.step.occurrence.job.endState !== undefined;
+        return task.isDone || !task.needsTrial || task.step.occurrence.job.endState !== undefined;
     }
     return (
         run.phase === RunPhase.Running && trial.worker.lastContactAtMs - run.confirmedAtMs >= trialDurationMs
--- a/packages/jobs/tests/crash-suspicions.test.ts
+++ b/packages/jobs/tests/crash-suspicions.test.ts
@@ -550,6 +550,20 @@
     });
 }
 
+// Guards against a gang of which one member never starts, because its trial was opened before its suspicion ended.
+t.test("a gang starts with all members after the suspicion against one of them has ended", t => {
+    const harness = SchedulerHarness.create();
+    const workers = addWorkers(harness, 4);
+    const spec = harness.submit({ count: 3, gang: true });
+    const tasks = [...(harness.scheduler.jobs.get(spec.id)?.tasks() ?? [])];
+    tasks.slice(0, 1).forEach(task => (task.suspicion = 1));
+    harness.scheduler.plan();
+    t.ok(tasks[0]?.trial, "its trial is open, and not stored");
+    tasks[0]?.crashes.clear(harness.clock.nowMs());
+    t.equal(planUntilStart(harness, workers, 3_000).length, 3);
+    t.end();
+});
+
 // Guards against the trial of one job that runs beside tasks of another, which a crash would end as well.
 t.test("a gang does not start beside a member of another gang on trial", t => {
     const harness = SchedulerHarness.create();
