--- a/packages/jobs/src/crash-suspicions.ts
+++ b/packages/jobs/src/crash-suspicions.ts
@@ -72,7 +72,7 @@
             this.takeBack(loss.blamed, key, SuspicionChange.CutOff);
         }
         this.losses = this.losses.filter(loss => loss.worker.key !== key);
-        this.takeBack([...(this.inherited.get(key)?.tasks ?? [])], key, SuspicionChange.CutOff);
+        this.takeBack(this.inherited.get(key)?.tasks ?? [], key, SuspicionChange.CutOff);
         this.inherited.delete(key);
     }
 
@@ -114,7 +114,7 @@
         this.settleInherited(nowMs, wallMs);
         this.losses = this.losses.filter(loss => nowMs - loss.notedAtMs < KeepMs);
         this.lossRate.update(this.losses, nowMs);
-        for (const loss of this.losses.filter(({ isProven }) => !isProven)) {
+        for (const loss of this.losses.filter(({ isProven, ages }) => !isProven && ages.size > 0)) {
             if (isReplaced(loss.worker.entry, this.fleet)) {
                 if (nowMs - loss.lostAtMs >= SettleMs) {
                     this.prove(loss, nowMs);
@@ -167,7 +167,7 @@
             if (isLostWorkerReplaced(lost, this.fleet)) {
                 tasks.forEach(task => task.crashes.prove(key, CrashProof.Inherited));
             } else if (nowMs - notedAtMs >= UnprovenSettleMs) {
-                this.takeBack([...tasks], key, SuspicionChange.Unproven);
+                this.takeBack(tasks, key, SuspicionChange.Unproven);
             } else {
                 continue;
             }
@@ -176,7 +176,7 @@
         }
     }
 
-    private takeBack(tasks: readonly Task[], workerKey: string, change: SuspicionChange): void {
+    private takeBack(tasks: Iterable<Task>, workerKey: string, change: SuspicionChange): void {
         for (const task of tasks) {
             if (task.crashes.remove(workerKey)) {
                 this.report(task, workerKey, change);
--- a/packages/jobs/src/task-crashes.ts
+++ b/packages/jobs/src/task-crashes.ts
@@ -76,10 +76,6 @@
         return [...this.stored.values(), ...noted];
     }
 
-    has(workerKey: string): boolean {
-        return this.observations.has(workerKey);
-    }
-
     /** Adds the loss of a worker, or replaces what is known of it. */
     add(workerKey: string, address: string, crash: CrashObservation): void {
         this.addresses.set(workerKey, address);
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -75,15 +75,15 @@
         return this.taskCrashes?.evidence.count ?? 0;
     }
 
+    set suspicion(count: number) {
+        this.crashes.inheritCount(count);
+    }
+
     /** Whether the task starts in a trial only. A single crash says nothing if it took many other workers. */
     get needsTrial(): boolean {
         return this.suspicion > (this.wasLostWithGroup ? 1 : 0);
     }
 
-    set suspicion(count: number) {
-        this.crashes.inheritCount(count);
-    }
-
     /** Monotonic time before which the task is not started, according to what is known now. */
     get startableAtMs(): number {
         return this.lateStartEndsMs === undefined
--- a/packages/jobs/src/worker-loss.ts
+++ b/packages/jobs/src/worker-loss.ts
@@ -1,3 +1,4 @@
+import type { CrashObservation } from "@samphireward/core/crash-observation";
 import type { Job } from "./job.js";
 import type { Run } from "./run.js";
 import { recentStartMs } from "./recent-start-ms.js";
@@ -20,14 +21,12 @@
     run.phase !== RunPhase.Running || (!run.isAdopted && lostAtMs - run.startedAtMs < recentStartMs);
 
 /** Time for which a task had run when its worker was lost. */
-interface AgeRange {
-    readonly minAgeMs: number;
-    readonly maxAgeMs: number;
-}
+type AgeRange = Pick<CrashObservation, "minAgeMs" | "maxAgeMs">;
 
 /**
- * The loss is later than the request of the last listing that shows the run, and earlier than the first call without an answer. A start
- * without an answer may have come after the loss, so that any time since the last answer before it is possible.
+ * The loss is later than the request of the last listing that shows the run, and earlier than the first call without an
+ * answer. A start without an answer may have come after the loss, so that any time since the last answer before it is
+ * possible.
  */
 const ageAtLoss = (
     run: Run,
